--- /dev/null
+++ b/crates/comfreyroad/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
--- /dev/null
+++ b/crates/comfreyroad_entry/src/main.rs
@@ -0,0 +1,2 @@
+//! placeholder
+fn main() {}
