--- /dev/null
+++ b/crates/comfreyroad_wire/src/caller/mod.rs
@@ -0,0 +1,1 @@
+//! Requests, refusals and answers as callers see them.
--- /dev/null
+++ b/crates/comfreyroad_wire/src/platform/mod.rs
@@ -0,0 +1,11 @@
+//! Messages of the platform's services, in the shapes of `docs/INTERFACES.md`.
+
+mod append;
+mod page;
+mod rating;
+mod vms;
+
+pub use append::{Append, Appended};
+pub use page::{Page, Stored};
+pub use rating::{Answer, Rating};
+pub use vms::{Kind, State, Vm, Vms};
