--- /dev/null
+++ b/crates/comfreyroad/src/record/mod.rs
@@ -0,0 +1,11 @@
+//! Records that the system keeps in the platform's log.
+
+mod bill;
+mod key;
+mod record;
+mod stream;
+
+pub use bill::Bill;
+pub use key::Key;
+pub use record::{Outcome, Record, Writer};
+pub use stream::Stream;
--- a/crates/comfreyroad_wire/src/lib.rs
+++ b/crates/comfreyroad_wire/src/lib.rs
@@ -4,6 +4,7 @@
 //!
 //! - [`platform`]: JSON of the log service, VM list, rating service and weight store.
 //! - [`engine`]: JSON and server-sent events of model engines and plain services.
+//! - [`record`]: records of the log, in rmp-serde.
 //! - [`caller`]: requests, refusals and answers as callers see them.
 //!
 //! A second front end brings encodings of its own and leaves the decisions as they are.
@@ -11,3 +12,4 @@
 pub mod caller;
 pub mod engine;
 pub mod platform;
+pub mod record;
