--- a/crates/comfreyroad/src/rules/draft.rs
+++ b/crates/comfreyroad/src/rules/draft.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 
-use super::Rules;
+use super::parse::Line;
+use super::{Fault, Rules, check, parse};
 
 /// Rules on their way into force.
 #[derive(Clone, Debug)]
@@ -17,6 +18,7 @@
 #[derive(Clone, Debug)]
 pub struct Parsed {
     rules: Rules,
+    lines: Vec<Line>,
 }
 
 /// All lines agree with each other.
@@ -25,20 +27,6 @@
     rules: Rules,
 }
 
-/// What is wrong with a line.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("{line}:{column}: {found}: expected {expected}")]
-pub struct Fault {
-    /// Line, from 1.
-    pub line: usize,
-    /// Column in characters, from 1.
-    pub column: usize,
-    /// What stands there.
-    pub found: String,
-    /// What should stand there.
-    pub expected: String,
-}
-
 impl Draft<Text> {
     /// A file's text.
     pub fn new(text: impl Into<Arc<str>>) -> Self {
@@ -48,13 +36,12 @@
         }
     }
 
-    /// Reads each line.
+    /// Reads each line; all faults are given.
     pub fn parse(self) -> Result<Draft<Parsed>, Vec<Fault>> {
+        let (rules, lines) = parse::file(&self.text)?;
         Ok(Draft {
             text: self.text,
-            state: Parsed {
-                rules: Rules::default(),
-            },
+            state: Parsed { rules, lines },
         })
     }
 }
@@ -62,11 +49,11 @@
 impl Draft<Parsed> {
     /// Holds the lines against each other.
     pub fn check(self) -> Result<Draft<Checked>, Vec<Fault>> {
+        let Parsed { rules, lines } = self.state;
+        check::file(&rules, &lines)?;
         Ok(Draft {
             text: self.text,
-            state: Checked {
-                rules: self.state.rules,
-            },
+            state: Checked { rules },
         })
     }
 }
--- a/crates/comfreyroad/src/rules/mod.rs
+++ b/crates/comfreyroad/src/rules/mod.rs
@@ -7,21 +7,32 @@
 //! Only [`Draft<Checked>`](Draft) can come into force, and only the controller of the rules brings it there, when the
 //! log says that it was the first to follow the generation then in force.
 
+mod change;
+mod check;
 mod customer;
+mod diff;
 mod draft;
+mod fault;
+mod history;
 mod in_force;
+mod parse;
 mod pool;
 mod route;
 mod service;
+mod verdict;
 mod version;
 mod zone;
 
+pub use change::{Change, Subject};
 pub use customer::Customer;
-pub use draft::{Checked, Draft, Fault, Parsed, Text};
+pub use draft::{Checked, Draft, Parsed, Text};
+pub use fault::Fault;
+pub use history::History;
 pub use in_force::InForce;
 pub use pool::{Fencing, Pool, PoolKind};
 pub use route::Route;
 pub use service::Service;
+pub use verdict::Verdict;
 pub use version::Version;
 pub use zone::Zone;
 
--- /dev/null
+++ b/crates/comfreyroad/src/rules/parse/customer.rs
@@ -0,0 +1,75 @@
+use std::sync::Arc;
+
+use data_encoding::HEXLOWER_PERMISSIVE;
+
+use super::field::Fields;
+use super::{Word, version};
+use crate::id::KeyHash;
+use crate::rules::{Customer, Rules};
+
+/// Weight of a customer for which the file gives none.
+const DEFAULT_WEIGHT: u32 = 1;
+
+/// Models and single versions that a customer may use.
+type Allowed = (Vec<Arc<str>>, Vec<Arc<str>>);
+
+/// Reads `customer NAME firm=F key=HEX[,HEX] allow=MODEL@VERSION[,..] [quality=Q] [weight=N]`.
+pub(super) fn read(fields: &mut Fields<'_>, rules: &mut Rules) {
+    fields.only(&["firm", "key", "allow", "quality", "weight"]);
+    let id = fields.name("a customer");
+    let firm = fields.plain_field("firm");
+    let keys = fields.required("key").map(Word::list).unwrap_or_default();
+    let keys: Option<Vec<KeyHash>> = keys.iter().map(|word| key(fields, word)).collect();
+    let allowed = fields.required("allow");
+    let allowed = allowed.and_then(|word| allowed_of(fields, word));
+    let quality = match fields.optional("quality") {
+        Some(word) => fields.part_of(word).map(Some),
+        None => Some(None),
+    };
+    let weight = match fields.optional("weight") {
+        Some(word) => fields.number_of(word, "a whole number"),
+        None => Some(DEFAULT_WEIGHT),
+    };
+    let (Some(id), Some(firm), Some(keys), Some((models, versions)), Some(quality), Some(weight)) =
+        (id, firm, keys, allowed, quality, weight)
+    else {
+        return;
+    };
+    let customer = Customer {
+        id,
+        firm,
+        keys,
+        models,
+        versions,
+        quality,
+        weight,
+    };
+    rules.customers.insert(customer.id.clone(), customer);
+}
+
+fn key(fields: &mut Fields<'_>, word: &Word) -> Option<KeyHash> {
+    let bytes = HEXLOWER_PERMISSIVE.decode(word.text.as_bytes()).ok();
+    let key = bytes.and_then(|bytes| KeyHash::try_from(bytes).ok());
+    if key.is_none() {
+        fields.fault(
+            word,
+            "a key's hash of 64 hexadecimal digits, as `comfreyroad hash-key` prints it",
+        );
+    }
+    key
+}
+
+fn allowed_of(fields: &mut Fields<'_>, word: &Word) -> Option<Allowed> {
+    let (mut models, mut versions) = Allowed::default();
+    for word in word.list() {
+        let (model, version) = version::split(fields, &word)?;
+        let model = fields.plain(&model)?;
+        if version.text == "*" {
+            models.push(model);
+        } else {
+            fields.plain(&version)?;
+            versions.push(word.text.as_str().into());
+        }
+    }
+    Some((models, versions))
+}
