--- a/crates/comfreyroad/src/rules/history.rs
+++ b/crates/comfreyroad/src/rules/history.rs
@@ -27,13 +27,9 @@
 impl History {
     /// Takes the next record; answers for a publish. Records already taken are passed over.
     pub fn feed(&mut self, offset: Offset, at: SystemTime, record: &Record) -> Option<Verdict> {
-        if self.start.is_some() && offset < self.next {
+        if !self.step(offset) {
             return None;
         }
-        if self.start.is_none() || offset > self.next {
-            self.restart(offset);
-        }
-        self.next = offset.saturating_add(1);
         match record {
             Record::Publish { .. } | Record::Hold { .. } => {
                 if !self.is_caught_up && self.start != Some(0) {
@@ -54,6 +50,11 @@
         }
     }
 
+    /// Passes over a record that this program cannot read.
+    pub fn skip(&mut self, offset: Offset) {
+        self.step(offset);
+    }
+
     /// Tells that the newest record of the stream has been taken: from here on the generation only rises.
     pub fn caught_up(&mut self) {
         self.is_caught_up = true;
@@ -90,6 +91,18 @@
         self.next
     }
 
+    /// Moves on to an offset; false where that record has been taken.
+    fn step(&mut self, offset: Offset) -> bool {
+        if self.start.is_some() && offset < self.next {
+            return false;
+        }
+        if self.start.is_none() || offset > self.next {
+            self.restart(offset);
+        }
+        self.next = offset.saturating_add(1);
+        true
+    }
+
     /// Begins to read at an offset, with records missing before it.
     fn restart(&mut self, offset: Offset) {
         self.start = Some(offset);
--- /dev/null
+++ b/crates/comfreyroad/tests/rules_history.rs
@@ -0,0 +1,222 @@
+//! The rules stream: every reader comes to the same verdicts, wherever it starts.
+
+use std::sync::Arc;
+use std::time::SystemTime;
+
+use comfreyroad::id::{Generation, Offset};
+use comfreyroad::record::Record;
+use comfreyroad::rules::{History, Verdict};
+use quickcheck::quickcheck;
+
+fn text(after: Generation, zone: &str) -> Arc<str> {
+    format!("format 1 after {after} # asked by ada\nzone {zone} state=in # asked by ada\n").into()
+}
+
+fn publish(by: &str, after: Generation) -> Record {
+    Record::Publish {
+        by: by.into(),
+        after,
+        text: text(after, by),
+    }
+}
+
+fn hold(version: &str, generation: Generation) -> Record {
+    Record::Hold {
+        version: version.into(),
+        generation,
+        reason: "bad answers".into(),
+    }
+}
+
+fn checkpoint(history: &History) -> Option<Record> {
+    let rules = history.in_force()?;
+    Some(Record::Checkpoint {
+        generation: rules.generation,
+        offset: rules.offset,
+        by: rules.by.clone(),
+        text: rules.text.clone(),
+    })
+}
+
+fn feed(history: &mut History, offset: Offset, record: &Record) -> Option<Verdict> {
+    history.feed(offset, SystemTime::UNIX_EPOCH, record)
+}
+
+/// Reads a stream from an offset to its end.
+fn read(stream: &[Record], from: usize) -> History {
+    let mut history = History::default();
+    for (offset, record) in stream.iter().enumerate().skip(from) {
+        feed(&mut history, offset as Offset, record);
+    }
+    history.caught_up();
+    history
+}
+
+/// What two readers have to agree on.
+fn agreed(
+    history: &History,
+) -> (
+    Generation,
+    Option<(Offset, Arc<str>, Arc<str>)>,
+    Vec<Arc<str>>,
+) {
+    let rules = history.in_force();
+    let rules = rules.map(|rules| (rules.offset, rules.by.clone(), rules.text.clone()));
+    let mut held: Vec<Arc<str>> = history.held().iter().cloned().collect();
+    held.sort();
+    (history.generation(), rules, held)
+}
+
+#[test]
+fn the_first_to_follow_wins() {
+    let mut history = History::default();
+    let accepted = |generation| Some(Verdict::Accepted { generation });
+    assert_eq!(feed(&mut history, 0, &publish("ada", 0)), accepted(1));
+    let stale = Verdict::Stale {
+        in_force: 1,
+        by: "ada".into(),
+    };
+    assert_eq!(feed(&mut history, 1, &publish("bo", 0)), Some(stale));
+    assert_eq!(feed(&mut history, 2, &publish("bo", 1)), accepted(2));
+    assert_eq!(
+        feed(&mut history, 2, &publish("cy", 2)),
+        None,
+        "a record taken before"
+    );
+    assert_eq!(history.in_force().map(|rules| &*rules.by), Some("bo"));
+}
+
+#[test]
+fn a_faulty_publish_changes_nothing() {
+    let mut history = History::default();
+    feed(&mut history, 0, &publish("ada", 0));
+    let bad = |after, text: &str| Record::Publish {
+        by: "bo".into(),
+        after,
+        text: text.into(),
+    };
+    let verdict = feed(&mut history, 1, &bad(1, "zone a"));
+    assert!(matches!(verdict, Some(Verdict::Faulty(_))), "{verdict:?}");
+    let verdict = feed(&mut history, 2, &bad(1, &text(0, "a")));
+    assert!(matches!(verdict, Some(Verdict::Faulty(_))), "{verdict:?}");
+    let verdict = feed(&mut history, 3, &bad(0, &text(1, "a")));
+    assert!(
+        matches!(verdict, Some(Verdict::Stale { in_force: 1, .. })),
+        "{verdict:?}"
+    );
+    assert_eq!(history.generation(), 1);
+}
+
+#[test]
+fn a_hold_lasts_until_the_next_accepted_publish() {
+    let mut history = History::default();
+    feed(&mut history, 0, &publish("ada", 0));
+    feed(&mut history, 1, &hold("mona@2", 1));
+    feed(&mut history, 2, &publish("bo", 0));
+    assert!(
+        history.held().contains("mona@2"),
+        "a stale publish lifts nothing"
+    );
+    feed(&mut history, 3, &publish("bo", 1));
+    assert!(history.held().is_empty());
+    feed(&mut history, 4, &hold("mona@2", 1));
+    assert!(
+        history.held().is_empty(),
+        "found under rules that are no longer in force"
+    );
+}
+
+#[test]
+fn a_checkpoint_never_lowers_the_generation() {
+    let mut history = History::default();
+    feed(&mut history, 0, &publish("ada", 0));
+    let old = checkpoint(&history).expect("rules");
+    feed(&mut history, 1, &publish("bo", 1));
+    feed(&mut history, 2, &old);
+    assert_eq!(history.generation(), 2);
+    history.caught_up();
+    feed(&mut history, 3, &old);
+    assert_eq!(history.generation(), 2);
+}
+
+#[test]
+fn an_overtaken_checkpoint_misleads_no_late_reader() {
+    let mut writer = History::default();
+    let mut stream = vec![publish("ada", 0)];
+    feed(&mut writer, 0, &stream[0]);
+    let old = checkpoint(&writer).expect("rules");
+    stream.push(publish("bo", 1));
+    feed(&mut writer, 1, &stream[1]);
+    let new = checkpoint(&writer).expect("rules");
+    stream.extend([old, publish("cy", 1), new]);
+    assert_eq!(agreed(&read(&stream, 2)), agreed(&read(&stream, 0)));
+}
+
+#[test]
+fn a_reader_that_missed_records_learns_what_it_missed() {
+    let mut history = History::default();
+    feed(&mut history, 0, &publish("ada", 0));
+    history.caught_up();
+    let mut writer = History::default();
+    for (offset, record) in [publish("ada", 0), publish("bo", 1)].iter().enumerate() {
+        feed(&mut writer, offset as Offset, record);
+    }
+    let checkpoint = checkpoint(&writer).expect("rules");
+    assert_eq!(
+        feed(&mut history, 5, &publish("cy", 2))
+            .map(|verdict| matches!(verdict, Verdict::Stale { .. })),
+        Some(true)
+    );
+    assert!(!history.is_caught_up());
+    feed(&mut history, 6, &checkpoint);
+    assert_eq!(history.generation(), 3, "judged anew after the checkpoint");
+    history.skip(7);
+    assert_eq!(history.next(), 8);
+}
+
+/// A stream made of what operators, controllers and writers of checkpoints do, some of it late.
+fn stream(steps: &[(u8, u8)]) -> Vec<Record> {
+    let mut history = History::default();
+    let mut late: Vec<Record> = Vec::new();
+    let mut stream: Vec<Record> = Vec::new();
+    for (step, choice) in steps {
+        let now = history.generation();
+        let record = match step % 6 {
+            0 | 1 => publish(["ada", "bo", "cy"][usize::from(*choice) % 3], now),
+            2 => publish("dee", Generation::from(choice % 5)),
+            3 => hold(["mona@1", "mona@2"][usize::from(*choice) % 2], now),
+            4 => {
+                late.extend(checkpoint(&history));
+                continue;
+            }
+            _ if late.is_empty() => continue,
+            _ => late.remove(usize::from(*choice) % late.len()),
+        };
+        feed(&mut history, stream.len() as Offset, &record);
+        stream.push(record);
+    }
+    stream
+}
+
+quickcheck! {
+    fn a_late_reader_agrees_with_an_early_one(steps: Vec<(u8, u8)>, cut: usize, delay: usize) -> bool {
+        let mut stream = stream(&steps);
+        let cut = cut % (stream.len() + 1);
+        // Whoever writes checkpoints has repeated what was in force when the older records expired, holds included.
+        let expired = read(&stream[..cut], 0);
+        let at = cut + delay % (stream.len() - cut + 1);
+        let holds = expired.held().iter().map(|version| hold(version, expired.generation()));
+        let repeated: Vec<Record> = checkpoint(&expired).into_iter().chain(holds).collect();
+        stream.splice(at..at, repeated);
+        agreed(&read(&stream, cut)) == agreed(&read(&stream, 0))
+    }
+
+    fn the_generation_never_falls(steps: Vec<(u8, u8)>) -> bool {
+        let mut history = History::default();
+        stream(&steps).iter().enumerate().all(|(offset, record)| {
+            let before = history.generation();
+            feed(&mut history, offset as Offset, record);
+            history.generation() >= before
+        })
+    }
+}
