Add the operator command

Operators drive the system by publishing a file and need to know what came of it. The log orders publishes and readers decide, so the command reads the verdict back from the log instead of trusting the answer to its append, which may be lost; a repeated try with the same file can be accepted only once. It then asks each entry until all go by the new generation, and names those that do not.

--- a/crates/comfreyroad/src/rules/draft.rs
+++ b/crates/comfreyroad/src/rules/draft.rs
@@ -64,6 +64,11 @@
         &self.state.rules
     }
 
+    /// The file as written.
+    pub fn text(&self) -> &Arc<str> {
+        &self.text
+    }
+
     pub(crate) fn into_parts(self) -> (Arc<str>, Rules) {
         (self.text, self.state.rules)
     }
--- a/crates/comfreyroad/src/rules/history.rs
+++ b/crates/comfreyroad/src/rules/history.rs
@@ -25,6 +25,25 @@
 }
 
 impl History {
+    /// A reader whose first record is at `start` and that has found the checkpoint of that time among the later ones.
+    pub fn starting(start: Offset, checkpoint: &Record) -> Self {
+        let mut history = Self {
+            start: Some(start),
+            next: start,
+            ..Self::default()
+        };
+        if let Record::Checkpoint {
+            generation,
+            offset,
+            by,
+            text,
+        } = checkpoint
+        {
+            history.checkpoint(*generation, *offset, by, text);
+        }
+        history
+    }
+
     /// Takes the next record; answers for a publish. Records already taken are passed over.
     pub fn feed(&mut self, offset: Offset, at: SystemTime, record: &Record) -> Option<Verdict> {
         if !self.step(offset) {
--- a/crates/comfreyroad/tests/rules_history.rs
+++ b/crates/comfreyroad/tests/rules_history.rs
@@ -52,14 +52,11 @@
     history
 }
 
+/// The rules' offset, who published them, and their text.
+type Source = (Offset, Arc<str>, Arc<str>);
+
 /// What two readers have to agree on.
-fn agreed(
-    history: &History,
-) -> (
-    Generation,
-    Option<(Offset, Arc<str>, Arc<str>)>,
-    Vec<Arc<str>>,
-) {
+fn agreed(history: &History) -> (Generation, Option<Source>, Vec<Arc<str>>) {
     let rules = history.in_force();
     let rules = rules.map(|rules| (rules.offset, rules.by.clone(), rules.text.clone()));
     let mut held: Vec<Arc<str>> = history.held().iter().cloned().collect();
--- /dev/null
+++ b/crates/comfreyroad_cli/src/command/mod.rs
@@ -0,0 +1,159 @@
+//! The commands, one a file.
+
+mod audit;
+mod check;
+mod explain;
+mod hash_key;
+mod ledger;
+mod publish;
+mod status;
+mod wind_down;
+
+use std::io::Write;
+
+use compio::runtime::Runtime;
+
+use crate::{Error, Exit, Settings, settings};
+
+/// What an operator can ask for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Command {
+    /// Check rules files.
+    Check,
+    /// Hash a customer's key.
+    HashKey,
+    /// Publish a rules file.
+    Publish,
+    /// Show the entries.
+    Status,
+    /// Show what became of a request.
+    Explain,
+    /// Show the trail of changes.
+    Audit,
+    /// Show the totals of the customers.
+    Ledger,
+    /// Show how far the end of the venture is.
+    WindDown,
+}
+
+impl Command {
+    /// All commands.
+    pub const ALL: [Self; 8] = [
+        Self::Check,
+        Self::HashKey,
+        Self::Publish,
+        Self::Status,
+        Self::Explain,
+        Self::Audit,
+        Self::Ledger,
+        Self::WindDown,
+    ];
+
+    /// The command with this name.
+    pub fn named(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|command| command.name() == name)
+    }
+
+    /// Its name.
+    pub fn name(self) -> &'static str {
+        let usage = self.usage();
+        usage.split_once(' ').map_or(usage, |(name, _)| name)
+    }
+
+    /// Its name and words.
+    pub fn usage(self) -> &'static str {
+        match self {
+            Self::Check => "check FILE..",
+            Self::HashKey => "hash-key",
+            Self::Publish => "publish FILE --log IP:PORT",
+            Self::Status => "status [IP:PORT..]",
+            Self::Explain => "explain REQUEST-ID --entries IP:PORT,..",
+            Self::Audit => "audit --log IP:PORT",
+            Self::Ledger => "ledger --log IP:PORT",
+            Self::WindDown => "wind-down --log IP:PORT",
+        }
+    }
+
+    /// What it does, in one line.
+    pub fn summary(self) -> &'static str {
+        match self {
+            Self::Check => "show every fault of rules files",
+            Self::HashKey => "read a customer's key from standard input and print its hash",
+            Self::Publish => "publish rules, and wait until they are in force on every entry",
+            Self::Status => "show the entries",
+            Self::Explain => "show what became of a request",
+            Self::Audit => "show who changed what, and what came of it",
+            Self::Ledger => "show what each customer has been billed",
+            Self::WindDown => "show how far the end of the venture is",
+        }
+    }
+
+    /// Its help, with its flags.
+    pub fn help(self) -> String {
+        let brief = format!("comfreyroad {}: {}", self.usage(), self.summary());
+        settings::options(self).usage(&brief)
+    }
+
+    pub(crate) fn flags(self) -> &'static [&'static str] {
+        match self {
+            Self::Check | Self::HashKey => &[],
+            Self::Publish => &["log", "by", "entries", "vms", "timeout-ms"],
+            Self::Status | Self::Explain => &["entries", "vms", "timeout-ms"],
+            Self::Audit => &["log", "from", "timeout-ms"],
+            Self::Ledger => &["log", "customer", "timeout-ms"],
+            Self::WindDown => &["log", "entries", "vms", "timeout-ms"],
+        }
+    }
+
+    /// What the command needs and the settings lack.
+    pub(crate) fn missing(self, settings: &Settings) -> Vec<String> {
+        let mut missing = Vec::new();
+        let flags = self.flags();
+        if flags.contains(&"log") && settings.log.is_none() {
+            missing.push("--log or COMFREYROAD_LOG: expected the log service as IP:PORT".into());
+        }
+        if flags.contains(&"by") && settings.by.is_none() {
+            missing.push("--by or COMFREYROAD_BY: expected who publishes".into());
+        }
+        let needs_entries = matches!(self, Self::Status | Self::Explain);
+        if needs_entries && settings.entries.is_empty() && settings.vms.is_none() {
+            missing.push("--entries or --vms: expected where the entries are".into());
+        }
+        let (expected, is_right) = match (self, settings.words.len()) {
+            (Self::Check, count) => ("one or more files", count >= 1),
+            (Self::Publish, count) => ("one file", count == 1),
+            (Self::Explain, count) => ("one request", count == 1),
+            (Self::Status, _) => ("", true),
+            (_, count) => ("no other words", count == 0),
+        };
+        if !is_right {
+            missing.push(format!("{}: expected {expected}", self.name()));
+        }
+        missing
+    }
+}
+
+/// Carries out a command.
+pub(crate) fn run(
+    settings: &Settings,
+    out: &mut dyn Write,
+    err: &mut dyn Write,
+) -> Result<Exit, Error> {
+    match settings.command {
+        Command::Check => return check::run(settings, out),
+        Command::HashKey => return hash_key::run(&mut std::io::stdin().lock(), out),
+        _ => {}
+    }
+    let runtime = Runtime::new().map_err(|error| Error::Start(error.to_string()))?;
+    runtime.block_on(async {
+        match settings.command {
+            Command::Publish => publish::run(settings, out).await,
+            Command::Status => status::run(settings, out).await,
+            Command::Explain => explain::run(settings, out, err).await,
+            Command::Audit => audit::run(settings, out).await,
+            Command::Ledger => ledger::run(settings, out).await,
+            Command::WindDown => wind_down::run(settings, out).await,
+            Command::Check | Command::HashKey => Ok(Exit::Ok),
+        }
+    })
+}
--- /dev/null
+++ b/crates/comfreyroad_cli/src/command/publish.rs
@@ -0,0 +1,176 @@
+use std::io::Write;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use comfreyroad::id::Generation;
+use comfreyroad::rules::{History, Verdict};
+use compio::time::sleep;
+
+use super::check;
+use crate::{Client, Entries, Error, Exit, Log, Publish, Settings, Status, text};
+
+/// Wait between two looks at the entries.
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Publishes a file and waits until it is in force everywhere.
+pub(super) async fn run(settings: &Settings, out: &mut dyn Write) -> Result<Exit, Error> {
+    let (Some(address), Some(by), Some(path)) =
+        (settings.log, &settings.by, settings.words.first())
+    else {
+        return Ok(Exit::Usage);
+    };
+    let Some(draft) = check::file(Path::new(path), out)? else {
+        return Ok(Exit::Refused);
+    };
+    let client = Client::new(settings.deadline)?;
+    let log = Log::new(client.clone(), address);
+    let mut publish = Publish::new(&client, log, by, &draft);
+    publish.catch_up().await?;
+    let sent = Instant::now();
+    let verdict = match earlier(&publish) {
+        Some(verdict) => verdict,
+        None if publish.history().generation() != publish.after() => {
+            stale(&publish, out)?;
+            return Ok(Exit::Refused);
+        }
+        None => publish.append().await?,
+    };
+    match verdict {
+        Verdict::Accepted { generation } => {
+            writeln!(out, "accepted as generation {generation}")?;
+            wait(settings, &client, generation, sent, out).await
+        }
+        Verdict::Stale { in_force, by } => {
+            let by = text::plain(&by);
+            writeln!(
+                out,
+                "refused: lost to generation {in_force}, published by {by}{}",
+                when(publish.history(), in_force)
+            )?;
+            Ok(Exit::Refused)
+        }
+        Verdict::Faulty(faults) => {
+            for fault in &faults {
+                writeln!(out, "refused: {}", text::plain(&fault.to_string()))?;
+            }
+            Ok(Exit::Refused)
+        }
+    }
+}
+
+/// The acceptance of an earlier try with the same file that is still in force.
+fn earlier(publish: &Publish) -> Option<Verdict> {
+    let verdict = publish.verdict()?;
+    let in_force = publish.history().generation();
+    let is_in_force =
+        matches!(verdict, Verdict::Accepted { generation } if *generation == in_force);
+    is_in_force.then(|| verdict.clone())
+}
+
+fn stale(publish: &Publish, out: &mut dyn Write) -> Result<(), Error> {
+    let (history, after) = (publish.history(), publish.after());
+    let generation = history.generation();
+    match history.in_force() {
+        Some(rules) => {
+            let by = text::plain(&rules.by);
+            let when = when(history, generation);
+            writeln!(
+                out,
+                "refused: generation {generation} is in force, published by {by}{when}; the file follows {after}"
+            )?;
+        }
+        None => writeln!(
+            out,
+            "refused: nothing is in force yet; the file follows {after}, not 0"
+        )?,
+    }
+    Ok(())
+}
+
+fn when(history: &History, generation: Generation) -> String {
+    match history.published() {
+        Some(time) if history.generation() == generation => format!(" at {}", text::moment(time)),
+        _ => String::new(),
+    }
+}
+
+/// Waits until each entry goes by a generation or has left.
+async fn wait(
+    settings: &Settings,
+    client: &Client,
+    generation: Generation,
+    sent: Instant,
+    out: &mut dyn Write,
+) -> Result<Exit, Error> {
+    let entries = Entries::new(settings);
+    if !entries.is_known() {
+        writeln!(out, "not waited for: neither --entries nor --vms is given")?;
+        return Ok(Exit::Ok);
+    }
+    loop {
+        let answers = entries.ask(client).await;
+        let is_last = Instant::now() + POLL_INTERVAL >= client.deadline();
+        let round = match answers {
+            Ok(answers) => Round::new(answers, generation),
+            // The VM list may come back.
+            Err(_) if !is_last => Round::default(),
+            Err(error) => return Err(error),
+        };
+        if round.is_done() || is_last {
+            round.show(sent, out)?;
+            return Ok(if round.is_done() {
+                Exit::Ok
+            } else {
+                Exit::Refused
+            });
+        }
+        sleep(POLL_INTERVAL).await;
+    }
+}
+
+/// What the entries say at one time.
+#[derive(Default)]
+struct Round {
+    total: usize,
+    behind: Vec<(SocketAddr, Result<Status, Error>)>,
+}
+
+impl Round {
+    fn new(mut answers: Vec<(SocketAddr, Result<Status, Error>)>, generation: Generation) -> Self {
+        answers.retain(|(_, status)| !status.as_ref().is_ok_and(Status::is_gone));
+        let total = answers.len();
+        answers.retain(|(_, status)| !is_in_force(status, generation));
+        Self {
+            total,
+            behind: answers,
+        }
+    }
+
+    fn is_done(&self) -> bool {
+        self.total > 0 && self.behind.is_empty()
+    }
+
+    fn show(&self, sent: Instant, out: &mut dyn Write) -> Result<(), Error> {
+        let (total, millis) = (self.total, sent.elapsed().as_millis());
+        let count = total - self.behind.len();
+        writeln!(
+            out,
+            "in force on {count} of {total} entries after {millis} ms"
+        )?;
+        for (address, status) in &self.behind {
+            let reason = match status {
+                Ok(status) => format!("{} is at generation {}", status.entry, status.generation),
+                Err(error) => error.to_string(),
+            };
+            writeln!(out, "not in force: {address}: {}", text::plain(&reason))?;
+        }
+        Ok(())
+    }
+}
+
+fn is_in_force(status: &Result<Status, Error>, generation: Generation) -> bool {
+    status
+        .as_ref()
+        .is_ok_and(|status| status.generation >= generation)
+}
--- /dev/null
+++ b/crates/comfreyroad_cli/src/command/status.rs
@@ -0,0 +1,56 @@
+use std::io::Write;
+use std::net::SocketAddr;
+
+use crate::{Client, Entries, Error, Exit, Settings, Status, text};
+
+const HEAD: [&str; 7] = [
+    "ADDRESS",
+    "ENTRY",
+    "ZONE",
+    "PHASE",
+    "GENERATION",
+    "CONFIRMED",
+    "IN FLIGHT",
+];
+
+/// Shows a table of the entries.
+pub(super) async fn run(settings: &Settings, out: &mut dyn Write) -> Result<Exit, Error> {
+    let client = Client::new(settings.deadline)?;
+    let answers = Entries::new(settings).ask(&client).await?;
+    let is_whole = answers.iter().all(|(_, status)| status.is_ok());
+    write!(out, "{}", table(&answers))?;
+    Ok(if is_whole {
+        Exit::Ok
+    } else {
+        Exit::Unreachable
+    })
+}
+
+/// One row an entry.
+pub(super) fn table(answers: &[(SocketAddr, Result<Status, Error>)]) -> String {
+    let mut rows = vec![HEAD.map(String::from).to_vec()];
+    for (address, status) in answers {
+        let mut row = vec![address.to_string()];
+        match status {
+            Ok(status) => row.extend(cells(status)),
+            Err(error) => row.push(text::plain(&error.to_string())),
+        }
+        rows.push(row);
+    }
+    text::table(&rows)
+}
+
+fn cells(status: &Status) -> [String; 6] {
+    let number = |number: Option<u64>, unit| match number {
+        Some(number) => format!("{number}{unit}"),
+        None => "-".into(),
+    };
+    [
+        text::plain(&status.entry),
+        text::plain(&status.zone),
+        text::plain(&status.phase),
+        status.generation.to_string(),
+        number(status.confirmed_age_ms, " ms ago"),
+        number(status.in_flight, ""),
+    ]
+}
--- /dev/null
+++ b/crates/comfreyroad_cli/src/exit.rs
@@ -0,0 +1,24 @@
+/// How the command ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Exit {
+    /// Done.
+    Ok,
+    /// Refused, or not done in time.
+    Refused,
+    /// The command line is wrong.
+    Usage,
+    /// A peer could not be reached.
+    Unreachable,
+}
+
+impl Exit {
+    /// The exit code of the process.
+    pub fn code(self) -> u8 {
+        match self {
+            Self::Ok => 0,
+            Self::Refused => 1,
+            Self::Usage => 2,
+            Self::Unreachable => 3,
+        }
+    }
+}
--- /dev/null
+++ b/crates/comfreyroad_cli/src/log.rs
@@ -0,0 +1,71 @@
+use std::net::SocketAddr;
+use std::time::SystemTime;
+
+use comfreyroad::id::Offset;
+use comfreyroad::record::{Record, Stream};
+use comfreyroad_wire::platform::{Append, Appended, Page};
+use comfreyroad_wire::record;
+use data_encoding::BASE64;
+
+use crate::{Client, Error, text};
+
+/// Records in one page.
+const PAGE_LIMIT: usize = 500;
+
+/// The log service.
+#[derive(Clone)]
+pub struct Log {
+    client: Client,
+    address: SocketAddr,
+}
+
+impl Log {
+    /// The log service at an address.
+    pub fn new(client: Client, address: SocketAddr) -> Self {
+        Self { client, address }
+    }
+
+    /// Appends one record. An error may have come after the service took it.
+    pub async fn append(&self, stream: Stream, record: &Record) -> Result<Appended, Error> {
+        let path = format!("/v1/streams/{}/append", stream.name());
+        let body = Append {
+            records: vec![BASE64.encode(&record::encode(record))],
+        };
+        self.client.post("append", self.address, &path, &body).await
+    }
+
+    /// Reads from an offset to the end. A record that this program cannot read is given as `None`.
+    pub async fn read(
+        &self,
+        stream: Stream,
+        from: Offset,
+        mut each: impl FnMut(Offset, SystemTime, Option<&Record>),
+    ) -> Result<(), Error> {
+        let mut next = from;
+        loop {
+            let page = self.page(stream, next).await?;
+            for stored in &page.records {
+                let bytes = BASE64.decode(stored.body.as_bytes()).unwrap_or_default();
+                let record = record::decode(&bytes).ok();
+                each(
+                    stored.offset,
+                    text::from_millis(stored.at_ms),
+                    record.as_ref(),
+                );
+            }
+            let Some(last) = page.records.last() else {
+                return Ok(());
+            };
+            next = last.offset.saturating_add(1).max(next.saturating_add(1));
+            if next >= page.next {
+                return Ok(());
+            }
+        }
+    }
+
+    async fn page(&self, stream: Stream, from: Offset) -> Result<Page, Error> {
+        let name = stream.name();
+        let path = format!("/v1/streams/{name}/read?from={from}&limit={PAGE_LIMIT}&wait_ms=0");
+        self.client.get("read", self.address, &path).await
+    }
+}
