--- a/crates/comfreyroad_cli/src/command/check.rs
+++ b/crates/comfreyroad_cli/src/command/check.rs
@@ -10,9 +10,14 @@
 pub(super) fn run(settings: &Settings, out: &mut dyn Write) -> Result<Exit, Error> {
     let mut exit = Exit::Ok;
     for word in &settings.words {
-        match file(Path::new(word), out)? {
-            Some(_) => writeln!(out, "{word}: no faults")?,
-            None => exit = Exit::Refused,
+        match file(Path::new(word), out) {
+            Ok(Some(_)) => writeln!(out, "{word}: no faults")?,
+            Ok(None) => exit = Exit::Refused,
+            Err(error @ Error::File { .. }) => {
+                writeln!(out, "{error}")?;
+                exit = Exit::Refused;
+            }
+            Err(error) => return Err(error),
         }
     }
     Ok(exit)
--- a/crates/comfreyroad_cli/src/command/hash_key.rs
+++ b/crates/comfreyroad_cli/src/command/hash_key.rs
@@ -3,12 +3,16 @@
 use crate::{Error, Exit};
 
 /// Prints the hash of the key on the first line of the input, and never the key.
-pub(super) fn run(input: &mut dyn BufRead, out: &mut dyn Write) -> Result<Exit, Error> {
+pub(super) fn run(
+    input: &mut dyn BufRead,
+    out: &mut dyn Write,
+    err: &mut dyn Write,
+) -> Result<Exit, Error> {
     let mut line = String::new();
     input.read_line(&mut line)?;
     let key = line.trim();
     if key.is_empty() {
-        writeln!(out, "expected a key on standard input")?;
+        writeln!(err, "comfreyroad: expected a key on standard input")?;
         return Ok(Exit::Refused);
     }
     writeln!(out, "{}", blake3::hash(key.as_bytes()).to_hex())?;
--- a/crates/comfreyroad_cli/src/command/mod.rs
+++ b/crates/comfreyroad_cli/src/command/mod.rs
@@ -105,21 +105,22 @@
         }
     }
 
-    /// What the command needs and the settings lack.
-    pub(crate) fn missing(self, settings: &Settings) -> Vec<String> {
+    /// What the command needs and was not given.
+    pub(crate) fn missing(self, words: usize, is_given: impl Fn(&str) -> bool) -> Vec<String> {
         let mut missing = Vec::new();
         let flags = self.flags();
-        if flags.contains(&"log") && settings.log.is_none() {
+        if flags.contains(&"log") && !is_given("log") {
             missing.push("--log or COMFREYROAD_LOG: expected the log service as IP:PORT".into());
         }
-        if flags.contains(&"by") && settings.by.is_none() {
+        if flags.contains(&"by") && !is_given("by") {
             missing.push("--by or COMFREYROAD_BY: expected who publishes".into());
         }
         let needs_entries = matches!(self, Self::Status | Self::Explain);
-        if needs_entries && settings.entries.is_empty() && settings.vms.is_none() {
+        let has_words = self == Self::Status && words > 0;
+        if needs_entries && !has_words && !is_given("entries") && !is_given("vms") {
             missing.push("--entries or --vms: expected where the entries are".into());
         }
-        let (expected, is_right) = match (self, settings.words.len()) {
+        let (expected, is_right) = match (self, words) {
             (Self::Check, count) => ("one or more files", count >= 1),
             (Self::Publish, count) => ("one file", count == 1),
             (Self::Explain, count) => ("one request", count == 1),
@@ -141,7 +142,7 @@
 ) -> Result<Exit, Error> {
     match settings.command {
         Command::Check => return check::run(settings, out),
-        Command::HashKey => return hash_key::run(&mut std::io::stdin().lock(), out),
+        Command::HashKey => return hash_key::run(&mut std::io::stdin().lock(), out, err),
         _ => {}
     }
     let runtime = Runtime::new().map_err(|error| Error::Start(error.to_string()))?;
--- a/crates/comfreyroad_cli/src/settings.rs
+++ b/crates/comfreyroad_cli/src/settings.rs
@@ -164,21 +164,22 @@
         let timeout: Option<u64> = self.parsed("timeout-ms", "a number of milliseconds");
         let timeout = timeout.map_or(DEFAULT_TIMEOUT, Duration::from_millis);
         let now = Instant::now();
-        let settings = Settings {
+        let by = self.value("by").or_else(|| self.user());
+        let is_given = |name: &str| self.value(name).is_some() || (name == "by" && by.is_some());
+        let missing = self.command.missing(self.matches.free.len(), is_given);
+        self.faults.extend(missing);
+        Settings {
             command: self.command,
             is_help: self.matches.opt_present("help"),
             words: self.matches.free.clone(),
             log: self.parsed("log", "IP:PORT"),
             entries: self.entries(),
             vms: self.parsed("vms", "IP:PORT"),
-            by: self.value("by").or_else(|| self.user()),
+            by,
             deadline: now.checked_add(timeout).unwrap_or(now + DEFAULT_TIMEOUT),
             from: self.parsed("from", "an offset").unwrap_or_default(),
             customer: self.value("customer"),
-        };
-        let missing = self.command.missing(&settings);
-        self.faults.extend(missing);
-        settings
+        }
     }
 
     /// A flag's value, or else its variable's; flags that the command does not have stay empty.
--- /dev/null
+++ b/crates/comfreyroad_cli/tests/cli/main.rs
@@ -0,0 +1,5 @@
+//! The operator command against a stand-in of the platform.
+
+mod publish;
+mod reading;
+mod support;
--- /dev/null
+++ b/crates/comfreyroad_cli/tests/cli/publish.rs
@@ -0,0 +1,207 @@
+//! Publishing against a log that loses answers and operators who race.
+
+use std::path::PathBuf;
+
+use crate::support::{Fake, Fault, State, command};
+use comfreyroad::record::Record;
+use comfreyroad_cli::Exit;
+
+fn text(after: u64, zone: &str) -> String {
+    format!("format 1 after {after} # asked by ada\nzone {zone} state=in # asked by ada\n")
+}
+
+fn publish(by: &str, after: u64) -> Record {
+    Record::Publish {
+        by: by.into(),
+        after,
+        text: text(after, by).into(),
+    }
+}
+
+/// A file of this test's own, removed at the end.
+struct File(PathBuf);
+
+impl File {
+    fn new(name: &str, text: &str) -> Self {
+        let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+        std::fs::write(&path, text).expect("a file");
+        Self(path)
+    }
+}
+
+impl Drop for File {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+/// Publishes what follows generation 1 by ada, and gives exit, output, and publishes then on the log.
+fn run(name: &str, faults: Vec<Fault>, flags: &str) -> (Exit, String, usize) {
+    let fake = Fake::start(State {
+        rules: vec![publish("ada", 0)],
+        faults,
+        ..State::default()
+    });
+    let file = File::new(name, &text(1, "b"));
+    let path = file.0.display();
+    let (exit, out, err) = command(&format!(
+        "publish {path} --log {} --by bo {flags}",
+        fake.address
+    ));
+    let count = fake.state.lock().expect("the state").rules.len();
+    (exit, out + &err, count)
+}
+
+#[test]
+fn an_accepted_file_gets_the_next_generation() {
+    let (exit, out, _) = run("accepted.rules", vec![], "");
+    assert_eq!(exit, Exit::Ok, "{out}");
+    assert!(out.starts_with("accepted as generation 2\n"), "{out}");
+}
+
+#[test]
+fn a_lost_answer_publishes_once() {
+    let (exit, out, count) = run("lost.rules", vec![Fault::Lost], "");
+    assert_eq!((exit, count), (Exit::Ok, 2), "{out}");
+    assert!(out.starts_with("accepted as generation 2\n"), "{out}");
+}
+
+#[test]
+fn an_append_that_was_not_taken_is_tried_again() {
+    let (exit, out, count) = run("again.rules", vec![Fault::Refused, Fault::Dropped], "");
+    assert_eq!((exit, count), (Exit::Ok, 2), "{out}");
+}
+
+#[test]
+fn an_outage_ends_at_the_deadline_and_tells_whether_it_is_clear() {
+    let flags = "--timeout-ms 700";
+    let (exit, out, count) = run("outage.rules", vec![Fault::Refused; 99], flags);
+    assert_eq!((exit, count), (Exit::Unreachable, 1), "{out}");
+    assert!(
+        out.contains("append: 127.0.0.1:") && out.contains("503"),
+        "{out}"
+    );
+    let (exit, out, _) = run("unclear.rules", vec![Fault::Dropped; 99], flags);
+    assert_eq!(exit, Exit::Unreachable, "{out}");
+    assert!(out.contains("not known whether it was taken"), "{out}");
+}
+
+#[test]
+fn the_loser_of_a_race_is_told_who_won() {
+    let (exit, out, _) = run("race.rules", vec![Fault::Overtaken(publish("cy", 1))], "");
+    assert_eq!(exit, Exit::Refused);
+    assert_eq!(
+        out,
+        "refused: lost to generation 2, published by cy at 1970-01-01T00:00:01.000Z\n"
+    );
+}
+
+#[test]
+fn a_file_that_follows_an_old_generation_is_not_appended() {
+    let fake = Fake::start(State {
+        rules: vec![publish("ada", 0), publish("cy", 1), publish("cy", 2)],
+        ..State::default()
+    });
+    let file = File::new("old.rules", &text(1, "b"));
+    let line = format!(
+        "publish {} --log {} --by bo",
+        file.0.display(),
+        fake.address
+    );
+    let (exit, out, _) = command(&line);
+    assert_eq!(exit, Exit::Refused);
+    assert!(
+        out.contains("generation 3 is in force, published by cy at 1970"),
+        "{out}"
+    );
+    assert_eq!(fake.state.lock().expect("the state").appends, 0);
+}
+
+#[test]
+fn a_second_run_of_the_same_publish_goes_on_where_the_first_ended() {
+    let fake = Fake::start(State {
+        rules: vec![publish("ada", 0)],
+        ..State::default()
+    });
+    let file = File::new("second.rules", &text(1, "b"));
+    let line = format!(
+        "publish {} --log {} --by bo",
+        file.0.display(),
+        fake.address
+    );
+    command(&line);
+    let (exit, out, _) = command(&line);
+    assert_eq!(exit, Exit::Ok, "{out}");
+    assert_eq!(fake.state.lock().expect("the state").appends, 1);
+}
+
+#[test]
+fn a_file_with_faults_is_not_published() {
+    let fake = Fake::start(State::default());
+    let file = File::new("faults.rules", "zone a state=off # asked by ada\n");
+    let line = format!(
+        "publish {} --log {} --by bo",
+        file.0.display(),
+        fake.address
+    );
+    let (exit, out, _) = command(&line);
+    assert_eq!(exit, Exit::Refused);
+    assert!(
+        out.contains("faults.rules:1:14: `off`: expected `out`"),
+        "{out}"
+    );
+    assert_eq!(fake.state.lock().expect("the state").appends, 0);
+}
+
+fn entry(generation: u64, phase: &str) -> Fake {
+    Fake::start(State {
+        status: format!(r#"{{"entry":"e","phase":"{phase}","generation":{generation}}}"#),
+        ..State::default()
+    })
+}
+
+#[test]
+fn it_waits_for_every_entry_that_has_not_left() {
+    let (one, two, gone) = (entry(2, "serving"), entry(1, "serving"), entry(1, "gone"));
+    let addresses = format!("{},{},{}", one.address, two.address, gone.address);
+    let flags = format!("--entries {addresses} --timeout-ms 900");
+    let (exit, out, _) = run("behind.rules", vec![], &flags);
+    assert_eq!(exit, Exit::Refused, "{out}");
+    assert!(out.contains("in force on 1 of 2 entries after "), "{out}");
+    assert!(
+        out.contains(&format!(
+            "not in force: {}: e is at generation 1",
+            two.address
+        )),
+        "{out}"
+    );
+
+    two.set(|state| state.status = state.status.replace(":1}", ":3}"));
+    let (exit, out, _) = run("there.rules", vec![], &flags);
+    assert_eq!(exit, Exit::Ok, "{out}");
+    assert!(out.contains("in force on 2 of 2 entries after "), "{out}");
+}
+
+#[test]
+fn entries_of_the_vm_list_count_until_they_leave_it() {
+    let (here, dead) = (entry(2, "serving"), Fake::start(State::default()));
+    let vm = |address| {
+        format!(r#"{{"id":"x","kind":"entry","zone":"a","address":"{address}","state":"leaving"}}"#)
+    };
+    let list = |vms: &[String]| format!(r#"{{"at_ms":1,"vms":[{}]}}"#, vms.join(","));
+    let vms = Fake::start(State {
+        vms: list(&[vm(here.address), vm(dead.address)]),
+        ..State::default()
+    });
+    let flags = format!("--vms {} --timeout-ms 900", vms.address);
+    let (exit, out, _) = run("leaving.rules", vec![], &flags);
+    assert_eq!(exit, Exit::Refused, "{out}");
+    assert!(
+        out.contains(&format!("not in force: {}", dead.address)),
+        "{out}"
+    );
+
+    vms.set(|state| state.vms = list(&[vm(here.address)]));
+    let (exit, out, _) = run("left.rules", vec![], &flags);
+    assert_eq!(exit, Exit::Ok, "{out}");
+}
