Do not take an older equal publish for the one just sent

A file that was published before its time is on the log with a refusal. When the append of its second try was lost, the command read that refusal back as its own.

--- a/crates/comfreyroad/src/rules/history.rs
+++ b/crates/comfreyroad/src/rules/history.rs
@@ -45,6 +45,8 @@
     }
 
     /// Takes the next record; answers for a publish. Records already taken are passed over.
+    ///
+    /// Where the reader started late, a verdict given before [`Self::caught_up`] can still be judged anew.
     pub fn feed(&mut self, offset: Offset, at: SystemTime, record: &Record) -> Option<Verdict> {
         if !self.step(offset) {
             return None;
--- a/crates/comfreyroad_cli/src/command/publish.rs
+++ b/crates/comfreyroad_cli/src/command/publish.rs
@@ -28,7 +28,7 @@
     let mut publish = Publish::new(&client, log, by, &draft);
     publish.catch_up().await?;
     let sent = Instant::now();
-    let verdict = match earlier(&publish) {
+    let verdict = match publish.earlier() {
         Some(verdict) => verdict,
         None if publish.history().generation() != publish.after() => {
             stale(&publish, out)?;
@@ -59,15 +59,6 @@
     }
 }
 
-/// The acceptance of an earlier try with the same file that is still in force.
-fn earlier(publish: &Publish) -> Option<Verdict> {
-    let verdict = publish.verdict()?;
-    let in_force = publish.history().generation();
-    let is_in_force =
-        matches!(verdict, Verdict::Accepted { generation } if *generation == in_force);
-    is_in_force.then(|| verdict.clone())
-}
-
 fn stale(publish: &Publish, out: &mut dyn Write) -> Result<(), Error> {
     let (history, after) = (publish.history(), publish.after());
     let generation = history.generation();
--- a/crates/comfreyroad_cli/src/publish.rs
+++ b/crates/comfreyroad_cli/src/publish.rs
@@ -48,9 +48,15 @@
         self.after
     }
 
-    /// What an earlier try with the same file came to, if the log has one.
-    pub fn verdict(&self) -> Option<&Verdict> {
-        self.verdict.as_ref()
+    /// What an earlier try with the same file came to, where that is in force.
+    pub fn earlier(&self) -> Option<Verdict> {
+        let in_force = self.history.in_force()?;
+        let Record::Publish { by, after, text } = &self.record else {
+            return None;
+        };
+        let generation = after.saturating_add(1);
+        let is_same = in_force.by == *by && in_force.text == *text;
+        (is_same && in_force.generation == generation).then_some(Verdict::Accepted { generation })
     }
 
     /// Reads the log to its end.
@@ -82,6 +88,8 @@
 
     /// Appends until the log has the record, and reads back what it came to.
     pub async fn append(&mut self) -> Result<Verdict, Error> {
+        // An equal record that was too early says nothing of this one.
+        self.verdict = None;
         let mut has_sent = false;
         loop {
             let appended = self.log.append(Stream::Rules, &self.record).await;
--- a/crates/comfreyroad_cli/tests/cli/publish.rs
+++ b/crates/comfreyroad_cli/tests/cli/publish.rs
@@ -135,6 +135,29 @@
     assert_eq!(fake.state.lock().expect("the state").appends, 1);
 }
 
+#[test]
+fn an_equal_publish_that_came_too_early_is_not_taken_for_this_one() {
+    let early = Record::Publish {
+        by: "bo".into(),
+        after: 1,
+        text: text(1, "b").into(),
+    };
+    let fake = Fake::start(State {
+        rules: vec![early, publish("ada", 0)],
+        faults: vec![Fault::Dropped],
+        ..State::default()
+    });
+    let file = File::new("early.rules", &text(1, "b"));
+    let line = format!(
+        "publish {} --log {} --by bo",
+        file.0.display(),
+        fake.address
+    );
+    let (exit, out, _) = command(&line);
+    assert_eq!(exit, Exit::Ok, "{out}");
+    assert!(out.starts_with("accepted as generation 2\n"), "{out}");
+}
+
 #[test]
 fn a_file_with_faults_is_not_published() {
     let fake = Fake::start(State::default());
