--- a/crates/comfreyroad_cli/src/command/mod.rs
+++ b/crates/comfreyroad_cli/src/command/mod.rs
@@ -7,6 +7,7 @@
 mod ledger;
 mod publish;
 mod status;
+mod watch;
 mod wind_down;
 
 use std::io::Write;
--- a/crates/comfreyroad_cli/src/command/publish.rs
+++ b/crates/comfreyroad_cli/src/command/publish.rs
@@ -1,5 +1,4 @@
 use std::io::Write;
-use std::net::SocketAddr;
 use std::path::Path;
 use std::time::{Duration, Instant};
 
@@ -8,7 +7,8 @@
 use compio::time::sleep;
 
 use super::check;
-use crate::{Client, Entries, Error, Exit, Log, Publish, Settings, Status, text};
+use super::watch::Watch;
+use crate::{Client, Entries, Error, Exit, Log, Publish, Settings, text};
 
 /// Wait between two looks at the entries.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -99,18 +99,19 @@
         writeln!(out, "not waited for: neither --entries nor --vms is given")?;
         return Ok(Exit::Ok);
     }
+    let mut watch = Watch::new(generation);
     loop {
         let answers = entries.ask(client).await;
         let is_last = Instant::now() + POLL_INTERVAL >= client.deadline();
-        let round = match answers {
-            Ok(answers) => Round::new(answers, generation),
+        match answers {
+            Ok(answers) => watch.update(answers, is_last),
             // The VM list may come back.
-            Err(_) if !is_last => Round::default(),
+            Err(_) if !is_last => {}
             Err(error) => return Err(error),
-        };
-        if round.is_done() || is_last {
-            round.show(sent, out)?;
-            return Ok(if round.is_done() {
+        }
+        if watch.is_done() || is_last {
+            watch.show(sent, out)?;
+            return Ok(if watch.is_done() {
                 Exit::Ok
             } else {
                 Exit::Refused
@@ -119,49 +120,3 @@
         sleep(POLL_INTERVAL).await;
     }
 }
-
-/// What the entries say at one time.
-#[derive(Default)]
-struct Round {
-    total: usize,
-    behind: Vec<(SocketAddr, Result<Status, Error>)>,
-}
-
-impl Round {
-    fn new(mut answers: Vec<(SocketAddr, Result<Status, Error>)>, generation: Generation) -> Self {
-        answers.retain(|(_, status)| !status.as_ref().is_ok_and(Status::is_gone));
-        let total = answers.len();
-        answers.retain(|(_, status)| !is_in_force(status, generation));
-        Self {
-            total,
-            behind: answers,
-        }
-    }
-
-    fn is_done(&self) -> bool {
-        self.total > 0 && self.behind.is_empty()
-    }
-
-    fn show(&self, sent: Instant, out: &mut dyn Write) -> Result<(), Error> {
-        let (total, millis) = (self.total, sent.elapsed().as_millis());
-        let count = total - self.behind.len();
-        writeln!(
-            out,
-            "in force on {count} of {total} entries after {millis} ms"
-        )?;
-        for (address, status) in &self.behind {
-            let reason = match status {
-                Ok(status) => format!("{} is at generation {}", status.entry, status.generation),
-                Err(error) => error.to_string(),
-            };
-            writeln!(out, "not in force: {address}: {}", text::plain(&reason))?;
-        }
-        Ok(())
-    }
-}
-
-fn is_in_force(status: &Result<Status, Error>, generation: Generation) -> bool {
-    status
-        .as_ref()
-        .is_ok_and(|status| status.generation >= generation)
-}
