Set down the request's life, the filter chain and the controllers

An entry is one function from an event to actions: the chain of filters takes a request through its stages, each a type, and nine controllers keep the state, each the only writer of its own.

--- /dev/null
+++ b/crates/comfreyroad/src/controller/mod.rs
@@ -0,0 +1,129 @@
+//! The controllers, each the only writer of its state.
+//!
+//! A controller takes every event, keeps what concerns it, and answers with actions for the outside and events for the
+//! other controllers. None calls another; all of them see the same events in the same order.
+
+pub mod appends;
+pub mod claim;
+pub mod ledger;
+pub mod life;
+pub mod log;
+pub mod members;
+pub mod rules;
+pub mod sessions;
+pub mod upstreams;
+
+use crate::clock::Now;
+use crate::event::Event;
+use crate::frame::{Frame, News};
+use crate::id::{Address, EntryId};
+use crate::outbox::Outbox;
+use crate::settings::Settings;
+
+/// Keeps one part of the state.
+pub trait Controller {
+    /// Takes an event and adds to the outbox what follows from it.
+    fn handle(&mut self, now: Now, event: &Event, out: &mut Outbox);
+
+    /// Adds this controller's part to a frame for a peer.
+    fn fill(&mut self, now: Now, to: &Address, frame: &mut Frame) {
+        let _ = (now, to, frame);
+    }
+}
+
+/// All controllers of an entry.
+#[derive(Debug)]
+pub struct Controllers {
+    /// Phase of the entry.
+    pub life: life::Life,
+    /// The rules in force and how fresh they are.
+    pub rules: rules::Rules,
+    /// The other entries.
+    pub members: members::Members,
+    /// The upstreams and what they bear.
+    pub upstreams: upstreams::Upstreams,
+    /// Claims of requests that may run once at most.
+    pub claims: claim::Claims,
+    /// Bills.
+    pub ledger: ledger::Ledger,
+    /// Sessions and their versions.
+    pub sessions: sessions::Sessions,
+    /// Reading of the log.
+    pub log: log::Log,
+    /// Appends to the log.
+    pub appends: appends::Appends,
+    identity: Identity,
+}
+
+/// What an entry says of itself in every frame.
+#[derive(Clone, Debug)]
+struct Identity {
+    entry: EntryId,
+    boot: crate::id::BootId,
+    zone: crate::id::ZoneId,
+    address: Address,
+}
+
+impl Controllers {
+    /// Controllers that know nothing yet.
+    pub fn new(settings: &Settings) -> Self {
+        Self {
+            life: life::Life::new(settings),
+            rules: rules::Rules::new(settings),
+            members: members::Members::new(settings),
+            upstreams: upstreams::Upstreams::new(settings),
+            claims: claim::Claims::new(settings),
+            ledger: ledger::Ledger::new(settings),
+            sessions: sessions::Sessions::new(settings),
+            log: log::Log::default(),
+            appends: appends::Appends::default(),
+            identity: Identity {
+                entry: settings.entry.clone(),
+                boot: settings.boot.clone(),
+                zone: settings.zone.clone(),
+                address: settings.address.clone(),
+            },
+        }
+    }
+
+    /// Lets each controller take an event, in a fixed order.
+    pub fn handle(&mut self, now: Now, event: &Event, out: &mut Outbox) {
+        for controller in self.all() {
+            controller.handle(now, event, out);
+        }
+    }
+
+    /// A frame for a peer, with each controller's part.
+    pub fn frame(&mut self, now: Now, to: &Address) -> Frame {
+        let identity = self.identity.clone();
+        let mut frame = Frame {
+            from: identity.entry,
+            boot: identity.boot,
+            zone: identity.zone,
+            address: identity.address,
+            beats: Vec::new(),
+            news: News::default(),
+            keep: Vec::new(),
+            kept: Vec::new(),
+            done: Vec::new(),
+        };
+        for controller in self.all() {
+            controller.fill(now, to, &mut frame);
+        }
+        frame
+    }
+
+    fn all(&mut self) -> [&mut dyn Controller; 9] {
+        [
+            &mut self.log,
+            &mut self.rules,
+            &mut self.members,
+            &mut self.upstreams,
+            &mut self.claims,
+            &mut self.ledger,
+            &mut self.sessions,
+            &mut self.appends,
+            &mut self.life,
+        ]
+    }
+}
--- /dev/null
+++ b/crates/comfreyroad/src/event/event.rs
@@ -0,0 +1,137 @@
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::SystemTime;
+
+use super::{Page, Signal};
+use crate::frame::Frame;
+use crate::id::{Address, AttemptId, BatchId, CallId, Offset, UpstreamId, VersionId};
+use crate::record::{Bill, Key, Record, Stream, Writer};
+use crate::request::{Received, Request};
+use crate::rules::InForce;
+use crate::upstream::{Load, Vm};
+
+/// Something that happened.
+///
+/// The first part comes from outside. The second is raised by one controller for the others, and handled in the same
+/// turn of the loop.
+#[derive(Debug)]
+pub enum Event {
+    /// The loop has started.
+    Started,
+    /// Time has passed.
+    Tick,
+    /// The operator of the VM asks the entry to end.
+    Shutdown,
+    /// A caller asks.
+    Call(Box<Request<Received>>),
+    /// A caller is gone.
+    CallerGone(CallId),
+    /// An upstream answers.
+    Attempt {
+        /// The attempt.
+        attempt: AttemptId,
+        /// The upstream that it went to.
+        upstream: UpstreamId,
+        /// What came.
+        signal: Signal,
+    },
+    /// A page of the log.
+    Read(Page),
+    /// The log could not be read.
+    ReadFailed(Stream),
+    /// An append was taken.
+    Appended {
+        /// The append.
+        batch: BatchId,
+        /// Offset of its first record.
+        first: Offset,
+    },
+    /// An append was certainly not taken.
+    AppendRefused(BatchId),
+    /// An append may or may not have been taken.
+    AppendUnclear(BatchId),
+    /// The VM list.
+    Vms {
+        /// When it was true.
+        at: SystemTime,
+        /// The VMs.
+        vms: Vec<Vm>,
+    },
+    /// An upstream's load.
+    Load {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// Its report; `None` when it did not answer.
+        load: Option<Load>,
+    },
+    /// A frame of a peer, sent of its own accord or as an answer.
+    Peer(Box<Frame>),
+    /// A peer did not answer.
+    PeerFailed(Address),
+    /// A peer waits for a frame in answer.
+    PeerAsks {
+        /// Which exchange to answer.
+        exchange: u64,
+        /// The peer's IP number and port.
+        address: Address,
+    },
+    /// The rating service answered; `None` when it did not.
+    Rated {
+        /// The call whose answer was rated.
+        call: CallId,
+        /// Whether the answer is good.
+        good: Option<bool>,
+    },
+
+    /// A record is to be appended.
+    Write {
+        /// The stream.
+        stream: Stream,
+        /// The record.
+        record: Rc<Record>,
+    },
+    /// New rules are in force.
+    InForce(Arc<InForce>),
+    /// The set of live entries, or what they say of themselves, has changed.
+    Members(Rc<crate::frame::View>),
+    /// A peer is to get a frame.
+    Gossip {
+        /// The peer's IP number and port.
+        to: Address,
+    },
+    /// A claim is wanted.
+    ClaimWanted {
+        /// The request.
+        key: Key,
+        /// The call that wants it.
+        writer: Writer,
+    },
+    /// A claim's holder gives it back unused.
+    ClaimReleased {
+        /// The request.
+        key: Key,
+        /// The call that held it.
+        writer: Writer,
+    },
+    /// The verdict on a claim is known.
+    ClaimDecided(Key),
+    /// An answer is whole and is to be billed.
+    BillWanted {
+        /// The call.
+        call: CallId,
+        /// The bill.
+        bill: Bill,
+    },
+    /// A call's bill is on the log, or kept where it survives this entry.
+    BillSafe(CallId),
+    /// A version is withheld.
+    Held(VersionId),
+    /// A request was sent to an upstream.
+    Sent(UpstreamId),
+    /// A slot was given back, or more work can be taken for another reason.
+    Room,
+    /// Calls and bills that are not finished.
+    CallsLeft(usize),
+    /// The entry's phase changed.
+    Phase(crate::controller::life::Phase),
+}
--- /dev/null
+++ b/crates/comfreyroad/src/event/mod.rs
@@ -0,0 +1,11 @@
+//! What happens: the only way into the decisions.
+
+mod event;
+mod page;
+mod signal;
+mod unwritten;
+
+pub use event::Event;
+pub use page::{Entry as LogEntry, Page};
+pub use signal::{Failure, Signal};
+pub use unwritten::Unwritten;
--- /dev/null
+++ b/crates/comfreyroad/src/filter/pin.rs
@@ -0,0 +1,23 @@
+//! Which version answers: the session's own, or the plan for a new session.
+
+use super::{Filter, Halt, View};
+use crate::refusal::Refusal;
+use crate::request::{Allowed, Pinned, Plan, Request};
+
+/// Binds a request to a version or a chain of versions.
+#[derive(Debug)]
+pub struct Pin;
+
+impl Filter<Allowed> for Pin {
+    type Next = Pinned;
+
+    fn apply(request: Request<Allowed>, view: &View<'_>) -> Result<Request<Pinned>, Halt<Allowed>> {
+        if request.stage().versions.is_empty() {
+            return Ok(request.pin(Plan::default(), None));
+        }
+        match view.state.sessions.pin(&request, view) {
+            Ok((plan, session)) => Ok(request.pin(plan, session)),
+            Err(code) => Err(Refusal::not_run(&request, code).into()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/comfreyroad/src/filter/place.rs
@@ -0,0 +1,65 @@
+//! Which upstream: checked against the newest rules at the moment of sending.
+
+use super::{Filter, Halt, View};
+use crate::controller::upstreams::Need;
+use crate::refusal::{Code, Refusal};
+use crate::request::{Claimed, Pinned, Placed, Request};
+
+/// Gives a request a slot at an upstream.
+#[derive(Debug)]
+pub struct Place;
+
+impl Filter<Claimed> for Place {
+    type Next = Placed;
+
+    fn apply(request: Request<Claimed>, view: &View<'_>) -> Result<Request<Placed>, Halt<Claimed>> {
+        if request.head().deadline <= view.now.instant {
+            return Err(Refusal::not_run(&request, Code::Deadline).into());
+        }
+        let need = match need(&request.stage().pinned, request.head(), view) {
+            Ok(need) => need,
+            Err(code) => return Err(Refusal::not_run(&request, code).into()),
+        };
+        match view.state.upstreams.pick(&need, view) {
+            Some(slot) => Ok(request.place(slot)),
+            None => Err(Halt::wait(request)),
+        }
+    }
+}
+
+/// What an upstream must offer, by the newest rules.
+pub(super) fn need(
+    pinned: &Pinned,
+    head: &crate::request::Head,
+    view: &View<'_>,
+) -> Result<Need, Code> {
+    let rules = view.state.rules.for_new_work(view.now)?;
+    let customer = rules
+        .customers
+        .get(&pinned.allowed.customer)
+        .ok_or(Code::NotAllowed)?;
+    let Some(id) = pinned.plan.version() else {
+        let pool = pinned.allowed.pool.clone().ok_or(Code::NotFound)?;
+        return Ok(Need {
+            pool,
+            version: None,
+            prefix: None,
+        });
+    };
+    let version = rules.versions.get(id).ok_or(Code::Withdrawn)?;
+    if version.withdrawn || view.state.rules.is_held(id) {
+        return Err(Code::Withdrawn);
+    }
+    if !customer.allows(version) {
+        return Err(Code::NotAllowed);
+    }
+    let prefix = match &head.target {
+        crate::request::Target::Chat(chat) => Some(chat.prefix),
+        crate::request::Target::Service(_) => None,
+    };
+    Ok(Need {
+        pool: version.pool.clone(),
+        version: Some(id.clone()),
+        prefix,
+    })
+}
--- /dev/null
+++ b/crates/comfreyroad/src/frame/mod.rs
@@ -0,0 +1,14 @@
+//! What entries tell each other.
+//!
+//! One frame goes out and one comes back. Each controller adds its part to a frame and takes its part out of one;
+//! everything in it is soft state that any entry can lose.
+
+mod beat;
+mod frame;
+mod news;
+mod view;
+
+pub use beat::Beat;
+pub use frame::Frame;
+pub use news::News;
+pub use view::View;
--- /dev/null
+++ b/crates/comfreyroad/src/note/catalogue.rs
@@ -0,0 +1,55 @@
+use super::{Kind, Level};
+
+macro_rules! catalogue {
+    ($($(#[$doc:meta])* $name:ident = $number:literal, $level:ident, $title:literal;)*) => {
+        $($(#[$doc])* pub static $name: Kind = Kind::new($number, Level::$level, $title);)*
+
+        /// Every kind of event, by number.
+        pub static ALL: &[&Kind] = &[$(&$name),*];
+    };
+}
+
+catalogue! {
+    /// The entry's phase changed.
+    PHASE = 101, Info, "phase changed";
+    /// Requests were cut at the end of a shutdown.
+    CUT = 102, Error, "requests cut at shutdown";
+    /// A new generation of the rules is in force.
+    IN_FORCE = 201, Info, "rules in force";
+    /// A publish lost the race or does not check.
+    PUBLISH_REFUSED = 202, Warn, "publish refused";
+    /// The rules were not confirmed for too long.
+    STALE = 203, Warn, "rules no longer confirmed";
+    /// The rules are confirmed again.
+    FRESH = 204, Info, "rules confirmed again";
+    /// A peer was heard for the first time.
+    PEER_JOINED = 301, Info, "peer joined";
+    /// A peer has not been heard for too long, or has left.
+    PEER_LOST = 302, Warn, "peer lost";
+    /// An upstream appeared.
+    UPSTREAM_JOINED = 401, Info, "upstream joined";
+    /// An upstream is cold again.
+    UPSTREAM_COLD = 402, Warn, "upstream cold";
+    /// An upstream bears full load.
+    UPSTREAM_WARM = 403, Info, "upstream warm";
+    /// An upstream gets no new work.
+    UPSTREAM_LEAVING = 404, Info, "upstream leaving";
+    /// A request was refused.
+    REFUSED = 501, Info, "request refused";
+    /// A request was sent again.
+    RETRIED = 502, Info, "request sent again";
+    /// A late or crossed answer was dropped.
+    CROSSED = 503, Warn, "answer of another attempt dropped";
+    /// The log does not answer.
+    LOG_DOWN = 601, Warn, "log does not answer";
+    /// The log answers again.
+    LOG_UP = 602, Info, "log answers again";
+    /// An append may or may not have been taken.
+    APPEND_UNCLEAR = 603, Warn, "append unclear";
+    /// An answer ended before its bill was safe.
+    BILL_AT_RISK = 701, Error, "answer ended with its bill at risk";
+    /// A second bill with one key was read and does not count.
+    BILL_DOUBLED = 702, Info, "bill stands twice on the log";
+    /// A claim was lost to an earlier one.
+    CLAIM_LOST = 703, Info, "claim lost";
+}
--- /dev/null
+++ b/crates/comfreyroad/src/rendezvous.rs
@@ -0,0 +1,9 @@
+//! Rendezvous hashing: all who know the same members agree on an owner without a word.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// The member with the highest hash for a key.
+pub fn owner<'a>(key: &str, members: impl Iterator<Item = &'a str>) -> Option<&'a str> {
+    let seed = xxh3_64_with_seed(key.as_bytes(), 0);
+    members.max_by_key(|member| xxh3_64_with_seed(member.as_bytes(), seed))
+}
--- /dev/null
+++ b/crates/comfreyroad/src/request/pinned.rs
@@ -0,0 +1,70 @@
+use std::sync::Arc;
+
+use super::{Allowed, Claimed, Repeat, Request, Stage};
+use crate::controller::claim::Proof;
+use crate::id::VersionId;
+
+/// Bound to the version, or the chain of versions, that is to answer.
+#[derive(Clone, Debug)]
+pub struct Pinned {
+    /// What was found before.
+    pub allowed: Allowed,
+    /// The versions to try, in order.
+    pub plan: Plan,
+    /// The session token to hand back.
+    pub session: Option<Arc<str>>,
+}
+
+/// A chain of versions: each but the last is tried and rated, the last one answers.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Plan {
+    /// The versions, cheapest first; empty for a plain service.
+    pub versions: Vec<VersionId>,
+    /// The one whose turn it is.
+    pub at: usize,
+}
+
+impl Plan {
+    /// A plan of a single version.
+    pub fn single(version: VersionId) -> Self {
+        Self {
+            versions: vec![version],
+            at: 0,
+        }
+    }
+
+    /// The version whose turn it is.
+    pub fn version(&self) -> Option<&VersionId> {
+        self.versions.get(self.at)
+    }
+
+    /// Whether the answer must be rated before a caller gets it.
+    pub fn is_rated(&self) -> bool {
+        self.at + 1 < self.versions.len()
+    }
+}
+
+impl Stage for Pinned {
+    const NAME: &'static str = "claim";
+}
+
+impl Request<Pinned> {
+    /// Goes on with the proof that this claim is the first.
+    pub(crate) fn claim(self, proof: Proof) -> Request<Claimed> {
+        self.into_stage(|pinned| Claimed {
+            pinned,
+            proof: Some(proof),
+        })
+    }
+
+    /// Goes on without a claim, which only what may be repeated can do.
+    pub(crate) fn skip_claim(self) -> Result<Request<Claimed>, Self> {
+        match self.stage.allowed.repeat {
+            Repeat::Idempotent => Ok(self.into_stage(|pinned| Claimed {
+                pinned,
+                proof: None,
+            })),
+            Repeat::Once => Err(self),
+        }
+    }
+}
--- /dev/null
+++ b/crates/comfreyroad/src/request/retrying.rs
@@ -0,0 +1,27 @@
+use super::{Claimed, Origin, Placed, Request, Stage};
+use crate::upstream::Slot;
+
+/// Sent before, failed, and free to be sent again.
+#[derive(Debug)]
+pub struct Retrying {
+    /// What was found before the first sending.
+    pub claimed: Claimed,
+    /// Tokens that the caller already has.
+    pub delivered: u64,
+    /// Sendings so far.
+    pub sendings: u32,
+}
+
+impl Stage for Retrying {
+    const NAME: &'static str = "retry";
+}
+
+impl Request<Retrying> {
+    pub(crate) fn place(self, slot: Slot) -> Request<Placed> {
+        self.into_stage(|retrying| Placed {
+            delivered: retrying.delivered,
+            origin: Origin::Again(retrying),
+            slot,
+        })
+    }
+}
--- a/crates/comfreyroad/src/rules/service.rs
+++ b/crates/comfreyroad/src/rules/service.rs
@@ -17,3 +17,13 @@
     /// Methods whose calls may be repeated; `None` leaves it to HTTP.
     pub repeat: Option<Vec<Arc<str>>>,
 }
+
+impl Service {
+    /// Whether a path belongs to it.
+    pub fn covers(&self, path: &str) -> bool {
+        let Some(rest) = path.strip_prefix(&*self.path) else {
+            return false;
+        };
+        rest.is_empty() || self.path.ends_with('/') || rest.starts_with(['/', '?'])
+    }
+}
--- /dev/null
+++ b/crates/comfreyroad/src/session/mod.rs
@@ -0,0 +1,5 @@
+//! What callers hold of a session.
+
+mod token;
+
+pub use token::Token;
--- /dev/null
+++ b/crates/comfreyroad/src/settings.rs
@@ -0,0 +1,56 @@
+//! What an entry is told at its start.
+
+use std::time::Duration;
+
+use crate::id::{Address, BootId, EntryId, ZoneId};
+
+/// Settings of the decisions.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name of this entry.
+    pub entry: EntryId,
+    /// This start of it.
+    pub boot: BootId,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// IP number and port at which peers and callers reach it.
+    pub address: Address,
+    /// Peers to begin with.
+    pub peers: Vec<Address>,
+    /// Keys of session tokens, the newest first.
+    pub session_keys: Vec<[u8; 32]>,
+    /// Time without confirmation after which the rules count as stale.
+    pub stale_after: Duration,
+    /// Time without a heartbeat after which a peer counts as lost.
+    pub peer_timeout: Duration,
+    /// Time for which the end of an answer waits for its bill to be safe.
+    pub bill_wait: Duration,
+    /// Time that a shutdown may take.
+    pub drain_timeout: Duration,
+    /// Time for the balancer to see that the entry takes no more work.
+    pub drain_notice: Duration,
+    /// Calls that may be under way at once.
+    pub max_calls: usize,
+    /// Seed of random choices.
+    pub seed: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            entry: "entry".into(),
+            boot: "boot".into(),
+            zone: "zone".into(),
+            address: "127.0.0.1:8080".into(),
+            peers: Vec::new(),
+            session_keys: vec![[0; 32]],
+            stale_after: Duration::from_secs(3),
+            peer_timeout: Duration::from_secs(3),
+            bill_wait: Duration::from_secs(2),
+            drain_timeout: Duration::from_secs(30),
+            drain_notice: Duration::from_secs(1),
+            max_calls: 4096,
+            seed: 1,
+        }
+    }
+}
