Connect, listen, call and stop on one thread

Callers, upstreams, peers and the platform are all reached over HTTP/1.1, and the loop may not start a thread. compio hands connect and shutdown to a thread pool, so streams and listeners here make these calls on non-blocking sockets of their own; the pool has no threads and panics when something leans on it.

Errors of a call say whether the peer can have seen the request. Bodies fed by a sender end cleanly only by its word, else by a reset. A stopping server answers what it has begun and whom the kernel had let in.

--- /dev/null
+++ b/crates/comfreyroad_net/src/body/content.rs
@@ -0,0 +1,97 @@
+use std::{
+    cell::RefCell,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll},
+};
+
+use bytes::Bytes;
+use hyper::body::{Frame, SizeHint};
+
+use super::{
+    channel::{Broken, Channel},
+    sender::Sender,
+};
+
+/// The body of a request or an answer that this process sends.
+#[derive(Debug, Default)]
+pub struct Body {
+    source: Source,
+}
+
+#[derive(Debug)]
+enum Source {
+    Full(Bytes),
+    Chunks(Receiver),
+}
+
+impl Default for Source {
+    fn default() -> Self {
+        Self::Full(Bytes::new())
+    }
+}
+
+impl Body {
+    /// A body whose bytes are all there.
+    pub fn full(bytes: impl Into<Bytes>) -> Self {
+        Self {
+            source: Source::Full(bytes.into()),
+        }
+    }
+
+    /// A body that the sender feeds.
+    pub fn channel() -> (Sender, Self) {
+        let channel = Rc::new(RefCell::new(Channel::default()));
+        let source = Source::Chunks(Receiver(channel.clone()));
+        (Sender::new(channel), Self { source })
+    }
+}
+
+impl From<Bytes> for Body {
+    fn from(bytes: Bytes) -> Self {
+        Self::full(bytes)
+    }
+}
+
+impl hyper::body::Body for Body {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Self::Data>, Self::Error>>> {
+        match &mut self.source {
+            Source::Full(bytes) if bytes.is_empty() => Poll::Ready(None),
+            Source::Full(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
+            Source::Chunks(receiver) => {
+                let chunk = receiver.0.borrow_mut().poll_chunk(cx);
+                chunk.map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match &self.source {
+            Source::Full(bytes) => bytes.is_empty(),
+            Source::Chunks(receiver) => receiver.0.borrow().is_done(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match &self.source {
+            Source::Full(bytes) => SizeHint::with_exact(bytes.len() as u64),
+            Source::Chunks(_) => SizeHint::default(),
+        }
+    }
+}
+
+/// The body's end of a channel; dropping it tells the sender.
+#[derive(Debug)]
+struct Receiver(Rc<RefCell<Channel>>);
+
+impl Drop for Receiver {
+    fn drop(&mut self) {
+        self.0.borrow_mut().close();
+    }
+}
--- /dev/null
+++ b/crates/comfreyroad_net/src/body/mod.rs
@@ -0,0 +1,9 @@
+//! Bodies of requests and answers: whole bytes, or chunks from a sender.
+
+mod channel;
+mod content;
+mod sender;
+
+pub use channel::Broken;
+pub use content::Body;
+pub use sender::{Closed, Sender};
--- /dev/null
+++ b/crates/comfreyroad_net/src/client/connection.rs
@@ -0,0 +1,64 @@
+use std::{net::SocketAddr, pin::pin};
+
+use compio::runtime::JoinHandle;
+use http::{Request, Response};
+use hyper::{
+    body::Incoming,
+    client::conn::{TrySendError, http1},
+};
+
+use super::{error::Cause, limits::Limits};
+use crate::{
+    body::Body,
+    stream::{Handle, Stream},
+};
+
+/// A connection for one request after the other; dropping it closes the connection.
+pub(super) struct Connection {
+    sender: http1::SendRequest<Body>,
+    handle: Handle,
+    // Cancelled when it is dropped, which closes the stream.
+    _task: JoinHandle<()>,
+}
+
+impl Connection {
+    pub(super) async fn open(peer: SocketAddr, limits: Limits) -> Result<Self, Cause> {
+        let stream = Stream::connect(peer).await?;
+        let handle = stream.handle();
+        let mut builder = http1::Builder::new();
+        builder.max_header_size(limits.header_bytes);
+        let (sender, connection) = builder.handshake(stream).await?;
+        let task = compio::runtime::spawn(async move {
+            if let Err(error) = pin!(connection).await {
+                log::debug!("connection to {peer}: {error}");
+            }
+        });
+        Ok(Self {
+            sender,
+            handle,
+            _task: task,
+        })
+    }
+
+    /// Sends a request and waits for the head of its answer. A request that was not touched comes back in the error.
+    pub(super) async fn send(
+        &mut self,
+        request: Request<Body>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Body>>> {
+        self.sender.try_send_request(request).await
+    }
+
+    /// Waits until the answer was read to its end. Fails when the connection cannot take another request.
+    pub(super) async fn ready(&mut self) -> hyper::Result<()> {
+        self.sender.ready().await
+    }
+
+    pub(super) fn is_open(&self) -> bool {
+        !self.sender.is_closed()
+    }
+
+    /// Bytes handed to the kernel so far.
+    pub(super) fn written(&self) -> u64 {
+        self.handle.written()
+    }
+}
--- /dev/null
+++ b/crates/comfreyroad_net/src/client/json.rs
@@ -0,0 +1,93 @@
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http::{
+    HeaderMap, Method, Request, Response, StatusCode,
+    header::{CONTENT_TYPE, RETRY_AFTER},
+};
+use serde::{Serialize, de::DeserializeOwned};
+
+use super::{
+    Client,
+    error::{Cause, Error},
+    reader::read_all,
+};
+use crate::body::Body;
+
+/// Longest JSON answer that is read.
+const MAX_ANSWER_BYTES: usize = 64 * 1024 * 1024;
+
+/// Gets `path` and reads the whole answer.
+pub(crate) async fn get(
+    client: &Client,
+    peer: SocketAddr,
+    path: &str,
+    deadline: Instant,
+) -> Result<Response<Bytes>, Error> {
+    let request = Request::builder().uri(path).body(Body::default());
+    whole(client, peer, request, deadline).await
+}
+
+/// Posts `message` as JSON to `path` and reads the whole answer.
+pub(crate) async fn post(
+    client: &Client,
+    peer: SocketAddr,
+    path: &str,
+    message: &impl Serialize,
+    deadline: Instant,
+) -> Result<Response<Bytes>, Error> {
+    let json =
+        serde_json::to_vec(message).map_err(|error| Error::request(peer, Cause::Json(error)))?;
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri(path)
+        .header(CONTENT_TYPE, "application/json")
+        .body(Body::full(json));
+    whole(client, peer, request, deadline).await
+}
+
+/// The message in an answer with status 200.
+pub(crate) fn parse<T: DeserializeOwned>(
+    peer: SocketAddr,
+    answer: &Response<Bytes>,
+) -> Result<T, Error> {
+    if answer.status() != StatusCode::OK {
+        return Err(Error::status(peer, answer.status()));
+    }
+    parse_body(peer, answer)
+}
+
+/// The message in an answer of any status.
+pub(crate) fn parse_body<T: DeserializeOwned>(
+    peer: SocketAddr,
+    answer: &Response<Bytes>,
+) -> Result<T, Error> {
+    serde_json::from_slice(answer.body()).map_err(|error| Error::body(peer, Cause::Json(error)))
+}
+
+/// When the peer wants to be asked again, by its `retry-after` in seconds.
+pub(crate) fn retry_after(headers: &HeaderMap) -> Option<Instant> {
+    let seconds = headers
+        .get(RETRY_AFTER)?
+        .to_str()
+        .ok()?
+        .trim()
+        .parse()
+        .ok()?;
+    Instant::now().checked_add(Duration::from_secs(seconds))
+}
+
+async fn whole(
+    client: &Client,
+    peer: SocketAddr,
+    request: http::Result<Request<Body>>,
+    deadline: Instant,
+) -> Result<Response<Bytes>, Error> {
+    let request = request.map_err(|error| Error::request(peer, Cause::Request(error)))?;
+    let (head, body) = client.call(peer, request, deadline).await?.into_parts();
+    let body = read_all(peer, body, MAX_ANSWER_BYTES, deadline).await?;
+    Ok(Response::from_parts(head, body))
+}
--- /dev/null
+++ b/crates/comfreyroad_net/src/client/mod.rs
@@ -0,0 +1,154 @@
+//! Calls to other programs: connections kept alive per address, deadlines, and errors that say whether a request can
+//! have arrived.
+
+mod connection;
+mod error;
+mod json;
+mod limits;
+mod pool;
+mod reader;
+
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Instant};
+
+use compio::time::timeout_at;
+use http::{
+    HeaderValue, Request, Response,
+    header::{Entry, HOST},
+};
+use hyper::body::Incoming;
+
+use self::{connection::Connection, pool::Pool};
+use crate::body::Body;
+
+pub use error::{Cause, Error, Sent, Step};
+pub use limits::Limits;
+pub use reader::{Reader, read_all};
+
+pub(crate) use json::{get, parse, parse_body, post, retry_after};
+
+/// Calls other programs. Clones share their connections.
+#[derive(Clone)]
+pub struct Client {
+    limits: Limits,
+    pool: Rc<RefCell<Pool>>,
+}
+
+impl Client {
+    /// A client with limits of its own.
+    pub fn new(limits: Limits) -> Self {
+        Self {
+            limits,
+            pool: Rc::new(RefCell::new(Pool::new(limits))),
+        }
+    }
+
+    /// Connections that wait for a request.
+    pub fn idle(&self) -> usize {
+        self.pool.borrow().len()
+    }
+
+    /// Sends a request and waits for the head of its answer until `deadline`.
+    ///
+    /// The request's URI is path and query only; `host` is added. Dropping the future, or later the answer's body
+    /// before its end, closes the connection.
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        mut request: Request<Body>,
+        deadline: Instant,
+    ) -> Result<Response<Incoming>, Error> {
+        add_host(&mut request, address)?;
+        loop {
+            let kept = self.pool.borrow_mut().take(address);
+            let reused = kept.is_some();
+            let connection = match kept {
+                Some(connection) => connection,
+                None => self.connect(address, deadline).await?,
+            };
+            request = match self.exchange(address, connection, request, deadline).await {
+                Ok(response) => return Ok(response),
+                // The peer had closed the kept connection, and the request was not touched.
+                Err(Failure {
+                    unsent: Some(request),
+                    ..
+                }) if reused => request,
+                Err(Failure { error, .. }) => return Err(error),
+            };
+        }
+    }
+
+    async fn connect(&self, address: SocketAddr, deadline: Instant) -> Result<Connection, Error> {
+        timeout_at(deadline, Connection::open(address, self.limits))
+            .await
+            .unwrap_or(Err(Cause::Deadline))
+            .map_err(|cause| Error::connect(address, cause))
+    }
+
+    async fn exchange(
+        &self,
+        peer: SocketAddr,
+        mut connection: Connection,
+        request: Request<Body>,
+        deadline: Instant,
+    ) -> Result<Response<Incoming>, Failure> {
+        let before = connection.written();
+        let (cause, unsent) = match timeout_at(deadline, connection.send(request)).await {
+            Ok(Ok(response)) => {
+                self.keep(peer, connection);
+                return Ok(response);
+            }
+            Ok(Err(mut error)) => {
+                let unsent = error.take_message();
+                (Cause::Http(error.into_error()), unsent)
+            }
+            Err(_) => (Cause::Deadline, None),
+        };
+        let untouched = connection.written() == before;
+        let broken_request = matches!(&cause, Cause::Http(error) if error.is_user());
+        let error = Error {
+            step: if untouched || broken_request {
+                Step::Send
+            } else {
+                Step::Head
+            },
+            peer,
+            sent: if untouched { Sent::No } else { Sent::Maybe },
+            cause,
+        };
+        Err(Failure { error, unsent })
+    }
+
+    /// Puts the connection back once its answer was read to the end.
+    fn keep(&self, address: SocketAddr, mut connection: Connection) {
+        let pool = Rc::downgrade(&self.pool);
+        let put = async move {
+            let Ok(()) = connection.ready().await else {
+                return;
+            };
+            if let Some(pool) = pool.upgrade() {
+                Pool::put(&pool, address, connection);
+            }
+        };
+        compio::runtime::spawn(put).detach();
+    }
+}
+
+impl Default for Client {
+    fn default() -> Self {
+        Self::new(Limits::default())
+    }
+}
+
+/// An exchange that failed, with the request when it was not touched.
+struct Failure {
+    error: Error,
+    unsent: Option<Request<Body>>,
+}
+
+fn add_host(request: &mut Request<Body>, address: SocketAddr) -> Result<(), Error> {
+    if let Entry::Vacant(host) = request.headers_mut().entry(HOST) {
+        let value = HeaderValue::try_from(address.to_string());
+        host.insert(value.map_err(|error| Error::request(address, Cause::Request(error.into())))?);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/comfreyroad_net/src/client/pool.rs
@@ -0,0 +1,104 @@
+use std::{
+    cell::RefCell,
+    net::SocketAddr,
+    rc::{Rc, Weak},
+    time::Instant,
+};
+
+use compio::runtime::JoinHandle;
+use indexmap::IndexMap;
+
+use super::{connection::Connection, limits::Limits};
+
+/// Connections that wait for a request, by address.
+pub(super) struct Pool {
+    limits: Limits,
+    idle: IndexMap<SocketAddr, Vec<Idle>>,
+    // Ends with the last idle connection.
+    sweeper: Option<JoinHandle<()>>,
+}
+
+struct Idle {
+    connection: Connection,
+    deadline: Instant,
+}
+
+impl Pool {
+    pub(super) fn new(limits: Limits) -> Self {
+        Self {
+            limits,
+            idle: IndexMap::new(),
+            sweeper: None,
+        }
+    }
+
+    /// Takes the connection that was used last, as it is the least likely to have been closed by the peer.
+    pub(super) fn take(&mut self, address: SocketAddr) -> Option<Connection> {
+        let idle = self.idle.get_mut(&address)?;
+        while let Some(Idle {
+            connection,
+            deadline,
+        }) = idle.pop()
+        {
+            if connection.is_open() && Instant::now() < deadline {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection for the next request, in place of the oldest one when there are too many.
+    pub(super) fn put(pool: &Rc<RefCell<Self>>, address: SocketAddr, connection: Connection) {
+        let mut open = pool.borrow_mut();
+        let Limits {
+            idle: most,
+            idle_time,
+            ..
+        } = open.limits;
+        let deadline = Instant::now() + idle_time;
+        let idle = open.idle.entry(address).or_default();
+        idle.push(Idle {
+            connection,
+            deadline,
+        });
+        if idle.len() > most {
+            idle.remove(0);
+        }
+        if open.sweeper.is_none() {
+            open.sweeper = Some(compio::runtime::spawn(sweep(Rc::downgrade(pool), deadline)));
+        }
+    }
+
+    /// Connections that wait for a request.
+    pub(super) fn len(&self) -> usize {
+        self.idle.values().map(Vec::len).sum()
+    }
+
+    /// Closes what has been idle for too long, and returns when to look again.
+    fn sweep(&mut self) -> Option<Instant> {
+        let now = Instant::now();
+        for idle in self.idle.values_mut() {
+            idle.retain(|idle| idle.connection.is_open() && now < idle.deadline);
+        }
+        self.idle.retain(|_, idle| !idle.is_empty());
+        self.idle.values().flatten().map(|idle| idle.deadline).min()
+    }
+}
+
+/// Sweeps until nothing is left or the client is gone.
+async fn sweep(pool: Weak<RefCell<Pool>>, mut next: Instant) {
+    loop {
+        compio::time::sleep_until(next).await;
+        let Some(pool) = pool.upgrade() else {
+            return;
+        };
+        let mut open = pool.borrow_mut();
+        let Some(earliest) = open.sweep() else {
+            if let Some(sweeper) = open.sweeper.take() {
+                sweeper.detach();
+            }
+            return;
+        };
+        next = earliest;
+    }
+}
--- /dev/null
+++ b/crates/comfreyroad_net/src/client/reader.rs
@@ -0,0 +1,62 @@
+use std::{net::SocketAddr, time::Instant};
+
+use bytes::{Bytes, BytesMut};
+use compio::time::timeout_at;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+use super::error::{Cause, Error};
+
+/// Reads an answer's body chunk by chunk. Dropping it before the end closes the connection.
+#[derive(Debug)]
+pub struct Reader {
+    peer: SocketAddr,
+    body: Incoming,
+}
+
+impl Reader {
+    /// A reader of a body that comes from `peer`.
+    pub fn new(peer: SocketAddr, body: Incoming) -> Self {
+        Self { peer, body }
+    }
+
+    /// The next chunk, or nothing at the clean end of the body. Waits until `deadline`.
+    pub async fn chunk(&mut self, deadline: Instant) -> Result<Option<Bytes>, Error> {
+        loop {
+            let frame = timeout_at(deadline, self.body.frame())
+                .await
+                .map_err(|_| Error::body(self.peer, Cause::Deadline))?;
+            let Some(frame) = frame else {
+                return Ok(None);
+            };
+            let frame = frame.map_err(|error| Error::body(self.peer, Cause::Http(error)))?;
+            // Trailers say nothing to us.
+            if let Ok(chunk) = frame.into_data() {
+                return Ok(Some(chunk));
+            }
+        }
+    }
+}
+
+/// Reads a whole body of at most `limit` bytes that comes from `peer`, until `deadline`.
+pub async fn read_all(
+    peer: SocketAddr,
+    body: Incoming,
+    limit: usize,
+    deadline: Instant,
+) -> Result<Bytes, Error> {
+    let mut reader = Reader::new(peer, body);
+    let Some(first) = reader.chunk(deadline).await? else {
+        return Ok(Bytes::new());
+    };
+    let mut all = BytesMut::from(first);
+    loop {
+        if all.len() > limit {
+            return Err(Error::body(peer, Cause::TooLong(limit)));
+        }
+        let Some(chunk) = reader.chunk(deadline).await? else {
+            return Ok(all.freeze());
+        };
+        all.extend_from_slice(&chunk);
+    }
+}
--- /dev/null
+++ b/crates/comfreyroad_net/src/peer/mod.rs
@@ -0,0 +1,5 @@
+//! Exchanges of frames between entries.
+
+mod client;
+
+pub use client::Client;
--- /dev/null
+++ b/crates/comfreyroad_net/src/platform/log.rs
@@ -0,0 +1,133 @@
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant, SystemTime},
+};
+
+use comfreyroad_wire::platform as wire;
+use data_encoding::BASE64;
+use http::StatusCode;
+
+use crate::client::{self, Client, Error, Sent};
+
+/// Place of a record in a stream.
+pub type Offset = u64;
+
+/// A client of the log service.
+#[derive(Clone)]
+pub struct Log {
+    client: Client,
+    address: SocketAddr,
+}
+
+impl Log {
+    /// A client of the service at `address`.
+    pub fn new(client: Client, address: SocketAddr) -> Self {
+        Self { client, address }
+    }
+
+    /// Appends records to a stream, all of them or none.
+    pub async fn append(
+        &self,
+        stream: &str,
+        records: &[Vec<u8>],
+        deadline: Instant,
+    ) -> Result<wire::Appended, AppendError> {
+        let message = wire::Append {
+            records: records.iter().map(|record| BASE64.encode(record)).collect(),
+        };
+        let path = format!("/v1/streams/{stream}/append");
+        let answer = client::post(&self.client, self.address, &path, &message, deadline).await?;
+        let status = answer.status();
+        if status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE {
+            return Err(AppendError::NotTaken {
+                reason: Error::status(self.address, status),
+                retry: client::retry_after(answer.headers()),
+            });
+        }
+        // An answer that is neither a refusal nor readable leaves open what became of the records.
+        client::parse(self.address, &answer).map_err(AppendError::Unclear)
+    }
+
+    /// Reads at most `limit` records from `from` on. When there are none yet the service waits until `wait` for one.
+    pub async fn read(
+        &self,
+        stream: &str,
+        from: Offset,
+        limit: usize,
+        wait: Instant,
+        deadline: Instant,
+    ) -> Result<Page, Error> {
+        let wait_ms = wait.saturating_duration_since(Instant::now()).as_millis();
+        let path = format!("/v1/streams/{stream}/read?from={from}&limit={limit}&wait_ms={wait_ms}");
+        let answer = client::get(&self.client, self.address, &path, deadline).await?;
+        let page: wire::Page = client::parse(self.address, &answer)?;
+        let records = page.records.iter().map(|stored| self.record(stored));
+        Ok(Page {
+            oldest: page.oldest,
+            next: page.next,
+            records: records.collect::<Result<_, _>>()?,
+        })
+    }
+
+    fn record(&self, stored: &wire::Stored) -> Result<Record, Error> {
+        let bytes = BASE64
+            .decode(stored.body.as_bytes())
+            .map_err(|error| Error::body(self.address, error.into()))?;
+        Ok(Record {
+            offset: stored.offset,
+            at: SystemTime::UNIX_EPOCH + Duration::from_millis(stored.at_ms),
+            bytes,
+        })
+    }
+}
+
+/// An append that failed.
+#[derive(Debug, thiserror::Error)]
+pub enum AppendError {
+    /// The records are certainly not in the stream.
+    #[error("append not taken: {reason}")]
+    NotTaken {
+        /// What the service said, or why it was not reached.
+        #[source]
+        reason: Error,
+        /// When the service wants to be asked again, if it said so.
+        retry: Option<Instant>,
+    },
+    /// The records may be in the stream.
+    #[error("append unclear: {0}")]
+    Unclear(#[source] Error),
+}
+
+impl From<Error> for AppendError {
+    fn from(error: Error) -> Self {
+        match error.sent {
+            Sent::No => Self::NotTaken {
+                reason: error,
+                retry: None,
+            },
+            Sent::Maybe => Self::Unclear(error),
+        }
+    }
+}
+
+/// A page of a stream.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Page {
+    /// Offset of the oldest record still kept.
+    pub oldest: Offset,
+    /// Offset that the stream's next record will get.
+    pub next: Offset,
+    /// The records, by rising offset.
+    pub records: Vec<Record>,
+}
+
+/// A record of a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Record {
+    /// Place in the stream.
+    pub offset: Offset,
+    /// When the service took it.
+    pub at: SystemTime,
+    /// What was appended.
+    pub bytes: Vec<u8>,
+}
--- /dev/null
+++ b/crates/comfreyroad_net/src/platform/vms.rs
@@ -0,0 +1,25 @@
+use std::{net::SocketAddr, time::Instant};
+
+use comfreyroad_wire::platform as wire;
+
+use crate::client::{self, Client, Error};
+
+/// A client of the VM list.
+#[derive(Clone)]
+pub struct Vms {
+    client: Client,
+    address: SocketAddr,
+}
+
+impl Vms {
+    /// A client of the service at `address`.
+    pub fn new(client: Client, address: SocketAddr) -> Self {
+        Self { client, address }
+    }
+
+    /// The VMs that live or are leaving.
+    pub async fn list(&self, deadline: Instant) -> Result<wire::Vms, Error> {
+        let answer = client::get(&self.client, self.address, "/v1/vms", deadline).await?;
+        client::parse(self.address, &answer)
+    }
+}
--- /dev/null
+++ b/crates/comfreyroad_net/src/platform/weights.rs
@@ -0,0 +1,52 @@
+use std::{net::SocketAddr, time::Instant};
+
+use http::{Request, StatusCode};
+
+use crate::{
+    body::Body,
+    client::{self, Client, Error, Reader},
+};
+
+/// A client of the weight store.
+#[derive(Clone)]
+pub struct Weights {
+    client: Client,
+    address: SocketAddr,
+}
+
+impl Weights {
+    /// A client of the store at `address`.
+    pub fn new(client: Client, address: SocketAddr) -> Self {
+        Self { client, address }
+    }
+
+    /// Starts to fetch the weights of a version, given as `model@version`; `deadline` is for the answer's head.
+    pub async fn fetch(&self, version: &str, deadline: Instant) -> Result<Reader, FetchError> {
+        let request = Request::builder()
+            .uri(format!("/v1/weights/{version}"))
+            .body(Body::default())
+            .map_err(|error| Error::request(self.address, error.into()))?;
+        let answer = self.client.call(self.address, request, deadline).await?;
+        match answer.status() {
+            StatusCode::OK => Ok(Reader::new(self.address, answer.into_body())),
+            StatusCode::TOO_MANY_REQUESTS => Err(FetchError::Busy {
+                retry: client::retry_after(answer.headers()),
+            }),
+            status => Err(Error::status(self.address, status).into()),
+        }
+    }
+}
+
+/// Weights that could not be had.
+#[derive(Debug, thiserror::Error)]
+pub enum FetchError {
+    /// The store has too much to do.
+    #[error("weight store busy")]
+    Busy {
+        /// When it wants to be asked again, if it said so.
+        retry: Option<Instant>,
+    },
+    /// The call failed.
+    #[error(transparent)]
+    Call(#[from] Error),
+}
--- /dev/null
+++ b/crates/comfreyroad_net/src/server/mod.rs
@@ -0,0 +1,115 @@
+//! Answers requests: accepts connections, hands their requests to a handler, stops without cutting an answer.
+
+mod connection;
+mod limits;
+mod state;
+mod stop;
+
+use std::{
+    cell::RefCell,
+    future::{Future, poll_fn},
+    io,
+    net::SocketAddr,
+    pin::pin,
+    rc::Rc,
+};
+
+use futures_util::future::{Either, select};
+use http::{Request, Response};
+use hyper::body::Incoming;
+
+use self::{
+    connection::Connection,
+    state::{Place, State},
+};
+use crate::{body::Body, listener::Listener, stream::Stream};
+
+pub use limits::Limits;
+pub use stop::Stop;
+
+/// Answers the requests that arrive at a listener.
+#[derive(Debug)]
+pub struct Server {
+    listener: Listener,
+    limits: Limits,
+    state: Rc<RefCell<State>>,
+}
+
+impl Server {
+    /// A server with the usual limits.
+    pub fn new(listener: Listener) -> Self {
+        Self {
+            listener,
+            limits: Limits::default(),
+            state: Rc::default(),
+        }
+    }
+
+    /// Replaces the limits.
+    pub fn limits(mut self, limits: Limits) -> Self {
+        self.limits = limits;
+        self
+    }
+
+    /// A handle that stops the server.
+    pub fn stop(&self) -> Stop {
+        Stop::new(self.state.clone())
+    }
+
+    /// Hands each request and its peer's address to `handler`, until the server was stopped and its last connection is
+    /// gone. When a caller goes away, the future of its request is dropped.
+    pub async fn serve<H, F>(self, handler: H) -> io::Result<()>
+    where
+        H: Fn(Request<Incoming>, SocketAddr) -> F + 'static,
+        F: Future<Output = Response<Body>> + 'static,
+    {
+        let handler = Rc::new(handler);
+        loop {
+            self.until(|state| {
+                state.deadline().is_some() || state.connections() < self.limits.connections
+            })
+            .await;
+            let stopped = pin!(self.until(|state| state.deadline().is_some()));
+            let accepted = pin!(self.listener.accept());
+            match select(stopped, accepted).await {
+                Either::Left(_) => break,
+                Either::Right((accepted, _)) => self.spawn(accepted?, &handler),
+            }
+        }
+        // Callers that the kernel has let in already get their answer too.
+        while let Ok(Some(accepted)) = self.listener.try_accept() {
+            self.spawn(accepted, &handler);
+        }
+        let Self {
+            listener, state, ..
+        } = self;
+        drop(listener);
+        poll_fn(|cx| {
+            state
+                .borrow_mut()
+                .poll_until(cx, |state| state.connections() == 0)
+        })
+        .await;
+        Ok(())
+    }
+
+    fn spawn<H, F>(&self, (stream, peer): (Stream, SocketAddr), handler: &Rc<H>)
+    where
+        H: Fn(Request<Incoming>, SocketAddr) -> F + 'static,
+        F: Future<Output = Response<Body>> + 'static,
+    {
+        let connection = Connection {
+            stream,
+            peer,
+            place: Place::new(&self.state),
+            limits: self.limits,
+        };
+        let handler = handler.clone();
+        compio::runtime::spawn(connection.run(move |request, peer| handler(request, peer)))
+            .detach();
+    }
+
+    async fn until(&self, condition: impl Fn(&State) -> bool) {
+        poll_fn(|cx| self.state.borrow_mut().poll_until(cx, &condition)).await;
+    }
+}
--- /dev/null
+++ b/crates/comfreyroad_net/src/server/state.rs
@@ -0,0 +1,97 @@
+use std::{
+    cell::RefCell,
+    rc::Rc,
+    task::{Context, Poll, Waker},
+    time::Instant,
+};
+
+use indexmap::IndexMap;
+
+/// Number of a connection.
+pub(super) type ConnectionId = u64;
+
+/// What the accept loop, the connections and the stop handles of a server share.
+#[derive(Debug, Default)]
+pub(super) struct State {
+    deadline: Option<Instant>,
+    next: ConnectionId,
+    connections: IndexMap<ConnectionId, Option<Waker>>,
+    server: Option<Waker>,
+}
+
+impl State {
+    /// Asks everyone to stop. Of several deadlines the earliest counts.
+    pub(super) fn stop(&mut self, deadline: Instant) {
+        let earliest = self
+            .deadline
+            .map_or(deadline, |earlier| earlier.min(deadline));
+        self.deadline = Some(earliest);
+        let connections = self.connections.values_mut().filter_map(Option::take);
+        connections.chain(self.server.take()).for_each(Waker::wake);
+    }
+
+    /// When the last connection has to be gone, once the server was asked to stop.
+    pub(super) fn deadline(&self) -> Option<Instant> {
+        self.deadline
+    }
+
+    pub(super) fn connections(&self) -> usize {
+        self.connections.len()
+    }
+
+    /// Ready when `condition` holds; for the accept loop.
+    pub(super) fn poll_until(
+        &mut self,
+        cx: &Context<'_>,
+        condition: impl Fn(&Self) -> bool,
+    ) -> Poll<()> {
+        if condition(self) {
+            return Poll::Ready(());
+        }
+        self.server = Some(cx.waker().clone());
+        Poll::Pending
+    }
+
+    /// Ready with the deadline when the server was asked to stop; for a connection.
+    pub(super) fn poll_stop(&mut self, cx: &Context<'_>, id: ConnectionId) -> Poll<Instant> {
+        if let Some(deadline) = self.deadline {
+            return Poll::Ready(deadline);
+        }
+        self.connections.insert(id, Some(cx.waker().clone()));
+        Poll::Pending
+    }
+}
+
+/// A connection's place among those of its server; dropping it frees the place.
+#[derive(Debug)]
+pub(super) struct Place {
+    state: Rc<RefCell<State>>,
+    id: ConnectionId,
+}
+
+impl Place {
+    pub(super) fn new(state: &Rc<RefCell<State>>) -> Self {
+        let mut open = state.borrow_mut();
+        let id = open.next;
+        open.next += 1;
+        open.connections.insert(id, None);
+        Self {
+            state: state.clone(),
+            id,
+        }
+    }
+
+    pub(super) fn poll_stop(&self, cx: &Context<'_>) -> Poll<Instant> {
+        self.state.borrow_mut().poll_stop(cx, self.id)
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let mut state = self.state.borrow_mut();
+        state.connections.swap_remove(&self.id);
+        if let Some(server) = state.server.take() {
+            server.wake();
+        }
+    }
+}
--- /dev/null
+++ b/crates/comfreyroad_net/src/stream.rs
@@ -0,0 +1,195 @@
+//! TCP connections on the one loop.
+
+use std::{
+    cell::{Cell, RefCell},
+    io::{self, IoSlice, Read as _, Write as _},
+    net::{Shutdown, SocketAddr},
+    pin::Pin,
+    rc::{Rc, Weak},
+    task::{Context, Poll, ready},
+    time::Duration,
+};
+
+use compio::runtime::fd::PollFd;
+use hyper::rt::{Read, ReadBufCursor, Write};
+use socket2::{Domain, Protocol, SockAddr, Socket, Type};
+
+/// Bytes taken from the kernel at once.
+const READ_BYTES: usize = 64 * 1024;
+
+/// Error number of Linux for a connect that goes on; the standard library has no stable name for it.
+const EINPROGRESS: i32 = 115;
+
+thread_local! {
+    // A read is over before the next one starts, so all streams of the thread share one buffer.
+    static BUFFER: RefCell<Vec<u8>> = RefCell::new(vec![0; READ_BYTES]);
+}
+
+/// A TCP connection that hyper can read from and write to.
+///
+/// It waits for readiness and calls the socket itself. compio's own stream would send `connect` and `shutdown` to a
+/// thread pool.
+#[derive(Debug)]
+pub struct Stream {
+    socket: Rc<PollFd<Socket>>,
+    written: Rc<Cell<u64>>,
+    broken: Rc<Cell<bool>>,
+}
+
+impl Stream {
+    /// Connects to `address`. Dropping the future gives the attempt up.
+    pub async fn connect(address: SocketAddr) -> io::Result<Self> {
+        let kind = Type::STREAM.nonblocking().cloexec();
+        let socket = Socket::new(Domain::for_address(address), kind, Some(Protocol::TCP))?;
+        let pending = match socket.connect(&SockAddr::from(address)) {
+            Ok(()) => false,
+            Err(error) if is_in_progress(&error) => true,
+            Err(error) => return Err(error),
+        };
+        let stream = Self::new(socket)?;
+        if pending {
+            stream.socket.write_ready().await?;
+            if let Some(error) = stream.socket.take_error()? {
+                return Err(error);
+            }
+        }
+        Ok(stream)
+    }
+
+    /// Wraps a connected, non-blocking socket.
+    pub(crate) fn new(socket: Socket) -> io::Result<Self> {
+        socket.set_tcp_nodelay(true)?;
+        Ok(Self {
+            socket: Rc::new(PollFd::new(socket)?),
+            written: Rc::default(),
+            broken: Rc::default(),
+        })
+    }
+
+    /// A handle that outlives the stream's move into hyper.
+    pub fn handle(&self) -> Handle {
+        Handle {
+            socket: Rc::downgrade(&self.socket),
+            written: self.written.clone(),
+            broken: self.broken.clone(),
+        }
+    }
+
+    /// Breaks the connection with a TCP reset.
+    pub fn reset(self) -> io::Result<()> {
+        self.handle().reset()
+    }
+
+    fn count(&self, bytes: usize) -> usize {
+        self.written.set(self.written.get() + bytes as u64);
+        bytes
+    }
+
+    fn poll_io<T>(
+        &self,
+        cx: &mut Context<'_>,
+        poll_ready: impl Fn(&PollFd<Socket>, &mut Context<'_>) -> Poll<io::Result<()>>,
+        mut call: impl FnMut(&Socket) -> io::Result<T>,
+    ) -> Poll<io::Result<T>> {
+        loop {
+            match call(&self.socket) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    ready!(poll_ready(&self.socket, cx))?;
+                }
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                result => return Poll::Ready(result),
+            }
+        }
+    }
+}
+
+impl Read for Stream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        mut cursor: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        BUFFER.with_borrow_mut(|buffer| {
+            let wanted = cursor.remaining().min(buffer.len());
+            let buffer = &mut buffer[..wanted];
+            let read = self.poll_io(cx, PollFd::poll_read_ready, |mut socket| {
+                socket.read(buffer)
+            });
+            let count = ready!(read)?;
+            cursor.put_slice(&buffer[..count]);
+            Poll::Ready(Ok(()))
+        })
+    }
+}
+
+impl Write for Stream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let write = self.poll_io(cx, PollFd::poll_write_ready, |mut socket| {
+            socket.write(bytes)
+        });
+        write.map_ok(|count| self.count(count))
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let write = self.poll_io(cx, PollFd::poll_write_ready, |mut socket| {
+            socket.write_vectored(slices)
+        });
+        write.map_ok(|count| self.count(count))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // A broken connection must not send the end of the stream before its reset.
+        if self.broken.get() {
+            return Poll::Ready(Ok(()));
+        }
+        match self.socket.shutdown(Shutdown::Write) {
+            Err(error) if error.kind() != io::ErrorKind::NotConnected => Poll::Ready(Err(error)),
+            _ => Poll::Ready(Ok(())),
+        }
+    }
+}
+
+/// Looks at a [`Stream`] that hyper owns, without keeping it open.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    socket: Weak<PollFd<Socket>>,
+    written: Rc<Cell<u64>>,
+    broken: Rc<Cell<bool>>,
+}
+
+impl Handle {
+    /// Bytes handed to the kernel so far.
+    pub fn written(&self) -> u64 {
+        self.written.get()
+    }
+
+    /// Makes the stream end with a TCP reset when it is dropped.
+    pub fn reset(&self) -> io::Result<()> {
+        self.broken.set(true);
+        let Some(socket) = self.socket.upgrade() else {
+            return Ok(());
+        };
+        socket.set_linger(Some(Duration::ZERO))
+    }
+}
+
+/// Whether a `connect` that returned `error` goes on in the background.
+fn is_in_progress(error: &io::Error) -> bool {
+    error.raw_os_error() == Some(EINPROGRESS)
+}
--- /dev/null
+++ b/crates/comfreyroad_net/tests/net/breaks.rs
@@ -0,0 +1,153 @@
+use std::{cell::Cell, io::ErrorKind, rc::Rc};
+
+use comfreyroad_net::{
+    body::{Body, Sender},
+    client::{Client, Reader, Sent, Step},
+    stream::Stream,
+};
+use http::Response;
+
+use crate::support::{get, listener, pause, read, read_to_end, run, serve, soon, write};
+
+const CHUNKED_HEAD: &[u8] = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n";
+const CLOSE_HEAD: &[u8] = b"HTTP/1.1 200 OK\r\n\r\nabc";
+
+/// What a client makes of an answer that its peer breaks off.
+async fn read_broken(head: &'static [u8], reset: bool) -> comfreyroad_net::client::Error {
+    let listener = listener();
+    let address = listener.address();
+    let peer = compio::runtime::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        read(&mut stream).await.unwrap();
+        write(&mut stream, head).await;
+        pause(5).await;
+        if reset {
+            stream.reset().unwrap();
+        }
+    });
+    let answer = Client::default()
+        .call(address, get("/"), soon())
+        .await
+        .unwrap();
+    let mut reader = Reader::new(address, answer.into_body());
+    assert_eq!(reader.chunk(soon()).await.unwrap().unwrap(), "abc");
+    let error = reader.chunk(soon()).await.unwrap_err();
+    peer.await.unwrap();
+    error
+}
+
+#[test]
+fn a_client_takes_no_part_for_the_whole() {
+    run(async {
+        for (head, reset) in [
+            (CHUNKED_HEAD, true),
+            (CLOSE_HEAD, true),
+            (CHUNKED_HEAD, false),
+        ] {
+            let error = read_broken(head, reset).await;
+            assert_eq!((error.step, error.sent), (Step::Body, Sent::Maybe));
+        }
+    });
+}
+
+/// What a caller of HTTP version `version` sees of an answer that `end` ends after its first chunk.
+async fn answer_ended_by(version: &str, end: fn(Sender)) -> (String, std::io::Result<()>) {
+    let (address, _stop, _served) = serve(move |_, _| async move {
+        let (sender, body) = Body::channel();
+        compio::runtime::spawn(async move {
+            sender.send("first".into()).await.unwrap();
+            pause(5).await;
+            end(sender);
+        })
+        .detach();
+        Response::new(body)
+    });
+    let mut stream = Stream::connect(address).await.unwrap();
+    let request = format!("GET / HTTP/{version}\r\nhost: x\r\nconnection: close\r\n\r\n");
+    write(&mut stream, request.as_bytes()).await;
+    read_to_end(&mut stream).await
+}
+
+#[test]
+fn an_aborted_answer_ends_by_a_reset() {
+    run(async {
+        for version in ["1.0", "1.1"] {
+            for end in [Sender::abort, drop] {
+                let (text, end) = answer_ended_by(version, end).await;
+                assert!(
+                    text.contains("first") && !text.contains("\r\n0\r\n"),
+                    "{text}"
+                );
+                assert_eq!(end.unwrap_err().kind(), ErrorKind::ConnectionReset);
+            }
+        }
+        let (text, end) = answer_ended_by("1.1", Sender::finish).await;
+        assert!(text.ends_with("first\r\n0\r\n\r\n"), "{text}");
+        end.unwrap();
+    });
+}
+
+/// Sets its flag when it is dropped.
+struct Flag(Rc<Cell<bool>>);
+
+impl Drop for Flag {
+    fn drop(&mut self) {
+        self.0.set(true);
+    }
+}
+
+#[test]
+fn a_dropped_call_drops_the_handler() {
+    run(async {
+        let dropped = Rc::new(Cell::new(false));
+        let flag = dropped.clone();
+        let (address, stop, _served) = serve(move |_, _| {
+            let flag = Flag(flag.clone());
+            async move {
+                std::future::pending::<()>().await;
+                drop(flag);
+                Response::new(Body::default())
+            }
+        });
+        let client = Client::default();
+        let call = client.call(address, get("/"), soon());
+        assert!(
+            compio::time::timeout(std::time::Duration::from_millis(20), call)
+                .await
+                .is_err()
+        );
+        pause(20).await;
+        assert!(dropped.get());
+        assert_eq!(stop.connections(), 0);
+    });
+}
+
+#[test]
+fn a_dropped_answer_closes_the_sender() {
+    run(async {
+        let closed = Rc::new(Cell::new(false));
+        let seen = closed.clone();
+        let (address, stop, _served) = serve(move |_, _| {
+            let seen = seen.clone();
+            async move {
+                let (sender, body) = Body::channel();
+                compio::runtime::spawn(async move {
+                    sender.send("first".into()).await.unwrap();
+                    sender.closed().await;
+                    assert!(sender.send("second".into()).await.is_err());
+                    seen.set(true);
+                })
+                .detach();
+                Response::new(body)
+            }
+        });
+        let client = Client::default();
+        let answer = client.call(address, get("/"), soon()).await.unwrap();
+        let mut reader = Reader::new(address, answer.into_body());
+        reader.chunk(soon()).await.unwrap();
+        drop(reader);
+        pause(20).await;
+        assert!(closed.get());
+        assert_eq!((stop.connections(), client.idle()), (0, 0));
+    });
+}
--- /dev/null
+++ b/crates/comfreyroad_net/tests/net/calls.rs
@@ -0,0 +1,152 @@
+use std::{cell::RefCell, rc::Rc, time::Instant};
+
+use comfreyroad_net::{
+    body::Body,
+    client::{Cause, Client, Sent, Step, read_all},
+    listener::Listener,
+    peer,
+    stream::Stream,
+};
+use futures_util::future::join;
+use http::Response;
+use indexmap::IndexSet;
+
+use crate::support::{get, listener, pause, read, run, serve, soon, write};
+
+#[test]
+fn two_requests_share_a_connection() {
+    run(async {
+        let peers = Rc::new(RefCell::new(IndexSet::new()));
+        let seen = peers.clone();
+        let (address, _stop, _served) = serve(move |request, peer| {
+            seen.borrow_mut().insert(peer);
+            async move { Response::new(Body::full(request.uri().path().to_owned())) }
+        });
+        let client = Client::default();
+        for path in ["/one", "/two"] {
+            let answer = client.call(address, get(path), soon()).await.unwrap();
+            let body = read_all(address, answer.into_body(), 100, soon()).await;
+            assert_eq!(body.unwrap(), path);
+            pause(1).await;
+        }
+        assert_eq!(peers.borrow().len(), 1);
+        assert_eq!(client.idle(), 1);
+    });
+}
+
+#[test]
+fn a_long_answer_is_refused() {
+    run(async {
+        let (address, _stop, _served) = serve(|_, _| async { Response::new(Body::full("12345")) });
+        let answer = Client::default().call(address, get("/"), soon()).await;
+        let error = read_all(address, answer.unwrap().into_body(), 4, soon()).await;
+        assert!(matches!(error.unwrap_err().cause, Cause::TooLong(4)));
+    });
+}
+
+#[test]
+fn a_refused_connect_sent_nothing() {
+    run(async {
+        let address = listener().address();
+        let error = Client::default()
+            .call(address, get("/"), soon())
+            .await
+            .unwrap_err();
+        assert_eq!(
+            (error.step, error.sent, error.peer),
+            (Step::Connect, Sent::No, address)
+        );
+        let Cause::Io(cause) = &error.cause else {
+            panic!("{error}");
+        };
+        assert_eq!(cause.kind(), std::io::ErrorKind::ConnectionRefused);
+        let stream = Stream::connect(address).await;
+        assert_eq!(
+            stream.unwrap_err().kind(),
+            std::io::ErrorKind::ConnectionRefused
+        );
+    });
+}
+
+#[test]
+fn a_late_answer_may_have_been_sent() {
+    run(async {
+        let listener = listener();
+        let address = listener.address();
+        let deadline = Instant::now() + std::time::Duration::from_millis(30);
+        let client = Client::default();
+        let (error, accepted) =
+            join(client.call(address, get("/"), deadline), listener.accept()).await;
+        let error = error.unwrap_err();
+        assert!(error.is_deadline());
+        assert_eq!((error.step, error.sent), (Step::Head, Sent::Maybe));
+        let (mut stream, _) = accepted.unwrap();
+        assert!(
+            read(&mut stream)
+                .await
+                .unwrap()
+                .starts_with(b"GET / HTTP/1.1\r\n")
+        );
+        assert!(
+            read(&mut stream).await.unwrap().is_empty(),
+            "the client closes"
+        );
+    });
+}
+
+#[test]
+fn a_kept_connection_that_the_peer_closed_is_replaced() {
+    run(async {
+        let listener = listener();
+        let client = Client::default();
+        // The loop turns between the close and the next call, or it does not.
+        for turns in [true, false, true, false] {
+            let peer = answer_once(&client, &listener).await;
+            pause(1).await;
+            assert_eq!(client.idle(), 1);
+            drop(peer);
+            if turns {
+                pause(1).await;
+            }
+        }
+    });
+}
+
+/// Has a call answered on a new connection, and returns the peer's end of it.
+async fn answer_once(client: &Client, listener: &Listener) -> Stream {
+    let address = listener.address();
+    let call = async {
+        let answer = client.call(address, get("/"), soon()).await.unwrap();
+        read_all(address, answer.into_body(), 2, soon())
+            .await
+            .unwrap();
+    };
+    let peer = async {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        read(&mut stream).await.unwrap();
+        write(
+            &mut stream,
+            b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok",
+        )
+        .await;
+        stream
+    };
+    let ((), stream) = join(call, peer).await;
+    stream
+}
+
+#[test]
+fn a_frame_is_answered_by_a_frame() {
+    run(async {
+        let (address, _stop, _served) = serve(|request, peer| async move {
+            assert_eq!(request.headers()["content-type"], "application/msgpack");
+            let frame = read_all(peer, request.into_body(), 100, soon())
+                .await
+                .unwrap();
+            Response::new(Body::full([&frame[..], b"!"].concat()))
+        });
+        let client = peer::Client::new(Client::default());
+        let frame = client.exchange(address, "frame".into(), soon()).await;
+        assert_eq!(frame.unwrap(), "frame!");
+    });
+}
--- /dev/null
+++ b/crates/comfreyroad_net/tests/net/main.rs
@@ -0,0 +1,7 @@
+//! Tests of the connections, over the loopback interface.
+
+mod breaks;
+mod calls;
+mod log;
+mod stop;
+mod support;
--- /dev/null
+++ b/crates/comfreyroad_net/tests/net/stop.rs
@@ -0,0 +1,136 @@
+use std::{
+    io::ErrorKind,
+    time::{Duration, Instant},
+};
+
+use comfreyroad_net::{
+    body::Body,
+    client::{Client, Reader, read_all},
+    server::{Limits, Server},
+    stream::Stream,
+};
+use futures_util::future::join;
+use http::Response;
+
+use crate::support::{get, listener, pause, read_to_end, run, serve, soon, write};
+
+#[test]
+fn a_stop_cuts_no_answer() {
+    run(async {
+        let (address, stop, served) = serve(|request, _| async move {
+            if request.uri().path() == "/late" {
+                pause(40).await;
+            }
+            let (sender, body) = Body::channel();
+            compio::runtime::spawn(async move {
+                sender.send("one ".into()).await.unwrap();
+                pause(40).await;
+                sender.send("two".into()).await.unwrap();
+                sender.finish();
+            })
+            .detach();
+            Response::new(body)
+        });
+        let client = Client::default();
+        let late = async { client.call(address, get("/late"), soon()).await.unwrap() };
+        let begun = async {
+            let answer = client.call(address, get("/"), soon()).await.unwrap();
+            pause(5).await;
+            stop.stop(soon());
+            answer
+        };
+        let (late, begun) = join(late, begun).await;
+        for answer in [late, begun] {
+            let body = read_all(address, answer.into_body(), 100, soon()).await;
+            assert_eq!(body.unwrap(), "one two");
+        }
+        served.await.unwrap().unwrap();
+        assert!(stop.is_stopping());
+        assert!(client.call(address, get("/"), soon()).await.is_err());
+    });
+}
+
+#[test]
+fn a_stop_answers_whom_the_kernel_let_in() {
+    run(async {
+        let (address, stop, served) = serve(|_, _| async { Response::new(Body::full("hello")) });
+        let mut stream = Stream::connect(address).await.unwrap();
+        write(&mut stream, b"GET / HTTP/1.1\r\nhost: x\r\n\r\n").await;
+        stop.stop(soon());
+        let (text, end) = read_to_end(&mut stream).await;
+        assert!(text.ends_with("hello"), "{text}");
+        end.unwrap();
+        served.await.unwrap().unwrap();
+    });
+}
+
+#[test]
+fn a_stop_breaks_what_outlasts_its_deadline() {
+    run(async {
+        let (address, stop, served) = serve(|_, _| async {
+            let (sender, body) = Body::channel();
+            compio::runtime::spawn(async move { sender.closed().await }).detach();
+            Response::new(body)
+        });
+        let answer = Client::default()
+            .call(address, get("/"), soon())
+            .await
+            .unwrap();
+        let mut reader = Reader::new(address, answer.into_body());
+        stop.stop(Instant::now() + Duration::from_millis(20));
+        reader.chunk(soon()).await.unwrap_err();
+        served.await.unwrap().unwrap();
+    });
+}
+
+#[test]
+fn slow_and_long_headers_are_refused() {
+    run(async {
+        let listener = listener();
+        let address = listener.address();
+        let server = Server::new(listener).limits(Limits {
+            header_time: Duration::from_millis(30),
+            header_bytes: 8192,
+            ..Limits::default()
+        });
+        let _served =
+            compio::runtime::spawn(server.serve(|_, _| async { Response::new(Body::default()) }));
+        let mut slow = Stream::connect(address).await.unwrap();
+        write(&mut slow, b"GET / HTTP/1.1\r\n").await;
+        let (text, _) = read_to_end(&mut slow).await;
+        assert!(!text.contains("200"), "{text}");
+        let mut long = Stream::connect(address).await.unwrap();
+        write(
+            &mut long,
+            format!("GET / HTTP/1.1\r\nx: {}", "x".repeat(8192)).as_bytes(),
+        )
+        .await;
+        let (text, end) = read_to_end(&mut long).await;
+        assert!(text.starts_with("HTTP/1.1 431 "), "{text}");
+        assert!(end.is_ok() || end.unwrap_err().kind() == ErrorKind::ConnectionReset);
+    });
+}
+
+#[test]
+fn connections_over_the_limit_wait() {
+    run(async {
+        let listener = listener();
+        let address = listener.address();
+        let server = Server::new(listener).limits(Limits {
+            connections: 1,
+            ..Limits::default()
+        });
+        let stop = server.stop();
+        let _served = compio::runtime::spawn(
+            server.serve(|_, _| async { Response::new(Body::full("hello")) }),
+        );
+        let first = Stream::connect(address).await.unwrap();
+        let mut second = Stream::connect(address).await.unwrap();
+        write(&mut second, b"GET / HTTP/1.0\r\n\r\n").await;
+        pause(20).await;
+        assert_eq!(stop.connections(), 1);
+        drop(first);
+        let (text, _) = read_to_end(&mut second).await;
+        assert!(text.ends_with("hello"), "{text}");
+    });
+}
