Break a connection at once when its body is aborted

A caller that reads nothing keeps hyper waiting for room, and hyper does not look at the body then: the connection stayed until the kernel gave it up. An abort now resets the stream itself and wakes whoever waits for it.

--- a/crates/comfreyroad_net/src/body/channel.rs
+++ b/crates/comfreyroad_net/src/body/channel.rs
@@ -5,6 +5,8 @@
 
 use bytes::Bytes;
 
+use crate::stream::Handle;
+
 /// Chunks that wait for the connection; a sender with more has to wait.
 const MAX_CHUNKS: usize = 8;
 
@@ -31,6 +33,7 @@
     chunks: VecDeque<Bytes>,
     end: End,
     closed: bool,
+    connection: Option<Handle>,
     receiver: Option<Waker>,
     sender: Option<Waker>,
     watcher: Option<Waker>,
@@ -76,17 +79,37 @@
         wake(&mut self.receiver);
     }
 
+    /// Names the connection that the body goes to.
+    pub(super) fn bind(&mut self, connection: Handle) {
+        self.connection = Some(connection);
+    }
+
     /// Sets the end of the body; the first one counts.
     pub(super) fn end(&mut self, end: End) {
-        if self.end == End::Open {
-            self.end = end;
+        if self.end != End::Open {
+            return;
         }
+        self.end = end;
         wake(&mut self.receiver);
+        if end == End::Aborted {
+            self.reset();
+        }
+    }
+
+    /// Breaks the connection at once: it may wait for a peer that reads nothing, and would not look at the body.
+    fn reset(&mut self) {
+        let Some(connection) = self.connection.take() else {
+            return;
+        };
+        if let Err(error) = connection.reset() {
+            log::debug!("reset of a connection: {error}");
+        }
     }
 
     /// Notes that the body was dropped.
     pub(super) fn close(&mut self) {
         self.closed = true;
+        self.connection = None;
         self.chunks.clear();
         wake(&mut self.sender);
         wake(&mut self.watcher);
--- a/crates/comfreyroad_net/src/body/content.rs
+++ b/crates/comfreyroad_net/src/body/content.rs
@@ -12,6 +12,7 @@
     channel::{Broken, Channel},
     sender::Sender,
 };
+use crate::stream::Handle;
 
 /// The body of a request or an answer that this process sends.
 #[derive(Debug, Default)]
@@ -45,6 +46,13 @@
         let source = Source::Chunks(Receiver(channel.clone()));
         (Sender::new(channel), Self { source })
     }
+
+    /// Names the connection that the body goes to, so that its sender can break it.
+    pub(crate) fn bind(&self, connection: &Handle) {
+        if let Source::Chunks(receiver) = &self.source {
+            receiver.0.borrow_mut().bind(connection.clone());
+        }
+    }
 }
 
 impl From<Bytes> for Body {
--- a/crates/comfreyroad_net/src/client/connection.rs
+++ b/crates/comfreyroad_net/src/client/connection.rs
@@ -45,6 +45,7 @@
         &mut self,
         request: Request<Body>,
     ) -> Result<Response<Incoming>, TrySendError<Request<Body>>> {
+        request.body().bind(&self.handle);
         self.sender.try_send_request(request).await
     }
 
@@ -57,6 +58,11 @@
         !self.sender.is_closed()
     }
 
+    /// Whether the sender of a request's body broke the connection.
+    pub(super) fn is_broken(&self) -> bool {
+        self.handle.is_broken()
+    }
+
     /// Bytes handed to the kernel so far.
     pub(super) fn written(&self) -> u64 {
         self.handle.written()
--- a/crates/comfreyroad_net/src/client/mod.rs
+++ b/crates/comfreyroad_net/src/client/mod.rs
@@ -49,7 +49,8 @@
 
     /// Sends a request and waits for the head of its answer until `deadline`.
     ///
-    /// The request's URI is path and query only; `host` is added. Dropping the future, or later the answer's body
+    /// The request's URI is path and query only; `host` is added. hyper leaves out a fed body of `GET`, `HEAD` and
+    /// `CONNECT` unless the request has a `content-length` or `transfer-encoding`. Dropping the future, or later the answer's body
     /// before its end, closes the connection.
     pub async fn call(
         &self,
@@ -104,7 +105,8 @@
             Err(_) => (Cause::Deadline, None),
         };
         let untouched = connection.written() == before;
-        let broken_request = matches!(&cause, Cause::Http(error) if error.is_user());
+        let broken_request =
+            connection.is_broken() || matches!(&cause, Cause::Http(error) if error.is_user());
         let error = Error {
             step: if untouched || broken_request {
                 Step::Send
--- a/crates/comfreyroad_net/src/server/connection.rs
+++ b/crates/comfreyroad_net/src/server/connection.rs
@@ -40,7 +40,12 @@
         let handle = stream.handle();
         let service = service_fn(|request| {
             let answer = handler(request, peer);
-            async { Ok::<_, Infallible>(answer.await) }
+            let handle = &handle;
+            async move {
+                let answer = answer.await;
+                answer.body().bind(handle);
+                Ok::<_, Infallible>(answer)
+            }
         });
         let mut connection = pin!(builder(limits).serve_connection(stream, service));
 
--- a/crates/comfreyroad_net/src/stream.rs
+++ b/crates/comfreyroad_net/src/stream.rs
@@ -6,7 +6,7 @@
     net::{Shutdown, SocketAddr},
     pin::Pin,
     rc::{Rc, Weak},
-    task::{Context, Poll, ready},
+    task::{Context, Poll, Waker, ready},
     time::Duration,
 };
 
@@ -32,8 +32,7 @@
 #[derive(Debug)]
 pub struct Stream {
     socket: Rc<PollFd<Socket>>,
-    written: Rc<Cell<u64>>,
-    broken: Rc<Cell<bool>>,
+    shared: Rc<Shared>,
 }
 
 impl Stream {
@@ -61,8 +60,7 @@
         socket.set_tcp_nodelay(true)?;
         Ok(Self {
             socket: Rc::new(PollFd::new(socket)?),
-            written: Rc::default(),
-            broken: Rc::default(),
+            shared: Rc::default(),
         })
     }
 
@@ -70,8 +68,7 @@
     pub fn handle(&self) -> Handle {
         Handle {
             socket: Rc::downgrade(&self.socket),
-            written: self.written.clone(),
-            broken: self.broken.clone(),
+            shared: self.shared.clone(),
         }
     }
 
@@ -81,7 +78,8 @@
     }
 
     fn count(&self, bytes: usize) -> usize {
-        self.written.set(self.written.get() + bytes as u64);
+        let written = &self.shared.written;
+        written.set(written.get() + bytes as u64);
         bytes
     }
 
@@ -92,8 +90,12 @@
         mut call: impl FnMut(&Socket) -> io::Result<T>,
     ) -> Poll<io::Result<T>> {
         loop {
+            if self.shared.broken.get() {
+                return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+            }
             match call(&self.socket) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    self.shared.task.replace(Some(cx.waker().clone()));
                     ready!(poll_ready(&self.socket, cx))?;
                 }
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
@@ -155,7 +157,7 @@
 
     fn poll_shutdown(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         // A broken connection must not send the end of the stream before its reset.
-        if self.broken.get() {
+        if self.shared.broken.get() {
             return Poll::Ready(Ok(()));
         }
         match self.socket.shutdown(Shutdown::Write) {
@@ -165,26 +167,43 @@
     }
 }
 
+/// What a stream and its handles share.
+#[derive(Debug, Default)]
+struct Shared {
+    written: Cell<u64>,
+    broken: Cell<bool>,
+    // The task that waits for the stream.
+    task: RefCell<Option<Waker>>,
+}
+
 /// Looks at a [`Stream`] that hyper owns, without keeping it open.
 #[derive(Clone, Debug)]
 pub struct Handle {
     socket: Weak<PollFd<Socket>>,
-    written: Rc<Cell<u64>>,
-    broken: Rc<Cell<bool>>,
+    shared: Rc<Shared>,
 }
 
 impl Handle {
     /// Bytes handed to the kernel so far.
     pub fn written(&self) -> u64 {
-        self.written.get()
+        self.shared.written.get()
     }
 
-    /// Makes the stream end with a TCP reset when it is dropped.
+    /// Whether the stream was broken on this side.
+    pub fn is_broken(&self) -> bool {
+        self.shared.broken.get()
+    }
+
+    /// Makes reads and writes of the stream fail, also those that wait, and has it end with a TCP reset when it is
+    /// dropped.
     pub fn reset(&self) -> io::Result<()> {
-        self.broken.set(true);
         let Some(socket) = self.socket.upgrade() else {
             return Ok(());
         };
+        self.shared.broken.set(true);
+        if let Some(task) = self.shared.task.take() {
+            task.wake();
+        }
         socket.set_linger(Some(Duration::ZERO))
     }
 }
--- a/crates/comfreyroad_net/tests/net/breaks.rs
+++ b/crates/comfreyroad_net/tests/net/breaks.rs
@@ -1,11 +1,13 @@
-use std::{cell::Cell, io::ErrorKind, rc::Rc};
+use std::{cell::Cell, io::ErrorKind, rc::Rc, time::Duration};
 
 use comfreyroad_net::{
     body::{Body, Sender},
     client::{Client, Reader, Sent, Step},
     stream::Stream,
 };
-use http::Response;
+use compio::time::timeout;
+use futures_util::future::join;
+use http::{Request, Response};
 
 use crate::support::{get, listener, pause, read, read_to_end, run, serve, soon, write};
 
@@ -111,11 +113,7 @@
         });
         let client = Client::default();
         let call = client.call(address, get("/"), soon());
-        assert!(
-            compio::time::timeout(std::time::Duration::from_millis(20), call)
-                .await
-                .is_err()
-        );
+        assert!(timeout(Duration::from_millis(20), call).await.is_err());
         pause(20).await;
         assert!(dropped.get());
         assert_eq!(stop.connections(), 0);
@@ -151,3 +149,44 @@
         assert_eq!((stop.connections(), client.idle()), (0, 0));
     });
 }
+
+#[test]
+fn an_abort_breaks_a_connection_whose_caller_reads_nothing() {
+    run(async {
+        let (address, stop, _served) = serve(|_, _| async {
+            let (sender, body) = Body::channel();
+            compio::runtime::spawn(async move {
+                let stalled = async { while sender.send(vec![0; 1 << 20].into()).await.is_ok() {} };
+                assert!(timeout(Duration::from_millis(50), stalled).await.is_err());
+            })
+            .detach();
+            Response::new(body)
+        });
+        let mut stream = Stream::connect(address).await.unwrap();
+        write(&mut stream, b"GET / HTTP/1.1\r\nhost: x\r\n\r\n").await;
+        pause(100).await;
+        assert_eq!(stop.connections(), 0);
+    });
+}
+
+#[test]
+fn an_aborted_request_is_an_error_of_the_send() {
+    run(async {
+        let (address, _stop, _served) = serve(|request, peer| async move {
+            let mut reader = Reader::new(peer, request.into_body());
+            while reader.chunk(soon()).await.unwrap().is_some() {}
+            unreachable!("the request has no end");
+        });
+        let (sender, body) = Body::channel();
+        sender.send("part".into()).await.unwrap();
+        let client = Client::default();
+        let request = Request::post("/").body(body).unwrap();
+        let call = client.call(address, request, soon());
+        let abort = async {
+            pause(10).await;
+            sender.abort();
+        };
+        let error = join(call, abort).await.0.unwrap_err();
+        assert_eq!((error.step, error.sent), (Step::Send, Sent::Maybe));
+    });
+}
--- a/crates/comfreyroad_net/tests/one_thread.rs
+++ b/crates/comfreyroad_net/tests/one_thread.rs
@@ -37,9 +37,12 @@
         let signalled = compio::runtime::spawn(signal::wait());
 
         let client = Client::default();
+        call_in_every_way(&client, address).await;
+        let files = open_files();
         for _ in 0..20 {
             call_in_every_way(&client, address).await;
         }
+        assert_eq!(open_files(), files, "every connection is closed");
         assert_eq!(threads(), 1, "after connects, requests, closes and resets");
 
         let before = ticks();
@@ -81,6 +84,8 @@
         .unwrap()
         .address();
     client.call(gone, get("/whole"), soon()).await.unwrap_err();
+    // Both ends of what was given up are closed by now.
+    compio::time::sleep(Duration::from_millis(5)).await;
 }
 
 fn answer(path: &str) -> Response<Body> {
@@ -100,6 +105,10 @@
     Instant::now() + Duration::from_secs(10)
 }
 
+fn open_files() -> usize {
+    fs::read_dir("/proc/self/fd").unwrap().count()
+}
+
 fn threads() -> u64 {
     let status = fs::read_to_string("/proc/self/status").unwrap();
     let line = status
