Run an entry: one loop on one thread around the decisions

Tasks on the loop's own thread move bytes and queue events; the loop alone lets the entry decide and carries the actions out. Settings are flags and environment variables, checked at once; log events are numbered; metrics are Prometheus'.

--- /dev/null
+++ b/crates/comfreyroad_entry/src/daemon.rs
@@ -0,0 +1,134 @@
+//! The loop: the next event, the decision, the actions.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime};
+
+use comfreyroad::clock::Now;
+use comfreyroad::{Action, Entry, Event};
+use comfreyroad_net::{listener::Listener, runtime, server, signal};
+use futures_channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
+use futures_util::StreamExt;
+
+use crate::http::{Calls, Handler};
+use crate::logger;
+use crate::metrics::Metrics;
+use crate::outside::Outside;
+use crate::settings::Settings;
+
+/// Time between two ticks.
+const TICK: Duration = Duration::from_millis(50);
+
+/// An entry that could not start, or whose loop broke.
+#[derive(Debug, thiserror::Error)]
+#[error("{step} {peer}: {source}")]
+pub struct Error {
+    step: &'static str,
+    peer: String,
+    source: std::io::Error,
+}
+
+/// What the loop's tasks share. They queue events; only the loop lets the entry decide.
+#[derive(Debug, Clone)]
+pub struct Shared {
+    /// The decisions, read by status pages and changed by the loop alone.
+    pub entry: Rc<RefCell<Entry>>,
+    /// What is counted.
+    pub metrics: Rc<Metrics>,
+    /// Calls whose answers are under way.
+    pub calls: Rc<RefCell<Calls>>,
+    /// The settings.
+    pub settings: Rc<Settings>,
+    events: UnboundedSender<Event>,
+}
+
+impl Shared {
+    /// Queues an event.
+    pub fn queue(&self, event: Event) {
+        // The loop is gone only when the process ends.
+        let _ = self.events.unbounded_send(event);
+    }
+}
+
+/// Runs an entry until it is told to end.
+pub fn run(settings: Settings) -> Result<(), Error> {
+    let fail = |source| Error {
+        step: "run",
+        peer: "loop".into(),
+        source,
+    };
+    runtime::run(serve(settings)).map_err(fail)?
+}
+
+async fn serve(settings: Settings) -> Result<(), Error> {
+    let fail = |source| Error {
+        step: "listen",
+        peer: settings.listen.to_string(),
+        source,
+    };
+    let listener = Listener::bind(settings.listen).map_err(fail)?;
+    let (events, queue) = unbounded();
+    let shared = Shared {
+        entry: Rc::new(RefCell::new(Entry::new(&settings.core))),
+        metrics: Rc::default(),
+        calls: Rc::default(),
+        settings: Rc::new(settings),
+        events,
+    };
+    let server = server::Server::new(listener);
+    let stop = server.stop();
+    let handler = Handler::new(shared.clone());
+    let served = compio::runtime::spawn(
+        server.serve(move |request, peer| handler.clone().answer(request, peer)),
+    );
+    compio::runtime::spawn(ticks(shared.clone())).detach();
+    compio::runtime::spawn(signals(shared.clone())).detach();
+    shared.queue(Event::Started);
+    turn(&shared, queue).await;
+    stop.stop(Instant::now() + TICK);
+    // Whatever became of the last connections, the process ends.
+    let _ = served.await;
+    Ok(())
+}
+
+async fn ticks(shared: Shared) {
+    loop {
+        compio::time::sleep(TICK).await;
+        shared.queue(Event::Tick);
+    }
+}
+
+async fn signals(shared: Shared) {
+    while signal::wait().await.is_ok() {
+        shared.queue(Event::Shutdown);
+    }
+}
+
+/// Turns until the entry says that it is at its end.
+async fn turn(shared: &Shared, mut queue: UnboundedReceiver<Event>) {
+    let mut outside = Outside::new(shared.clone());
+    while let Some(event) = queue.next().await {
+        let now = Now {
+            instant: Instant::now(),
+            system: SystemTime::now(),
+        };
+        let actions = shared.entry.borrow_mut().handle(now, event);
+        for action in actions {
+            shared.metrics.count(&action);
+            match action {
+                Action::Exit => return,
+                Action::Ready(_) => {}
+                Action::Note(note) => logger::write(&note, shared.settings.log_format),
+                Action::Begin { .. }
+                | Action::Deliver { .. }
+                | Action::Finish { .. }
+                | Action::Break(_)
+                | Action::Refuse { .. }
+                | Action::Reply { .. } => {
+                    shared.calls.borrow_mut().pass(action);
+                }
+                action => outside.carry_out(action),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/comfreyroad_entry/src/http/headers.rs
@@ -0,0 +1,106 @@
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use comfreyroad::id::{KeyHash, RequestId};
+use http::HeaderMap;
+
+/// Time for an answer where the caller names none.
+const DEADLINE: Duration = Duration::from_secs(30);
+/// Longest time that a caller can ask for.
+const MAX_DEADLINE: Duration = Duration::from_secs(3600);
+/// Longest request id in bytes.
+const MAX_ID_BYTES: usize = 128;
+
+/// A header that cannot be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("header {name}: expected {expected}")]
+pub(super) struct HeaderError {
+    name: &'static str,
+    expected: &'static str,
+}
+
+/// What a caller says in headers.
+#[derive(Debug)]
+pub(super) struct Headers {
+    pub(super) key: KeyHash,
+    pub(super) id: RequestId,
+    pub(super) session: Option<Arc<str>>,
+    pub(super) deadline: Instant,
+    pub(super) attempt: u32,
+    pub(super) may_repeat: Option<bool>,
+}
+
+impl Headers {
+    pub(super) fn read(headers: &HeaderMap, received: Instant) -> Result<Self, HeaderError> {
+        Ok(Self {
+            key: key(headers)?,
+            id: id(headers)?,
+            session: text(headers, "x-session")?.map(Into::into),
+            deadline: received + deadline(headers)?,
+            attempt: number(headers, "x-attempt", "a number from 1")?.unwrap_or(1),
+            may_repeat: may_repeat(headers)?,
+        })
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<Option<&'a str>, HeaderError> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    let text = value.to_str().map_err(|_| HeaderError {
+        name,
+        expected: "visible ASCII",
+    })?;
+    Ok(Some(text.trim()))
+}
+
+fn number(
+    headers: &HeaderMap,
+    name: &'static str,
+    expected: &'static str,
+) -> Result<Option<u32>, HeaderError> {
+    let Some(text) = text(headers, name)? else {
+        return Ok(None);
+    };
+    let number = text.parse().ok().filter(|number| *number > 0);
+    number.map(Some).ok_or(HeaderError { name, expected })
+}
+
+/// The hash of the customer's key; the key itself goes no further.
+fn key(headers: &HeaderMap) -> Result<KeyHash, HeaderError> {
+    let value = text(headers, "authorization")?.unwrap_or_default();
+    let key = value.strip_prefix("Bearer ").unwrap_or_default();
+    Ok(*blake3::hash(key.as_bytes()).as_bytes())
+}
+
+fn id(headers: &HeaderMap) -> Result<RequestId, HeaderError> {
+    let Some(id) = text(headers, "x-request-id")? else {
+        return Ok(format!("r-{:016x}{:016x}", fastrand::u64(..), fastrand::u64(..)).into());
+    };
+    if id.is_empty() || id.len() > MAX_ID_BYTES {
+        return Err(HeaderError {
+            name: "x-request-id",
+            expected: "1 to 128 characters",
+        });
+    }
+    Ok(id.into())
+}
+
+fn deadline(headers: &HeaderMap) -> Result<Duration, HeaderError> {
+    let ms = number(headers, "x-deadline-ms", "milliseconds from 1")?;
+    Ok(ms.map_or(DEADLINE, |ms| {
+        Duration::from_millis(ms.into()).min(MAX_DEADLINE)
+    }))
+}
+
+fn may_repeat(headers: &HeaderMap) -> Result<Option<bool>, HeaderError> {
+    match text(headers, "x-may-repeat")? {
+        None => Ok(None),
+        Some("yes") => Ok(Some(true)),
+        Some("no") => Ok(Some(false)),
+        Some(_) => Err(HeaderError {
+            name: "x-may-repeat",
+            expected: "yes or no",
+        }),
+    }
+}
--- /dev/null
+++ b/crates/comfreyroad_entry/src/http/mod.rs
@@ -0,0 +1,10 @@
+//! What callers, peers and operators can ask, on one listener.
+
+mod answer;
+mod calls;
+mod handler;
+mod headers;
+mod status;
+
+pub use calls::{Calls, Part};
+pub use handler::Handler;
--- /dev/null
+++ b/crates/comfreyroad_entry/src/http/status.rs
@@ -0,0 +1,49 @@
+//! The state of an entry, for operators.
+
+use std::time::Instant;
+
+use comfreyroad::Entry;
+use comfreyroad::settings::Settings;
+use serde_json::{Value, json};
+
+/// The state as JSON.
+pub(super) fn status(entry: &Entry, settings: &Settings) -> Value {
+    let state = entry.state();
+    let age = state
+        .rules
+        .confirmed()
+        .map(|at| Instant::now().saturating_duration_since(at));
+    let members = state.members.view().members.values();
+    let members: Vec<Value> = members
+        .map(|beat| json!({"entry": &*beat.entry, "zone": &*beat.zone, "serving": beat.serving}))
+        .collect();
+    let upstreams: Vec<Value> = state.upstreams.known().map(upstream).collect();
+    json!({
+        "entry": &*settings.entry,
+        "boot": &*settings.boot,
+        "zone": &*settings.zone,
+        "phase": state.life.phase().name(),
+        "ready": state.life.is_ready(),
+        "generation": state.rules.generation(),
+        "confirmed_age_ms": age.map(|age| age.as_millis() as u64),
+        "log_down": state.log.is_down(),
+        "calls": entry.dispatcher().calls(),
+        "records_pending": state.appends.pending(),
+        "bills_pending": state.ledger.pending(),
+        "bills_at_risk": state.ledger.at_risk(),
+        "entries": members,
+        "upstreams": upstreams,
+    })
+}
+
+fn upstream(upstream: &comfreyroad::upstream::Any) -> Value {
+    let info = upstream.info();
+    json!({
+        "upstream": &*info.id,
+        "pool": &*info.pool,
+        "zone": &*info.zone,
+        "stage": upstream.stage(),
+        "in_flight": info.in_flight.get(),
+        "running": info.load.as_ref().map(|load| load.running),
+    })
+}
--- /dev/null
+++ b/crates/comfreyroad_entry/src/outside/attempt.rs
@@ -0,0 +1,202 @@
+//! One sending of a request to an upstream.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use comfreyroad::Event;
+use comfreyroad::action::Send;
+use comfreyroad::event::{Failure, Signal, Unwritten};
+use comfreyroad::request::{Target, Usage};
+use comfreyroad_net::body::Body;
+use comfreyroad_net::client::{Client, Error, Reader, Sent};
+use comfreyroad_wire::engine::{self, Chunk};
+use comfreyroad_wire::sse;
+use http::{HeaderMap, Request, Response, StatusCode};
+use hyper::body::Incoming;
+
+use crate::daemon::Shared;
+
+/// A sending under way.
+pub(super) struct Attempt {
+    shared: Shared,
+    client: Client,
+    send: Send,
+}
+
+/// Why a sending ended without a whole answer.
+#[derive(Debug, thiserror::Error)]
+enum Broken {
+    #[error("address {0} cannot be read")]
+    Address(Arc<str>),
+    #[error("build request: {0}")]
+    Request(#[from] http::Error),
+    #[error("build request: {0}")]
+    Json(#[from] serde_json::Error),
+    #[error(transparent)]
+    Call(#[from] Error),
+    #[error("busy")]
+    Busy,
+    #[error("status {0}")]
+    Status(StatusCode),
+    #[error("read answer: {0}")]
+    Events(#[from] sse::Error),
+    #[error("read answer: {0}")]
+    Chunk(#[from] engine::ChunkError),
+    #[error("answer ended before its last chunk")]
+    Short,
+}
+
+impl Attempt {
+    pub(super) fn new(shared: Shared, client: Client, send: Send) -> Self {
+        Self {
+            shared,
+            client,
+            send,
+        }
+    }
+
+    pub(super) async fn run(self) {
+        let signal = match self.exchange().await {
+            Ok(usage) => Signal::End { usage },
+            Err(broken) => Signal::Failed(broken.into_failure()),
+        };
+        self.signal(signal);
+    }
+
+    fn signal(&self, signal: Signal) {
+        let (attempt, upstream) = (self.send.attempt, self.send.upstream.clone());
+        self.shared.queue(Event::Attempt {
+            attempt,
+            upstream,
+            signal,
+        });
+    }
+
+    async fn exchange(&self) -> Result<Usage, Broken> {
+        let address: SocketAddr = self
+            .send
+            .address
+            .parse()
+            .map_err(|_| Broken::Address(self.send.address.clone()))?;
+        let request = self.request()?;
+        let answer = self
+            .client
+            .call(address, request, self.send.deadline)
+            .await?;
+        let is_chat = matches!(self.send.head.target, Target::Chat(_));
+        match answer.status() {
+            StatusCode::OK => {}
+            StatusCode::SERVICE_UNAVAILABLE if is_chat => return Err(Broken::Busy),
+            status if is_chat => return Err(Broken::Status(status)),
+            _ => {}
+        }
+        self.signal(head(&answer));
+        let reader = Reader::new(address, answer.into_body());
+        if is_chat {
+            self.tokens(reader).await
+        } else {
+            self.bytes(reader).await
+        }
+    }
+
+    fn request(&self) -> Result<Request<Body>, Broken> {
+        let send = &self.send;
+        let left = send
+            .deadline
+            .saturating_duration_since(std::time::Instant::now());
+        let request = Request::builder()
+            .header("x-request-id", &*send.head.id)
+            .header("x-attempt-id", &*send.tag)
+            .header("x-deadline-ms", left.as_millis().to_string());
+        match (&send.head.target, &send.version) {
+            (Target::Chat(_), Some(version)) => Ok(request
+                .method("POST")
+                .uri("/v1/chat/completions")
+                .header("content-type", "application/json")
+                .header("x-priority", send.priority.to_string())
+                .header("x-resume-offset", send.resume_from.to_string())
+                .body(Body::full(engine::request(&send.head.body, version)?))?),
+            (Target::Chat(_), None) => Err(Broken::Status(StatusCode::NOT_FOUND)),
+            (Target::Service(service), _) => Ok(request
+                .method(&*service.method)
+                .uri(&*service.path)
+                .header("content-type", "application/json")
+                .body(Body::full(send.head.body.to_vec()))?),
+        }
+    }
+
+    /// Passes tokens on until the last chunk and the end of the stream were seen.
+    async fn tokens(&self, mut reader: Reader) -> Result<Usage, Broken> {
+        let mut events = sse::Parser::default();
+        let mut usage = None;
+        while let Some(bytes) = reader.chunk(self.send.deadline).await? {
+            events.feed(&bytes);
+            while let Some(data) = events.next_event()? {
+                if data == engine::DONE {
+                    return usage.ok_or(Broken::Short);
+                }
+                let chunk = Chunk::parse(&data)?;
+                if chunk.finished {
+                    usage = Some(chunk.usage.unwrap_or_default());
+                }
+                if !chunk.text.is_empty() {
+                    self.signal(piece(chunk));
+                }
+            }
+        }
+        Err(Broken::Short)
+    }
+
+    async fn bytes(&self, mut reader: Reader) -> Result<Usage, Broken> {
+        let mut offset = 0;
+        while let Some(bytes) = reader.chunk(self.send.deadline).await? {
+            let length = bytes.len() as u64;
+            self.signal(Signal::Piece {
+                tag: None,
+                offset,
+                length,
+                bytes: bytes[..].into(),
+            });
+            offset += length;
+        }
+        Ok(Usage::default())
+    }
+}
+
+impl Broken {
+    fn into_failure(self) -> Failure {
+        let unwritten = match &self {
+            Self::Call(error) if error.sent == Sent::No => Some(Unwritten::no_connection()),
+            Self::Address(_) | Self::Request(_) | Self::Json(_) => Some(Unwritten::no_connection()),
+            _ => None,
+        };
+        let busy = matches!(self, Self::Busy);
+        Failure {
+            unwritten,
+            busy,
+            reason: self.to_string().into(),
+        }
+    }
+}
+
+fn piece(chunk: Chunk) -> Signal {
+    Signal::Piece {
+        tag: Some(chunk.id.into()),
+        offset: chunk.offset,
+        length: 1,
+        bytes: chunk.text.into_bytes().into(),
+    }
+}
+
+fn head(answer: &Response<Incoming>) -> Signal {
+    Signal::Head {
+        status: answer.status().as_u16(),
+        content_type: text(answer.headers(), "content-type"),
+        tag: text(answer.headers(), "x-attempt-id"),
+        boot: text(answer.headers(), "x-boot"),
+    }
+}
+
+fn text(headers: &HeaderMap, name: &str) -> Option<Arc<str>> {
+    headers.get(name)?.to_str().ok().map(Into::into)
+}
--- /dev/null
+++ b/crates/comfreyroad_entry/src/outside/platform.rs
@@ -0,0 +1,172 @@
+//! The platform's services and the upstreams' reports.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime};
+
+use comfreyroad::event::{LogEntry, Page};
+use comfreyroad::id::{BatchId, Offset, UpstreamId};
+use comfreyroad::record::{Record, Stream};
+use comfreyroad::upstream::{Load, Vm, VmKind, VmState};
+use comfreyroad::{Action, Event};
+use comfreyroad_net::client::Client;
+use comfreyroad_net::platform::{AppendError, Log, Vms};
+use comfreyroad_net::upstream::LoadReports;
+use comfreyroad_wire::{engine, platform, record};
+
+use crate::daemon::Shared;
+
+/// Records in one page at most.
+const PAGE: usize = 1000;
+/// Time for the log to answer, beyond what it may wait.
+const LOG_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Time for the VM list to answer.
+const VMS_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Time for an upstream to report its load.
+const LOAD_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Clients of the platform's services.
+pub(super) struct Platform {
+    shared: Shared,
+    log: Log,
+    vms: Vms,
+    loads: LoadReports,
+}
+
+impl Platform {
+    pub(super) fn new(shared: Shared, client: Client) -> Self {
+        let log = Log::new(client.clone(), shared.settings.log);
+        let vms = Vms::new(client.clone(), shared.settings.vms);
+        let loads = LoadReports::new(client);
+        Self {
+            shared,
+            log,
+            vms,
+            loads,
+        }
+    }
+
+    pub(super) fn carry_out(self: Rc<Self>, action: Action) {
+        let task = async move {
+            let event = match action {
+                Action::Append {
+                    batch,
+                    stream,
+                    records,
+                } => self.append(batch, stream, &records).await,
+                Action::Read { stream, from, wait } => self.read(stream, from, wait).await,
+                Action::ListVms => self.list().await,
+                Action::AskLoad { upstream, address } => Some(self.load(upstream, &address).await),
+                _ => None,
+            };
+            if let Some(event) = event {
+                self.shared.queue(event);
+            }
+        };
+        compio::runtime::spawn(task).detach();
+    }
+
+    async fn append(
+        &self,
+        batch: BatchId,
+        stream: Stream,
+        records: &[Rc<Record>],
+    ) -> Option<Event> {
+        let bodies: Vec<Vec<u8>> = records
+            .iter()
+            .map(|record| record::encode(record))
+            .collect();
+        let deadline = Instant::now() + LOG_TIMEOUT;
+        Some(
+            match self.log.append(stream.name(), &bodies, deadline).await {
+                Ok(appended) => Event::Appended {
+                    batch,
+                    first: appended.first,
+                },
+                Err(AppendError::NotTaken { .. }) => Event::AppendRefused(batch),
+                Err(AppendError::Unclear(_)) => Event::AppendUnclear(batch),
+            },
+        )
+    }
+
+    async fn read(&self, stream: Stream, from: Offset, wait: Duration) -> Option<Event> {
+        let asked = Instant::now();
+        let wait = asked + wait;
+        let page = self
+            .log
+            .read(stream.name(), from, PAGE, wait, wait + LOG_TIMEOUT)
+            .await;
+        let Ok(page) = page else {
+            return Some(Event::ReadFailed(stream));
+        };
+        let entry = |stored: comfreyroad_net::platform::Record| LogEntry {
+            offset: stored.offset,
+            at: stored.at,
+            record: record::decode(&stored.bytes).ok(),
+        };
+        let entries = page.records.into_iter().map(entry).collect();
+        Some(Event::Read(Page {
+            stream,
+            asked,
+            from,
+            oldest: page.oldest,
+            next: page.next,
+            entries,
+        }))
+    }
+
+    async fn list(&self) -> Option<Event> {
+        let list = self.vms.list(Instant::now() + VMS_TIMEOUT).await.ok()?;
+        let vms = list.vms.into_iter().map(vm).collect();
+        Some(Event::Vms {
+            at: time(list.at_ms),
+            vms,
+        })
+    }
+
+    async fn load(&self, upstream: UpstreamId, address: &str) -> Event {
+        let deadline = Instant::now() + LOAD_TIMEOUT;
+        let report = match address.parse::<SocketAddr>() {
+            Ok(address) => self.loads.get(address, deadline).await.ok(),
+            Err(_) => None,
+        };
+        Event::Load {
+            upstream,
+            load: report.map(load),
+        }
+    }
+}
+
+fn time(ms: u64) -> SystemTime {
+    SystemTime::UNIX_EPOCH + Duration::from_millis(ms)
+}
+
+fn vm(vm: platform::Vm) -> Vm {
+    Vm {
+        id: vm.id.into(),
+        kind: match vm.kind {
+            platform::Kind::Entry => VmKind::Entry,
+            platform::Kind::Upstream => VmKind::Upstream,
+        },
+        pool: vm.pool.into(),
+        zone: vm.zone.into(),
+        address: vm.address.into(),
+        state: match vm.state {
+            platform::State::Live => VmState::Live,
+            platform::State::Leaving => VmState::Leaving,
+        },
+    }
+}
+
+fn load(load: engine::Load) -> Load {
+    Load {
+        at: time(load.at_ms),
+        boot: load.boot.into(),
+        uptime: Duration::from_millis(load.uptime_ms),
+        running: load.running,
+        waiting: load.waiting,
+        slots: load.slots,
+        kv_used: load.kv_used,
+        versions: load.versions.into_iter().map(Into::into).collect(),
+    }
+}
--- /dev/null
+++ b/crates/comfreyroad_entry/src/settings/settings.rs
@@ -0,0 +1,126 @@
+use std::net::SocketAddr;
+
+use super::Fault;
+use super::flag::FLAGS;
+use super::reader::{self, Reader};
+use crate::logger::{Format, Level};
+
+/// What the daemon is told at its start.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Settings of the decisions.
+    pub core: comfreyroad::Settings,
+    /// Where callers and peers connect.
+    pub listen: SocketAddr,
+    /// The platform's log service.
+    pub log: SocketAddr,
+    /// The platform's VM list.
+    pub vms: SocketAddr,
+    /// The rating service, if there is one.
+    pub ratings: Option<SocketAddr>,
+    /// Shape of log events.
+    pub log_format: Format,
+    /// Least level of log events.
+    pub log_level: Level,
+}
+
+/// What the command line asks for.
+#[derive(Debug)]
+pub enum Command {
+    /// Run an entry.
+    Run(Box<Settings>),
+    /// Print a text and end.
+    Print(String),
+}
+
+/// Reads the settings from the command line and, where a flag is not given, from the environment.
+pub fn read(
+    args: &[String],
+    environment: impl Fn(&str) -> Option<String>,
+) -> Result<Command, Vec<Fault>> {
+    let options = options();
+    let matches = options
+        .parse(args)
+        .map_err(|error| vec![Fault::Usage(error.to_string())])?;
+    if matches.opt_present("help") {
+        let brief = "Usage: comfreyroad-entry [OPTIONS]\n\nEach option can be given as an environment variable: \
+                     --peer-timeout-ms as COMFREYROAD_PEER_TIMEOUT_MS.\nExit codes: 0 ended, 1 failed, 2 bad settings.";
+        return Ok(Command::Print(options.usage(brief)));
+    }
+    if matches.opt_present("version") {
+        return Ok(Command::Print(format!(
+            "comfreyroad-entry {}",
+            env!("CARGO_PKG_VERSION")
+        )));
+    }
+    if let Some(word) = matches.free.first() {
+        return Err(vec![Fault::Usage(format!("{word:?}: no such argument"))]);
+    }
+    let mut reader = Reader::new(matches, environment);
+    let settings = settings(&mut reader);
+    match reader.faults {
+        faults if faults.is_empty() => Ok(Command::Run(Box::new(settings))),
+        faults => Err(faults),
+    }
+}
+
+fn options() -> getopts::Options {
+    let mut options = getopts::Options::new();
+    for flag in FLAGS {
+        let default = flag.default.filter(|default| !default.is_empty());
+        let help = match default {
+            Some(default) => format!("{}: {} [{default}]", flag.help, flag.expected),
+            None => format!("{}: {}", flag.help, flag.expected),
+        };
+        options.optopt("", flag.name, &help, "VALUE");
+    }
+    options.optflag("h", "help", "print this help");
+    options.optflag("V", "version", "print the version");
+    options
+}
+
+fn settings(reader: &mut Reader<'_>) -> Settings {
+    let listen = reader.get("listen", reader::address);
+    let log = reader.get("log", reader::address);
+    let vms = reader.get("vms", reader::address);
+    // An address that is missing has left a fault, so none of the unspecified ones is ever used.
+    Settings {
+        core: core(reader, listen),
+        listen: listen.unwrap_or_else(unspecified),
+        log: log.unwrap_or_else(unspecified),
+        vms: vms.unwrap_or_else(unspecified),
+        ratings: reader.get("ratings", reader::optional_address),
+        log_format: reader.get("log-format", Format::parse),
+        log_level: reader.get("log-level", Level::parse),
+    }
+}
+
+fn unspecified() -> SocketAddr {
+    SocketAddr::from(([0, 0, 0, 0], 0))
+}
+
+fn core(reader: &mut Reader<'_>, listen: Option<SocketAddr>) -> comfreyroad::Settings {
+    let seed = reader.get("seed", reader::optional_number);
+    comfreyroad::Settings {
+        entry: reader.get("entry", reader::name).into(),
+        boot: format!("{:08x}", fastrand::u32(..)).into(),
+        zone: reader.get("zone", reader::name).into(),
+        address: listen
+            .map(|address| address.to_string())
+            .unwrap_or_default()
+            .into(),
+        peers: reader
+            .get("peers", reader::addresses)
+            .iter()
+            .map(|peer| peer.to_string().into())
+            .collect(),
+        session_keys: reader.get("session-keys", reader::keys),
+        stale_after: reader.get("stale-after-ms", reader::milliseconds),
+        peer_timeout: reader.get("peer-timeout-ms", reader::milliseconds),
+        bill_wait: reader.get("bill-wait-ms", reader::milliseconds),
+        drain_timeout: reader.get("drain-timeout-ms", reader::milliseconds),
+        drain_notice: reader.get("drain-notice-ms", reader::milliseconds),
+        max_calls: reader.get("max-calls", reader::count),
+        seed: seed.unwrap_or_else(|| fastrand::u64(..)),
+    }
+}
--- /dev/null
+++ b/crates/comfreyroad_wire/src/caller/refusal.rs
@@ -0,0 +1,50 @@
+use comfreyroad::refusal::{Code, Ran, Refusal};
+use serde_json::json;
+
+/// A refusal as JSON.
+pub fn refusal(refusal: &Refusal) -> String {
+    let ran = match refusal.ran() {
+        Ran::No => "no",
+        Ran::Maybe => "maybe",
+    };
+    let after = refusal.retry_after().map(|after| after.as_millis());
+    body(
+        &refusal.code().to_string(),
+        refusal.step(),
+        ran,
+        refusal.message(),
+        after,
+    )
+}
+
+/// A refusal of something that never became a request.
+pub fn message(code: &str, step: &str, message: &str) -> String {
+    body(code, step, "no", message, None)
+}
+
+fn body(code: &str, step: &str, ran: &str, message: &str, retry_after_ms: Option<u128>) -> String {
+    json!({"error": {
+        "code": code,
+        "step": step,
+        "ran": ran,
+        "message": message,
+        "retry_after_ms": retry_after_ms,
+    }})
+    .to_string()
+}
+
+/// The HTTP status of a refusal.
+pub fn status(code: Code) -> u16 {
+    match code {
+        Code::BadRequest | Code::BadSession => 400,
+        Code::UnknownKey => 401,
+        Code::NotAllowed => 403,
+        Code::NotFound => 404,
+        Code::Claimed => 409,
+        Code::Withdrawn => 410,
+        Code::Overloaded => 429,
+        Code::UpstreamFailed => 502,
+        Code::Deadline => 504,
+        _ => 503,
+    }
+}
--- a/crates/comfreyroad_wire/src/engine/mod.rs
+++ b/crates/comfreyroad_wire/src/engine/mod.rs
@@ -1,9 +1,13 @@
 //! Messages of model engines and plain services, in the shapes of `docs/INTERFACES.md`.
 
 mod cache;
+mod chunk;
 mod load;
 mod order;
+mod request;
 
 pub use cache::{CacheEvent, CacheEvents, CacheOp};
+pub use chunk::{Chunk, ChunkError, DONE};
 pub use load::Load;
 pub use order::{Order, OrderState, Refused};
+pub use request::request;
--- /dev/null
+++ b/crates/comfreyroad_wire/src/sse.rs
@@ -0,0 +1,69 @@
+//! Server-sent events, read from chunks that may break anywhere.
+
+use bytes::{Buf, BytesMut};
+
+/// Longest event in bytes.
+pub const MAX_EVENT_BYTES: usize = 1024 * 1024;
+
+/// A stream that is no stream of events.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Error {
+    /// An event is longer than allowed.
+    #[error("event of more than {MAX_EVENT_BYTES} bytes")]
+    TooLong,
+    /// An event is not UTF-8.
+    #[error("event is not UTF-8")]
+    NotText,
+}
+
+/// Collects chunks and gives out the data of whole events.
+#[derive(Debug, Default)]
+pub struct Parser {
+    buffer: BytesMut,
+}
+
+impl Parser {
+    /// Takes a chunk.
+    pub fn feed(&mut self, chunk: &[u8]) {
+        self.buffer.extend_from_slice(chunk);
+    }
+
+    /// The data of the next whole event, if there is one.
+    pub fn next_event(&mut self) -> Result<Option<String>, Error> {
+        loop {
+            let Some(end) = self.find_end() else {
+                return match self.buffer.len() {
+                    ..=MAX_EVENT_BYTES => Ok(None),
+                    _ => Err(Error::TooLong),
+                };
+            };
+            let event = self.buffer.split_to(end);
+            while matches!(self.buffer.first(), Some(b'\n' | b'\r')) {
+                self.buffer.advance(1);
+            }
+            let text = std::str::from_utf8(&event).map_err(|_| Error::NotText)?;
+            let data: Vec<&str> = text.lines().filter_map(data_of).collect();
+            if !data.is_empty() {
+                return Ok(Some(data.join("\n")));
+            }
+        }
+    }
+
+    /// Whether a part of an event is left over.
+    pub fn has_rest(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
+    /// Where the first event ends: before an empty line.
+    fn find_end(&self) -> Option<usize> {
+        let bytes = &self.buffer[..];
+        let ends = |window: &[u8]| window == b"\n\n" || window == b"\n\r";
+        bytes.windows(2).position(ends)
+    }
+}
+
+/// The data of a line, if it is a line of data.
+fn data_of(line: &str) -> Option<&str> {
+    let data = line.strip_prefix("data:")?;
+    Some(data.strip_prefix(' ').unwrap_or(data))
+}
