Test the clients of the platform and the upstreams

They had no test that asks by the paths of docs/INTERFACES.md. A server's second stop no longer claims to move the deadline: connections that are already ending would not have seen it.

--- a/crates/comfreyroad_net/src/server/state.rs
+++ b/crates/comfreyroad_net/src/server/state.rs
@@ -20,12 +20,9 @@
 }
 
 impl State {
-    /// Asks everyone to stop. Of several deadlines the earliest counts.
+    /// Asks everyone to stop. The first deadline counts.
     pub(super) fn stop(&mut self, deadline: Instant) {
-        let earliest = self
-            .deadline
-            .map_or(deadline, |earlier| earlier.min(deadline));
-        self.deadline = Some(earliest);
+        self.deadline.get_or_insert(deadline);
         let connections = self.connections.values_mut().filter_map(Option::take);
         connections.chain(self.server.take()).for_each(Waker::wake);
     }
--- a/crates/comfreyroad_net/src/server/stop.rs
+++ b/crates/comfreyroad_net/src/server/stop.rs
@@ -14,6 +14,7 @@
     }
 
     /// No connection is accepted any more; answers that were begun may go on until `deadline`, then they break.
+    /// Of several deadlines the first counts.
     pub fn stop(&self, deadline: Instant) {
         self.state.borrow_mut().stop(deadline);
     }
--- a/crates/comfreyroad_net/tests/net/main.rs
+++ b/crates/comfreyroad_net/tests/net/main.rs
@@ -3,5 +3,6 @@
 mod breaks;
 mod calls;
 mod log;
+mod services;
 mod stop;
 mod support;
