Add the stand-ins for the platform and the upstreams

Tests and trials need a log service, a VM list, engines, plain services, ratings and a weight store with faults that can be set; each is an HTTP/1.1 server on one loop.

--- /dev/null
+++ b/crates/comfreyroad_fakes/src/engine/attempt.rs
@@ -0,0 +1,147 @@
+use std::cell::Cell;
+use std::future::poll_fn;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::StatusCode;
+use serde_json::json;
+
+use super::{Chunk, Decode, Ended, Prefill, Run, Service, Usage};
+use crate::call::Call;
+use crate::chat::{Chat, Message};
+use crate::reply::{self, Parts, Reply};
+use crate::{AttemptId, Error, Result};
+
+/// How much slower an engine of the role `prefill` or `decode` is at the other's work.
+pub(super) const ROLE_COST: u32 = 3;
+
+/// One attempt, from its slot to its end.
+pub(super) struct Attempt {
+    engine: Rc<Service>,
+    pub(super) id: AttemptId,
+    pub(super) chat: Chat,
+    offset: u32,
+    usage: Usage,
+    running: Cell<bool>,
+}
+
+impl Attempt {
+    pub(super) fn new(engine: Rc<Service>, call: &Call, chat: Chat) -> Self {
+        Self {
+            engine,
+            id: call.header("x-attempt-id").to_owned(),
+            offset: call.header("x-resume-offset").parse().unwrap_or_default(),
+            usage: Usage {
+                completion_tokens: chat.max_tokens,
+                ..Usage::default()
+            },
+            chat,
+            running: Cell::new(false),
+        }
+    }
+
+    /// Looks the prompt up in the prefix cache; the rest takes the returned time to read.
+    pub(super) fn look_up(mut self) -> (Self, Duration) {
+        self.running.set(true);
+        let prefixes = self.chat.prefixes();
+        let all = prefixes.last().map_or(0, |prefix| prefix.tokens);
+        let (cached, cost) = self.engine.look_up(&prefixes);
+        self.usage.prompt_tokens = all;
+        self.usage.cached_tokens = cached;
+        // The tokens left out of a resumed answer are read like a prompt.
+        let prefill = cost * (all - cached + self.offset);
+        (self, prefill)
+    }
+
+    pub(super) async fn stream(self, run: Run<Prefill>, mut parts: Parts) {
+        match self.send_tokens(run, &mut parts).await {
+            Ok(()) => {}
+            Err(ended) => {
+                self.note(ended);
+                let cut = Error::Dropped {
+                    peer: self.id.clone(),
+                };
+                send(&mut parts, Err(cut)).await.ok();
+            }
+        }
+    }
+
+    async fn send_tokens(&self, run: Run<Prefill>, parts: &mut Parts) -> Result<(), Ended> {
+        let mut run = run.prefill(self.offset).await?;
+        while let Some((offset, content)) = run.token().await? {
+            send(parts, Ok(self.chunk(offset, content, None).event())).await?;
+        }
+        let last = self.chunk(self.chat.max_tokens, String::new(), Some(self.usage));
+        send(parts, Ok(last.event())).await?;
+        self.finish(&run);
+        send(parts, Ok(Chunk::done())).await
+    }
+
+    pub(super) async fn whole(self, run: Run<Prefill>, peer: &str) -> Result<Reply> {
+        let content = match self.collect(run).await {
+            Ok(content) => content,
+            Err(ended) => {
+                self.note(ended);
+                return Err(Error::Dropped {
+                    peer: peer.to_owned(),
+                });
+            }
+        };
+        let message = json!({ "role": "assistant", "content": content });
+        let body = json!({
+            "id": self.id, "model": self.chat.model, "usage": self.usage,
+            "choices": [{ "index": 0, "message": message, "finish_reason": "stop" }],
+        });
+        Ok(reply::json(StatusCode::OK, &body))
+    }
+
+    async fn collect(&self, run: Run<Prefill>) -> Result<String, Ended> {
+        let mut run = run.prefill(self.offset).await?;
+        while run.token().await?.is_some() {}
+        self.finish(&run);
+        Ok(run.answer().text(self.offset))
+    }
+
+    fn chunk(&self, offset: u32, content: String, usage: Option<Usage>) -> Chunk {
+        Chunk {
+            id: self.id.clone(),
+            model: self.chat.model.clone(),
+            offset,
+            content,
+            usage,
+        }
+    }
+
+    /// Caches the conversation as its next turn will begin with it.
+    fn finish(&self, run: &Run<Decode>) {
+        self.running.set(false);
+        let mut chat = self.chat.clone();
+        chat.messages
+            .push(Message::new("assistant", run.answer().text(0)));
+        self.engine.finished(&chat.prefixes());
+    }
+
+    fn note(&self, ended: Ended) {
+        self.running.set(false);
+        self.engine.ended(ended);
+    }
+}
+
+impl Drop for Attempt {
+    fn drop(&mut self) {
+        // Its caller has left.
+        if self.running.get() {
+            self.engine.ended(Ended::Cancelled);
+        }
+        self.engine.forget(&self.id);
+    }
+}
+
+/// Sends a part once there is room; a reader that has gone counts as a cancel.
+async fn send(parts: &mut Parts, part: Result<Bytes>) -> Result<(), Ended> {
+    let ready = poll_fn(|cx| parts.poll_ready(cx)).await;
+    ready
+        .and_then(|()| parts.start_send(part))
+        .map_err(|_| Ended::Cancelled)
+}
--- /dev/null
+++ b/crates/comfreyroad_fakes/src/engine/mod.rs
@@ -0,0 +1,21 @@
+//! Stand-in for a model engine.
+//!
+//! The prefixes in its cache are those of [`crate::chat::Chat::prefixes`].
+
+mod attempt;
+mod breaks;
+mod cache;
+mod chunk;
+mod journal;
+mod orders;
+mod run;
+mod service;
+mod settings;
+
+pub use cache::Cache;
+pub use chunk::{Chunk, Usage};
+pub use journal::Journal;
+pub use orders::Orders;
+pub use run::{Decode, Ended, Prefill, Run};
+pub use service::Service;
+pub use settings::{Fencing, Settings};
--- a/crates/comfreyroad_fakes/src/main.rs
+++ b/crates/comfreyroad_fakes/src/main.rs
@@ -1,2 +1,31 @@
-//! placeholder
-fn main() {}
+//! Hosts stand-ins for the systems beside comfreyroad.
+
+use std::process::ExitCode;
+
+use comfreyroad_fakes::fleet::Fleet;
+use comfreyroad_fakes::options::Options;
+
+/// The signal that ends the process.
+const SIGTERM: i32 = 15;
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    match run(&args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("{err}");
+            eprint!("{}", Options::flags().usage("comfreyroad-fakes"));
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(args: &[String]) -> Result<(), Box<dyn std::error::Error>> {
+    let options = Options::parse(args)?;
+    compio::runtime::Runtime::new()?.block_on(async {
+        let _fleet = Fleet::start(&options)?;
+        println!("ready");
+        compio::signal::unix::signal(SIGTERM).await?;
+        Ok(())
+    })
+}
--- /dev/null
+++ b/crates/comfreyroad_fakes/src/service.rs
@@ -0,0 +1,155 @@
+//! Stand-in for a plain service.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use comfreyroad_wire::engine::Load;
+use compio::time::sleep;
+use futures_util::future::LocalBoxFuture;
+use http::StatusCode;
+use indexmap::IndexMap;
+use serde_json::{Value, json};
+
+use crate::call::Call;
+use crate::gate::{Faults, Gate};
+use crate::reply::{self, Reply};
+use crate::server::Fake;
+use crate::slots::{Size, Slots};
+use crate::time::{millis, now_ms};
+use crate::{AttemptId, Error, RequestId, Result};
+
+/// How a plain service behaves.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Settings {
+    /// Name of the VM.
+    pub id: String,
+    /// How many requests it bears.
+    pub size: Size,
+    /// Time that a request takes.
+    pub latency: Duration,
+}
+
+/// A plain service with bookings and orders.
+pub struct Service {
+    settings: Settings,
+    gate: Gate,
+    slots: Rc<Slots>,
+    bookings: RefCell<IndexMap<RequestId, Vec<AttemptId>>>,
+    lookups: Cell<u64>,
+    refused: Cell<u64>,
+    broken: Cell<u64>,
+}
+
+impl Service {
+    /// A service that starts now.
+    #[must_use]
+    pub fn new(settings: Settings) -> Self {
+        let slots = Rc::new(Slots::new(settings.size.clone()));
+        Self {
+            settings,
+            gate: Gate::default(),
+            slots,
+            bookings: RefCell::default(),
+            lookups: Cell::new(0),
+            refused: Cell::new(0),
+            broken: Cell::new(0),
+        }
+    }
+
+    fn load(&self) -> Load {
+        let (running, waiting, slots) = self.slots.counts();
+        Load {
+            at_ms: now_ms(),
+            boot: self.boot(),
+            uptime_ms: millis(self.slots.started_at().elapsed()),
+            running,
+            waiting,
+            slots,
+            ..Load::default()
+        }
+    }
+
+    fn boot(&self) -> String {
+        format!("{}-{}", self.settings.id, self.slots.boot())
+    }
+
+    async fn run(&self, call: &Call) -> Result<Reply> {
+        let priority = call.header("x-priority").parse().unwrap_or(1);
+        let Ok(slot) = self.slots.take(priority).await else {
+            self.refused.set(self.refused.get() + 1);
+            return Ok(reply::error(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "more than it bears",
+            ));
+        };
+        let reply = self.execute(call);
+        sleep(self.settings.latency).await;
+        if slot.is_broken() {
+            self.broken.set(self.broken.get() + 1);
+            return Err(Error::Dropped {
+                peer: call.peer.clone(),
+            });
+        }
+        let reply = reply::with_header(reply, "x-attempt-id", call.header("x-attempt-id"));
+        Ok(reply::with_header(reply, "x-boot", &self.boot()))
+    }
+
+    /// Has its effect at once, so that an answer lost later is one whose effect stands.
+    fn execute(&self, call: &Call) -> Reply {
+        if call.target() == ("POST", "/bookings") {
+            let request = call.header("x-request-id").to_owned();
+            let mut bookings = self.bookings.borrow_mut();
+            let attempts = bookings.entry(request.clone()).or_default();
+            attempts.push(call.header("x-attempt-id").to_owned());
+            return reply::json(
+                StatusCode::OK,
+                &json!({ "booked": request, "times": attempts.len() }),
+            );
+        }
+        match call.path.strip_prefix("/orders/") {
+            Some(order) if call.method == "GET" => {
+                self.lookups.set(self.lookups.get() + 1);
+                reply::json(StatusCode::OK, &json!({ "order": order, "state": "open" }))
+            }
+            _ => reply::error(StatusCode::NOT_FOUND, "no such path"),
+        }
+    }
+}
+
+impl Fake for Service {
+    fn gate(&self) -> &Gate {
+        &self.gate
+    }
+
+    fn journal(&self) -> Value {
+        let bookings = self.bookings.borrow();
+        let doubled = bookings
+            .values()
+            .filter(|attempts| attempts.len() > 1)
+            .count();
+        json!({
+            "id": self.settings.id, "bookings": &*bookings, "doubled": doubled,
+            "lookups": self.lookups.get(), "refused": self.refused.get(),
+            "broken": self.broken.get(), "falls": self.slots.falls(),
+        })
+    }
+
+    fn fault(&self, faults: &Faults) {
+        if let Some(slots) = faults.slots {
+            self.slots.resize(slots);
+        }
+        if faults.restart {
+            self.slots.restart();
+        }
+    }
+
+    fn serve(self: Rc<Self>, call: Call) -> LocalBoxFuture<'static, Result<Reply>> {
+        Box::pin(async move {
+            match call.target() {
+                ("GET", "/v1/load") => Ok(reply::json(StatusCode::OK, &self.load())),
+                _ => self.run(&call).await,
+            }
+        })
+    }
+}
