Add the load tool and the contract tests of the stand-ins

Measurements need callers that check each answer to be whole and their own, with seeded open-loop arrivals and a last line of JSON. The tests hold each stand-in to what docs/INTERFACES.md says of it.

--- a/crates/comfreyroad_fakes/src/engine/service.rs
+++ b/crates/comfreyroad_fakes/src/engine/service.rs
@@ -254,7 +254,11 @@
             return true;
         };
         let url = format!("http://{store}/v1/weights/{version}");
-        let Ok(request) = cyper::Client::new().and_then(|client| client.get(url)) else {
+        let Ok(request) = cyper::Client::builder()
+            .no_proxy()
+            .build()
+            .and_then(|client| client.get(url))
+        else {
             return false;
         };
         request
--- /dev/null
+++ b/crates/comfreyroad_fakes/src/load/caller.rs
@@ -0,0 +1,266 @@
+use std::cell::Cell;
+use std::time::{Duration, Instant};
+
+use compio::time::{sleep, timeout_at};
+use cyper::Response;
+use futures_util::StreamExt;
+use serde_json::Value;
+
+use super::{Events, Job, Kind, Outcome, Verdict};
+use crate::time::millis;
+use crate::{Error, Result};
+
+/// How long a caller waits beyond the deadline before it gives up.
+const GRACE: Duration = Duration::from_secs(2);
+/// Wait before a retry when the refusal names none.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+
+/// Sends requests and checks their answers, as a caller of the system would.
+pub struct Caller {
+    client: cyper::Client,
+    to: Vec<String>,
+    next: Cell<usize>,
+    retries: u32,
+}
+
+/// What came of sending a request once.
+#[derive(Debug, Default)]
+struct Attempt {
+    verdict: Verdict,
+    status: u16,
+    code: Option<String>,
+    retry_after: Option<Duration>,
+    is_final: bool,
+    version: String,
+    token: Option<String>,
+    text: String,
+    first_at: Option<Instant>,
+}
+
+impl Caller {
+    /// A caller of these addresses, which it takes in turn.
+    pub fn new(to: Vec<String>, retries: u32) -> Result<Self> {
+        let client = cyper::Client::builder()
+            .no_proxy()
+            .build()
+            .map_err(|source| Error::Call {
+                peer: to.join(","),
+                source,
+            })?;
+        Ok(Self {
+            client,
+            to,
+            next: Cell::new(0),
+            retries,
+        })
+    }
+
+    /// Sends a request until it has its answer, or can't be sent again.
+    pub async fn run(&self, job: Job, begin: Instant) -> Outcome {
+        let arrived = Instant::now();
+        let deadline = arrived + job.patience;
+        let mut codes = Vec::new();
+        let mut sent = 0;
+        let last = loop {
+            sent += 1;
+            let attempt = self.attempt(&job, sent, deadline).await;
+            codes.extend(attempt.code.clone());
+            let again = match attempt.verdict {
+                Verdict::RefusedNotRun => true,
+                Verdict::RefusedMaybe => job.may_repeat(),
+                Verdict::Whole | Verdict::Wrong | Verdict::Broken => false,
+            };
+            let pause = attempt.retry_after.unwrap_or(RETRY_PAUSE);
+            if !again
+                || attempt.is_final
+                || sent > self.retries
+                || Instant::now() + pause >= deadline
+            {
+                break attempt;
+            }
+            sleep(pause).await;
+        };
+        let ended = Instant::now();
+        let mut session = job.session.clone();
+        let moved = last.verdict == Verdict::Whole && session.moved_to(&last.version);
+        session.token = last.token.or(session.token);
+        if last.verdict == Verdict::Whole {
+            session
+                .messages
+                .push(crate::chat::Message::new("assistant", last.text));
+        }
+        Outcome {
+            at_ms: millis(arrived.duration_since(begin)),
+            kind: job.kind,
+            customer: job.customer.name,
+            verdict: last.verdict,
+            status: last.status,
+            codes,
+            version: (!last.version.is_empty()).then_some(last.version),
+            sent,
+            first: last.first_at.map(|at| at.duration_since(arrived)),
+            total: (last.verdict == Verdict::Whole).then(|| ended.duration_since(arrived)),
+            late: ended > deadline,
+            moved,
+            session,
+        }
+    }
+
+    async fn attempt(&self, job: &Job, number: u32, deadline: Instant) -> Attempt {
+        let mut attempt = Attempt::default();
+        let cut = timeout_at(deadline + GRACE, async {
+            match self.send(job, number, deadline).await {
+                Ok(response) => attempt.take(job, response).await,
+                Err(err) => attempt.unanswered(&err),
+            }
+        });
+        if cut.await.is_err() {
+            attempt.code = Some("no_answer_in_time".to_owned());
+            // What has begun is broken; else nobody knows.
+            attempt.verdict = if attempt.status == 0 {
+                Verdict::RefusedMaybe
+            } else {
+                Verdict::Broken
+            };
+        }
+        attempt
+    }
+
+    async fn send(&self, job: &Job, number: u32, deadline: Instant) -> cyper::Result<Response> {
+        let (method, path) = job.target();
+        let left = millis(deadline.saturating_duration_since(Instant::now()));
+        let mut request = self
+            .client
+            .request(method, format!("http://{}{path}", self.next_address()))?
+            .header("x-request-id", &job.id)?
+            .header("x-deadline-ms", left.to_string())?
+            .header("x-attempt", number.to_string())?;
+        if !job.customer.key.is_empty() {
+            request = request.bearer_auth(&job.customer.key)?;
+        }
+        if let Some(token) = &job.session.token {
+            request = request.header("x-session", token)?;
+        }
+        if !job.may_repeat() {
+            request = request.header("x-may-repeat", "no")?;
+        }
+        if job.kind != Kind::Lookup {
+            request = request.json(&job.body())?;
+        }
+        request.send().await
+    }
+
+    fn next_address(&self) -> &str {
+        let next = self.next.get();
+        self.next.set((next + 1) % self.to.len());
+        &self.to[next]
+    }
+}
+
+impl Attempt {
+    /// A connection that was never made carried nothing; of any other nobody knows.
+    fn unanswered(&mut self, err: &cyper::Error) {
+        let unconnected = matches!(err, cyper::Error::HyperClient(err) if err.is_connect());
+        self.verdict = if unconnected {
+            Verdict::RefusedNotRun
+        } else {
+            Verdict::RefusedMaybe
+        };
+        self.code = Some(
+            if unconnected {
+                "no_connection"
+            } else {
+                "no_answer"
+            }
+            .to_owned(),
+        );
+    }
+
+    async fn take(&mut self, job: &Job, response: Response) {
+        let header = |name| {
+            let value = response
+                .headers()
+                .get(name)
+                .and_then(|value| value.to_str().ok());
+            value.map(str::to_owned)
+        };
+        self.version = header("x-version").unwrap_or_default();
+        self.token = header("x-session");
+        self.status = response.status().as_u16();
+        if !response.status().is_success() {
+            self.refused(response).await;
+        } else if job.kind == Kind::Draft {
+            self.stream(job, response).await;
+        } else {
+            self.whole(job, response).await;
+        }
+    }
+
+    async fn refused(&mut self, response: Response) {
+        let body: Value = response.json().await.unwrap_or_default();
+        let error = &body["error"];
+        let ran_not = error["ran"] == "no";
+        self.verdict = if ran_not {
+            Verdict::RefusedNotRun
+        } else {
+            Verdict::RefusedMaybe
+        };
+        let status = self.status;
+        self.code = Some(
+            error["code"]
+                .as_str()
+                .map_or_else(|| format!("status_{status}"), str::to_owned),
+        );
+        self.retry_after = error["retry_after_ms"].as_u64().map(Duration::from_millis);
+        // Trying again can't help a caller who isn't known or allowed.
+        self.is_final = matches!(status, 400 | 401 | 403);
+    }
+
+    async fn stream(&mut self, job: &Job, mut response: Response) {
+        let mut events = Events::default();
+        self.verdict = Verdict::Broken;
+        while let Some(bytes) = response.next().await {
+            let Ok(bytes) = bytes else {
+                self.code = Some("stream_broken".to_owned());
+                return;
+            };
+            events.push(&bytes);
+            if self.first_at.is_none() && events.has_token() {
+                self.first_at = Some(Instant::now());
+            }
+        }
+        if !events.is_done() {
+            self.code = Some("stream_not_done".to_owned());
+            return;
+        }
+        self.verdict = Verdict::Wrong;
+        if let Some(text) = events.text().filter(|text| job.is_answered_by(text)) {
+            self.verdict = Verdict::Whole;
+            self.text = text.to_owned();
+        }
+    }
+
+    async fn whole(&mut self, job: &Job, response: Response) {
+        let Ok(bytes) = response.bytes().await else {
+            self.verdict = Verdict::Broken;
+            self.code = Some("answer_broken".to_owned());
+            return;
+        };
+        self.first_at = Some(Instant::now());
+        let body: Value = serde_json::from_slice(&bytes).unwrap_or_default();
+        let right = if job.is_chat() {
+            self.text = body["choices"][0]["message"]["content"]
+                .as_str()
+                .unwrap_or_default()
+                .to_owned();
+            job.is_answered_by(&self.text)
+        } else {
+            job.is_confirmed_by(&body)
+        };
+        self.verdict = if right {
+            Verdict::Whole
+        } else {
+            Verdict::Wrong
+        };
+    }
+}
--- /dev/null
+++ b/crates/comfreyroad_fakes/src/load/outcome.rs
@@ -0,0 +1,62 @@
+use std::time::Duration;
+
+use serde::{Serialize, Serializer};
+
+use super::{Kind, Session};
+use crate::VersionId;
+use crate::time::millis;
+
+/// What came of a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Verdict {
+    /// The whole answer to this very request.
+    Whole,
+    /// Refused, and surely not run.
+    RefusedNotRun,
+    /// Refused or unanswered, and perhaps run.
+    #[default]
+    RefusedMaybe,
+    /// An answer, but not this one's, or out of order.
+    Wrong,
+    /// An answer that ended before its end.
+    Broken,
+}
+
+/// Result of one request; its fields are those of a trace line.
+#[derive(Clone, Debug, Serialize)]
+pub struct Outcome {
+    /// Milliseconds from the run's begin to the request's arrival.
+    pub at_ms: u64,
+    /// Kind of the request.
+    pub kind: Kind,
+    /// Who asked.
+    pub customer: String,
+    /// What came of it.
+    pub verdict: Verdict,
+    /// Status of the last answer, 0 for none.
+    pub status: u16,
+    /// Codes of the refusals met, the last one last.
+    pub codes: Vec<String>,
+    /// Version that answered.
+    pub version: Option<VersionId>,
+    /// Times that it was sent.
+    pub sent: u32,
+    /// Time to the first token, or to the answer of a plain service.
+    #[serde(rename = "ttft_ms", serialize_with = "as_millis")]
+    pub first: Option<Duration>,
+    /// Time to the answer's end.
+    #[serde(rename = "total_ms", serialize_with = "as_millis")]
+    pub total: Option<Duration>,
+    /// Whether the answer came after the deadline, or none came by it.
+    pub late: bool,
+    /// Whether the session's version changed.
+    pub moved: bool,
+    /// The session after it.
+    #[serde(skip)]
+    pub session: Session,
+}
+
+fn as_millis<S: Serializer>(time: &Option<Duration>, serializer: S) -> Result<S::Ok, S::Error> {
+    time.map(millis).serialize(serializer)
+}
--- /dev/null
+++ b/crates/comfreyroad_fakes/tests/contracts/options.rs
@@ -0,0 +1,46 @@
+use std::time::Duration;
+
+use comfreyroad_fakes::fleet::Fleet;
+use comfreyroad_fakes::load;
+use comfreyroad_fakes::options::Options;
+
+use crate::client::run;
+
+fn args(args: &[&str]) -> Vec<String> {
+    args.iter().map(|arg| (*arg).to_owned()).collect()
+}
+
+#[test]
+fn engine_pairs_become_settings() {
+    let engine = "id=eng-1,pool=drafting,zone=a,address=127.0.1.1:0,versions=mini@1+mona@2,slots=4,cold=1,\
+                  warm_ms=5000,fencing=ignored,quality.mini@1=0.7";
+    let options = Options::parse(&args(&["--engine", engine, "--delay-ms", "3"])).unwrap();
+    let (vm, settings) = &options.engines[0];
+    assert_eq!((vm.pool.as_str(), vm.zone.as_str()), ("drafting", "a"));
+    assert_eq!(settings.versions, ["mini@1", "mona@2"]);
+    assert_eq!(settings.size.warm_up, Duration::from_secs(5));
+    assert_eq!(settings.quality["mini@1"], 0.7);
+    run(async { assert_eq!(Fleet::start(&options).unwrap().servers.len(), 1) });
+}
+
+#[test]
+fn one_error_names_every_bad_value() {
+    let service = "id=ord-1,zone=a,address=x,slots=many,colour=red";
+    let err = Options::parse(&args(&["--seed", "x", "--service", service]))
+        .unwrap_err()
+        .to_string();
+    for part in [
+        "--seed x",
+        "pool is missing",
+        "slots=many",
+        "colour is unknown",
+    ] {
+        assert!(err.contains(part), "{part} isn't in: {err}");
+    }
+    let err = load::Options::parse(&args(&["--rate", "0", "--profile", "x"]))
+        .unwrap_err()
+        .to_string();
+    for part in ["--to is missing", "--rate", "--profile x"] {
+        assert!(err.contains(part), "{part} isn't in: {err}");
+    }
+}
