--- a/crates/comfreyroad_fakes/src/bin/load.rs
+++ b/crates/comfreyroad_fakes/src/bin/load.rs
@@ -6,6 +6,10 @@
 
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().skip(1).collect();
+    if args.iter().any(|arg| arg == "--help") {
+        print!("{}", Options::flags().usage("comfreyroad-load"));
+        return ExitCode::SUCCESS;
+    }
     match run(&args) {
         Ok(counts) => {
             println!("{counts}");
--- a/crates/comfreyroad_fakes/src/engine/run.rs
+++ b/crates/comfreyroad_fakes/src/engine/run.rs
@@ -37,6 +37,7 @@
     token: Duration,
     break_at: Option<u32>,
     cancelled: Rc<Cell<bool>>,
+    stalled_until: Rc<Cell<Instant>>,
     state: S,
 }
 
@@ -53,6 +54,7 @@
             token,
             break_at: None,
             cancelled: Rc::default(),
+            stalled_until: Rc::new(Cell::new(Instant::now())),
             state,
         }
     }
@@ -69,6 +71,15 @@
         Self { cancelled, ..self }
     }
 
+    /// Gives no token before the shared instant.
+    #[must_use]
+    pub fn with_stall(self, stalled_until: Rc<Cell<Instant>>) -> Self {
+        Self {
+            stalled_until,
+            ..self
+        }
+    }
+
     /// Reads the prompt; the answer then starts at token `offset`.
     pub async fn prefill(self, offset: u32) -> Result<Run<Decode>, Ended> {
         sleep_until(self.state.done_at).await;
@@ -83,6 +94,7 @@
             token: self.token,
             break_at: self.break_at,
             cancelled: self.cancelled,
+            stalled_until: self.stalled_until,
             state,
         })
     }
@@ -99,6 +111,10 @@
             .token
             .mul_f64(1.0 + CROWDING_COST * self.slot.crowding());
         sleep_until(self.state.due).await;
+        while self.stalled_until.get() > Instant::now() {
+            self.state.due = self.stalled_until.get();
+            sleep_until(self.state.due).await;
+        }
         self.check()?;
         if self.break_at.is_some_and(|break_at| index >= break_at) {
             return Err(Ended::Broken);
--- a/crates/comfreyroad_fakes/src/engine/service.rs
+++ b/crates/comfreyroad_fakes/src/engine/service.rs
@@ -39,6 +39,7 @@
     bad: RefCell<IndexSet<VersionId>>,
     breaks: Breaks,
     token: Cell<Duration>,
+    stalled_until: Rc<Cell<Instant>>,
     report: RefCell<(Instant, Load)>,
 }
 
@@ -63,6 +64,7 @@
             bad: RefCell::default(),
             breaks: Breaks::default(),
             token: Cell::new(settings.token),
+            stalled_until: Rc::new(Cell::new(Instant::now())),
             report: RefCell::new((Instant::now(), Load::default())),
             settings,
         }
@@ -115,7 +117,8 @@
         let answer = self.answer(&attempt.chat);
         let run = Run::new(slot, answer, prefill, self.token_time())
             .with_break(self.breaks.next())
-            .with_cancel(cancelled);
+            .with_cancel(cancelled)
+            .with_stall(Rc::clone(&self.stalled_until));
         let id = attempt.id.clone();
         let reply = if attempt.chat.stream {
             let (parts, body) = Body::stream();
@@ -306,6 +309,10 @@
             self.breaks
                 .set(left, faults.break_after.unwrap_or_default());
         }
+        if let Some(ms) = faults.stall_ms {
+            self.stalled_until
+                .set(Instant::now() + Duration::from_millis(ms));
+        }
         if let Some(version) = &faults.bad_version {
             self.bad.borrow_mut().insert(version.clone());
         }
--- a/crates/comfreyroad_fakes/src/gate.rs
+++ b/crates/comfreyroad_fakes/src/gate.rs
@@ -26,6 +26,8 @@
     pub break_streams: Option<u32>,
     /// After how many tokens they break.
     pub break_after: Option<u32>,
+    /// Give no token for so long, in the middle of streams too.
+    pub stall_ms: Option<u64>,
     /// This version answers badly.
     pub bad_version: Option<String>,
     /// This version no longer answers badly.
--- a/crates/comfreyroad_fakes/src/load/caller.rs
+++ b/crates/comfreyroad_fakes/src/load/caller.rs
@@ -141,8 +141,10 @@
         if let Some(token) = &job.session.token {
             request = request.header("x-session", token)?;
         }
-        if !job.may_repeat() {
-            request = request.header("x-may-repeat", "no")?;
+        // HTTP lets lookups be repeated as it is.
+        if job.kind != Kind::Lookup {
+            let may_repeat = if job.may_repeat() { "yes" } else { "no" };
+            request = request.header("x-may-repeat", may_repeat)?;
         }
         if job.kind != Kind::Lookup {
             request = request.json(&job.body())?;
--- a/crates/comfreyroad_fakes/src/main.rs
+++ b/crates/comfreyroad_fakes/src/main.rs
@@ -10,6 +10,10 @@
 
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().skip(1).collect();
+    if args.iter().any(|arg| arg == "--help") {
+        print!("{}", Options::flags().usage("comfreyroad-fakes"));
+        return ExitCode::SUCCESS;
+    }
     match run(&args) {
         Ok(()) => ExitCode::SUCCESS,
         Err(err) => {
--- a/crates/comfreyroad_fakes/src/slots.rs
+++ b/crates/comfreyroad_fakes/src/slots.rs
@@ -134,8 +134,9 @@
     }
 
     /// Sets the number of slots.
-    pub fn resize(&self, slots: u32) {
+    pub fn resize(self: &Rc<Self>, slots: u32) {
         self.state.borrow_mut().size.slots = slots;
+        while self.grant() {}
     }
 
     /// Number of the start.
@@ -166,20 +167,27 @@
     }
 
     fn release(self: &Rc<Self>) {
-        let next = {
+        {
             let mut state = self.state.borrow_mut();
             state.running = state.running.saturating_sub(1);
             state.served = state.served.saturating_add(1);
-            state.next()
-        };
-        if let Some(waiting) = next {
-            let slot = Slot {
-                slots: Rc::clone(self),
-                boot: self.boot.get(),
-            };
-            // A requester that has gone gives the slot back by dropping it.
-            drop(waiting.grant.send(slot));
         }
+        self.grant();
+    }
+
+    /// Gives a free slot to the first of the queue; false when there is none of either.
+    fn grant(self: &Rc<Self>) -> bool {
+        let next = self.state.borrow_mut().next();
+        let Some(waiting) = next else {
+            return false;
+        };
+        let slot = Slot {
+            slots: Rc::clone(self),
+            boot: self.boot.get(),
+        };
+        // A requester that has gone gives the slot back by dropping it.
+        drop(waiting.grant.send(slot));
+        true
     }
 }
 
--- a/crates/comfreyroad_fakes/tests/contracts/engine.rs
+++ b/crates/comfreyroad_fakes/tests/contracts/engine.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use comfreyroad_fakes::answer;
 use comfreyroad_fakes::chat::{Chat, Message};
@@ -202,6 +202,17 @@
     });
 }
 
+#[test]
+fn a_stall_holds_streams_up_without_breaking_them() {
+    run(async {
+        let engine = start(settings());
+        engine.post("/faults", json!({ "stall_ms": 150 })).await;
+        let asked_at = Instant::now();
+        assert!(ask(&engine, &chat("short", 5, true), &[]).await.is_some());
+        assert!(asked_at.elapsed() >= Duration::from_millis(100));
+    });
+}
+
 #[test]
 fn quality_shows_in_the_tokens_and_turns_bad_by_a_fault() {
     run(async {
--- a/crates/comfreyroad_fakes/tests/contracts/options.rs
+++ b/crates/comfreyroad_fakes/tests/contracts/options.rs
@@ -23,6 +23,32 @@
     run(async { assert_eq!(Fleet::start(&options).unwrap().servers.len(), 1) });
 }
 
+#[test]
+fn flags_on_the_command_line_add_to_the_file() {
+    let path = std::env::temp_dir().join(format!("fakes-{}.conf", std::process::id()));
+    std::fs::write(
+        &path,
+        "# a comment\nlog 127.0.0.1:7001\n\nentry id=ent-1,zone=a,address=x\n",
+    )
+    .unwrap();
+    let file = path.to_str().unwrap();
+    let parsed = Options::parse(&args(&[
+        "--config",
+        file,
+        "--entry",
+        "id=ent-2,zone=b,address=y",
+    ]));
+    std::fs::remove_file(&path).unwrap();
+    let options = parsed.unwrap();
+    assert_eq!(options.log.as_deref(), Some("127.0.0.1:7001"));
+    let ids: Vec<_> = options
+        .entries
+        .iter()
+        .map(|entry| entry.id.as_str())
+        .collect();
+    assert_eq!(ids, ["ent-1", "ent-2"]);
+}
+
 #[test]
 fn one_error_names_every_bad_value() {
     let service = "id=ord-1,zone=a,address=x,slots=many,colour=red";
