--- a/crates/comfreyroad_fakes/src/answer.rs
+++ b/crates/comfreyroad_fakes/src/answer.rs
@@ -1,5 +1,7 @@
 //! Answers whose wholeness and owner a checker can verify.
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use crate::PrefixId;
 
 /// How good an answer is; its tokens say so.
@@ -25,6 +27,13 @@
         }
     }
 
+    /// Good for the part `good` of all conversations, and always the same for the same one.
+    #[must_use]
+    pub fn draw(version: &str, hash: &str, good: f64) -> Self {
+        let draw = xxh3_64(format!("{version} {hash}").as_bytes()) as f64 / u64::MAX as f64;
+        if draw < good { Self::Good } else { Self::Poor }
+    }
+
     /// Reads the quality off an answer's first token.
     #[must_use]
     pub fn read(text: &str) -> Option<Self> {
--- a/crates/comfreyroad_fakes/src/engine/cache.rs
+++ b/crates/comfreyroad_fakes/src/engine/cache.rs
@@ -1,6 +1,7 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use comfreyroad_wire::engine::{CacheEvent, CacheEvents, CacheOp};
 use indexmap::IndexMap;
 
@@ -50,10 +51,24 @@
         0
     }
 
-    /// Length in tokens of a cached prefix.
+    /// A cached prefix as another engine can import it.
     #[must_use]
-    pub fn get(&self, prefix: &str) -> Option<u32> {
-        self.prefixes.get(prefix).copied()
+    pub fn export(&self, prefix: &str) -> Option<Bytes> {
+        let tokens = self.prefixes.get(prefix)?;
+        Some(tokens.to_string().into())
+    }
+
+    /// Takes an export in; false when it isn't one.
+    pub fn import(&mut self, prefix: &str, kv: &[u8]) -> bool {
+        let text = std::str::from_utf8(kv).unwrap_or_default();
+        let Ok(tokens) = text.parse() else {
+            return false;
+        };
+        self.store(&Prefix {
+            id: prefix.to_owned(),
+            tokens,
+        });
+        true
     }
 
     /// Part of the cache in use, from 0.0 to 1.0.
--- a/crates/comfreyroad_fakes/src/engine/service.rs
+++ b/crates/comfreyroad_fakes/src/engine/service.rs
@@ -2,14 +2,12 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use comfreyroad_wire::engine::{Load, Order};
 use compio::time::sleep;
 use futures_util::future::LocalBoxFuture;
 use http::StatusCode;
 use indexmap::{IndexMap, IndexSet};
 use serde_json::{Value, json};
-use xxhash_rust::xxh3::xxh3_64;
 
 use super::attempt::{Attempt, ROLE_COST};
 use super::breaks::Breaks;
@@ -76,15 +74,9 @@
         if self.bad.borrow().contains(&chat.model) {
             return answer.with_quality(Quality::Bad);
         }
-        let part = self
-            .settings
-            .quality
-            .get(&chat.model)
-            .copied()
-            .unwrap_or(1.0);
-        let draw = xxh3_64(format!("{} {}", chat.model, answer.hash).as_bytes());
-        let good = (draw as f64 / u64::MAX as f64) < part;
-        answer.with_quality(if good { Quality::Good } else { Quality::Poor })
+        let part = self.settings.quality.get(&chat.model).copied();
+        let quality = Quality::draw(&chat.model, &answer.hash, part.unwrap_or(1.0));
+        answer.with_quality(quality)
     }
 
     async fn chat(self: Rc<Self>, call: &Call) -> Result<Reply> {
@@ -272,21 +264,14 @@
 
     fn kv(&self, call: &Call, prefix: &str) -> Reply {
         if call.method == "GET" {
-            return match self.cache.borrow().get(prefix) {
-                Some(tokens) => reply::bytes(Bytes::from(tokens.to_string())),
+            return match self.cache.borrow().export(prefix) {
+                Some(kv) => reply::bytes(kv),
                 None => reply::error(StatusCode::NOT_FOUND, "not cached"),
             };
         }
-        let tokens = std::str::from_utf8(&call.body)
-            .ok()
-            .and_then(|text| text.parse().ok());
-        let Some(tokens) = tokens else {
+        if !self.cache.borrow_mut().import(prefix, &call.body) {
             return reply::error(StatusCode::BAD_REQUEST, "not an export");
-        };
-        self.cache.borrow_mut().store(&Prefix {
-            id: prefix.to_owned(),
-            tokens,
-        });
+        }
         reply::json(StatusCode::OK, &json!({}))
     }
 }
