--- a/crates/comfreyroad_fakes/src/load/events.rs
+++ b/crates/comfreyroad_fakes/src/load/events.rs
@@ -60,7 +60,8 @@
         };
         // A token that comes after the end, twice, or too early.
         self.disorder |= self.done || chunk.offset.is_some_and(|offset| offset != self.tokens);
-        self.tokens += 1;
+        // A chunk may carry several tokens; each ends with a space.
+        self.tokens += choice.delta.content.matches(' ').count() as u32;
         self.text.push_str(&choice.delta.content);
     }
 
