--- a/crates/comfreyroad_cli/src/command/status.rs
+++ b/crates/comfreyroad_cli/src/command/status.rs
@@ -26,18 +26,21 @@
     })
 }
 
-/// One row an entry.
+/// One row an entry, and a line for each that did not answer.
 pub(super) fn table(answers: &[(SocketAddr, Result<Status, Error>)]) -> String {
     let mut rows = vec![HEAD.map(String::from).to_vec()];
+    let mut failures = String::new();
     for (address, status) in answers {
-        let mut row = vec![address.to_string()];
         match status {
-            Ok(status) => row.extend(cells(status)),
-            Err(error) => row.push(text::plain(&error.to_string())),
+            Ok(status) => {
+                let mut row = vec![address.to_string()];
+                row.extend(cells(status));
+                rows.push(row);
+            }
+            Err(error) => failures += &format!("{}\n", text::plain(&error.to_string())),
         }
-        rows.push(row);
     }
-    text::table(&rows)
+    text::table(&rows) + &failures
 }
 
 fn cells(status: &Status) -> [String; 6] {
