--- /dev/null
+++ b/crates/comfreyroad/tests/proof/main.rs
@@ -0,0 +1,7 @@
+//! Proofs on the library: real entries, a hand-driven clock, and fakes at every interface.
+//!
+//! One binary, so that each part of [`bench`] is used by some proof. A new proof is a module of its own.
+
+mod bench;
+mod fault_matrix;
+mod thin_path;
--- /dev/null
+++ b/crates/comfreyroad/tests/proof/thin_path.rs
@@ -0,0 +1,116 @@
+//! The shortest way through: without faults, or with a single one, all is answered.
+
+use std::time::Duration;
+
+use comfreyroad::rules::Verdict;
+
+use crate::bench::{self, Ask, Bench, CallSpec, promise};
+
+fn ready() -> Bench {
+    let mut bench = Bench::new(bench::seed());
+    bench.run_for(Duration::from_secs(2));
+    bench
+}
+
+fn hold(bench: &Bench) {
+    assert_eq!(promise::all(bench), [], "seed {}", bench::seed());
+}
+
+fn run_for_ms(bench: &mut Bench, time: u64) {
+    bench.run_for(Duration::from_millis(time));
+}
+
+#[test]
+fn entries_become_ready() {
+    let bench = ready();
+    assert!(bench.nodes.iter().all(|node| node.ready));
+}
+
+#[test]
+fn chat_comes_whole() {
+    let mut bench = ready();
+    let call = bench.call(0, CallSpec::new("r1", "author", Ask::Chat("draft", 30)));
+    run_for_ms(&mut bench, 2_000);
+    assert!(bench.calls[call].is_answered());
+    assert!(!bench.calls[call].body.is_empty());
+    hold(&bench);
+}
+
+#[test]
+fn booking_runs_once_through_two_entries() {
+    let mut bench = ready();
+    let first = bench.call(0, CallSpec::new("r1", "author", Ask::Book));
+    bench.duplicate(first);
+    run_for_ms(&mut bench, 4_000);
+    assert_eq!(bench.journal.runs.len(), 1);
+    assert!(bench.calls.iter().any(|call| call.is_answered()));
+    hold(&bench);
+}
+
+#[test]
+fn lookup_is_answered() {
+    let mut bench = ready();
+    let call = bench.call(1, CallSpec::new("r1", "band", Ask::Look));
+    run_for_ms(&mut bench, 1_000);
+    assert!(bench.calls[call].is_answered());
+    hold(&bench);
+}
+
+#[test]
+fn one_of_racing_operators_wins() {
+    let mut bench = ready();
+    let won = bench.edit_after(1, "mona", |plan| plan.is_withdrawn = true);
+    let lost = bench.edit_after(1, "kaisu", |plan| _ = plan.out.insert("a"));
+    assert_eq!(won, Some(Verdict::Accepted { generation: 2 }));
+    assert!(matches!(lost, Some(Verdict::Stale { in_force: 2, .. })));
+    run_for_ms(&mut bench, 1_000);
+    assert!((0..bench::ENTRIES).all(|node| bench.generation(node) == 2));
+    hold(&bench);
+}
+
+#[test]
+fn shutdown_finishes_a_stream() {
+    let mut bench = ready();
+    let call = bench.call(2, CallSpec::new("r1", "author", Ask::Chat("draft", 100)));
+    run_for_ms(&mut bench, 200);
+    bench.shut_down(2);
+    run_for_ms(&mut bench, 6_000);
+    assert!(bench.calls[call].is_answered());
+    assert!(bench.nodes[2].entry.is_none());
+    hold(&bench);
+}
+
+#[test]
+fn killed_entry_comes_back_with_the_newest_rules() {
+    let mut bench = ready();
+    bench.restart_after(1, Duration::from_secs(1));
+    _ = bench.edit("mona", |plan| plan.is_withdrawn = true);
+    run_for_ms(&mut bench, 4_000);
+    assert_eq!(bench.generation(1), 2);
+    hold(&bench);
+}
+
+/// The log forgets; an entry that starts later must still learn the rules.
+#[test]
+fn rules_outlive_their_records() {
+    let mut bench = ready();
+    bench.kill(0);
+    _ = bench.edit("mona", |_| {});
+    bench.log.keep = Some(Duration::from_secs(1));
+    run_for_ms(&mut bench, 2_000);
+    bench.start(0);
+    run_for_ms(&mut bench, 4_000);
+    assert_eq!(bench.generation(0), 2);
+}
+
+/// The same without a peer to ask: only what stands on the log can tell.
+#[test]
+fn rules_outlive_the_fleet() {
+    let mut bench = ready();
+    bench.log.keep = Some(Duration::from_secs(300));
+    run_for_ms(&mut bench, 400_000);
+    (0..bench::ENTRIES).for_each(|node| bench.kill(node));
+    bench.start(0);
+    run_for_ms(&mut bench, 4_000);
+    assert_eq!(bench.generation(0), 1);
+}
