--- a/crates/comfreyroad/tests/proof/bench/fault.rs
+++ b/crates/comfreyroad/tests/proof/bench/fault.rs
@@ -9,6 +9,8 @@
 
 /// How long a fault lasts that does not stay.
 const LASTS: Duration = Duration::from_secs(4);
+/// Time until a later kill, within the other faults' time.
+const LATER: Duration = Duration::from_millis(2_500);
 /// How long a zone stays out.
 const ZONE_LASTS: Duration = Duration::from_secs(7);
 
@@ -39,6 +41,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Fault {
     Kill,
+    KillLater,
     Pause,
     CutFromLog,
     DeafToLog,
@@ -134,6 +137,7 @@
         let node = place.node;
         match fault {
             Fault::Kill => self.restart_after(node, LASTS),
+            Fault::KillLater => self.after(LATER, move |bench| bench.restart_after(node, LASTS)),
             Fault::Pause => {
                 self.pause(node);
                 return self.after(LASTS, move |bench| bench.resume(node));
