--- a/crates/comfreyroad/tests/proof/bench/caller.rs
+++ b/crates/comfreyroad/tests/proof/bench/caller.rs
@@ -6,8 +6,8 @@
 use comfreyroad::request::{Chat, Head, Request, Service, Target};
 use comfreyroad::{Event, id::CallId};
 
+use super::answer::parts;
 use super::node::Post;
-use super::upstream::parts;
 use super::{Bench, Step};
 
 /// Time that a caller gives the whole answer.
--- a/crates/comfreyroad/tests/proof/bench/fault.rs
+++ b/crates/comfreyroad/tests/proof/bench/fault.rs
@@ -4,7 +4,7 @@
 use comfreyroad::event::Signal;
 use comfreyroad::id::UpstreamId;
 
-use super::upstream::Mischief;
+use super::answer::Mischief;
 use super::{Bench, ENTRIES};
 
 /// How long a fault lasts that does not stay.
--- a/crates/comfreyroad/tests/proof/bench/mod.rs
+++ b/crates/comfreyroad/tests/proof/bench/mod.rs
@@ -1,5 +1,6 @@
 //! A fleet of entries in one process: no threads, no sleeps, and a clock that moves from one job to the next.
 
+mod answer;
 mod caller;
 mod fault;
 mod journal;
