--- /dev/null
+++ b/crates/comfreyroad/src/controller/claim/mod.rs
@@ -0,0 +1,164 @@
+//! Claims: a request that may run once at most runs for the first claim on the log, and for no other.
+//!
+//! The entry that reads its own claim as the first holds the request. One whose claim is not the first waits a little
+//! for the holder: it repeats the recorded answer, claims again where the holder gave the request back, and else says
+//! that the request may have run.
+
+mod book;
+mod proof;
+mod verdict;
+
+pub use book::{Book, Held};
+pub use proof::Proof;
+pub use verdict::Verdict;
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use indexmap::IndexMap;
+
+use super::Controller;
+use crate::clock::Now;
+use crate::event::{Event, LogEntry, Page};
+use crate::id::{BootId, CallId, EntryId};
+use crate::note::{self, Note};
+use crate::outbox::Outbox;
+use crate::record::{Key, Record, Stream, Writer};
+use crate::request::Head;
+use crate::settings::Settings;
+
+/// Claims read from the log, and those that calls at this entry wait for.
+#[derive(Debug)]
+pub struct Claims {
+    entry: EntryId,
+    boot: BootId,
+    horizon: Duration,
+    wait: Duration,
+    book: Book,
+    wanted: IndexMap<Writer, Key>,
+}
+
+impl Claims {
+    pub(super) fn new(settings: &Settings) -> Self {
+        Self {
+            entry: settings.entry.clone(),
+            boot: settings.boot.clone(),
+            horizon: settings.horizon,
+            wait: settings.claim_wait,
+            book: Book::new(settings.horizon),
+            wanted: IndexMap::new(),
+        }
+    }
+
+    /// The name under which a call claims.
+    pub fn writer(&self, call: CallId) -> Writer {
+        Writer {
+            entry: self.entry.clone(),
+            boot: self.boot.clone(),
+            number: call,
+        }
+    }
+
+    /// The claims stream, as far as it was read.
+    pub fn book(&self) -> &Book {
+        &self.book
+    }
+
+    /// When a request stops waiting for its claim.
+    pub fn give_up_at(&self, head: &Head) -> Instant {
+        head.deadline.min(head.received + self.wait)
+    }
+
+    /// What the log, as far as it was read, says of a writer's claim.
+    pub fn verdict(&self, key: &Key, writer: &Writer, now: Now) -> Verdict {
+        match self.book.holder(key) {
+            Some(held) if held.writer == *writer => self.proof(held, now),
+            Some(Held {
+                outcome: Some(outcome),
+                ..
+            }) => Verdict::Settled(outcome.clone()),
+            _ => Verdict::Open,
+        }
+    }
+
+    /// A proof lasts half the horizon, which leaves the other half for clocks that differ.
+    fn proof(&self, held: &Held, now: Now) -> Verdict {
+        let age = now.system.duration_since(held.at).unwrap_or_default();
+        match (self.horizon / 2).checked_sub(age) {
+            Some(left) if held.is_sure => Verdict::First(Proof::new(now.instant + left)),
+            _ => Verdict::Unsure,
+        }
+    }
+
+    fn on_page(&mut self, page: &Page, out: &mut Outbox) {
+        self.book.begin(page);
+        for entry in &page.entries {
+            let Some(key) = self.book.feed(entry) else {
+                continue;
+            };
+            if self.wanted.values().any(|wanted| wanted == key) {
+                self.on_news(entry, key, out);
+            }
+        }
+    }
+
+    /// A record concerns a request that a call here waits for.
+    fn on_news(&mut self, entry: &LogEntry, key: &Key, out: &mut Outbox) {
+        let holder = self.book.holder(key).map(|held| &held.writer);
+        match (&entry.record, holder) {
+            (Some(Record::Claim { writer, .. }), Some(holder))
+                if holder != writer && self.wanted.contains_key(writer) =>
+            {
+                out.note(
+                    Note::new(&note::CLAIM_LOST)
+                        .with("request", &key.request)
+                        .with("to", &holder.entry),
+                );
+            }
+            // The holder gave it back, and claims made before that do not count.
+            (Some(Record::Release { .. }), None) => {
+                for (writer, _) in self.wanted.iter().filter(|(_, wanted)| *wanted == key) {
+                    out.raise(Self::write(Record::Claim {
+                        key: key.clone(),
+                        writer: writer.clone(),
+                    }));
+                }
+            }
+            _ => {}
+        }
+        if let Some(holder) = holder.cloned() {
+            self.wanted.swap_remove(&holder);
+            out.raise(Event::ClaimDecided(key.clone()));
+        }
+    }
+
+    fn write(record: Record) -> Event {
+        Event::Write {
+            stream: Stream::Claims,
+            record: Rc::new(record),
+        }
+    }
+}
+
+impl Controller for Claims {
+    fn handle(&mut self, _: Now, event: &Event, out: &mut Outbox) {
+        match event {
+            Event::ClaimWanted { key, writer } => {
+                self.wanted.insert(writer.clone(), key.clone());
+                out.raise(Self::write(Record::Claim {
+                    key: key.clone(),
+                    writer: writer.clone(),
+                }));
+            }
+            Event::ClaimReleased { key, writer } => {
+                self.wanted.swap_remove(writer);
+                out.raise(Self::write(Record::Release {
+                    key: key.clone(),
+                    writer: writer.clone(),
+                }));
+            }
+            Event::Read(page) if page.stream == Stream::Claims => self.on_page(page, out),
+            _ => {}
+        }
+    }
+}
--- a/crates/comfreyroad/src/controller/mod.rs
+++ b/crates/comfreyroad/src/controller/mod.rs
@@ -9,6 +9,7 @@
 pub mod life;
 pub mod log;
 pub mod members;
+pub mod reach;
 pub mod rules;
 pub mod sessions;
 pub mod upstreams;
--- a/crates/comfreyroad/src/dispatcher/answer.rs
+++ b/crates/comfreyroad/src/dispatcher/answer.rs
@@ -8,7 +8,7 @@
 use crate::filter::chain;
 use crate::id::{AttemptId, AttemptTag, CallId};
 use crate::note::{self, Note};
-use crate::record::{Bill, Key, Outcome};
+use crate::record::{Bill, Key};
 use crate::refusal::{Code, Refusal};
 use crate::request::{Pinned, Request, Returned, Sent, Target, Usage};
 
@@ -92,6 +92,7 @@
         let Some(known) = self.calls.get_mut(&call) else {
             return;
         };
+        known.kept.begin(content_type.clone());
         if !std::mem::replace(&mut known.begun, true) {
             turn.out.act(Action::Begin {
                 call,
@@ -123,6 +124,11 @@
             return self.fail(call, None, turn);
         }
         request.advance(offset + length);
+        if let Some(known) = self.calls.get_mut(&call)
+            && known.claim.is_some()
+        {
+            known.kept.push(&bytes);
+        }
         turn.out.act(Action::Deliver { call, bytes });
     }
 
@@ -136,10 +142,7 @@
         self.attempts.swap_remove(&request.stage().attempt);
         let request = request.answer(usage);
         if let Some(key) = known.claim.clone() {
-            let outcome = Outcome::Answered {
-                status: request.stage().status,
-                body: None,
-            };
+            let outcome = std::mem::take(&mut known.kept).outcome(request.stage().status);
             Self::write_outcome(&key, call, outcome, turn);
         }
         let stage = request.stage();
@@ -152,7 +155,12 @@
     }
 
     /// A bill for the tokens that the caller has got.
-    fn bill(pinned: &Pinned, head: &crate::request::Head, delivered: u64, turn: &Turn<'_>) -> Bill {
+    pub(super) fn bill(
+        pinned: &Pinned,
+        head: &crate::request::Head,
+        delivered: u64,
+        turn: &Turn<'_>,
+    ) -> Bill {
         let key = Key {
             customer: pinned.allowed.customer.clone(),
             request: head.id.clone(),
@@ -216,9 +224,6 @@
                 self.settle(call, result, turn);
             }
             Err(_) => {
-                if let Some(key) = known.claim.clone() {
-                    Self::write_outcome(&key, call, Outcome::Doubtful, turn);
-                }
                 self.refuse(call, Refusal::maybe(Code::UpstreamFailed, "send"), turn);
             }
         }
@@ -244,7 +249,15 @@
     }
 
     /// The caller has hung up: stops the work and bills what was delivered.
+    ///
+    /// What may run once at most goes on, so that the caller's next attempt gets its answer.
     pub(super) fn on_caller_gone(&mut self, call: CallId, turn: &mut Turn<'_>) {
+        let runs_once = self
+            .running(call)
+            .is_some_and(|request| !Self::may_repeat(request));
+        if runs_once {
+            return;
+        }
         self.stop(call, turn);
         let Some(known) = self.calls.swap_remove(&call) else {
             return;
@@ -261,9 +274,6 @@
                     );
                     turn.out.raise(Event::BillWanted { call, bill });
                 }
-                if let Some(key) = known.claim {
-                    Self::write_outcome(&key, call, Outcome::Doubtful, turn);
-                }
             }
             Some(Active::Claiming(_) | Active::Queued(_)) => {
                 if let Some(key) = known.claim {
--- a/crates/comfreyroad/src/dispatcher/call.rs
+++ b/crates/comfreyroad/src/dispatcher/call.rs
@@ -1,3 +1,4 @@
+use super::kept::Kept;
 use crate::record::Key;
 use crate::request::{Answered, Claimed, Pinned, Request, Retrying, Sent};
 
@@ -10,6 +11,8 @@
     pub(super) begun: bool,
     /// The claim made for it.
     pub(super) claim: Option<Key>,
+    /// What is kept of the answer for later attempts.
+    pub(super) kept: Kept,
 }
 
 /// Where a call stands.
--- a/crates/comfreyroad/src/dispatcher/mod.rs
+++ b/crates/comfreyroad/src/dispatcher/mod.rs
@@ -2,6 +2,8 @@
 
 mod answer;
 mod call;
+mod kept;
+mod replay;
 mod resume;
 
 use indexmap::IndexMap;
@@ -15,8 +17,8 @@
 use crate::id::{AttemptId, AttemptTag, CallId};
 use crate::note::{self, Note};
 use crate::outbox::Outbox;
-use crate::record::{Key, Record, Stream};
-use crate::refusal::{Code, Ran, Refusal};
+use crate::record::{Key, Outcome, Record, Stream};
+use crate::refusal::{Code, Refusal};
 use crate::request::{Placed, Received, Repeat, Request};
 use crate::settings::Settings;
 
@@ -96,6 +98,9 @@
         let active = match result {
             Ok(request) => return self.send(call, request, turn),
             Err(Stop::Refused(refusal)) => return self.refuse(call, refusal, turn),
+            Err(Stop::Replayed(request, replay)) => {
+                return self.replay(call, request, replay, turn);
+            }
             Err(Stop::Claiming(request)) => Active::Claiming(request),
             Err(Stop::Queued(request)) => Active::Queued(request),
             Err(Stop::Retrying(request)) => Active::Retrying(request),
@@ -106,11 +111,7 @@
         if let Active::Claiming(request) = &active
             && known.claim.is_none()
         {
-            let customer = request.stage().allowed.customer.clone();
-            let key = Key {
-                customer,
-                request: request.head().id.clone(),
-            };
+            let key = request.key();
             known.claim = Some(key.clone());
             turn.out.raise(Event::ClaimWanted {
                 key,
@@ -150,13 +151,13 @@
         let Some(known) = self.calls.swap_remove(&call) else {
             return;
         };
-        if refusal.ran() == Ran::No
-            && let Some(key) = known.claim
-        {
-            turn.out.raise(Event::ClaimReleased {
-                key,
-                writer: turn.state.claims.writer(call),
-            });
+        if let Some(key) = known.claim {
+            if refusal.was_sent() {
+                Self::write_outcome(&key, call, Outcome::Doubtful, turn);
+            } else {
+                let writer = turn.state.claims.writer(call);
+                turn.out.raise(Event::ClaimReleased { key, writer });
+            }
         }
         turn.out.note(
             Note::new(&note::REFUSED)
@@ -172,12 +173,7 @@
     }
 
     /// Writes down what became of a claimed request.
-    fn write_outcome(
-        key: &Key,
-        call: CallId,
-        outcome: crate::record::Outcome,
-        turn: &mut Turn<'_>,
-    ) {
+    fn write_outcome(key: &Key, call: CallId, outcome: Outcome, turn: &mut Turn<'_>) {
         let writer = turn.state.claims.writer(call);
         let record = Record::Settle {
             key: key.clone(),
--- a/crates/comfreyroad/src/filter/chain.rs
+++ b/crates/comfreyroad/src/filter/chain.rs
@@ -1,14 +1,17 @@
 //! The order of the chain.
 
 use super::{Filter, Halt, View, allow::Allow, claim::Claim, pin::Pin, place::Place, retry::Retry};
+use crate::record::Replay;
 use crate::refusal::Refusal;
-use crate::request::{Allowed, Claimed, Pinned, Placed, Received, Request, Retrying};
+use crate::request::{Allowed, Answered, Claimed, Pinned, Placed, Received, Request, Retrying};
 
 /// Where a request stands that did not come through.
 #[derive(Debug)]
 pub enum Stop {
     /// It is refused.
     Refused(Refusal),
+    /// It ran before, and its answer is known.
+    Replayed(Box<Request<Answered>>, Replay),
     /// It waits for the verdict on its claim.
     Claiming(Box<Request<Pinned>>),
     /// It waits for a slot.
@@ -44,6 +47,7 @@
     fn from(halt: Halt<Received>) -> Self {
         match halt {
             Halt::Refuse(refusal) => Self::Refused(refusal),
+            Halt::Replay(request, replay) => Self::Replayed(request, replay),
             Halt::Wait(request) => {
                 Self::Refused(Refusal::not_run(&request, crate::refusal::Code::NotReady))
             }
@@ -55,6 +59,7 @@
     fn from(halt: Halt<Allowed>) -> Self {
         match halt {
             Halt::Refuse(refusal) => Self::Refused(refusal),
+            Halt::Replay(request, replay) => Self::Replayed(request, replay),
             Halt::Wait(request) => {
                 Self::Refused(Refusal::not_run(&request, crate::refusal::Code::NotReady))
             }
@@ -66,6 +71,7 @@
     fn from(halt: Halt<Pinned>) -> Self {
         match halt {
             Halt::Refuse(refusal) => Self::Refused(refusal),
+            Halt::Replay(request, replay) => Self::Replayed(request, replay),
             Halt::Wait(request) => Self::Claiming(request),
         }
     }
@@ -75,6 +81,7 @@
     fn from(halt: Halt<Claimed>) -> Self {
         match halt {
             Halt::Refuse(refusal) => Self::Refused(refusal),
+            Halt::Replay(request, replay) => Self::Replayed(request, replay),
             Halt::Wait(request) => Self::Queued(request),
         }
     }
@@ -84,6 +91,7 @@
     fn from(halt: Halt<Retrying>) -> Self {
         match halt {
             Halt::Refuse(refusal) => Self::Refused(refusal),
+            Halt::Replay(request, replay) => Self::Replayed(request, replay),
             Halt::Wait(request) => Self::Retrying(request),
         }
     }
--- a/crates/comfreyroad/src/filter/claim.rs
+++ b/crates/comfreyroad/src/filter/claim.rs
@@ -2,7 +2,7 @@
 
 use super::{Filter, Halt, View};
 use crate::controller::claim::Verdict;
-use crate::record::Key;
+use crate::record::{Key, Outcome, Replay};
 use crate::refusal::{Code, Refusal};
 use crate::request::{Claimed, Pinned, Request};
 
@@ -18,19 +18,59 @@
             Ok(request) => return Ok(request),
             Err(request) => request,
         };
-        let key = Key {
-            customer: request.stage().allowed.customer.clone(),
-            request: request.head().id.clone(),
-        };
-        let writer = view.state.claims.writer(request.head().call);
-        match view.state.claims.verdict(&key, &writer) {
+        let key = request.key();
+        let claims = &view.state.claims;
+        let writer = claims.writer(request.head().call);
+        match claims.verdict(&key, &writer, view.now) {
             Verdict::First(proof) => Ok(request.claim(proof)),
-            Verdict::Open if request.head().deadline <= view.now.instant => {
-                Err(Refusal::not_run(&request, Code::Deadline).into())
+            Verdict::Settled(outcome) => Err(Self::settled(request, outcome)),
+            Verdict::Unsure => Err(Refusal::unknown(&request, Code::Claimed)
+                .with_message("an earlier attempt may have been forgotten")
+                .into()),
+            Verdict::Open if view.now.instant < claims.give_up_at(request.head()) => {
+                Err(Halt::wait(request))
             }
-            Verdict::Open => Err(Halt::wait(request)),
-            // Another attempt of the same request may be running or may have run.
-            Verdict::Taken(_) => Err(Refusal::maybe(Code::Claimed, "claim").into()),
+            Verdict::Open => Err(Self::give_up(&request, &key, view).into()),
         }
     }
 }
+
+impl Claim {
+    /// The recorded answer where it was kept; else only that the request has run.
+    fn settled(request: Request<Pinned>, outcome: Outcome) -> Halt<Pinned> {
+        let message = match outcome {
+            Outcome::Answered {
+                status,
+                content_type,
+                body: Some(body),
+            } => {
+                let replay = Replay {
+                    status,
+                    content_type,
+                    body,
+                };
+                return Halt::Replay(Box::new(request.replay(&replay)), replay);
+            }
+            Outcome::Answered { status, .. } => {
+                format!("answered before with status {status}; the answer was not kept")
+            }
+            Outcome::Doubtful => "sent before, and the answer was lost".into(),
+        };
+        Refusal::unknown(&request, Code::Claimed)
+            .with_message(message)
+            .into()
+    }
+
+    fn give_up(request: &Request<Pinned>, key: &Key, view: &View<'_>) -> Refusal {
+        if view.state.claims.book().holder(key).is_some() {
+            return Refusal::unknown(request, Code::Claimed)
+                .with_message("another attempt is under way");
+        }
+        let code = if request.head().deadline <= view.now.instant {
+            Code::Deadline
+        } else {
+            Code::LogDown
+        };
+        Refusal::not_run(request, code)
+    }
+}
--- a/crates/comfreyroad/src/filter/mod.rs
+++ b/crates/comfreyroad/src/filter/mod.rs
@@ -12,8 +12,9 @@
 
 use crate::clock::Now;
 use crate::controller::Controllers;
+use crate::record::Replay;
 use crate::refusal::Refusal;
-use crate::request::{Request, Stage};
+use crate::request::{Answered, Request, Stage};
 
 /// One step of the chain.
 pub trait Filter<S: Stage> {
@@ -38,6 +39,8 @@
 pub enum Halt<S> {
     /// It waits; the filter is asked again when something has changed.
     Wait(Box<Request<S>>),
+    /// It ran before, and its answer is known.
+    Replay(Box<Request<Answered>>, Replay),
     /// It is refused.
     Refuse(Refusal),
 }
--- a/crates/comfreyroad/src/filter/place.rs
+++ b/crates/comfreyroad/src/filter/place.rs
@@ -16,6 +16,9 @@
         if request.head().deadline <= view.now.instant {
             return Err(Refusal::not_run(&request, Code::Deadline).into());
         }
+        if request.is_lapsed(view.now.instant) {
+            return Err(Refusal::not_run(&request, Code::Deadline).into());
+        }
         let need = match need(&request.stage().pinned, request.head(), view) {
             Ok(need) => need,
             Err(code) => return Err(Refusal::not_run(&request, code).into()),
--- a/crates/comfreyroad/src/record/mod.rs
+++ b/crates/comfreyroad/src/record/mod.rs
@@ -3,9 +3,11 @@
 mod bill;
 mod key;
 mod record;
+mod replay;
 mod stream;
 
 pub use bill::Bill;
 pub use key::Key;
 pub use record::{Outcome, Record, Writer};
+pub use replay::Replay;
 pub use stream::Stream;
--- a/crates/comfreyroad/src/record/record.rs
+++ b/crates/comfreyroad/src/record/record.rs
@@ -120,6 +120,9 @@
     Answered {
         /// HTTP status.
         status: u16,
+        /// Type of the body.
+        #[cfg_attr(feature = "serde", serde(default))]
+        content_type: Option<Arc<str>>,
         /// Body, where it was small enough to keep.
         body: Option<Arc<[u8]>>,
     },
--- a/crates/comfreyroad/src/refusal.rs
+++ b/crates/comfreyroad/src/refusal.rs
@@ -81,17 +81,31 @@
     ran: Ran,
     message: String,
     retry_after: Option<Duration>,
+    was_sent: bool,
 }
 
 impl Refusal {
     /// A refusal of a request that no upstream has seen.
-    pub fn not_run<S: Unsent>(_: &Request<S>, code: Code) -> Self {
+    ///
+    /// A caller's second attempt gets "not run" only on the log's proof: nobody here knows what became of the first.
+    pub fn not_run<S: Unsent>(request: &Request<S>, code: Code) -> Self {
+        if request.head().attempt > 1 && !request.stage().is_proven() {
+            return Self::unknown(request, code);
+        }
         Self::new(code, S::NAME, Ran::No)
     }
 
+    /// A refusal of a request that was not sent for this call, but may have run for another attempt.
+    pub fn unknown<S: Unsent>(_: &Request<S>, code: Code) -> Self {
+        Self::new(code, S::NAME, Ran::Maybe)
+    }
+
     /// A refusal of a request that an upstream may have run.
     pub fn maybe(code: Code, step: &'static str) -> Self {
-        Self::new(code, step, Ran::Maybe)
+        Self {
+            was_sent: true,
+            ..Self::new(code, step, Ran::Maybe)
+        }
     }
 
     fn new(code: Code, step: &'static str, ran: Ran) -> Self {
@@ -102,6 +116,7 @@
             ran,
             message,
             retry_after,
+            was_sent: false,
         }
     }
 
@@ -134,6 +149,11 @@
         self.ran
     }
 
+    /// Whether it was sent to an upstream for this call.
+    pub fn was_sent(&self) -> bool {
+        self.was_sent
+    }
+
     /// Words for a person; may be empty.
     pub fn message(&self) -> &str {
         &self.message
--- a/crates/comfreyroad/src/request/claimed.rs
+++ b/crates/comfreyroad/src/request/claimed.rs
@@ -1,3 +1,5 @@
+use std::time::Instant;
+
 use super::{Origin, Pinned, Placed, Request, Stage};
 use crate::controller::claim::Proof;
 use crate::upstream::Slot;
@@ -16,6 +18,12 @@
 }
 
 impl Request<Claimed> {
+    /// Whether its claim is too old for it to run.
+    pub fn is_lapsed(&self, now: Instant) -> bool {
+        let proof = self.stage.proof.as_ref();
+        proof.is_some_and(|proof| proof.is_lapsed(now))
+    }
+
     pub(crate) fn place(self, slot: Slot) -> Request<Placed> {
         self.into_stage(|claimed| Placed {
             origin: Origin::First(claimed),
--- a/crates/comfreyroad/src/request/mod.rs
+++ b/crates/comfreyroad/src/request/mod.rs
@@ -43,7 +43,12 @@
 }
 
 /// A stage in which no upstream has seen the request.
-pub trait Unsent: Stage + sealed::Sealed {}
+pub trait Unsent: Stage + sealed::Sealed {
+    /// Whether the log proves that no earlier attempt has run.
+    fn is_proven(&self) -> bool {
+        false
+    }
+}
 
 mod sealed {
     pub trait Sealed {}
@@ -56,7 +61,11 @@
 impl Unsent for Received {}
 impl Unsent for Allowed {}
 impl Unsent for Pinned {}
-impl Unsent for Claimed {}
+impl Unsent for Claimed {
+    fn is_proven(&self) -> bool {
+        self.proof.is_some()
+    }
+}
 
 /// A request at one stage of its life.
 #[derive(Debug)]
--- a/crates/comfreyroad/src/request/pinned.rs
+++ b/crates/comfreyroad/src/request/pinned.rs
@@ -1,8 +1,9 @@
 use std::sync::Arc;
 
-use super::{Allowed, Claimed, Repeat, Request, Stage};
+use super::{Allowed, Answered, Claimed, Repeat, Request, Stage, Usage};
 use crate::controller::claim::Proof;
 use crate::id::VersionId;
+use crate::record::{Key, Replay};
 
 /// Bound to the version, or the chain of versions, that is to answer.
 #[derive(Clone, Debug)]
@@ -57,6 +58,24 @@
         })
     }
 
+    /// The name under which it is claimed and billed.
+    pub fn key(&self) -> Key {
+        Key {
+            customer: self.stage.allowed.customer.clone(),
+            request: self.head.id.clone(),
+        }
+    }
+
+    /// Goes on as answered, by an answer that an earlier attempt got.
+    pub(crate) fn replay(self, replay: &Replay) -> Request<Answered> {
+        self.into_stage(|pinned| Answered {
+            pinned,
+            status: replay.status,
+            delivered: replay.body.len() as u64,
+            usage: Usage::default(),
+        })
+    }
+
     /// Goes on without a claim, which only what may be repeated can do.
     pub(crate) fn skip_claim(self) -> Result<Request<Claimed>, Self> {
         match self.stage.allowed.repeat {
--- a/crates/comfreyroad/src/settings.rs
+++ b/crates/comfreyroad/src/settings.rs
@@ -23,6 +23,11 @@
     pub stale_after: Duration,
     /// Time without a heartbeat after which a peer counts as lost.
     pub peer_timeout: Duration,
+    /// Time for which a request's id is known: two requests with one id that are further apart are different ones. The
+    /// log must keep records for longer than this.
+    pub horizon: Duration,
+    /// Time for which a request that may run once at most waits for its claim.
+    pub claim_wait: Duration,
     /// Time for which the end of an answer waits for its bill to be safe.
     pub bill_wait: Duration,
     /// Time that a shutdown may take.
@@ -46,6 +51,8 @@
             session_keys: vec![[0; 32]],
             stale_after: Duration::from_secs(3),
             peer_timeout: Duration::from_secs(3),
+            horizon: Duration::from_secs(30 * 60),
+            claim_wait: Duration::from_secs(2),
             bill_wait: Duration::from_secs(2),
             drain_timeout: Duration::from_secs(30),
             drain_notice: Duration::from_secs(1),
