Keep bills with a peer in another zone, and count the highest of a key

Cause: a bill lived in one entry's memory until the log took it. With the log out of reach the end was delivered after two seconds, and a kill after that lost the bill. Two calls of one request at one entry shared a place for one waiting call, so one of them was never told anything.

Conclusion: a bill is safe on the log or with a peer in another zone, which appends it when its origin restarts, goes silent or takes long. Of the bills with one key the highest counts within a horizon of the log's own time, so half an answer and then the whole are paid for as the whole once. Totals let readers that start late come to the same sums. An unclear append is read back first.

--- /dev/null
+++ b/crates/comfreyroad/src/controller/appends/mod.rs
@@ -0,0 +1,128 @@
+//! Appends to the log: one under way a stream, what comes meanwhile goes into the next.
+//!
+//! After an unclear append the log is read back, and only what it does not show is appended again. A record can still
+//! come to stand twice, when the first copy lands late; every reader counts one of them, so this does no harm.
+
+mod queue;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::Controller;
+use crate::action::Action;
+use crate::clock::Now;
+use crate::event::Event;
+use crate::id::BatchId;
+use crate::note::{self, Note};
+use crate::outbox::Outbox;
+use crate::record::Stream;
+use queue::Queue;
+
+/// Appends to one stream in a second by all entries together, at most.
+const RATE: u32 = 100;
+
+/// Records on their way to the log.
+#[derive(Debug)]
+pub struct Appends {
+    queues: [Queue; Stream::ALL.len()],
+    last_batch: BatchId,
+    // Least time between two appends to one stream, so that all entries together keep the rate.
+    interval: Duration,
+}
+
+impl Default for Appends {
+    fn default() -> Self {
+        Self {
+            queues: Stream::ALL.map(Queue::new),
+            last_batch: 0,
+            interval: Duration::ZERO,
+        }
+    }
+}
+
+impl Appends {
+    /// Records not yet known to be on the log.
+    pub fn pending(&self) -> usize {
+        self.queues.iter().map(Queue::len).sum()
+    }
+
+    fn start(&mut self, now: Now, out: &mut Outbox) {
+        for queue in &mut self.queues {
+            let batch = self.last_batch + 1;
+            let Some(records) = queue.start(now.instant, batch) else {
+                continue;
+            };
+            self.last_batch = batch;
+            let stream = queue.stream;
+            out.act(Action::Append {
+                batch,
+                stream,
+                records,
+            });
+        }
+    }
+
+    fn at(&mut self, batch: BatchId) -> Option<&mut Queue> {
+        self.queues.iter_mut().find(|queue| queue.is_at(batch))
+    }
+
+    fn of(&mut self, stream: Stream) -> Option<&mut Queue> {
+        self.queues.iter_mut().find(|queue| queue.stream == stream)
+    }
+
+    fn on_taken(&mut self, now: Now, batch: BatchId, out: &mut Outbox) {
+        let interval = self.interval;
+        let Some(queue) = self.at(batch) else { return };
+        let stream = queue.stream;
+        let records = queue.on_taken(now.instant, interval);
+        out.raise(Event::Written { stream, records });
+    }
+
+    fn on_unclear(&mut self, now: Now, batch: BatchId, out: &mut Outbox) {
+        let Some(queue) = self.at(batch) else { return };
+        queue.on_unclear(now.instant);
+        let stream = queue.stream.name();
+        out.note(
+            Note::new(&note::APPEND_UNCLEAR)
+                .with("batch", batch)
+                .with("stream", stream),
+        );
+    }
+}
+
+impl Controller for Appends {
+    fn handle(&mut self, now: Now, event: &Event, out: &mut Outbox) {
+        match event {
+            Event::Write { stream, record } => {
+                let Some(queue) = self.of(*stream) else {
+                    return;
+                };
+                queue.push(Rc::clone(record));
+            }
+            Event::Appended { batch, .. } => self.on_taken(now, *batch, out),
+            Event::AppendRefused(batch) => {
+                let Some(queue) = self.at(*batch) else { return };
+                queue.on_refused(now.instant);
+            }
+            Event::AppendUnclear(batch) => self.on_unclear(now, *batch, out),
+            Event::Read(page) => {
+                let Some(queue) = self.of(page.stream) else {
+                    return;
+                };
+                queue.on_page(page);
+            }
+            Event::Members(view) => {
+                let entries = view.members.len().max(1) as u32;
+                self.interval = Duration::from_secs(1) * entries / RATE;
+                return;
+            }
+            Event::Tick => {
+                for queue in &mut self.queues {
+                    queue.on_tick(now.instant);
+                }
+            }
+            _ => return,
+        }
+        self.start(now, out);
+    }
+}
--- /dev/null
+++ b/crates/comfreyroad/src/controller/ledger/tally.rs
@@ -0,0 +1,181 @@
+use std::collections::VecDeque;
+use std::time::{Duration, SystemTime};
+
+use indexmap::IndexMap;
+
+use super::Sum;
+use crate::controller::reach::Reach;
+use crate::event::{LogEntry, Page};
+use crate::id::{CustomerId, Offset};
+use crate::record::{Bill, Key, Record};
+
+/// The ledger stream, read in order: what each customer owes.
+///
+/// Of the bills with one key the highest counts, so a caller who got half an answer and then the whole pays for the
+/// whole once. A bill is held against those of its key within a horizon before it, by the log's own time. What it adds
+/// is a function of that part of the stream alone, so readers that start late come to the same sums: they take over
+/// totals, and add the bills after these.
+#[derive(Debug)]
+pub struct Tally {
+    horizon: Duration,
+    reach: Reach,
+    bills: IndexMap<Key, Vec<Seen>>,
+    by_age: VecDeque<(SystemTime, Key)>,
+    sums: IndexMap<CustomerId, Sum>,
+    // `Some` while the sums before the first record read are not known: what came after, by offset.
+    loose: Option<Vec<Loose>>,
+}
+
+/// A bill that was read.
+#[derive(Clone, Copy, Debug)]
+struct Seen {
+    at: SystemTime,
+    cost: u64,
+}
+
+/// What a bill adds to sums that are not known yet.
+#[derive(Clone, Debug)]
+struct Loose {
+    offset: Offset,
+    customer: CustomerId,
+    sum: Sum,
+    is_sure: bool,
+}
+
+impl Tally {
+    /// Nothing read yet.
+    pub fn new(horizon: Duration) -> Self {
+        Self {
+            horizon,
+            reach: Reach::default(),
+            bills: IndexMap::new(),
+            by_age: VecDeque::new(),
+            sums: IndexMap::new(),
+            loose: None,
+        }
+    }
+
+    /// Takes note of a page, before its records are fed.
+    pub fn begin(&mut self, page: &Page) {
+        if page.oldest > self.reach.next() {
+            // Bills were dropped unread; only totals can make up for them.
+            self.sums.clear();
+            self.loose = Some(Vec::new());
+        }
+        self.reach.read(page);
+    }
+
+    /// Takes the next record; says whether it is a bill that adds nothing.
+    pub fn feed(&mut self, entry: &LogEntry) -> bool {
+        self.expire(entry.at);
+        match &entry.record {
+            Some(Record::Bill(bill)) => self.on_bill(entry.offset, entry.at, bill),
+            Some(Record::Totals { before, sums }) => {
+                self.on_totals(*before, sums);
+                false
+            }
+            _ => false,
+        }
+    }
+
+    /// The highest bill with a key, as far as it counts against a new one.
+    pub fn highest(&self, key: &Key) -> Option<u64> {
+        let seen = self.bills.get(key)?;
+        seen.iter().map(|seen| seen.cost).max()
+    }
+
+    /// What each customer owes by the part of the log that was read.
+    pub fn sums(&self) -> &IndexMap<CustomerId, Sum> {
+        &self.sums
+    }
+
+    /// Whether the sums count every bill there ever was.
+    pub fn is_whole(&self) -> bool {
+        self.loose.is_none()
+    }
+
+    /// The totals up to the last record read, for those who start later; `None` where they are not known.
+    pub fn totals(&self) -> Option<Record> {
+        let sum = |(customer, sum): (&CustomerId, &Sum)| (customer.clone(), sum.requests, sum.cost);
+        let mut sums: Vec<_> = self.sums.iter().map(sum).collect();
+        sums.sort();
+        self.is_whole().then_some(Record::Totals {
+            before: self.reach.next(),
+            sums,
+        })
+    }
+
+    /// Keys kept in memory.
+    pub fn len(&self) -> usize {
+        self.bills.len()
+    }
+
+    /// Whether no key is kept.
+    pub fn is_empty(&self) -> bool {
+        self.bills.is_empty()
+    }
+
+    fn on_bill(&mut self, offset: Offset, at: SystemTime, bill: &Bill) -> bool {
+        let highest = self.highest(&bill.key);
+        let sum = Sum {
+            requests: u64::from(highest.is_none()),
+            cost: bill.cost.saturating_sub(highest.unwrap_or(0)),
+        };
+        let seen = Seen {
+            at,
+            cost: bill.cost,
+        };
+        self.bills.entry(bill.key.clone()).or_default().push(seen);
+        self.by_age.push_back((at, bill.key.clone()));
+        let customer = bill.key.customer.clone();
+        self.sums.entry(customer.clone()).or_default().add(sum);
+        let is_sure = at
+            .checked_sub(self.horizon)
+            .is_none_or(|from| self.reach.covers(from));
+        if let Some(loose) = &mut self.loose {
+            loose.push(Loose {
+                offset,
+                customer,
+                sum,
+                is_sure,
+            });
+        }
+        sum == Sum::default()
+    }
+
+    /// Takes totals over, where the sums are not known and every bill after these was counted rightly.
+    fn on_totals(&mut self, before: Offset, sums: &[(CustomerId, u64, u64)]) {
+        let Some(loose) = &self.loose else { return };
+        let after = || loose.iter().filter(|loose| loose.offset >= before);
+        if !after().all(|loose| loose.is_sure) {
+            return;
+        }
+        let mut whole: IndexMap<CustomerId, Sum> = IndexMap::new();
+        for (customer, requests, cost) in sums {
+            let (requests, cost) = (*requests, *cost);
+            let sum = whole.entry(customer.clone()).or_default();
+            sum.add(Sum { requests, cost });
+        }
+        for loose in after() {
+            let sum = whole.entry(loose.customer.clone()).or_default();
+            sum.add(loose.sum);
+        }
+        self.sums = whole;
+        self.loose = None;
+    }
+
+    /// Forgets what is a horizon older than a record.
+    fn expire(&mut self, at: SystemTime) {
+        let horizon = self.horizon;
+        let is_old = |then: SystemTime| then + horizon <= at;
+        while let Some((_, key)) = self.by_age.pop_front_if(|(then, _)| is_old(*then)) {
+            let Some(seen) = self.bills.get_mut(&key) else {
+                continue;
+            };
+            seen.retain(|seen| !is_old(seen.at));
+            if seen.is_empty() {
+                self.bills.swap_remove(&key);
+            }
+        }
+    }
+}
--- a/crates/comfreyroad/src/dispatcher/answer.rs
+++ b/crates/comfreyroad/src/dispatcher/answer.rs
@@ -147,7 +147,13 @@
         }
         let stage = request.stage();
         let bill = Self::bill(&stage.pinned, request.head(), stage.delivered, turn);
-        turn.out.raise(Event::BillWanted { call, bill });
+        // The upstream failed in a way that it could still tell, so there is nothing to pay for.
+        let is_free = stage.status >= 500;
+        turn.out.raise(if is_free {
+            Event::BillSafe(call)
+        } else {
+            Event::BillWanted { call, bill }
+        });
         turn.out.raise(Event::Room);
         if let Some(known) = self.calls.get_mut(&call) {
             known.active = Some(Active::Billing(Box::new(request)));
--- a/crates/comfreyroad/src/event/event.rs
+++ b/crates/comfreyroad/src/event/event.rs
@@ -90,6 +90,13 @@
         /// The record.
         record: Rc<Record>,
     },
+    /// Records are on the log.
+    Written {
+        /// The stream.
+        stream: Stream,
+        /// The records.
+        records: Vec<Rc<Record>>,
+    },
     /// New rules are in force.
     InForce(Arc<InForce>),
     /// The set of live entries, or what they say of themselves, has changed.
