Pass rules on between entries, and repeat them on the log

Nothing wrote checkpoints, a late reader took a late checkpoint for the newest, and an age heard in a frame counted from its arrival, however long it was under way.

Now a checkpoint and a peer's news are the same thing: what is in force by all records before an offset. Two entries a zone read the log, the others are told: a number of a few bytes goes out at once, whoever lacks the text asks one peer for it. Ages count from the frame that was answered. Stale entries take no new work and are not ready, unless entries of every zone say that they do not hear of the log either; then nothing can be published and they serve on.

Test of the history: a checkpoint that leaves out the missed records no longer makes them known, which the old test had asked for; the new one asks for both.

--- a/crates/comfreyroad/src/controller/life.rs
+++ b/crates/comfreyroad/src/controller/life.rs
@@ -88,6 +88,7 @@
     notice: std::time::Duration,
     timeout: std::time::Duration,
     takes_work: bool,
+    is_fresh: bool,
     ready: bool,
     calls: usize,
 }
@@ -99,6 +100,7 @@
             notice: settings.drain_notice,
             timeout: settings.drain_timeout,
             takes_work: false,
+            is_fresh: false,
             ready: false,
             calls: 0,
         }
@@ -122,12 +124,20 @@
     fn set(&mut self, phase: Phase, out: &mut Outbox) {
         self.phase = phase;
         self.takes_work = matches!(phase, Phase::Serving(_) | Phase::Draining(_));
-        self.ready = matches!(phase, Phase::Serving(_));
+        self.ready = self.is_fresh && matches!(phase, Phase::Serving(_));
         out.note(Note::new(&note::PHASE).with("phase", phase.name()));
         out.act(Action::Ready(self.ready));
         out.raise(Event::Phase(phase));
     }
 
+    fn on_fresh(&mut self, is_fresh: bool, out: &mut Outbox) {
+        self.is_fresh = is_fresh;
+        let ready = is_fresh && matches!(self.phase, Phase::Serving(_));
+        if std::mem::replace(&mut self.ready, ready) != ready {
+            out.act(Action::Ready(ready));
+        }
+    }
+
     fn on_shutdown(&mut self, now: Now, out: &mut Outbox) {
         match self.phase {
             Phase::Serving(serving) => {
@@ -164,6 +174,7 @@
                     self.set(Phase::Serving(joining.serve()), out);
                 }
             }
+            Event::Fresh(is_fresh) => self.on_fresh(*is_fresh, out),
             Event::CallsLeft(calls) => self.calls = *calls,
             Event::Shutdown => self.on_shutdown(now, out),
             Event::Tick => self.on_tick(now, out),
--- a/crates/comfreyroad/src/controller/log.rs
+++ b/crates/comfreyroad/src/controller/log.rs
@@ -1,4 +1,6 @@
 //! Reading of the log: one long poll a stream, begun anew when it ends, with a pause after a failure.
+//!
+//! The rules are read by their own controller, since not every entry needs to read them.
 
 use std::time::{Duration, Instant};
 
@@ -16,10 +18,13 @@
 /// Pause after a failed read.
 const PAUSE: Duration = Duration::from_millis(200);
 
+/// The streams read here.
+const STREAMS: [Stream; 3] = [Stream::Claims, Stream::Ledger, Stream::Orders];
+
 /// Where each stream is read.
 #[derive(Debug)]
 pub struct Log {
-    cursors: [Cursor; Stream::ALL.len()],
+    cursors: [Cursor; STREAMS.len()],
     down: bool,
 }
 
@@ -34,7 +39,7 @@
 impl Default for Log {
     fn default() -> Self {
         Self {
-            cursors: Stream::ALL.map(|stream| Cursor {
+            cursors: STREAMS.map(|stream| Cursor {
                 stream,
                 next: 0,
                 retry_at: None,
--- a/crates/comfreyroad/src/controller/mod.rs
+++ b/crates/comfreyroad/src/controller/mod.rs
@@ -95,22 +95,37 @@
 
     /// A frame for a peer, with each controller's part.
     pub fn frame(&mut self, now: Now, to: &Address) -> Frame {
+        let mut frame = self.empty_frame();
+        for controller in self.all() {
+            controller.fill(now, to, &mut frame);
+        }
+        frame
+    }
+
+    /// A frame for a peer that speaks of the rules only.
+    pub fn brief_frame(&mut self, now: Now, to: &Address) -> Frame {
+        let mut frame = self.empty_frame();
+        frame.is_brief = true;
+        self.rules.fill(now, to, &mut frame);
+        frame
+    }
+
+    fn empty_frame(&self) -> Frame {
         let identity = self.identity.clone();
-        let mut frame = Frame {
+        Frame {
             from: identity.entry,
             boot: identity.boot,
             zone: identity.zone,
             address: identity.address,
+            number: 0,
+            answers: None,
+            is_brief: false,
             beats: Vec::new(),
             news: News::default(),
             keep: Vec::new(),
             kept: Vec::new(),
             done: Vec::new(),
-        };
-        for controller in self.all() {
-            controller.fill(now, to, &mut frame);
         }
-        frame
     }
 
     fn all(&mut self) -> [&mut dyn Controller; 9] {
--- a/crates/comfreyroad/src/entry.rs
+++ b/crates/comfreyroad/src/entry.rs
@@ -53,8 +53,19 @@
                     frame,
                 });
             }
+            Event::Brief { to } => {
+                let frame = Box::new(self.state.brief_frame(now, to));
+                out.act(Action::Tell {
+                    to: to.clone(),
+                    frame,
+                });
+            }
             Event::PeerAsks { exchange, address } => {
-                let frame = Box::new(self.state.frame(now, address));
+                let frame = Box::new(if self.state.rules.is_brief(address) {
+                    self.state.brief_frame(now, address)
+                } else {
+                    self.state.frame(now, address)
+                });
                 out.act(Action::Reply {
                     exchange: *exchange,
                     frame,
--- a/crates/comfreyroad/src/event/event.rs
+++ b/crates/comfreyroad/src/event/event.rs
@@ -99,6 +99,13 @@
         /// The peer's IP number and port.
         to: Address,
     },
+    /// A peer is to get a frame that speaks of the rules only.
+    Brief {
+        /// The peer's IP number and port.
+        to: Address,
+    },
+    /// Whether the rules are fresh enough to take new work by them.
+    Fresh(bool),
     /// A claim is wanted.
     ClaimWanted {
         /// The request.
--- a/crates/comfreyroad/src/frame/frame.rs
+++ b/crates/comfreyroad/src/frame/frame.rs
@@ -14,6 +14,15 @@
     pub zone: ZoneId,
     /// The sender's IP number and port.
     pub address: Address,
+    /// Number of this frame among all that the sender has sent.
+    #[cfg_attr(feature = "serde", serde(default))]
+    pub number: u64,
+    /// Number of the newest frame that the sender got, where it came from the receiver.
+    #[cfg_attr(feature = "serde", serde(default))]
+    pub answers: Option<u64>,
+    /// Whether only the rules are spoken of; answered likewise.
+    #[cfg_attr(feature = "serde", serde(default))]
+    pub is_brief: bool,
     /// Heartbeats: the sender's own and some that it has heard.
     #[cfg_attr(feature = "serde", serde(default))]
     pub beats: Vec<Beat>,
--- a/crates/comfreyroad/src/frame/mod.rs
+++ b/crates/comfreyroad/src/frame/mod.rs
@@ -4,11 +4,15 @@
 //! everything in it is soft state that any entry can lose.
 
 mod beat;
+mod doubt;
 mod frame;
 mod news;
+mod text;
 mod view;
 
 pub use beat::Beat;
+pub use doubt::Doubt;
 pub use frame::Frame;
 pub use news::News;
+pub use text::Text;
 pub use view::View;
--- a/crates/comfreyroad/src/frame/news.rs
+++ b/crates/comfreyroad/src/frame/news.rs
@@ -1,7 +1,7 @@
-use std::sync::Arc;
 use std::time::Duration;
 
-use crate::id::{Generation, Offset};
+use super::{Doubt, Text};
+use crate::id::{Generation, Offset, VersionId};
 
 /// What an entry knows of the rules.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -9,8 +9,24 @@
 pub struct News {
     /// The generation in force.
     pub generation: Generation,
-    /// Age of the moment at which that generation was last known to be the newest.
+    /// The sender knows what is in force by all records before this offset; `None` while it does not.
+    #[cfg_attr(feature = "serde", serde(default))]
+    pub next: Option<Offset>,
+    /// Versions held back.
+    #[cfg_attr(feature = "serde", serde(default))]
+    pub held: Vec<VersionId>,
+    /// Age of the moment at which no record from `next` on was on the log.
     pub age: Option<Duration>,
-    /// The rules themselves, for a peer known to be behind: offset, operator and text.
-    pub rules: Option<(Offset, Arc<str>, Arc<str>)>,
+    /// Age of the newest checkpoint on the log.
+    #[cfg_attr(feature = "serde", serde(default))]
+    pub checkpoint: Option<Duration>,
+    /// Zones whose entries do not hear of the log either.
+    #[cfg_attr(feature = "serde", serde(default))]
+    pub doubts: Vec<Doubt>,
+    /// Whether the sender wants the receiver's rules.
+    #[cfg_attr(feature = "serde", serde(default))]
+    pub wants: bool,
+    /// The rules themselves, for a peer that wants them.
+    #[cfg_attr(feature = "serde", serde(default))]
+    pub text: Option<Text>,
 }
--- a/crates/comfreyroad/src/note/catalogue.rs
+++ b/crates/comfreyroad/src/note/catalogue.rs
@@ -22,6 +22,12 @@
     STALE = 203, Warn, "rules no longer confirmed";
     /// The rules are confirmed again.
     FRESH = 204, Info, "rules confirmed again";
+    /// No entry hears of the log; new work is taken by the rules last known.
+    OUTAGE = 205, Warn, "log out of every entry's reach, serving on";
+    /// The rules in force are repeated on the log before their record expires.
+    CHECKPOINT = 206, Info, "rules repeated on the log";
+    /// Records of the rules expired unread; the rules in force are not known until a peer or a checkpoint tells.
+    RULES_MISSED = 207, Warn, "rules expired unread";
     /// A peer was heard for the first time.
     PEER_JOINED = 301, Info, "peer joined";
     /// A peer has not been heard for too long, or has left.
--- a/crates/comfreyroad/src/record/record.rs
+++ b/crates/comfreyroad/src/record/record.rs
@@ -28,6 +28,12 @@
         by: Arc<str>,
         /// The whole file.
         text: Arc<str>,
+        /// Offset of the first record that was not counted. A reader that has all records from there on knows the rules.
+        #[cfg_attr(feature = "serde", serde(default))]
+        next: Offset,
+        /// Versions held back at that offset.
+        #[cfg_attr(feature = "serde", serde(default))]
+        held: Vec<VersionId>,
     },
     /// A version is withheld until the next accepted publish after this offset.
     Hold {
--- a/crates/comfreyroad/src/rendezvous.rs
+++ b/crates/comfreyroad/src/rendezvous.rs
@@ -7,3 +7,12 @@
     let seed = xxh3_64_with_seed(key.as_bytes(), 0);
     members.max_by_key(|member| xxh3_64_with_seed(member.as_bytes(), seed))
 }
+
+/// How many members have a higher hash for a key than one of them.
+pub fn rank<'a>(key: &str, own: &str, members: impl Iterator<Item = &'a str>) -> usize {
+    let seed = xxh3_64_with_seed(key.as_bytes(), 0);
+    let own = xxh3_64_with_seed(own.as_bytes(), seed);
+    members
+        .filter(|member| xxh3_64_with_seed(member.as_bytes(), seed) > own)
+        .count()
+}
--- a/crates/comfreyroad/src/rules/history.rs
+++ b/crates/comfreyroad/src/rules/history.rs
@@ -3,68 +3,55 @@
 
 use indexmap::IndexSet;
 
-use super::{Draft, Fault, InForce, Verdict};
+use super::{Draft, Fault, InForce, Snapshot, Verdict};
 use crate::id::{Generation, Offset, VersionId};
 use crate::record::Record;
 
 /// The rules stream, read in order: what is in force and what each publish came to.
 ///
-/// A reader that starts late, because older records have expired, learns the rules before its first record from the
-/// newest checkpoint among those that it reads. A checkpoint may come late and be overtaken by a newer one, so until
-/// [`Self::caught_up`] the records are kept and judged anew when a newer one turns up.
+/// What is in force is a function of all records before an offset. A reader that starts late, because older records
+/// have expired, or that has missed some, does not know it ([`Self::is_known`]) until it finds a [`Snapshot`] of an
+/// offset from which on it has every record. Until then it keeps the records and judges them anew with the snapshot.
 #[derive(Clone, Debug, Default)]
 pub struct History {
     in_force: Option<InForce>,
     published: Option<SystemTime>,
     held: IndexSet<VersionId>,
-    base: Option<Offset>,
     start: Option<Offset>,
     next: Offset,
-    is_caught_up: bool,
+    is_known: bool,
     kept: Vec<(Offset, SystemTime, Record)>,
 }
 
 impl History {
     /// A reader whose first record is at `start` and that has found the checkpoint of that time among the later ones.
     pub fn starting(start: Offset, checkpoint: &Record) -> Self {
-        let mut history = Self {
+        Self {
+            in_force: Snapshot::read(checkpoint).and_then(|snapshot| snapshot.in_force),
             start: Some(start),
             next: start,
+            is_known: true,
             ..Self::default()
-        };
-        if let Record::Checkpoint {
-            generation,
-            offset,
-            by,
-            text,
-        } = checkpoint
-        {
-            history.checkpoint(*generation, *offset, by, text);
         }
-        history
     }
 
     /// Takes the next record; answers for a publish. Records already taken are passed over.
     ///
-    /// Where the reader started late, a verdict given before [`Self::caught_up`] can still be judged anew.
+    /// While the rules are not known, a verdict can still be judged anew.
     pub fn feed(&mut self, offset: Offset, at: SystemTime, record: &Record) -> Option<Verdict> {
         if !self.step(offset) {
             return None;
         }
         match record {
             Record::Publish { .. } | Record::Hold { .. } => {
-                if !self.is_caught_up && self.start != Some(0) {
+                if !self.is_known {
                     self.kept.push((offset, at, record.clone()));
                 }
                 self.apply(offset, at, record)
             }
-            Record::Checkpoint {
-                generation,
-                offset,
-                by,
-                text,
-            } => {
-                self.checkpoint(*generation, *offset, by, text);
+            // Whoever knows the rules learns nothing from a checkpoint.
+            Record::Checkpoint { next, .. } if self.lacks(*next) => {
+                self.adopt(Snapshot::read(record)?);
                 None
             }
             _ => None,
@@ -76,15 +63,55 @@
         self.step(offset);
     }
 
-    /// Tells that the newest record of the stream has been taken: from here on the generation only rises.
-    pub fn caught_up(&mut self) {
-        self.is_caught_up = true;
-        self.kept = Vec::new();
+    /// Tells that records before an offset are gone.
+    pub fn expire(&mut self, oldest: Offset) {
+        if self.start.is_none() || oldest > self.next {
+            self.restart(oldest);
+            self.next = oldest;
+        }
+    }
+
+    /// Whether a snapshot of an offset tells something new.
+    pub fn lacks(&self, next: Offset) -> bool {
+        match self.start {
+            Some(_) if self.is_known => next > self.next,
+            Some(start) => next >= start,
+            None => true,
+        }
+    }
+
+    /// Takes over what another reader knows; does nothing where that is not newer.
+    pub fn adopt(&mut self, snapshot: Snapshot) {
+        if !self.lacks(snapshot.next) {
+            return;
+        }
+        if snapshot.generation() != self.generation() {
+            self.published = None;
+        }
+        self.in_force = snapshot.in_force;
+        self.held = snapshot.held;
+        self.is_known = true;
+        self.start.get_or_insert(snapshot.next);
+        self.next = self.next.max(snapshot.next);
+        for (offset, at, record) in std::mem::take(&mut self.kept) {
+            if offset >= snapshot.next {
+                self.apply(offset, at, &record);
+            }
+        }
+    }
+
+    /// What is in force by all records so far; `None` while that is not known.
+    pub fn snapshot(&self) -> Option<Snapshot> {
+        self.is_known.then(|| Snapshot {
+            next: self.next,
+            in_force: self.in_force.clone(),
+            held: self.held.clone(),
+        })
     }
 
-    /// Whether the newest record was reached once.
-    pub fn is_caught_up(&self) -> bool {
-        self.is_caught_up
+    /// Whether what is in force is known for certain.
+    pub fn is_known(&self) -> bool {
+        self.is_known
     }
 
     /// The rules in force; `None` before the first publish.
@@ -97,7 +124,7 @@
         self.in_force.as_ref().map_or(0, |rules| rules.generation)
     }
 
-    /// When the rules in force were published; `None` where they are known from a checkpoint only.
+    /// When the rules in force were published; `None` where they are known from a snapshot only.
     pub fn published(&self) -> Option<SystemTime> {
         self.published
     }
@@ -127,8 +154,7 @@
     /// Begins to read at an offset, with records missing before it.
     fn restart(&mut self, offset: Offset) {
         self.start = Some(offset);
-        self.base = self.in_force.as_ref().map(|rules| rules.offset);
-        self.is_caught_up = false;
+        self.is_known = offset == 0;
         self.kept.clear();
     }
 
@@ -185,35 +211,4 @@
         self.held.clear();
         Verdict::Accepted { generation }
     }
-
-    fn checkpoint(
-        &mut self,
-        generation: Generation,
-        brought: Offset,
-        by: &Arc<str>,
-        text: &Arc<str>,
-    ) {
-        let is_before_start = self.start.is_some_and(|start| brought < start);
-        // Whatever came into force since the start was judged here and needs no checkpoint.
-        let is_newer = if self.is_caught_up {
-            generation > self.generation()
-        } else {
-            is_before_start && self.base.is_none_or(|base| brought > base)
-        };
-        if !is_newer {
-            return;
-        }
-        // A checkpoint stands on a publish that was accepted, so this fails only for a newer format.
-        let Ok(draft) = Draft::new(text.clone()).parse().and_then(Draft::check) else {
-            return;
-        };
-        self.in_force = Some(InForce::new(draft, generation, brought, by.clone()));
-        self.published = None;
-        self.held.clear();
-        self.base = Some(brought);
-        for (offset, at, record) in std::mem::take(&mut self.kept) {
-            self.apply(offset, at, &record);
-            self.kept.push((offset, at, record));
-        }
-    }
 }
--- a/crates/comfreyroad/src/rules/in_force.rs
+++ b/crates/comfreyroad/src/rules/in_force.rs
@@ -19,6 +19,17 @@
 }
 
 impl InForce {
+    /// Rules that were judged before; `None` where this program cannot read them.
+    pub(crate) fn read(
+        generation: Generation,
+        offset: Offset,
+        by: &Arc<str>,
+        text: &Arc<str>,
+    ) -> Option<Self> {
+        let draft = Draft::new(text.clone()).parse().ok()?.check().ok()?;
+        Some(Self::new(draft, generation, offset, by.clone()))
+    }
+
     pub(crate) fn new(
         draft: Draft<Checked>,
         generation: Generation,
--- a/crates/comfreyroad/src/settings.rs
+++ b/crates/comfreyroad/src/settings.rs
@@ -21,6 +21,10 @@
     pub session_keys: Vec<[u8; 32]>,
     /// Time without confirmation after which the rules count as stale.
     pub stale_after: Duration,
+    /// Time after which the record that holds the rules in force is repeated on the log.
+    pub checkpoint_after: Duration,
+    /// Entries of each zone that read the rules from the log; the others learn of them by peers.
+    pub readers: usize,
     /// Time without a heartbeat after which a peer counts as lost.
     pub peer_timeout: Duration,
     /// Time for which the end of an answer waits for its bill to be safe.
@@ -33,6 +37,8 @@
     pub max_calls: usize,
     /// Seed of random choices.
     pub seed: u64,
+    #[doc(hidden)]
+    pub without: Vec<crate::mechanism::Mechanism>,
 }
 
 impl Default for Settings {
@@ -45,12 +51,15 @@
             peers: Vec::new(),
             session_keys: vec![[0; 32]],
             stale_after: Duration::from_secs(3),
+            checkpoint_after: Duration::from_secs(60),
+            readers: 2,
             peer_timeout: Duration::from_secs(3),
             bill_wait: Duration::from_secs(2),
             drain_timeout: Duration::from_secs(30),
             drain_notice: Duration::from_secs(1),
             max_calls: 4096,
             seed: 1,
+            without: Vec::new(),
         }
     }
 }
--- a/crates/comfreyroad/tests/proof/bench/upstream.rs
+++ b/crates/comfreyroad/tests/proof/bench/upstream.rs
@@ -328,7 +328,7 @@
             completion_tokens: answer.parts.len() as u32,
             ..Usage::default()
         };
-        self.signal(answer.post, answer.attempt, &id, WAY, Signal::End { usage });
+        self.signal(answer.post, answer.attempt, id, WAY, Signal::End { usage });
     }
 
     fn signal(
--- a/crates/comfreyroad/tests/rules_history.rs
+++ b/crates/comfreyroad/tests/rules_history.rs
@@ -29,13 +29,7 @@
 }
 
 fn checkpoint(history: &History) -> Option<Record> {
-    let rules = history.in_force()?;
-    Some(Record::Checkpoint {
-        generation: rules.generation,
-        offset: rules.offset,
-        by: rules.by.clone(),
-        text: rules.text.clone(),
-    })
+    history.snapshot()?.record()
 }
 
 fn feed(history: &mut History, offset: Offset, record: &Record) -> Option<Verdict> {
@@ -48,7 +42,6 @@
     for (offset, record) in stream.iter().enumerate().skip(from) {
         feed(&mut history, offset as Offset, record);
     }
-    history.caught_up();
     history
 }
 
@@ -131,7 +124,6 @@
     feed(&mut history, 1, &publish("bo", 1));
     feed(&mut history, 2, &old);
     assert_eq!(history.generation(), 2);
-    history.caught_up();
     feed(&mut history, 3, &old);
     assert_eq!(history.generation(), 2);
 }
@@ -153,22 +145,29 @@
 fn a_reader_that_missed_records_learns_what_it_missed() {
     let mut history = History::default();
     feed(&mut history, 0, &publish("ada", 0));
-    history.caught_up();
     let mut writer = History::default();
     for (offset, record) in [publish("ada", 0), publish("bo", 1)].iter().enumerate() {
         feed(&mut writer, offset as Offset, record);
     }
+    let early = checkpoint(&writer).expect("rules");
+    (2..5).for_each(|offset| writer.skip(offset));
     let checkpoint = checkpoint(&writer).expect("rules");
     assert_eq!(
         feed(&mut history, 5, &publish("cy", 2))
             .map(|verdict| matches!(verdict, Verdict::Stale { .. })),
         Some(true)
     );
-    assert!(!history.is_caught_up());
-    feed(&mut history, 6, &checkpoint);
+    assert!(!history.is_known());
+    feed(&mut history, 6, &early);
+    assert!(
+        !history.is_known(),
+        "records 2 to 4 are missed, and this checkpoint does not count them"
+    );
+    feed(&mut history, 7, &checkpoint);
+    assert!(history.is_known());
     assert_eq!(history.generation(), 3, "judged anew after the checkpoint");
-    history.skip(7);
-    assert_eq!(history.next(), 8);
+    history.skip(8);
+    assert_eq!(history.next(), 9);
 }
 
 /// A stream made of what operators, controllers and writers of checkpoints do, some of it late.
@@ -195,6 +194,23 @@
     stream
 }
 
+/// Fits the offsets in checkpoints to records that are put in before them.
+fn move_up(records: &mut [Record], at: usize, count: usize) {
+    for record in records {
+        if let Record::Checkpoint { offset, next, .. } = record {
+            let moved = |place: Offset| {
+                place
+                    + if place > at as Offset {
+                        count as Offset
+                    } else {
+                        0
+                    }
+            };
+            (*offset, *next) = (moved(*offset + 1) - 1, moved(*next));
+        }
+    }
+}
+
 quickcheck! {
     fn a_late_reader_agrees_with_an_early_one(steps: Vec<(u8, u8)>, cut: usize, delay: usize) -> bool {
         let mut stream = stream(&steps);
@@ -204,6 +220,7 @@
         let at = cut + delay % (stream.len() - cut + 1);
         let holds = expired.held().iter().map(|version| hold(version, expired.generation()));
         let repeated: Vec<Record> = checkpoint(&expired).into_iter().chain(holds).collect();
+        move_up(&mut stream[at..], at, repeated.len());
         stream.splice(at..at, repeated);
         agreed(&read(&stream, cut)) == agreed(&read(&stream, 0))
     }
--- a/crates/comfreyroad_cli/src/publish.rs
+++ b/crates/comfreyroad_cli/src/publish.rs
@@ -82,7 +82,6 @@
             }
         };
         log.read(Stream::Rules, from, each).await?;
-        self.history.caught_up();
         Ok(())
     }
 
--- a/crates/comfreyroad_cli/tests/cli/reading.rs
+++ b/crates/comfreyroad_cli/tests/cli/reading.rs
@@ -114,6 +114,8 @@
         offset: 0,
         by: "ada".into(),
         text: "format 1 after 0 # asked by ada\nzone a state=in # asked by ada\n".into(),
+        next: 2,
+        held: vec![],
     };
     let fake = Fake::start(State {
         rules: vec![publish("ada", 0, "in"), publish("bo", 1, "out"), checkpoint],
--- a/crates/comfreyroad_entry/src/http/status.rs
+++ b/crates/comfreyroad_entry/src/http/status.rs
@@ -1,18 +1,23 @@
 //! The state of an entry, for operators.
 
-use std::time::Instant;
+use std::time::{Instant, SystemTime};
 
 use comfreyroad::Entry;
+use comfreyroad::clock::Now;
 use comfreyroad::settings::Settings;
 use serde_json::{Value, json};
 
 /// The state as JSON.
 pub(super) fn status(entry: &Entry, settings: &Settings) -> Value {
     let state = entry.state();
+    let now = Now {
+        instant: Instant::now(),
+        system: SystemTime::now(),
+    };
     let age = state
         .rules
         .confirmed()
-        .map(|at| Instant::now().saturating_duration_since(at));
+        .map(|at| now.instant.saturating_duration_since(at));
     let members = state.members.view().members.values();
     let members: Vec<Value> = members
         .map(|beat| json!({"entry": &*beat.entry, "zone": &*beat.zone, "serving": beat.serving}))
@@ -25,6 +30,8 @@
         "phase": state.life.phase().name(),
         "ready": state.life.is_ready(),
         "generation": state.rules.generation(),
+        "rules": state.rules.freshness(now).name(),
+        "reads_rules": state.rules.is_reader(),
         "confirmed_age_ms": age.map(|age| age.as_millis() as u64),
         "log_down": state.log.is_down(),
         "calls": entry.dispatcher().calls(),
--- a/crates/comfreyroad_entry/src/settings/flag.rs
+++ b/crates/comfreyroad_entry/src/settings/flag.rs
@@ -70,6 +70,18 @@
         MILLISECONDS,
         "time after which unconfirmed rules are stale",
     ),
+    Flag::new(
+        "checkpoint-after-ms",
+        Some("60000"),
+        MILLISECONDS,
+        "time after which the rules in force are repeated on the log",
+    ),
+    Flag::new(
+        "rules-readers",
+        Some("2"),
+        "a number above 0",
+        "entries of each zone that read the rules from the log",
+    ),
     Flag::new(
         "peer-timeout-ms",
         Some("3000"),
--- a/crates/comfreyroad_entry/src/settings/settings.rs
+++ b/crates/comfreyroad_entry/src/settings/settings.rs
@@ -116,11 +116,14 @@
             .collect(),
         session_keys: reader.get("session-keys", reader::keys),
         stale_after: reader.get("stale-after-ms", reader::milliseconds),
+        checkpoint_after: reader.get("checkpoint-after-ms", reader::milliseconds),
+        readers: reader.get("rules-readers", reader::count),
         peer_timeout: reader.get("peer-timeout-ms", reader::milliseconds),
         bill_wait: reader.get("bill-wait-ms", reader::milliseconds),
         drain_timeout: reader.get("drain-timeout-ms", reader::milliseconds),
         drain_notice: reader.get("drain-notice-ms", reader::milliseconds),
         max_calls: reader.get("max-calls", reader::count),
         seed: seed.unwrap_or_else(|| fastrand::u64(..)),
+        without: Vec::new(),
     }
 }
