--- /dev/null
+++ b/crates/comfreyroad_bench/src/deployment/plan.rs
@@ -0,0 +1,83 @@
+use std::time::Duration;
+
+use super::{Deployment, Group};
+use crate::binaries::Binaries;
+use crate::{Result, ZoneId};
+
+/// What to start.
+#[derive(Clone, Debug, Default)]
+pub struct Plan {
+    /// The rules file to publish; nothing is published when empty.
+    pub rules: String,
+    /// Availability zones.
+    pub zones: Vec<ZoneId>,
+    /// Upstreams.
+    pub groups: Vec<Group>,
+    /// Number of entries, spread evenly over the zones.
+    pub entries: u8,
+    /// One-way delay of each call to a stand-in.
+    pub delay: Duration,
+    /// Seed of the stand-ins and entries.
+    pub seed: u64,
+    /// More flags of the entries.
+    pub entry_flags: Vec<String>,
+}
+
+impl Plan {
+    /// A plan with a rules file and zones.
+    #[must_use]
+    pub fn new(rules: &str, zones: &[&str]) -> Self {
+        Self {
+            rules: rules.to_owned(),
+            zones: zones.iter().map(|zone| (*zone).to_owned()).collect(),
+            seed: 1,
+            ..Self::default()
+        }
+    }
+
+    /// Adds upstreams.
+    #[must_use]
+    pub fn with_group(mut self, group: Group) -> Self {
+        self.groups.push(group);
+        self
+    }
+
+    /// Sets the number of entries.
+    #[must_use]
+    pub fn with_entries(self, entries: u8) -> Self {
+        Self { entries, ..self }
+    }
+
+    /// Sets the one-way delay of calls to stand-ins.
+    #[must_use]
+    pub fn with_delay(self, delay: Duration) -> Self {
+        Self { delay, ..self }
+    }
+
+    /// Sets the seed.
+    #[must_use]
+    pub fn with_seed(self, seed: u64) -> Self {
+        Self { seed, ..self }
+    }
+
+    /// Adds a flag of the entries.
+    #[must_use]
+    pub fn with_entry_flag(mut self, name: &str, value: &str) -> Self {
+        self.entry_flags.extend([name.to_owned(), value.to_owned()]);
+        self
+    }
+
+    /// Zone of a VM of a kind, by its number.
+    #[must_use]
+    pub fn zone(&self, number: u8) -> &str {
+        let zones = self.zones.len().max(1);
+        self.zones
+            .get(usize::from(number) % zones)
+            .map_or("", String::as_str)
+    }
+
+    /// Starts everything, publishes the rules and waits until all entries are ready.
+    pub async fn start(self, binaries: &Binaries) -> Result<Deployment> {
+        Deployment::start(self, binaries).await
+    }
+}
--- /dev/null
+++ b/crates/comfreyroad_bench/src/folder.rs
@@ -0,0 +1,70 @@
+//! A folder for the files of one run.
+
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU32, Ordering};
+
+use crate::{Error, Result};
+
+/// Folders made by this process.
+static MADE: AtomicU32 = AtomicU32::new(0);
+
+/// A folder that is removed when dropped.
+#[derive(Debug)]
+pub struct Folder {
+    path: PathBuf,
+}
+
+impl Folder {
+    /// A new folder among the system's temporary files.
+    pub fn new() -> Result<Self> {
+        let number = MADE.fetch_add(1, Ordering::Relaxed);
+        let name = format!("comfreyroad-bench-{}-{number}", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        match std::fs::create_dir_all(&path) {
+            Ok(()) => Ok(Self { path }),
+            Err(source) => Err(Error::File {
+                step: "make folder",
+                path,
+                source,
+            }),
+        }
+    }
+
+    /// A file in it.
+    #[must_use]
+    pub fn file(&self, name: &str) -> PathBuf {
+        self.path.join(name)
+    }
+
+    /// Writes a file in it.
+    pub fn write(&self, name: &str, text: &str) -> Result<PathBuf> {
+        let path = self.file(name);
+        write(&path, text)?;
+        Ok(path)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        // What is left behind is only a temporary folder.
+        std::fs::remove_dir_all(&self.path).ok();
+    }
+}
+
+/// Reads a text file.
+pub fn read(path: &Path) -> Result<String> {
+    std::fs::read_to_string(path).map_err(|source| Error::File {
+        step: "read",
+        path: path.to_owned(),
+        source,
+    })
+}
+
+/// Writes a text file.
+pub fn write(path: &Path, text: &str) -> Result<()> {
+    std::fs::write(path, text).map_err(|source| Error::File {
+        step: "write",
+        path: path.to_owned(),
+        source,
+    })
+}
--- /dev/null
+++ b/crates/comfreyroad_bench/src/main.rs
@@ -0,0 +1,56 @@
+//! Runs demonstrations, fault cells and measurements with real processes.
+
+use std::pin::pin;
+use std::process::ExitCode;
+
+use comfreyroad_bench::binaries::Binaries;
+use comfreyroad_bench::options::Command;
+use comfreyroad_bench::{Error, Result};
+use comfreyroad_net::{runtime, signal};
+use futures_util::future::{Either, select};
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    match run(&args) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("comfreyroad-bench: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(args: &[String]) -> Result<bool> {
+    let command = Command::parse(args)?;
+    let fail = |source| Error::Program {
+        step: "run",
+        program: "loop".to_owned(),
+        source,
+    };
+    runtime::run(async {
+        let work = pin!(carry_out(command));
+        let signal = pin!(signal::wait());
+        // Dropping the work ends every process that it has started.
+        match select(work, signal).await {
+            Either::Left((result, _)) => result,
+            Either::Right(_) => Err(Error::Signalled),
+        }
+    })
+    .map_err(fail)?
+}
+
+/// Carries a command out; false when what it checks does not hold.
+async fn carry_out(command: Command) -> Result<bool> {
+    match command {
+        Command::Help(text) => {
+            print!("{text}");
+            Ok(true)
+        }
+        Command::Demo(demo) => {
+            let report = demo.run(&Binaries::beside_this()?).await?;
+            println!("{}", report.line()?);
+            Ok(report.is_sound())
+        }
+    }
+}
--- /dev/null
+++ b/crates/comfreyroad_bench/src/report.rs
@@ -0,0 +1,71 @@
+//! The line that a demonstration ends with.
+
+use comfreyroad_fakes::load::Verdict;
+use serde::Serialize;
+
+use crate::journal::Journals;
+use crate::ledger::Bills;
+use crate::trace::Trace;
+use crate::{Error, Result};
+
+/// Counts over all requests of a run.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Report {
+    /// Requests sent.
+    pub requests: u64,
+    /// Whole answers, each to its own request.
+    pub whole: u64,
+    /// Requests refused and surely not run.
+    pub refused_not_run: u64,
+    /// Requests refused or unanswered, and perhaps run.
+    pub refused_maybe: u64,
+    /// Answers that were not the request's own, out of order, or broke off.
+    pub wrong: u64,
+    /// Bookings executed more than once.
+    pub doubled: u64,
+    /// Requests billed.
+    pub billed: u64,
+    /// Their cost, in millionths of the currency.
+    pub cost: u64,
+    /// Median of the time to the first token.
+    pub ttft_p50_ms: f64,
+    /// Time to the first token that 99 in 100 stay below.
+    pub ttft_p99_ms: f64,
+}
+
+impl Report {
+    /// Adds a run up from what callers, upstreams and the ledger say.
+    pub fn new(trace: &Trace, journals: &Journals, bills: &Bills) -> Result<Self> {
+        let first = trace.first_token()?;
+        Ok(Self {
+            requests: trace.lines.len() as u64,
+            whole: trace.count(Verdict::Whole),
+            refused_not_run: trace.count(Verdict::RefusedNotRun),
+            refused_maybe: trace.count(Verdict::RefusedMaybe),
+            wrong: trace.count(Verdict::Wrong) + trace.count(Verdict::Broken),
+            doubled: journals.doubled(),
+            billed: bills.requests,
+            cost: bills.cost,
+            ttft_p50_ms: first.p50,
+            ttft_p99_ms: first.p99,
+        })
+    }
+
+    /// The counts as one line of JSON, in the order of the fields.
+    pub fn line(&self) -> Result<String> {
+        serde_json::to_string(self).map_err(|source| Error::Json {
+            step: "write report",
+            peer: "standard output".to_owned(),
+            source,
+        })
+    }
+
+    /// Whether it is what a run without faults has to give.
+    #[must_use]
+    pub fn is_sound(&self) -> bool {
+        self.whole > 0
+            && self.whole + self.refused_not_run == self.requests
+            && self.wrong + self.doubled + self.refused_maybe == 0
+            && self.billed == self.whole
+    }
+}
--- a/crates/comfreyroad_fakes/src/answer.rs
+++ b/crates/comfreyroad_fakes/src/answer.rs
@@ -1,11 +1,13 @@
 //! Answers whose wholeness and owner a checker can verify.
 
+use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::PrefixId;
 
 /// How good an answer is; its tokens say so.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
 pub enum Quality {
     /// Tokens `tokI-HASH `.
     #[default]
--- a/crates/comfreyroad_fakes/src/engine/attempt.rs
+++ b/crates/comfreyroad_fakes/src/engine/attempt.rs
@@ -70,6 +70,7 @@
     async fn send_tokens(&self, run: Run<Prefill>, parts: &mut Parts) -> Result<(), Ended> {
         let mut run = run.prefill(self.offset).await?;
         while let Some((offset, content)) = run.token().await? {
+            self.engine.gave(&self.chat.model);
             send(parts, Ok(self.chunk(offset, content, None).event())).await?;
         }
         let last = self.chunk(self.chat.max_tokens, String::new(), Some(self.usage));
@@ -98,7 +99,9 @@
 
     async fn collect(&self, run: Run<Prefill>) -> Result<String, Ended> {
         let mut run = run.prefill(self.offset).await?;
-        while run.token().await?.is_some() {}
+        while run.token().await?.is_some() {
+            self.engine.gave(&self.chat.model);
+        }
         self.finish(&run);
         Ok(run.answer().text(self.offset))
     }
--- a/crates/comfreyroad_fakes/src/engine/journal.rs
+++ b/crates/comfreyroad_fakes/src/engine/journal.rs
@@ -10,6 +10,8 @@
     pub requests: IndexMap<RequestId, u32>,
     /// Requests that got a slot, by version.
     pub versions: IndexMap<VersionId, u64>,
+    /// Tokens given by version, those of answers that broke too.
+    pub tokens: IndexMap<VersionId, u64>,
     /// Answers given to their end.
     pub finished: u64,
     /// Answers that broke.
@@ -29,6 +31,11 @@
 }
 
 impl Journal {
+    /// Notes that a token was given.
+    pub fn gave(&mut self, version: &str) {
+        *self.tokens.entry(version.to_owned()).or_default() += 1;
+    }
+
     /// Notes that a request has got a slot.
     pub fn started(&mut self, request: &str, version: &str) {
         *self.requests.entry(request.to_owned()).or_default() += 1;
--- a/crates/comfreyroad_fakes/src/engine/service.rs
+++ b/crates/comfreyroad_fakes/src/engine/service.rs
@@ -155,6 +155,11 @@
         }
     }
 
+    /// Notes a token given by a version.
+    pub(super) fn gave(&self, version: &str) {
+        self.journal.borrow_mut().gave(version);
+    }
+
     /// Notes an answer that ended before its time.
     pub(super) fn ended(&self, ended: Ended) {
         let mut journal = self.journal.borrow_mut();
--- a/crates/comfreyroad_fakes/src/load/caller.rs
+++ b/crates/comfreyroad_fakes/src/load/caller.rs
@@ -7,6 +7,7 @@
 use serde_json::Value;
 
 use super::{Events, Job, Kind, Outcome, Verdict};
+use crate::answer::Quality;
 use crate::time::millis;
 use crate::{Error, Result};
 
@@ -21,6 +22,7 @@
     to: Vec<String>,
     next: Cell<usize>,
     retries: u32,
+    delay: Duration,
 }
 
 /// What came of sending a request once.
@@ -52,9 +54,16 @@
             to,
             next: Cell::new(0),
             retries,
+            delay: Duration::ZERO,
         })
     }
 
+    /// Puts a one-way delay between the caller and the system.
+    #[must_use]
+    pub fn with_delay(self, delay: Duration) -> Self {
+        Self { delay, ..self }
+    }
+
     /// Sends a request until it has its answer, or can't be sent again.
     pub async fn run(&self, job: Job, begin: Instant) -> Outcome {
         let arrived = Instant::now();
@@ -81,6 +90,8 @@
             sleep(pause).await;
         };
         let ended = Instant::now();
+        let answered = last.verdict == Verdict::Whole && job.is_chat();
+        let quality = Quality::read(&last.text).filter(|_| answered);
         let mut session = job.session.clone();
         let moved = last.verdict == Verdict::Whole && session.moved_to(&last.version);
         session.token = last.token.or(session.token);
@@ -90,6 +101,7 @@
                 .push(crate::chat::Message::new("assistant", last.text));
         }
         Outcome {
+            id: job.id,
             at_ms: millis(arrived.duration_since(begin)),
             kind: job.kind,
             customer: job.customer.name,
@@ -97,6 +109,9 @@
             status: last.status,
             codes,
             version: (!last.version.is_empty()).then_some(last.version),
+            model: (!job.chat.model.is_empty()).then_some(job.chat.model),
+            quality,
+            tokens: if answered { job.chat.max_tokens } else { 0 },
             sent,
             first: last.first_at.map(|at| at.duration_since(arrived)),
             total: (last.verdict == Verdict::Whole).then(|| ended.duration_since(arrived)),
@@ -109,10 +124,13 @@
     async fn attempt(&self, job: &Job, number: u32, deadline: Instant) -> Attempt {
         let mut attempt = Attempt::default();
         let cut = timeout_at(deadline + GRACE, async {
+            sleep(self.delay).await;
             match self.send(job, number, deadline).await {
                 Ok(response) => attempt.take(job, response).await,
                 Err(err) => attempt.unanswered(&err),
             }
+            sleep(self.delay).await;
+            attempt.first_at = attempt.first_at.map(|at| at + self.delay);
         });
         if cut.await.is_err() {
             attempt.code = Some("no_answer_in_time".to_owned());
--- a/crates/comfreyroad_fakes/src/load/driver.rs
+++ b/crates/comfreyroad_fakes/src/load/driver.rs
@@ -29,7 +29,9 @@
         let conversations = options.profiles.len() * options.customers.len();
         Ok(Self {
             rng: fastrand::Rng::with_seed(options.seed),
-            caller: Rc::new(Caller::new(options.to.clone(), options.retries)?),
+            caller: Rc::new(
+                Caller::new(options.to.clone(), options.retries)?.with_delay(options.delay),
+            ),
             idle: (0..conversations).map(|_| Idle::default()).collect(),
             number: 0,
             begin: Instant::now(),
@@ -72,8 +74,8 @@
 
     fn next_job(&mut self) -> (Job, Idle) {
         self.number += 1;
-        let profile = self.rng.usize(..self.options.profiles.len());
         let customer = self.rng.usize(..self.options.customers.len());
+        let profile = self.profile_of(customer);
         let idle = Rc::clone(&self.idle[profile * self.options.customers.len() + customer]);
         let id = format!("load-{}-{}", self.options.seed, self.number);
         let customer = self.options.customers[customer].clone();
@@ -82,6 +84,15 @@
         (job, idle)
     }
 
+    /// Draws one of the profiles whose requests a customer sends.
+    fn profile_of(&mut self, customer: usize) -> usize {
+        let customer = &self.options.customers[customer];
+        let sends = |index: &usize| customer.sends(&self.options.profiles[*index]);
+        let fitting: Vec<usize> = (0..self.options.profiles.len()).filter(sends).collect();
+        // The options are only taken with one for each customer.
+        self.rng.choice(fitting).unwrap_or_default()
+    }
+
     fn trace(&self, outcomes: &[Outcome]) -> Result<()> {
         let Some(path) = &self.options.trace else {
             return Ok(());
--- a/crates/comfreyroad_fakes/src/load/job.rs
+++ b/crates/comfreyroad_fakes/src/load/job.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use http::Method;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 
 use super::{Customer, Session};
@@ -10,7 +10,7 @@
 use crate::chat::Chat;
 
 /// Kind of a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Kind {
     /// A streamed answer.
@@ -34,6 +34,8 @@
     pub customer: Customer,
     /// What is asked of a model; empty for plain services.
     pub chat: Chat,
+    /// Where a plain service is called; empty for models.
+    pub path: &'static str,
     /// The session that it belongs to.
     pub session: Session,
     /// Time that the caller gives the whole answer.
@@ -46,8 +48,8 @@
     pub fn target(&self) -> (Method, String) {
         match self.kind {
             Kind::Draft | Kind::Whole => (Method::POST, "/v1/chat/completions".to_owned()),
-            Kind::Booking => (Method::POST, "/bookings".to_owned()),
-            Kind::Lookup => (Method::GET, format!("/orders/{}", self.id)),
+            Kind::Booking => (Method::POST, self.path.to_owned()),
+            Kind::Lookup => (Method::GET, format!("{}/{}", self.path, self.id)),
         }
     }
 
--- a/crates/comfreyroad_fakes/src/load/options.rs
+++ b/crates/comfreyroad_fakes/src/load/options.rs
@@ -3,7 +3,7 @@
 use getopts::Matches;
 
 use super::Profile;
-use crate::options::number;
+use crate::options::{delay, number};
 use crate::{Error, Result};
 
 /// A customer of the system.
@@ -13,6 +13,32 @@
     pub name: String,
     /// Its key.
     pub key: String,
+    /// The profile whose requests it sends; all of them when absent.
+    pub profile: Option<String>,
+}
+
+impl Customer {
+    /// Reads `[PROFILE/]NAME:KEY`.
+    fn parse(text: &str) -> Option<Self> {
+        let (name, key) = text.split_once(':')?;
+        let (profile, name) = match name.split_once('/') {
+            Some((profile, name)) => (Some(profile.to_owned()), name),
+            None => (None, name),
+        };
+        Some(Self {
+            name: name.to_owned(),
+            key: key.to_owned(),
+            profile,
+        })
+    }
+
+    /// Whether it sends requests of this profile.
+    #[must_use]
+    pub fn sends(&self, profile: &Profile) -> bool {
+        self.profile
+            .as_ref()
+            .is_none_or(|name| name == profile.name)
+    }
 }
 
 /// Command line of `comfreyroad-load`.
@@ -32,6 +58,8 @@
     pub max_requests: u64,
     /// Seed of all random numbers.
     pub seed: u64,
+    /// One-way delay between callers and the system.
+    pub delay: Duration,
     /// Retries of a request at most.
     pub retries: u32,
     /// File for a line of JSON per request.
@@ -49,12 +77,13 @@
             "",
             "customers",
             "customers with their keys, by commas",
-            "NAME:KEY,..",
+            "[PROFILE/]NAME:KEY,..",
         );
         flags.optopt("", "seconds", "how long requests arrive (10)", "N");
         flags.optopt("", "rate", "arrivals per second (10)", "N");
         flags.optopt("", "requests", "requests at most (10000)", "N");
         flags.optopt("", "seed", "seed of random numbers (1)", "N");
+        flags.optopt("", "delay-ms", "one-way delay of callers (0)", "MS");
         flags.optopt("", "retries", "retries of a request at most (3)", "N");
         flags.optopt("", "bookings", "percent of bookings (by profile)", "PCT");
         flags.optopt("", "lookups", "percent of lookups (by profile)", "PCT");
@@ -101,12 +130,22 @@
             rate: number(&matches, "rate", 10.0, &mut errors),
             max_requests: number(&matches, "requests", 10_000, &mut errors),
             seed: number(&matches, "seed", 1, &mut errors),
+            delay: delay(&matches, &mut errors),
             retries: number(&matches, "retries", 3, &mut errors),
             trace: matches.opt_str("trace"),
         };
         if options.to.is_empty() {
             errors.push("--to is missing".to_owned());
         }
+        for customer in &options.customers {
+            if !options
+                .profiles
+                .iter()
+                .any(|profile| customer.sends(profile))
+            {
+                errors.push(format!("--customers {}: no such profile", customer.name));
+            }
+        }
         if !(options.rate > 0.0 && options.rate.is_finite()) {
             errors.push("--rate: must be above 0".to_owned());
         }
@@ -129,20 +168,15 @@
 fn customers(matches: &Matches, errors: &mut Vec<String>) -> Vec<Customer> {
     let mut customers = Vec::new();
     for item in list(matches, "customers") {
-        match item.split_once(':') {
-            Some((name, key)) => {
-                customers.push(Customer {
-                    name: name.to_owned(),
-                    key: key.to_owned(),
-                });
-            }
-            None => errors.push(format!("--customers {item}: not NAME:KEY")),
+        match Customer::parse(&item) {
+            Some(customer) => customers.push(customer),
+            None => errors.push(format!("--customers {item}: not [PROFILE/]NAME:KEY")),
         }
     }
     if customers.is_empty() {
         customers.push(Customer {
             name: "anyone".to_owned(),
-            key: String::new(),
+            ..Customer::default()
         });
     }
     customers
@@ -172,10 +206,10 @@
         errors.push("--bookings, --lookups, --drafts: more than 100 percent".to_owned());
     }
     if let Some(model) = matches.opt_str("draft-model") {
-        profile.draft_model = model;
+        profile.draft_models = vec![model];
     }
     if let Some(model) = matches.opt_str("whole-model") {
-        profile.whole_model = model;
+        profile.whole_models = vec![model];
     }
     let most = number(matches, "max-tokens", u32::MAX, errors).max(1);
     for (low, high) in [&mut profile.draft_tokens, &mut profile.whole_tokens] {
--- a/crates/comfreyroad_fakes/src/load/outcome.rs
+++ b/crates/comfreyroad_fakes/src/load/outcome.rs
@@ -1,13 +1,13 @@
 use std::time::Duration;
 
-use serde::{Serialize, Serializer};
+use serde::{Deserialize, Serialize, Serializer};
 
 use super::{Kind, Session};
-use crate::VersionId;
-use crate::time::millis;
+use crate::answer::Quality;
+use crate::{RequestId, VersionId};
 
 /// What came of a request.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Verdict {
     /// The whole answer to this very request.
@@ -26,6 +26,8 @@
 /// Result of one request; its fields are those of a trace line.
 #[derive(Clone, Debug, Serialize)]
 pub struct Outcome {
+    /// Name of the request.
+    pub id: RequestId,
     /// Milliseconds from the run's begin to the request's arrival.
     pub at_ms: u64,
     /// Kind of the request.
@@ -40,6 +42,12 @@
     pub codes: Vec<String>,
     /// Version that answered.
     pub version: Option<VersionId>,
+    /// Route, model or version asked; nothing for plain services.
+    pub model: Option<String>,
+    /// How good the answer was, when a model gave a whole one.
+    pub quality: Option<Quality>,
+    /// Tokens of a model's whole answer.
+    pub tokens: u32,
     /// Times that it was sent.
     pub sent: u32,
     /// Time to the first token, or to the answer of a plain service.
@@ -58,5 +66,6 @@
 }
 
 fn as_millis<S: Serializer>(time: &Option<Duration>, serializer: S) -> Result<S::Ok, S::Error> {
-    time.map(millis).serialize(serializer)
+    let millis = time.map(|time| time.as_secs_f64() * 1000.0);
+    millis.serialize(serializer)
 }
--- a/crates/comfreyroad_fakes/src/load/profile.rs
+++ b/crates/comfreyroad_fakes/src/load/profile.rs
@@ -17,10 +17,14 @@
     pub lookups: u32,
     /// Percent of the chat requests that are streamed.
     pub drafts: u32,
-    /// Model asked for streamed answers.
-    pub draft_model: String,
-    /// Model asked for answers in one piece.
-    pub whole_model: String,
+    /// Models asked for streamed answers, drawn evenly.
+    pub draft_models: Vec<String>,
+    /// Models asked for answers in one piece, drawn evenly.
+    pub whole_models: Vec<String>,
+    /// Paths of bookings, drawn evenly.
+    pub booking_paths: Vec<&'static str>,
+    /// Start of the paths of lookups.
+    pub lookup_path: &'static str,
     /// Tokens of a streamed answer, from and to.
     pub draft_tokens: (u32, u32),
     /// Tokens of an answer in one piece, from and to.
@@ -46,8 +50,10 @@
             bookings: 15,
             lookups: 20,
             drafts: 70,
-            draft_model: "draft".to_owned(),
-            whole_model: "brief".to_owned(),
+            draft_models: vec!["draft".to_owned(), "sheet".to_owned()],
+            whole_models: vec!["brief".to_owned()],
+            booking_paths: vec!["/bookings", "/payments"],
+            lookup_path: "/orders",
             draft_tokens: (60, 160),
             whole_tokens: (15, 40),
             context_bytes: 1200,
@@ -66,8 +72,10 @@
             bookings: 10,
             lookups: 20,
             drafts: 40,
-            draft_model: "plan".to_owned(),
-            whole_model: "question".to_owned(),
+            draft_models: vec!["plan".to_owned()],
+            whole_models: vec!["sizing".to_owned(), "tag".to_owned()],
+            booking_paths: vec!["/reservations"],
+            lookup_path: "/stock",
             draft_tokens: (40, 80),
             whole_tokens: (8, 20),
             context_bytes: 4000,
@@ -92,11 +100,16 @@
             kind,
             customer,
             chat: Chat::default(),
+            path: self.lookup_path,
             session: Session::default(),
             patience: self.plain_patience,
         };
-        if job.is_chat() {
-            self.fill(&mut job, idle, rng);
+        match kind {
+            Kind::Draft | Kind::Whole => self.fill(&mut job, idle, rng),
+            Kind::Booking => {
+                job.path = rng.choice(&self.booking_paths).copied().unwrap_or_default();
+            }
+            Kind::Lookup => {}
         }
         job
     }
@@ -117,10 +130,11 @@
     }
 
     fn fill(&self, job: &mut Job, idle: &mut Vec<Session>, rng: &mut fastrand::Rng) {
-        let (model, (low, high), patience) = match job.kind {
-            Kind::Draft => (&self.draft_model, self.draft_tokens, self.draft_patience),
-            _ => (&self.whole_model, self.whole_tokens, self.whole_patience),
+        let (models, (low, high), patience) = match job.kind {
+            Kind::Draft => (&self.draft_models, self.draft_tokens, self.draft_patience),
+            _ => (&self.whole_models, self.whole_tokens, self.whole_patience),
         };
+        let model = &models[rng.usize(..models.len())];
         let same = (0..idle.len()).filter(|index| idle[*index].model == *model);
         let earlier = rng
             .choice(same.collect::<Vec<_>>())
--- a/crates/comfreyroad_fakes/src/options/mod.rs
+++ b/crates/comfreyroad_fakes/src/options/mod.rs
@@ -121,7 +121,7 @@
             vms_lag: Duration::from_millis(number(matches, "vms-lag-ms", 500, &mut errors)),
             weights_rate: number(matches, "weights-rate", 1.0, &mut errors),
             seed: number(matches, "seed", 1, &mut errors),
-            delay: Duration::from_millis(number(matches, "delay-ms", 0, &mut errors)),
+            delay: delay(matches, &mut errors),
             ..Self::default()
         };
         if let Some(text) = matches.opt_str("log-settings") {
@@ -150,6 +150,15 @@
     }
 }
 
+/// The one-way delay given in milliseconds, which may have a fraction.
+pub(crate) fn delay(matches: &Matches, errors: &mut Vec<String>) -> Duration {
+    let ms: f64 = number(matches, "delay-ms", 0.0, errors);
+    Duration::try_from_secs_f64(ms / 1000.0).unwrap_or_else(|err| {
+        errors.push(format!("--delay-ms {ms}: {err}"));
+        Duration::ZERO
+    })
+}
+
 /// A number given by a flag, or `default`.
 pub(crate) fn number<T>(matches: &Matches, name: &str, default: T, errors: &mut Vec<String>) -> T
 where
--- a/crates/comfreyroad_fakes/src/service.rs
+++ b/crates/comfreyroad_fakes/src/service.rs
@@ -30,7 +30,7 @@
     pub latency: Duration,
 }
 
-/// A plain service with bookings and orders.
+/// A plain service: a call by `POST` is a booking, one by `GET` looks up what its path ends with.
 pub struct Service {
     settings: Settings,
     gate: Gate,
@@ -97,7 +97,7 @@
 
     /// Has its effect at once, so that an answer lost later is one whose effect stands.
     fn execute(&self, call: &Call) -> Reply {
-        if call.target() == ("POST", "/bookings") {
+        if call.method == "POST" {
             let request = call.header("x-request-id").to_owned();
             let mut bookings = self.bookings.borrow_mut();
             let attempts = bookings.entry(request.clone()).or_default();
@@ -107,8 +107,8 @@
                 &json!({ "booked": request, "times": attempts.len() }),
             );
         }
-        match call.path.strip_prefix("/orders/") {
-            Some(order) if call.method == "GET" => {
+        match call.path.rsplit_once('/') {
+            Some((_, order)) if call.method == "GET" && !order.is_empty() => {
                 self.lookups.set(self.lookups.get() + 1);
                 reply::json(StatusCode::OK, &json!({ "order": order, "state": "open" }))
             }
