--- a/crates/comfreyroad/tests/proof/bench/upstream.rs
+++ b/crates/comfreyroad/tests/proof/bench/upstream.rs
@@ -23,6 +23,8 @@
     pub(crate) zone: ZoneId,
     /// When it began to leave.
     pub(crate) left: Option<Instant>,
+    /// Until when it takes work and answers nothing.
+    pub(crate) stalled_until: Option<Instant>,
     /// What goes wrong with the next parts of its answers.
     pub(crate) mischief: Vec<Mischief>,
     pool: PoolId,
@@ -61,6 +63,7 @@
             id: id.into(),
             zone: ZONES[index % ZONES.len()].into(),
             left: None,
+            stalled_until: None,
             mischief: Vec::new(),
             pool: pool.into(),
             address: format!("{id}:9000").into(),
--- a/crates/comfreyroad/tests/proof/thin_path.rs
+++ b/crates/comfreyroad/tests/proof/thin_path.rs
@@ -90,6 +90,24 @@
     hold(&bench);
 }
 
+/// What waits longer than rules take to be in force everywhere goes by the rules of its sending.
+#[test]
+fn queued_request_goes_by_the_newest_rules() {
+    let mut bench = ready();
+    _ = bench.edit("mona", |plan| plan.out.extend(bench::ZONES));
+    run_for_ms(&mut bench, 500);
+    let spec = CallSpec::new("r1", "author", Ask::Chat("mona@1", 20));
+    let call = bench.call(0, spec);
+    run_for_ms(&mut bench, 100);
+    _ = bench.edit("mona", |plan| plan.is_withdrawn = true);
+    run_for_ms(&mut bench, 4_500);
+    _ = bench.edit("mona", |plan| plan.out.clear());
+    run_for_ms(&mut bench, 3_000);
+    assert!(!bench.calls[call].is_answered());
+    assert!(bench.journal.sendings.is_empty());
+    hold(&bench);
+}
+
 /// The log forgets; an entry that starts later must still learn the rules.
 #[test]
 fn rules_outlive_their_records() {
