--- a/crates/comfreyroad/src/controller/life.rs
+++ b/crates/comfreyroad/src/controller/life.rs
@@ -4,7 +4,7 @@
 //! Joining -> Serving -> Draining -> Gone
 //! ```
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::Controller;
 use crate::action::Action;
@@ -14,6 +14,9 @@
 use crate::outbox::Outbox;
 use crate::settings::Settings;
 
+/// Time for the last record of an entry to get on the log.
+const CLOSE_WAIT: Duration = Duration::from_secs(2);
+
 /// Not yet ready: no rules.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Joining;
@@ -29,11 +32,16 @@
     pub notice_until: Instant,
     /// When whatever is left is cut.
     pub until: Instant,
+    /// Once nothing is left or the rest was cut, when the last word on the log is waited for no longer.
+    pub closing: Option<Instant>,
 }
 
 /// Over.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Gone;
+pub struct Gone {
+    /// Until then what has been answered may still be on its way to slow callers.
+    pub until: Instant,
+}
 
 /// Whichever phase it is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -59,13 +67,21 @@
         Draining {
             notice_until,
             until,
+            closing: None,
         }
     }
 }
 
 impl Draining {
+    fn close(self, until: Instant) -> Self {
+        Self {
+            closing: Some(until),
+            ..self
+        }
+    }
+
     fn end(self) -> Gone {
-        Gone
+        Gone { until: self.until }
     }
 }
 
@@ -85,11 +101,15 @@
 #[derive(Debug)]
 pub struct Life {
     phase: Phase,
-    notice: std::time::Duration,
-    timeout: std::time::Duration,
+    notice: Duration,
+    timeout: Duration,
+    drains: bool,
     takes_work: bool,
     ready: bool,
-    calls: usize,
+    is_term_over: bool,
+    // Calls and records left, counted after the entry last changed what it takes.
+    left: Option<usize>,
+    old_counts: u32,
 }
 
 impl Life {
@@ -98,9 +118,12 @@
             phase: Phase::Joining(Joining),
             notice: settings.drain_notice,
             timeout: settings.drain_timeout,
+            drains: settings.switches.drains,
             takes_work: false,
             ready: false,
-            calls: 0,
+            is_term_over: false,
+            left: None,
+            old_counts: 0,
         }
     }
 
@@ -122,23 +145,28 @@
     fn set(&mut self, phase: Phase, out: &mut Outbox) {
         self.phase = phase;
         self.takes_work = matches!(phase, Phase::Serving(_) | Phase::Draining(_));
-        self.ready = matches!(phase, Phase::Serving(_));
         out.note(Note::new(&note::PHASE).with("phase", phase.name()));
-        out.act(Action::Ready(self.ready));
+        self.set_ready(out);
         out.raise(Event::Phase(phase));
     }
 
+    fn set_ready(&mut self, out: &mut Outbox) {
+        self.ready = matches!(self.phase, Phase::Serving(_)) && !self.is_term_over;
+        out.act(Action::Ready(self.ready));
+    }
+
     fn on_shutdown(&mut self, now: Now, out: &mut Outbox) {
         match self.phase {
             Phase::Serving(serving) => {
                 let draining = serving.drain(now.instant + self.notice, now.instant + self.timeout);
                 self.set(Phase::Draining(draining), out);
             }
-            // A second request to end, or one before there was any work, is taken at its word.
-            Phase::Joining(_) | Phase::Draining(_) => {
-                self.set(Phase::Gone(Gone), out);
-                out.act(Action::Exit);
+            // A second request to end cuts what is left, a third does not wait for the log.
+            Phase::Draining(draining) if draining.closing.is_none() => {
+                self.close(now, draining, out);
             }
+            Phase::Draining(draining) => self.end(draining.end(), out),
+            Phase::Joining(_) => self.end(Gone { until: now.instant }, out),
             Phase::Gone(_) => {}
         }
     }
@@ -147,12 +175,46 @@
         let Phase::Draining(draining) = self.phase else {
             return;
         };
-        self.takes_work = now.instant < draining.notice_until;
-        let idle = self.calls == 0 && !self.takes_work;
-        if idle || now.instant >= draining.until {
-            self.set(Phase::Gone(draining.end()), out);
-            out.act(Action::Exit);
+        if self.takes_work && now.instant >= draining.notice_until {
+            self.takes_work = false;
+            self.forget_counts();
+        }
+        let is_idle = !self.takes_work && self.left == Some(0);
+        let is_over = now.instant >= draining.until || !self.drains;
+        match draining.closing {
+            None if is_idle || is_over => self.close(now, draining, out),
+            Some(until) if is_idle || now.instant >= until => self.end(draining.end(), out),
+            _ => {}
+        }
+    }
+
+    /// Takes nothing more, cuts what is left, and waits until the log knows of it.
+    fn close(&mut self, now: Now, draining: Draining, out: &mut Outbox) {
+        self.phase = Phase::Draining(draining.close(now.instant + CLOSE_WAIT));
+        self.takes_work = false;
+        self.forget_counts();
+        out.raise(Event::CutOff);
+    }
+
+    fn end(&mut self, gone: Gone, out: &mut Outbox) {
+        let is_on_log = self.left == Some(0);
+        self.set(Phase::Gone(gone), out);
+        out.note(Note::new(&note::GONE).with("on_log", is_on_log));
+        out.act(Action::Exit);
+    }
+
+    /// A count that is under way may miss a call that has just come in.
+    fn forget_counts(&mut self) {
+        self.left = None;
+        self.old_counts = 1;
+    }
+
+    fn on_count(&mut self, left: usize) {
+        if self.old_counts > 0 {
+            self.old_counts -= 1;
+            return;
         }
+        self.left = Some(left);
     }
 }
 
@@ -164,7 +226,11 @@
                     self.set(Phase::Serving(joining.serve()), out);
                 }
             }
-            Event::CallsLeft(calls) => self.calls = *calls,
+            Event::TermOver(is_over) => {
+                self.is_term_over = *is_over;
+                self.set_ready(out);
+            }
+            Event::CallsLeft(left) => self.on_count(*left),
             Event::Shutdown => self.on_shutdown(now, out),
             Event::Tick => self.on_tick(now, out),
             _ => {}
--- a/crates/comfreyroad/src/controller/mod.rs
+++ b/crates/comfreyroad/src/controller/mod.rs
@@ -4,13 +4,19 @@
 //! other controllers. None calls another; all of them see the same events in the same order.
 
 pub mod appends;
+pub mod budgets;
 pub mod claim;
+pub mod delays;
 pub mod ledger;
 pub mod life;
+pub mod limits;
 pub mod log;
 pub mod members;
+pub mod queue;
 pub mod rules;
 pub mod sessions;
+pub mod term;
+pub mod trail;
 pub mod upstreams;
 
 use crate::clock::Now;
@@ -52,6 +58,18 @@
     pub log: log::Log,
     /// Appends to the log.
     pub appends: appends::Appends,
+    /// Calls that wait for a slot.
+    pub queue: queue::Queue,
+    /// Open calls and the room that they take.
+    pub limits: limits::Limits,
+    /// Budgets of extra sendings.
+    pub budgets: budgets::Budgets,
+    /// How long answers take.
+    pub delays: delays::Delays,
+    /// What became of recent calls.
+    pub trail: trail::Trail,
+    /// The end of the venture.
+    pub term: term::Term,
     identity: Identity,
 }
 
@@ -77,6 +95,12 @@
             sessions: sessions::Sessions::new(settings),
             log: log::Log::default(),
             appends: appends::Appends::default(),
+            queue: queue::Queue::new(settings),
+            limits: limits::Limits::new(settings),
+            budgets: budgets::Budgets::new(settings),
+            delays: delays::Delays::default(),
+            trail: trail::Trail::default(),
+            term: term::Term::new(settings),
             identity: Identity {
                 entry: settings.entry.clone(),
                 boot: settings.boot.clone(),
@@ -106,6 +130,7 @@
             keep: Vec::new(),
             kept: Vec::new(),
             done: Vec::new(),
+            pins: Vec::new(),
         };
         for controller in self.all() {
             controller.fill(now, to, &mut frame);
@@ -113,7 +138,7 @@
         frame
     }
 
-    fn all(&mut self) -> [&mut dyn Controller; 9] {
+    fn all(&mut self) -> [&mut dyn Controller; 15] {
         [
             &mut self.log,
             &mut self.rules,
@@ -123,6 +148,12 @@
             &mut self.ledger,
             &mut self.sessions,
             &mut self.appends,
+            &mut self.queue,
+            &mut self.limits,
+            &mut self.budgets,
+            &mut self.delays,
+            &mut self.trail,
+            &mut self.term,
             &mut self.life,
         ]
     }
--- a/crates/comfreyroad/src/controller/sessions.rs
+++ b/crates/comfreyroad/src/controller/sessions.rs
@@ -1,40 +1,97 @@
 //! Sessions: each keeps the version that it began with.
+//!
+//! A session that we hand out is a token that names its version. A caller may also bring ids of its own, and such a
+//! session cannot be told from a new one by its id. Its version follows from its hash by the shares, so most stay when
+//! shares change; each entry remembers the sessions that it has seen lately, and tells the others of those that would
+//! get another version by the new shares. Until that has gone round, all go by the old shares.
 
+use std::rc::Rc;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
+use indexmap::IndexMap;
+
+use super::Controller;
 use crate::clock::Now;
-use crate::controller::Controller;
 use crate::event::Event;
 use crate::filter::View;
-use crate::id::VersionId;
+use crate::filter::allow::Allow;
+use crate::frame::{Beat, Frame, Pins, View as Members};
+use crate::id::{Address, SessionHash, VersionId};
 use crate::outbox::Outbox;
 use crate::refusal::Code;
-use crate::request::{Allowed, Plan, Request};
-use crate::rules::{Rules, Version};
-use crate::session::Token;
+use crate::request::{Allowed, Choice, Head, Plan};
+use crate::rules::{InForce, Rules, Version};
+use crate::session::{Known, Table, Token, share};
 use crate::settings::Settings;
 
-/// Keeps the keys of session tokens.
+/// Time for which new shares wait for the pins of all entries.
+const SETTLE: Duration = Duration::from_secs(3);
+/// Time for which a pin is told to peers.
+const YOUNG: Duration = Duration::from_secs(5);
+/// Pins in one frame at most.
+const PINS: usize = 512;
+/// Sessions that are looked through at one tick.
+const SWEEP: usize = 1024;
+
+/// Keeps the keys of session tokens, and the sessions of callers' own ids.
 #[derive(Debug)]
 pub struct Sessions {
     keys: Vec<[u8; 32]>,
+    life: Duration,
+    idle: Duration,
+    last_sessions: Duration,
+    keeps_ids: bool,
+    pins_again: bool,
+    table: Table,
+    rules: Option<Arc<InForce>>,
+    before: Option<Before>,
+    young: IndexMap<SessionHash, (VersionId, Instant)>,
+    cursor: usize,
+    // Sessions still to be looked through for those that would move.
+    left: usize,
+    members: Rc<Members>,
+}
+
+/// Rules whose shares still count.
+#[derive(Debug)]
+struct Before {
+    rules: Arc<InForce>,
+    until: Instant,
 }
 
 impl Sessions {
     pub(super) fn new(settings: &Settings) -> Self {
         Self {
             keys: settings.session_keys.clone(),
+            life: settings.session_life,
+            idle: settings.session_idle,
+            last_sessions: settings.last_sessions,
+            keeps_ids: settings.switches.keeps_ids,
+            pins_again: settings.switches.pins_again,
+            table: Table::default(),
+            rules: None,
+            before: None,
+            young: IndexMap::new(),
+            cursor: 0,
+            left: 0,
+            members: Rc::default(),
         }
     }
 
-    /// The plan for a request and the session token to hand back.
-    pub fn pin(
-        &self,
-        request: &Request<Allowed>,
-        view: &View<'_>,
-    ) -> Result<(Plan, Option<Arc<str>>), Code> {
+    /// Whether waiting requests get another version when theirs is withdrawn.
+    pub fn pins_again(&self) -> bool {
+        self.pins_again
+    }
+
+    /// Sessions of callers' own ids that are kept.
+    pub fn known(&self) -> usize {
+        self.table.len()
+    }
+
+    /// The version that answers a request, and the session token to hand back.
+    pub fn choose(&self, allowed: &Allowed, head: &Head, view: &View<'_>) -> Result<Choice, Code> {
         let rules = view.state.rules.for_new_work(view.now)?;
-        let allowed = request.stage();
         let active: Vec<&Version> = allowed
             .versions
             .iter()
@@ -44,55 +101,276 @@
         if active.is_empty() {
             return Err(Code::Withdrawn);
         }
-        if let Some(plan) = self.kept(request, &active)? {
-            return Ok((plan, request.head().session.clone()));
+        let Some(text) = &head.session else {
+            return self.begin(allowed, &active, head, view);
+        };
+        let Some(token) = Token::open(text, &self.keys) else {
+            return self.own_id(allowed, &active, text, view);
+        };
+        if token.customer != allowed.customer {
+            return Err(Code::BadSession);
+        }
+        if token.until <= view.now.system {
+            return self.begin(allowed, &active, head, view);
+        }
+        if active.iter().any(|version| version.id == token.version) {
+            return Ok(self.keep(&token, text, view));
+        }
+        let choice = self.begin(allowed, &active, head, view)?;
+        Ok(Choice {
+            moved_from: Some(token.version),
+            ..choice
+        })
+    }
+
+    /// Goes on with a token, which is renewed in the second half of its life.
+    fn keep(&self, token: &Token, text: &Arc<str>, view: &View<'_>) -> Choice {
+        let is_old = token.until < view.now.system + self.life / 2;
+        let session = if is_old {
+            self.seal(token, view)
+        } else {
+            Some(Arc::clone(text))
+        };
+        Choice {
+            plan: Plan::single(token.version.clone()),
+            session,
+            ..Choice::default()
+        }
+    }
+
+    /// A new session.
+    fn begin(
+        &self,
+        allowed: &Allowed,
+        active: &[&Version],
+        head: &Head,
+        view: &View<'_>,
+    ) -> Result<Choice, Code> {
+        let is_new = head.session.is_none();
+        if is_new && self.is_near_end(view) {
+            return Err(Code::TermOver);
         }
-        let version = Self::choose(rules, &active, &request.head().id).ok_or(Code::NotFound)?;
+        let seed = share::hash(&allowed.customer, &allowed.route, &head.id);
+        let version = share::choose(active, seed).ok_or(Code::NotFound)?;
+        Ok(self.choice(allowed, version, view))
+    }
+
+    /// A session that the caller names itself.
+    fn own_id(
+        &self,
+        allowed: &Allowed,
+        active: &[&Version],
+        id: &str,
+        view: &View<'_>,
+    ) -> Result<Choice, Code> {
+        let session = share::hash(&allowed.customer, &allowed.route, id);
+        let known = self
+            .table
+            .get(session, view.now.instant)
+            .filter(|_| self.keeps_ids);
+        let is_active = |id: &VersionId| active.iter().any(|version| version.id == *id);
+        let settled = || self.by_old_shares(active, session, view.now);
+        let kept = known.map(|known| known.version.clone()).or_else(settled);
+        let version = match &kept {
+            Some(version) if is_active(version) => version.clone(),
+            _ => share::choose(active, session).ok_or(Code::NotFound)?,
+        };
+        let choice = self.choice(allowed, version, view);
+        Ok(Choice {
+            own_id: Some(session),
+            moved_from: known
+                .map(|known| known.version.clone())
+                .filter(|version| !is_active(version)),
+            ..choice
+        })
+    }
+
+    fn by_old_shares(
+        &self,
+        active: &[&Version],
+        session: SessionHash,
+        now: Now,
+    ) -> Option<VersionId> {
+        let before = self.before.as_ref()?;
+        if !self.keeps_ids || before.until <= now.instant {
+            return None;
+        }
+        let old: Vec<&Version> = active
+            .iter()
+            .filter_map(|version| before.rules.rules.versions.get(&version.id))
+            .collect();
+        share::choose(&old, session)
+    }
+
+    fn choice(&self, allowed: &Allowed, version: VersionId, view: &View<'_>) -> Choice {
         let token = Token {
             customer: allowed.customer.clone(),
             route: allowed.route.clone(),
             version,
+            until: view.now.system,
         };
-        let text = self.keys.first().map(|key| token.seal(key).into());
-        Ok((Plan::single(token.version), text))
+        Choice {
+            session: self.seal(&token, view),
+            plan: Plan::single(token.version),
+            ..Choice::default()
+        }
     }
 
-    /// The version that the session began with, while it still takes work.
-    fn kept(&self, request: &Request<Allowed>, active: &[&Version]) -> Result<Option<Plan>, Code> {
-        let Some(text) = &request.head().session else {
-            return Ok(None);
+    fn seal(&self, token: &Token, view: &View<'_>) -> Option<Arc<str>> {
+        let until = view.now.system + self.life;
+        let token = Token {
+            until,
+            ..token.clone()
         };
-        let token = Token::open(text, &self.keys).ok_or(Code::BadSession)?;
-        if token.customer != request.stage().customer {
-            return Err(Code::BadSession);
+        self.keys.first().map(|key| token.seal(key).into())
+    }
+
+    /// Whether the term ends so soon that no session begins.
+    fn is_near_end(&self, view: &View<'_>) -> bool {
+        let end = self.rules.as_ref().and_then(|rules| rules.rules.term);
+        end.is_some_and(|end| end <= view.now.system + self.last_sessions)
+    }
+
+    fn on_rules(&mut self, now: Now, rules: &Arc<InForce>) {
+        let before = self.rules.replace(Arc::clone(rules));
+        let Some(before) = before else { return };
+        if before.rules.versions == rules.rules.versions {
+            return;
         }
-        let found = active.iter().find(|version| version.id == token.version);
-        Ok(found.map(|version| Plan::single(version.id.clone())))
+        // Where several changes follow each other closely, the shares before the first of them count.
+        let before = match self.before.take() {
+            Some(earlier) if earlier.until > now.instant => earlier.rules,
+            _ => before,
+        };
+        self.before = Some(Before {
+            rules: before,
+            until: now.instant + SETTLE,
+        });
+        self.left = self.table.len();
     }
 
-    /// The cheapest model, and of its versions one by their shares.
-    fn choose(rules: &Rules, active: &[&Version], seed: &str) -> Option<VersionId> {
-        let cheapest = active.iter().min_by_key(|version| version.cost)?;
-        let of_model: Vec<&&Version> = active
-            .iter()
-            .filter(|version| version.model == cheapest.model)
-            .collect();
-        let total: u32 = of_model.iter().map(|version| version.share).sum();
-        if total == 0 {
-            return Some(cheapest.id.clone());
-        }
-        let mut point = (xxhash_rust::xxh3::xxh3_64(seed.as_bytes()) % u64::from(total)) as u32;
-        for version in of_model {
-            if point < version.share {
-                return Some(version.id.clone());
+    /// Keeps the version of a session that has asked.
+    fn on_seen(&mut self, now: Now, session: SessionHash, allowed: &Allowed, version: &VersionId) {
+        let known = Known {
+            session,
+            asked: Some((allowed.customer.clone(), allowed.route.clone())),
+            version: version.clone(),
+            until: now.instant + self.idle,
+        };
+        let is_new = self.table.get(session, now.instant).is_none();
+        self.table.insert(known.clone());
+        // One that begins while shares settle is told at once.
+        if is_new && self.before.is_some() && self.would_move(&known) {
+            self.tell(now, &known);
+        }
+    }
+
+    fn tell(&mut self, now: Now, known: &Known) {
+        let pin = (known.version.clone(), now.instant + YOUNG);
+        self.young.insert(known.session, pin);
+    }
+
+    /// Whether a session would get another version by the newest shares.
+    fn would_move(&self, known: &Known) -> bool {
+        let Some(rules) = &self.rules else {
+            return false;
+        };
+        let Some((customer, route)) = &known.asked else {
+            return false;
+        };
+        let versions = Self::active(&rules.rules, customer, route);
+        let stays = versions.iter().any(|version| version.id == known.version);
+        stays && share::choose(&versions, known.session).as_ref() != Some(&known.version)
+    }
+
+    fn active<'a>(rules: &'a Rules, customer: &str, route: &'a Arc<str>) -> Vec<&'a Version> {
+        let Some(customer) = rules.customers.get(customer) else {
+            return Vec::new();
+        };
+        Allow::asked(rules, route)
+            .into_iter()
+            .filter(|version| customer.allows(version) && !version.withdrawn)
+            .collect()
+    }
+
+    fn on_frame(&mut self, now: Now, frame: &Frame) {
+        let until = now.instant + self.idle;
+        for pins in frame.pins.iter().take(PINS) {
+            for session in pins.sessions.iter().take(PINS) {
+                // What this entry has seen itself counts.
+                if self.table.get(*session, now.instant).is_some() {
+                    continue;
+                }
+                let known = Known {
+                    session: *session,
+                    asked: None,
+                    version: pins.version.clone(),
+                    until,
+                };
+                self.tell(now, &known);
+                self.table.insert(known);
             }
-            point -= version.share;
         }
-        let _ = rules;
-        Some(cheapest.id.clone())
+    }
+
+    /// A new entry has to be told of all pins.
+    fn on_members(&mut self, members: &Rc<Members>) {
+        let is_known = |beat: &Beat| {
+            let known = self.members.members.get(&beat.entry);
+            known.is_some_and(|known| known.boot == beat.boot)
+        };
+        if !members.members.values().all(is_known) {
+            self.left = self.table.len();
+        }
+        self.members = Rc::clone(members);
+    }
+
+    fn on_tick(&mut self, now: Now) {
+        let swept = self.table.sweep(now.instant, SWEEP);
+        if self.left > 0 {
+            self.left = self.left.saturating_sub(SWEEP);
+            let moving: Vec<&Known> = swept
+                .iter()
+                .filter(|known| self.would_move(known))
+                .collect();
+            for known in moving {
+                self.tell(now, known);
+            }
+        }
+        self.before.take_if(|before| before.until <= now.instant);
     }
 }
 
 impl Controller for Sessions {
-    fn handle(&mut self, _: Now, _: &Event, _: &mut Outbox) {}
+    fn handle(&mut self, now: Now, event: &Event, _: &mut Outbox) {
+        match event {
+            Event::InForce(rules) => self.on_rules(now, rules),
+            Event::SessionSeen {
+                session,
+                allowed,
+                version,
+            } if self.keeps_ids => self.on_seen(now, *session, allowed, version),
+            Event::Peer(frame) if self.keeps_ids => self.on_frame(now, frame),
+            Event::Members(view) => self.on_members(view),
+            Event::Tick => self.on_tick(now),
+            _ => {}
+        }
+    }
+
+    fn fill(&mut self, now: Now, _: &Address, frame: &mut Frame) {
+        self.young.retain(|_, (_, until)| *until > now.instant);
+        let count = self.young.len();
+        let mut pins: IndexMap<VersionId, Vec<SessionHash>> = IndexMap::new();
+        for step in 0..count.min(PINS) {
+            let index = (self.cursor + step) % count;
+            if let Some((session, (version, _))) = self.young.get_index(index) {
+                pins.entry(version.clone()).or_default().push(*session);
+            }
+        }
+        self.cursor = (self.cursor + PINS) % count.max(1);
+        let pins = pins.into_iter();
+        frame.pins = pins
+            .map(|(version, sessions)| Pins { version, sessions })
+            .collect();
+    }
 }
--- a/crates/comfreyroad/src/dispatcher/answer.rs
+++ b/crates/comfreyroad/src/dispatcher/answer.rs
@@ -1,280 +1,186 @@
-//! Answers on their way back: matched to their attempt, put in order, billed.
+//! Answers on their way back to their callers.
 
 use std::sync::Arc;
 
 use super::{Active, Dispatcher, Turn};
 use crate::action::Action;
-use crate::event::{Event, Failure, Signal, Unwritten};
-use crate::filter::chain;
-use crate::id::{AttemptId, AttemptTag, CallId};
-use crate::note::{self, Note};
-use crate::record::{Bill, Key, Outcome};
-use crate::refusal::{Code, Refusal};
-use crate::request::{Pinned, Request, Returned, Sent, Target, Usage};
+use crate::answer::{self, Fault, Part};
+use crate::controller::trail::Step;
+use crate::event::{Event, Signal};
+use crate::id::{AttemptId, CallId};
+use crate::record::{Bill, Outcome};
+use crate::request::{Request, Sent, Target, Usage};
 
-/// HTTP status by which an upstream says that it takes no more for now.
-const BUSY: u16 = 503;
+/// Bytes of a plain service's answer that are held back until it is whole.
+const HELD_BYTES: usize = 8 * 1024;
 
 impl Dispatcher {
     pub(super) fn on_signal(&mut self, attempt: AttemptId, signal: Signal, turn: &mut Turn<'_>) {
         // An attempt that was given up is not known any more, and what comes of it is late.
         let Some(call) = self.attempts.get(&attempt).copied() else {
+            self.late += 1;
             return;
         };
-        if self.is_crossed(call, &signal) {
-            turn.out.note(
-                Note::new(&note::CROSSED)
-                    .with("call", call)
-                    .with("attempt", attempt),
-            );
-            return self.fail(call, None, turn);
-        }
-        match signal {
-            Signal::Head {
-                status,
-                content_type,
-                ..
-            } => self.on_head(call, status, content_type, turn),
-            Signal::Piece {
-                offset,
-                length,
-                bytes,
-                ..
-            } => self.on_piece(call, offset, length, bytes, turn),
-            Signal::End { usage } => self.on_end(call, usage, turn),
-            Signal::Failed(Failure { unwritten, .. }) => self.fail(call, unwritten, turn),
+        let is_checked = self.checks_answers;
+        let view = turn.view();
+        let Some(request) = self.running(call) else {
+            return;
+        };
+        let passed = if is_checked {
+            answer::pass(request, attempt, signal, &view)
+        } else {
+            answer::pass_unchecked(request, signal, &view)
+        };
+        match passed {
+            Ok(Part::Nothing) => {}
+            Ok(Part::Piece(bytes)) => self.on_piece(call, attempt, bytes, turn),
+            Ok(Part::Whole { usage, bill }) => self.on_whole(call, attempt, usage, bill, turn),
+            Err(Fault::Late) => self.late += 1,
+            Err(fault) => self.fail(call, attempt, &fault, turn),
         }
     }
 
-    fn running(&mut self, call: CallId) -> Option<&mut Request<Sent>> {
+    pub(super) fn running(&mut self, call: CallId) -> Option<&mut Request<Sent>> {
         match &mut self.calls.get_mut(&call)?.active {
             Some(Active::Running(request)) => Some(request),
             _ => None,
         }
     }
 
-    /// Whether an answer names another attempt than the one that it came for.
-    fn is_crossed(&mut self, call: CallId, signal: &Signal) -> bool {
-        let named: Option<&AttemptTag> = match signal {
-            Signal::Head { tag, .. } | Signal::Piece { tag, .. } => tag.as_ref(),
-            Signal::End { .. } | Signal::Failed(_) => None,
-        };
-        let Some(named) = named else { return false };
-        self.running(call)
-            .is_some_and(|request| request.stage().tag != *named)
-    }
-
-    fn on_head(
-        &mut self,
-        call: CallId,
-        status: u16,
-        content_type: Option<Arc<str>>,
-        turn: &mut Turn<'_>,
-    ) {
-        let Some(request) = self.running(call) else {
-            return;
-        };
-        let is_chat = matches!(request.head().target, Target::Chat(_));
-        let try_elsewhere = if is_chat {
-            status != 200
-        } else {
-            status == BUSY && Self::may_repeat(request)
-        };
-        if try_elsewhere {
-            return self.fail(call, None, turn);
-        }
+    /// The first of two sendings that gives a part goes on, the other one is stopped.
+    fn choose(&mut self, call: CallId, attempt: AttemptId, turn: &mut Turn<'_>) {
         let Some(request) = self.running(call) else {
             return;
         };
-        request.set_status(status);
-        let pinned = request.stage().placed.origin.pinned();
-        let (session, version) = (pinned.session.clone(), pinned.plan.version().cloned());
-        let Some(known) = self.calls.get_mut(&call) else {
+        let Some(loser) = request.stage_mut().keep(attempt) else {
             return;
         };
-        if !std::mem::replace(&mut known.begun, true) {
-            turn.out.act(Action::Begin {
-                call,
-                status,
-                content_type,
-                session,
-                version,
-            });
-        }
+        turn.explain(
+            call,
+            Step::new("answer", "other attempt cancelled").with("attempt", &loser.tag),
+        );
+        self.cancel(&loser, turn);
+        turn.out.raise(Event::Room);
     }
 
-    /// Passes a part on if it is the next one; drops what the caller has; fails where something is missing.
     fn on_piece(
         &mut self,
         call: CallId,
-        offset: u64,
-        length: u64,
+        attempt: AttemptId,
         bytes: Arc<[u8]>,
         turn: &mut Turn<'_>,
     ) {
+        self.choose(call, attempt, turn);
         let Some(request) = self.running(call) else {
             return;
         };
-        let delivered = request.stage().placed.delivered;
-        if offset + length <= delivered && length > 0 {
+        let is_held = matches!(request.head().target, Target::Service(_));
+        let stage = request.stage();
+        let (lane, at) = (stage.origin.pinned().lane(), stage.sending.at);
+        let Some(known) = self.calls.get_mut(&call) else {
             return;
+        };
+        if !known.begun && known.held.is_empty() {
+            let took = turn.now.instant.saturating_duration_since(at);
+            turn.out.raise(Event::Began { lane, took });
+            turn.explain(call, Step::new("answer", "begins"));
         }
-        if offset != delivered {
-            return self.fail(call, None, turn);
+        if is_held && !known.begun && known.held_bytes() + bytes.len() <= HELD_BYTES {
+            known.held.push(bytes);
+            return;
         }
-        request.advance(offset + length);
+        self.begin(call, turn);
         turn.out.act(Action::Deliver { call, bytes });
     }
 
-    fn on_end(&mut self, call: CallId, usage: Usage, turn: &mut Turn<'_>) {
+    /// Begins the answer, if that is not done, with all that was held back.
+    fn begin(&mut self, call: CallId, turn: &mut Turn<'_>) {
         let Some(known) = self.calls.get_mut(&call) else {
             return;
         };
-        let Some(Active::Running(request)) = known.active.take() else {
+        if std::mem::replace(&mut known.begun, true) {
             return;
-        };
-        self.attempts.swap_remove(&request.stage().attempt);
-        let request = request.answer(usage);
-        if let Some(key) = known.claim.clone() {
-            let outcome = Outcome::Answered {
-                status: request.stage().status,
-                body: None,
-            };
-            Self::write_outcome(&key, call, outcome, turn);
-        }
-        let stage = request.stage();
-        let bill = Self::bill(&stage.pinned, request.head(), stage.delivered, turn);
-        turn.out.raise(Event::BillWanted { call, bill });
-        turn.out.raise(Event::Room);
-        if let Some(known) = self.calls.get_mut(&call) {
-            known.active = Some(Active::Billing(Box::new(request)));
-        }
-    }
-
-    /// A bill for the tokens that the caller has got.
-    fn bill(pinned: &Pinned, head: &crate::request::Head, delivered: u64, turn: &Turn<'_>) -> Bill {
-        let key = Key {
-            customer: pinned.allowed.customer.clone(),
-            request: head.id.clone(),
-        };
-        let version = pinned.plan.version().cloned();
-        let tokens = match &head.target {
-            Target::Chat(chat) => delivered + u64::from(chat.prompt_tokens),
-            Target::Service(_) => 0,
-        };
-        let in_force = turn.state.rules.in_force();
-        let rule = version
-            .as_ref()
-            .and_then(|id| in_force?.rules.versions.get(id));
-        let cost = rule.map_or(0, |version| version.cost * tokens / 1000);
-        Bill {
-            key,
-            version,
-            tokens,
-            cost,
         }
-    }
-
-    pub(super) fn on_bill_safe(&mut self, call: CallId, turn: &mut Turn<'_>) {
-        let Some(known) = self.calls.get_mut(&call) else {
-            return;
-        };
-        let Some(Active::Billing(request)) = known.active.take() else {
+        let held = std::mem::take(&mut known.held);
+        let Some(Active::Running(request)) = &known.active else {
             return;
         };
-        let usage = request.bill().stage().usage;
-        self.calls.swap_remove(&call);
-        turn.out.act(Action::Finish { call, usage });
+        let stage = request.stage();
+        let pinned = stage.origin.pinned();
+        turn.out.act(Action::Begin {
+            call,
+            status: stage.sending.status.unwrap_or(200),
+            content_type: stage.sending.content_type.clone(),
+            session: pinned.session.clone(),
+            version: pinned.plan.version().cloned(),
+        });
+        for bytes in held {
+            turn.out.act(Action::Deliver { call, bytes });
+        }
     }
 
-    /// An attempt has failed: sends the request again where that is allowed.
-    fn fail(&mut self, call: CallId, unwritten: Option<Unwritten>, turn: &mut Turn<'_>) {
-        self.stop(call, turn);
+    fn on_whole(
+        &mut self,
+        call: CallId,
+        attempt: AttemptId,
+        usage: Usage,
+        bill: Option<Bill>,
+        turn: &mut Turn<'_>,
+    ) {
+        self.choose(call, attempt, turn);
+        let body = self.held_body(call);
+        self.begin(call, turn);
         let Some(known) = self.calls.get_mut(&call) else {
             return;
         };
         let Some(Active::Running(request)) = known.active.take() else {
             return;
         };
-        turn.out.raise(Event::Room);
-        let returned = match unwritten {
-            Some(proof) => Ok(request.withdraw(proof)),
-            None => request.retry().map(Returned::Retrying),
-        };
-        match returned {
-            Ok(Returned::Unsent(request)) => {
-                let result = chain::place(request, &turn.view());
-                self.settle(call, result, turn);
-            }
-            Ok(Returned::Retrying(request)) => {
-                turn.out.note(
-                    Note::new(&note::RETRIED)
-                        .with("call", call)
-                        .with("sendings", request.stage().sendings),
-                );
-                let result = chain::retry(request, &turn.view());
-                self.settle(call, result, turn);
-            }
-            Err(_) => {
-                if let Some(key) = known.claim.clone() {
-                    Self::write_outcome(&key, call, Outcome::Doubtful, turn);
-                }
-                self.refuse(call, Refusal::maybe(Code::UpstreamFailed, "send"), turn);
-            }
+        self.attempts.swap_remove(&attempt);
+        let stage = request.stage();
+        let lane = stage.origin.pinned().lane();
+        let took = turn.now.instant.saturating_duration_since(stage.sending.at);
+        turn.out.raise(Event::Answered { lane, took });
+        let request = request.answer(usage);
+        let stage = request.stage();
+        turn.explain(
+            call,
+            Step::new("answer", "whole")
+                .with("status", stage.status)
+                .with("length", stage.delivered),
+        );
+        if let Some(key) = known.claim.clone() {
+            let status = stage.status;
+            Self::write_outcome(&key, call, Outcome::Answered { status, body }, turn);
         }
+        if let Some(bill) = bill {
+            turn.explain(call, Step::new("bill", "written").with("cost", bill.cost));
+            turn.out.raise(Event::BillWanted { call, bill });
+        }
+        turn.out.raise(Event::Room);
+        known.active = Some(Active::Billing(Box::new(request)));
     }
 
-    /// Forgets a call's attempt and tells the upstream to stop.
-    pub(super) fn stop(&mut self, call: CallId, turn: &mut Turn<'_>) {
-        let Some(request) = self.running(call) else {
-            return;
-        };
-        let stage = request.stage();
-        let (attempt, tag, address) = (
-            stage.attempt,
-            stage.tag.clone(),
-            stage.placed.slot.address.clone(),
-        );
-        self.attempts.swap_remove(&attempt);
-        turn.out.act(Action::Cancel {
-            attempt,
-            tag,
-            address,
-        });
+    /// A whole body that is short enough to be kept with its claim.
+    fn held_body(&self, call: CallId) -> Option<Arc<[u8]>> {
+        let known = self.calls.get(&call)?;
+        (!known.begun && known.claim.is_some()).then(|| known.held.concat().into())
     }
 
-    /// The caller has hung up: stops the work and bills what was delivered.
-    pub(super) fn on_caller_gone(&mut self, call: CallId, turn: &mut Turn<'_>) {
-        self.stop(call, turn);
-        let Some(known) = self.calls.swap_remove(&call) else {
+    pub(super) fn on_bill_safe(&mut self, call: CallId, turn: &mut Turn<'_>) {
+        let Some(known) = self.calls.get_mut(&call) else {
             return;
         };
-        match known.active {
-            Some(Active::Running(request)) => {
-                let placed = &request.stage().placed;
-                if placed.delivered > 0 {
-                    let bill = Self::bill(
-                        placed.origin.pinned(),
-                        request.head(),
-                        placed.delivered,
-                        turn,
-                    );
-                    turn.out.raise(Event::BillWanted { call, bill });
-                }
-                if let Some(key) = known.claim {
-                    Self::write_outcome(&key, call, Outcome::Doubtful, turn);
-                }
-            }
-            Some(Active::Claiming(_) | Active::Queued(_)) => {
-                if let Some(key) = known.claim {
-                    turn.out.raise(Event::ClaimReleased {
-                        key,
-                        writer: turn.state.claims.writer(call),
-                    });
-                }
+        let request = match known.active.take() {
+            Some(Active::Billing(request)) => request,
+            other => {
+                known.active = other;
+                return;
             }
-            _ => {}
-        }
-        turn.out.raise(Event::Room);
+        };
+        let usage = request.bill().stage().usage;
+        turn.explain(call, Step::new("finish", "answered"));
+        self.forget(call, turn);
+        turn.out.act(Action::Finish { call, usage });
     }
 }
--- a/crates/comfreyroad/src/dispatcher/call.rs
+++ b/crates/comfreyroad/src/dispatcher/call.rs
@@ -1,3 +1,5 @@
+use std::sync::Arc;
+
 use crate::record::Key;
 use crate::request::{Answered, Claimed, Pinned, Request, Retrying, Sent};
 
@@ -10,6 +12,8 @@
     pub(super) begun: bool,
     /// The claim made for it.
     pub(super) claim: Option<Key>,
+    /// A plain service's answer, while it is held back.
+    pub(super) held: Vec<Arc<[u8]>>,
 }
 
 /// Where a call stands.
@@ -26,3 +30,27 @@
     /// Waits until its bill is safe.
     Billing(Box<Request<Answered>>),
 }
+
+impl Active {
+    /// The request as its caller names it, among all customers.
+    pub(super) fn key(&self) -> Key {
+        let (pinned, head) = match self {
+            Self::Claiming(request) => (request.stage(), request.head()),
+            Self::Queued(request) => (&request.stage().pinned, request.head()),
+            Self::Retrying(request) => (&request.stage().claimed.pinned, request.head()),
+            Self::Running(request) => (request.stage().origin.pinned(), request.head()),
+            Self::Billing(request) => (&request.stage().pinned, request.head()),
+        };
+        Key {
+            customer: pinned.allowed.customer.clone(),
+            request: head.id.clone(),
+        }
+    }
+}
+
+impl Call {
+    /// Bytes held back.
+    pub(super) fn held_bytes(&self) -> usize {
+        self.held.iter().map(|part| part.len()).sum()
+    }
+}
--- a/crates/comfreyroad/src/dispatcher/mod.rs
+++ b/crates/comfreyroad/src/dispatcher/mod.rs
@@ -2,34 +2,40 @@
 
 mod answer;
 mod call;
-mod resume;
+mod end;
+mod fail;
+mod hedge;
+mod send;
+mod wait;
 
 use indexmap::IndexMap;
 
-use crate::action::{Action, Send};
+use crate::action::Action;
 use crate::clock::Now;
 use crate::controller::Controllers;
+use crate::controller::trail::Step;
 use crate::event::Event;
-use crate::filter::View;
 use crate::filter::chain::{self, Stop};
-use crate::id::{AttemptId, AttemptTag, CallId};
-use crate::note::{self, Note};
+use crate::filter::{View, admit};
+use crate::id::{AttemptId, CallId};
 use crate::outbox::Outbox;
-use crate::record::{Key, Record, Stream};
-use crate::refusal::{Code, Ran, Refusal};
-use crate::request::{Placed, Received, Repeat, Request};
+use crate::record::Key;
+use crate::refusal::{Code, Refusal};
+use crate::request::{Pinned, Placed, Received, Request};
 use crate::settings::Settings;
 
 use call::{Active, Call};
 
-/// The calls under way, in order of arrival.
+/// The calls under way.
 #[derive(Debug)]
 pub struct Dispatcher {
     prefix: String,
     max_calls: usize,
+    checks_answers: bool,
     calls: IndexMap<CallId, Call>,
     attempts: IndexMap<AttemptId, CallId>,
     last_attempt: AttemptId,
+    late: u64,
 }
 
 /// One turn: the time, the state to read, and what comes of it.
@@ -39,13 +45,18 @@
     pub(crate) out: &'a mut Outbox,
 }
 
-impl Turn<'_> {
-    fn view(&self) -> View<'_> {
+impl<'a> Turn<'a> {
+    fn view(&self) -> View<'a> {
         View {
             now: self.now,
             state: self.state,
         }
     }
+
+    /// Adds a step to a call's trail.
+    fn explain(&mut self, call: CallId, step: Step) {
+        self.out.raise(Event::Explained { call, step });
+    }
 }
 
 impl Dispatcher {
@@ -53,9 +64,11 @@
         Self {
             prefix: format!("{}.{}", settings.entry, settings.boot),
             max_calls: settings.max_calls,
+            checks_answers: settings.switches.checks_answers,
             calls: IndexMap::new(),
             attempts: IndexMap::new(),
             last_attempt: 0,
+            late: 0,
         }
     }
 
@@ -64,6 +77,11 @@
         self.calls.len()
     }
 
+    /// Signals that came for attempts which had been given up.
+    pub fn late(&self) -> u64 {
+        self.late
+    }
+
     pub(crate) fn handle(&mut self, event: Event, turn: &mut Turn<'_>) {
         match event {
             Event::Call(request) => self.on_call(*request, turn),
@@ -72,8 +90,11 @@
                 attempt, signal, ..
             } => self.on_signal(attempt, signal, turn),
             Event::ClaimDecided(key) => self.resume_claim(&key, turn),
-            Event::InForce(_) | Event::Room => self.resume_all(turn),
+            Event::InForce(_) | Event::Held(_) => self.resume_all(turn),
+            Event::Room => self.resume_lines(turn),
+            Event::Queued(ticket) => self.make_room(&ticket, turn),
             Event::BillSafe(call) => self.on_bill_safe(call, turn),
+            Event::CutOff => self.cut_off(turn),
             Event::Tick => self.on_tick(turn),
             _ => {}
         }
@@ -83,6 +104,7 @@
         let call = request.head().call;
         if self.calls.len() >= self.max_calls {
             let refusal = Refusal::not_run(&request, Code::Overloaded);
+            turn.out.raise(Event::CallEnded(call));
             turn.out.act(Action::Refuse { call, refusal });
             return;
         }
@@ -96,101 +118,57 @@
         let active = match result {
             Ok(request) => return self.send(call, request, turn),
             Err(Stop::Refused(refusal)) => return self.refuse(call, refusal, turn),
-            Err(Stop::Claiming(request)) => Active::Claiming(request),
-            Err(Stop::Queued(request)) => Active::Queued(request),
-            Err(Stop::Retrying(request)) => Active::Retrying(request),
-        };
-        let Some(known) = self.calls.get_mut(&call) else {
-            return;
+            Err(Stop::Claiming(request)) => {
+                self.want_claim(call, &request, turn);
+                Active::Claiming(request)
+            }
+            Err(Stop::Queued(request)) => {
+                Self::park(&request.stage().pinned, request.head(), false, turn);
+                Active::Queued(request)
+            }
+            Err(Stop::Retrying(request)) => {
+                let pinned = &request.stage().claimed.pinned;
+                Self::park(pinned, request.head(), true, turn);
+                Active::Retrying(request)
+            }
         };
-        if let Active::Claiming(request) = &active
-            && known.claim.is_none()
-        {
-            let customer = request.stage().allowed.customer.clone();
-            let key = Key {
-                customer,
-                request: request.head().id.clone(),
-            };
-            known.claim = Some(key.clone());
-            turn.out.raise(Event::ClaimWanted {
-                key,
-                writer: turn.state.claims.writer(call),
-            });
-        }
-        known.active = Some(active);
-    }
-
-    fn send(&mut self, call: CallId, request: Request<Placed>, turn: &mut Turn<'_>) {
-        self.last_attempt += 1;
-        let attempt = self.last_attempt;
-        let tag: AttemptTag = format!("{}.{attempt}", self.prefix).into();
-        let stage = request.stage();
-        let pinned = stage.origin.pinned();
-        let send = Send {
-            attempt,
-            tag: tag.clone(),
-            upstream: stage.slot.upstream.clone(),
-            address: stage.slot.address.clone(),
-            version: pinned.plan.version().cloned(),
-            resume_from: stage.delivered,
-            priority: pinned.allowed.class as u8,
-            deadline: request.head().deadline,
-            head: request.shared_head(),
-        };
-        turn.out.raise(Event::Sent(send.upstream.clone()));
-        turn.out.act(Action::Send(Box::new(send)));
-        self.attempts.insert(attempt, call);
         if let Some(known) = self.calls.get_mut(&call) {
-            known.active = Some(Active::Running(Box::new(request.send(attempt, tag))));
+            known.active = Some(active);
         }
     }
 
-    /// Ends a call without an answer, or breaks the answer off where it has begun.
-    fn refuse(&mut self, call: CallId, refusal: Refusal, turn: &mut Turn<'_>) {
-        let Some(known) = self.calls.swap_remove(&call) else {
+    fn want_claim(&mut self, call: CallId, request: &Request<Pinned>, turn: &mut Turn<'_>) {
+        let Some(known) = self.calls.get_mut(&call) else {
             return;
         };
-        if refusal.ran() == Ran::No
-            && let Some(key) = known.claim
-        {
-            turn.out.raise(Event::ClaimReleased {
-                key,
-                writer: turn.state.claims.writer(call),
-            });
+        if known.claim.is_some() {
+            return;
         }
-        turn.out.note(
-            Note::new(&note::REFUSED)
-                .with("call", call)
-                .with("why", &refusal),
-        );
-        let action = if known.begun {
-            Action::Break(call)
-        } else {
-            Action::Refuse { call, refusal }
+        let key = Key {
+            customer: request.stage().allowed.customer.clone(),
+            request: request.head().id.clone(),
         };
-        turn.out.act(action);
-    }
-
-    /// Writes down what became of a claimed request.
-    fn write_outcome(
-        key: &Key,
-        call: CallId,
-        outcome: crate::record::Outcome,
-        turn: &mut Turn<'_>,
-    ) {
-        let writer = turn.state.claims.writer(call);
-        let record = Record::Settle {
-            key: key.clone(),
-            writer,
-            outcome,
-        };
-        turn.out.raise(Event::Write {
-            stream: Stream::Claims,
-            record: std::rc::Rc::new(record),
+        known.claim = Some(key.clone());
+        turn.explain(call, Step::new("claim", "waits for the log"));
+        turn.out.raise(Event::ClaimWanted {
+            key,
+            writer: turn.state.claims.writer(call),
         });
     }
 
-    fn may_repeat(request: &Request<crate::request::Sent>) -> bool {
-        request.stage().placed.origin.pinned().allowed.repeat == Repeat::Idempotent
+    /// Has a call wait in the line of its lane, if it does not do so already.
+    fn park(pinned: &Pinned, head: &crate::request::Head, was_sent: bool, turn: &mut Turn<'_>) {
+        let ticket = admit::ticket(pinned, head, &turn.view(), was_sent);
+        let lane = turn.state.queue.lane_of(head.call);
+        if lane == Some(&ticket.lane) {
+            return;
+        }
+        if lane.is_some() {
+            let (call, placed) = (head.call, false);
+            turn.out.raise(Event::Unqueued { call, placed });
+        }
+        let step = Step::new("queue", "waits").with("lane", &ticket.lane);
+        turn.explain(head.call, step);
+        turn.out.raise(Event::Queued(ticket));
     }
 }
--- a/crates/comfreyroad/src/entry.rs
+++ b/crates/comfreyroad/src/entry.rs
@@ -1,13 +1,23 @@
 //! An entry: the controllers, the calls under way, and the one door in and out.
 
+use std::rc::Rc;
+
+use indexmap::IndexMap;
+
 use crate::action::Action;
 use crate::clock::Now;
 use crate::controller::Controllers;
+use crate::controller::ledger::Sum;
 use crate::dispatcher::{Dispatcher, Turn};
 use crate::event::Event;
+use crate::id::FirmId;
 use crate::outbox::Outbox;
+use crate::record::{Record, Stream};
 use crate::settings::Settings;
 
+/// The firm of customers that the rules do not name any more.
+const UNKNOWN: &str = "unknown";
+
 /// All decisions of one entry.
 #[derive(Debug)]
 pub struct Entry {
@@ -60,10 +70,36 @@
                     frame,
                 });
             }
+            Event::ClosingDue => out.raise(Event::Write {
+                stream: Stream::Ledger,
+                record: Rc::new(Record::Closing { sums: self.firms() }),
+            }),
             _ => {}
         }
     }
 
+    /// Requests and cost by firm, by the ledger and the rules.
+    fn firms(&self) -> Vec<(FirmId, u64, u64)> {
+        let Some(rules) = self.state.rules.in_force() else {
+            return Vec::new();
+        };
+        let mut firms: IndexMap<FirmId, Sum> = IndexMap::new();
+        for firm in &rules.rules.firms {
+            firms.insert(firm.clone(), Sum::default());
+        }
+        for (customer, sum) in self.state.ledger.sums() {
+            let customer = rules.rules.customers.get(customer);
+            let firm = customer.map_or_else(|| UNKNOWN.into(), |customer| customer.firm.clone());
+            let total = firms.entry(firm).or_default();
+            total.requests = total.requests.saturating_add(sum.requests);
+            total.cost = total.cost.saturating_add(sum.cost);
+        }
+        let firms = firms.into_iter();
+        firms
+            .map(|(firm, sum)| (firm, sum.requests, sum.cost))
+            .collect()
+    }
+
     /// The state, to be read.
     pub fn state(&self) -> &Controllers {
         &self.state
--- a/crates/comfreyroad/src/event/event.rs
+++ b/crates/comfreyroad/src/event/event.rs
@@ -1,12 +1,16 @@
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::SystemTime;
+use std::time::{Duration, SystemTime};
 
 use super::{Page, Signal};
+use crate::controller::queue::Ticket;
+use crate::controller::trail::Step;
 use crate::frame::Frame;
-use crate::id::{Address, AttemptId, BatchId, CallId, Offset, UpstreamId, VersionId};
+use crate::id::{
+    Address, AttemptId, BatchId, CallId, LaneId, Offset, SessionHash, UpstreamId, VersionId,
+};
 use crate::record::{Bill, Key, Record, Stream, Writer};
-use crate::request::{Received, Request};
+use crate::request::{Allowed, Received, Request};
 use crate::rules::InForce;
 use crate::upstream::{Load, Vm};
 
@@ -128,8 +132,59 @@
     Held(VersionId),
     /// A request was sent to an upstream.
     Sent(UpstreamId),
+    /// An attempt gave the first part of its answer.
+    Began {
+        /// What it shared upstreams with.
+        lane: LaneId,
+        /// Time since it was sent.
+        took: Duration,
+    },
+    /// An attempt gave its whole answer.
+    Answered {
+        /// What it shared upstreams with.
+        lane: LaneId,
+        /// Time since it was sent.
+        took: Duration,
+    },
+    /// A request is sent again after a failure.
+    Retried,
+    /// A request is sent a second time because its first answer is late.
+    Hedged,
+    /// A session that its caller names itself has asked.
+    SessionSeen {
+        /// The session.
+        session: SessionHash,
+        /// Whose it is, and what was asked for.
+        allowed: Box<Allowed>,
+        /// The version that it got.
+        version: VersionId,
+    },
+    /// A call waits for a slot.
+    Queued(Ticket),
+    /// A call waits for a slot no more.
+    Unqueued {
+        /// The call.
+        call: CallId,
+        /// Whether it got one.
+        placed: bool,
+    },
+    /// A call is over.
+    CallEnded(CallId),
+    /// Something happened to a call that its caller may want explained.
+    Explained {
+        /// The call.
+        call: CallId,
+        /// What happened.
+        step: Step,
+    },
+    /// Calls that are still open are to be cut.
+    CutOff,
     /// A slot was given back, or more work can be taken for another reason.
     Room,
+    /// Whether the venture's term is over.
+    TermOver(bool),
+    /// The totals of the venture are to be written.
+    ClosingDue,
     /// Calls and bills that are not finished.
     CallsLeft(usize),
     /// The entry's phase changed.
--- /dev/null
+++ b/crates/comfreyroad/src/filter/admit.rs
@@ -0,0 +1,65 @@
+//! Whether there is room: by class, and by whether the deadline can still be made.
+
+use std::time::Duration;
+
+use super::{Filter, Halt, View};
+use crate::controller::queue::Ticket;
+use crate::refusal::{Code, Refusal};
+use crate::request::{Head, Pinned, Request};
+
+/// Time after which a refused caller may find room, where nothing better is known.
+const RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Longest time that a refused caller is told to wait.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(30);
+
+/// Refuses at once what would only wait for its refusal.
+#[derive(Debug)]
+pub struct Admit;
+
+impl Filter<Pinned> for Admit {
+    type Next = Pinned;
+
+    fn apply(request: Request<Pinned>, view: &View<'_>) -> Result<Request<Pinned>, Halt<Pinned>> {
+        let ticket = ticket(request.stage(), request.head(), view, false);
+        let state = view.state;
+        let has_no_room =
+            state.limits.is_over(ticket.class) && state.queue.worse_than(&ticket).is_none();
+        if has_no_room {
+            return Err(overloaded(&request, RETRY_AFTER).into());
+        }
+        let line = state.queue.line(&ticket.lane).next();
+        if line.is_none() || !state.limits.sheds() {
+            return Ok(request);
+        }
+        let wait = state.queue.wait(&ticket);
+        let takes = state.delays.whole(&ticket.lane).unwrap_or_default();
+        if view.now.instant + wait + takes > ticket.deadline {
+            return Err(overloaded(&request, wait).into());
+        }
+        Ok(request)
+    }
+}
+
+/// A refusal for want of room.
+pub(crate) fn overloaded<S: crate::request::Unsent>(
+    request: &Request<S>,
+    wait: Duration,
+) -> Refusal {
+    let wait = wait.clamp(RETRY_AFTER, MAX_RETRY_AFTER);
+    Refusal::not_run(request, Code::Overloaded).with_retry_after(wait)
+}
+
+/// The ticket with which a request would wait.
+pub(crate) fn ticket(pinned: &Pinned, head: &Head, view: &View<'_>, was_sent: bool) -> Ticket {
+    let rules = view.state.rules.in_force();
+    let customer = rules.and_then(|rules| rules.rules.customers.get(&pinned.allowed.customer));
+    Ticket {
+        call: head.call,
+        lane: pinned.lane(),
+        class: pinned.allowed.class,
+        customer: pinned.allowed.customer.clone(),
+        weight: customer.map_or(1, |customer| customer.weight),
+        deadline: head.deadline,
+        was_sent,
+    }
+}
--- a/crates/comfreyroad/src/filter/allow.rs
+++ b/crates/comfreyroad/src/filter/allow.rs
@@ -1,5 +1,7 @@
 //! Who asks, and may they: key, freshness of the rules, phase, versions, service.
 
+use std::sync::Arc;
+
 use super::{Filter, Halt, View};
 use crate::refusal::{Code, Refusal};
 use crate::request::{Allowed, Chat, Class, Received, Repeat, Request, Service, Target};
@@ -28,6 +30,9 @@
         if !view.state.life.takes_work() {
             return Err(Code::NotReady);
         }
+        if view.state.term.is_closed() {
+            return Err(Code::TermOver);
+        }
         let rules = view.state.rules.for_new_work(view.now)?;
         let head = request.head();
         if head.deadline <= view.now.instant {
@@ -42,7 +47,7 @@
 
     fn chat(rules: &Rules, customer: &Customer, chat: &Chat) -> Result<Allowed, Code> {
         let route = rules.routes.get(&chat.model);
-        let asked = Self::asked(rules, chat);
+        let asked = Self::asked(rules, &chat.model);
         if asked.is_empty() {
             return Err(Code::NotFound);
         }
@@ -68,18 +73,18 @@
     }
 
     /// The versions that a name stands for: a route's, a model's, or one.
-    fn asked<'a>(rules: &'a Rules, chat: &'a Chat) -> Vec<&'a Version> {
-        if let Some(route) = rules.routes.get(&chat.model) {
+    pub(crate) fn asked<'a>(rules: &'a Rules, name: &'a Arc<str>) -> Vec<&'a Version> {
+        if let Some(route) = rules.routes.get(name) {
             return route
                 .models
                 .iter()
                 .flat_map(|model| rules.versions_of(model))
                 .collect();
         }
-        if let Some(version) = rules.versions.get(&chat.model) {
+        if let Some(version) = rules.versions.get(name) {
             return vec![version];
         }
-        rules.versions_of(&chat.model).collect()
+        rules.versions_of(name).collect()
     }
 
     fn service(
--- a/crates/comfreyroad/src/filter/chain.rs
+++ b/crates/comfreyroad/src/filter/chain.rs
@@ -1,6 +1,9 @@
 //! The order of the chain.
 
-use super::{Filter, Halt, View, allow::Allow, claim::Claim, pin::Pin, place::Place, retry::Retry};
+use super::{
+    Filter, Halt, View, admit::Admit, allow::Allow, claim::Claim, pin::Pin, pin_again::PinAgain,
+    place::Place, queue::Queue, retry::Retry,
+};
 use crate::refusal::Refusal;
 use crate::request::{Allowed, Claimed, Pinned, Placed, Received, Request, Retrying};
 
@@ -21,6 +24,7 @@
 pub fn run(request: Request<Received>, view: &View<'_>) -> Result<Request<Placed>, Stop> {
     let request = Allow::apply(request, view)?;
     let request = Pin::apply(request, view)?;
+    let request = Admit::apply(request, view)?;
     claim(request, view)
 }
 
@@ -32,11 +36,14 @@
 
 /// Goes on from the choice of an upstream.
 pub fn place(request: Request<Claimed>, view: &View<'_>) -> Result<Request<Placed>, Stop> {
+    let request = PinAgain::apply(request, view)?;
+    let request = Queue::apply(request, view)?;
     Ok(Place::apply(request, view)?)
 }
 
 /// Chooses another upstream for a request that was sent before.
 pub fn retry(request: Request<Retrying>, view: &View<'_>) -> Result<Request<Placed>, Stop> {
+    let request = PinAgain::apply(request, view)?;
     Ok(Retry::apply(request, view)?)
 }
 
--- a/crates/comfreyroad/src/filter/mod.rs
+++ b/crates/comfreyroad/src/filter/mod.rs
@@ -3,11 +3,15 @@
 //! A filter takes a request of one stage and gives one of the next, keeps it waiting, or refuses it. Filters read the
 //! controllers' state and never write it; what they take, such as a slot, is a guard that gives it back on drop.
 
+pub mod admit;
 pub mod allow;
 pub mod chain;
 pub mod claim;
+pub mod hedge;
 pub mod pin;
+pub mod pin_again;
 pub mod place;
+pub mod queue;
 pub mod retry;
 
 use crate::clock::Now;
--- a/crates/comfreyroad/src/filter/pin.rs
+++ b/crates/comfreyroad/src/filter/pin.rs
@@ -2,7 +2,7 @@
 
 use super::{Filter, Halt, View};
 use crate::refusal::Refusal;
-use crate::request::{Allowed, Pinned, Plan, Request};
+use crate::request::{Allowed, Choice, Pinned, Request};
 
 /// Binds a request to a version or a chain of versions.
 #[derive(Debug)]
@@ -13,10 +13,14 @@
 
     fn apply(request: Request<Allowed>, view: &View<'_>) -> Result<Request<Pinned>, Halt<Allowed>> {
         if request.stage().versions.is_empty() {
-            return Ok(request.pin(Plan::default(), None));
+            return Ok(request.pin(Choice::default()));
         }
-        match view.state.sessions.pin(&request, view) {
-            Ok((plan, session)) => Ok(request.pin(plan, session)),
+        match view
+            .state
+            .sessions
+            .choose(request.stage(), request.head(), view)
+        {
+            Ok(choice) => Ok(request.pin(choice)),
             Err(code) => Err(Refusal::not_run(&request, code).into()),
         }
     }
--- a/crates/comfreyroad/src/filter/retry.rs
+++ b/crates/comfreyroad/src/filter/retry.rs
@@ -4,7 +4,7 @@
 use crate::refusal::{Code, Refusal};
 use crate::request::{Placed, Request, Retrying, Stage};
 
-/// Sendings of one request at most.
+/// Sendings of one request at most that bring nothing.
 pub const MAX_SENDINGS: u32 = 4;
 
 /// Gives a request that was sent before a slot at another upstream.
--- a/crates/comfreyroad/src/frame/frame.rs
+++ b/crates/comfreyroad/src/frame/frame.rs
@@ -1,4 +1,4 @@
-use super::{Beat, News};
+use super::{Beat, News, Pins};
 use crate::id::{Address, BootId, EntryId, ZoneId};
 use crate::record::{Bill, Key};
 
@@ -29,4 +29,7 @@
     /// Bills that the receiver need not keep any longer.
     #[cfg_attr(feature = "serde", serde(default))]
     pub done: Vec<Key>,
+    /// Sessions of callers' own ids that keep a version which they would not get now.
+    #[cfg_attr(feature = "serde", serde(default))]
+    pub pins: Vec<Pins>,
 }
--- a/crates/comfreyroad/src/frame/mod.rs
+++ b/crates/comfreyroad/src/frame/mod.rs
@@ -6,9 +6,11 @@
 mod beat;
 mod frame;
 mod news;
+mod pins;
 mod view;
 
 pub use beat::Beat;
 pub use frame::Frame;
 pub use news::News;
+pub use pins::Pins;
 pub use view::View;
--- a/crates/comfreyroad/src/id.rs
+++ b/crates/comfreyroad/src/id.rs
@@ -14,6 +14,10 @@
 pub type ModelId = Arc<str>;
 /// A model and version, as `model@version`.
 pub type VersionId = Arc<str>;
+/// The hash of a session that its caller names itself.
+pub type SessionHash = u64;
+/// What shares upstreams: a version, or the pool of a plain service.
+pub type LaneId = Arc<str>;
 /// A route: a name under which callers ask for one of several models.
 pub type RouteId = Arc<str>;
 /// An upstream: a model engine or a plain service.
--- a/crates/comfreyroad/src/lib.rs
+++ b/crates/comfreyroad/src/lib.rs
@@ -5,6 +5,7 @@
 //! a test can drive a whole fleet by hand, and another front end can use the same decisions.
 //!
 //! - [`filter`]: the chain that a request passes, one filter a file, in the order of [`filter::chain::run`].
+//! - [`answer`]: the steps that an answer passes on its way back.
 //! - [`controller`]: the state, one controller a file, each the only writer of its part.
 //! - [`request`]: a request's life as types, so that a false "not run" cannot be built.
 //! - [`rules`]: the operators' file, from text to what is in force.
@@ -22,6 +23,7 @@
 //! ```
 
 pub mod action;
+pub mod answer;
 pub mod clock;
 pub mod controller;
 pub mod dispatcher;
@@ -39,6 +41,7 @@
 pub mod rules;
 pub mod session;
 pub mod settings;
+pub mod switches;
 pub mod upstream;
 
 pub use action::Action;
@@ -47,3 +50,4 @@
 pub use refusal::Refusal;
 pub use request::Request;
 pub use settings::Settings;
+pub use switches::Switches;
--- a/crates/comfreyroad/src/note/catalogue.rs
+++ b/crates/comfreyroad/src/note/catalogue.rs
@@ -14,6 +14,16 @@
     PHASE = 101, Info, "phase changed";
     /// Requests were cut at the end of a shutdown.
     CUT = 102, Error, "requests cut at shutdown";
+    /// The entry is at its end and has said so on the log.
+    GONE = 103, Info, "entry gone";
+    /// No new sessions begin, as the term ends soon.
+    TERM_NEAR = 104, Info, "term ends soon";
+    /// The term is over: no new work.
+    TERM_OVER = 105, Warn, "term over";
+    /// The totals of the venture are on the log.
+    CLOSED = 106, Info, "venture closed";
+    /// The end of the term has moved, or this entry has finished its work after it.
+    TERM_MOVED = 107, Info, "term changed";
     /// A new generation of the rules is in force.
     IN_FORCE = 201, Info, "rules in force";
     /// A publish lost the race or does not check.
@@ -40,6 +50,18 @@
     RETRIED = 502, Info, "request sent again";
     /// A late or crossed answer was dropped.
     CROSSED = 503, Warn, "answer of another attempt dropped";
+    /// A session had to leave its version, which is withdrawn or held.
+    SESSION_MOVED = 504, Warn, "session moved to another version";
+    /// A request was sent a second time because its answer was late.
+    HEDGED = 505, Info, "late answer hedged";
+    /// An answer broke off and goes on from another sending.
+    RESUMED = 506, Info, "answer resumed";
+    /// A part of an answer was missing, or its count was wrong.
+    INCOMPLETE = 507, Warn, "answer incomplete";
+    /// A waiting request was refused to make room or because it could not make its deadline.
+    SHED = 508, Warn, "request shed";
+    /// A failed request was not sent again because the budget is spent.
+    RETRY_DENIED = 509, Warn, "retry budget spent";
     /// The log does not answer.
     LOG_DOWN = 601, Warn, "log does not answer";
     /// The log answers again.
--- a/crates/comfreyroad/src/request/allowed.rs
+++ b/crates/comfreyroad/src/request/allowed.rs
@@ -1,6 +1,4 @@
-use std::sync::Arc;
-
-use super::{Class, Pinned, Plan, Request, Stage};
+use super::{Choice, Class, Pinned, Request, Stage};
 use crate::id::{CustomerId, PoolId, RouteId, VersionId};
 
 /// Known to come from a customer who may ask this.
@@ -36,11 +34,7 @@
 }
 
 impl Request<Allowed> {
-    pub(crate) fn pin(self, plan: Plan, session: Option<Arc<str>>) -> Request<Pinned> {
-        self.into_stage(|allowed| Pinned {
-            allowed,
-            plan,
-            session,
-        })
+    pub(crate) fn pin(self, choice: Choice) -> Request<Pinned> {
+        self.into_stage(|allowed| Pinned::new(allowed, choice))
     }
 }
--- a/crates/comfreyroad/src/request/claimed.rs
+++ b/crates/comfreyroad/src/request/claimed.rs
@@ -23,4 +23,8 @@
             delivered: 0,
         })
     }
+
+    pub(crate) fn set_pinned(&mut self, pinned: Pinned) {
+        self.stage.pinned = pinned;
+    }
 }
--- a/crates/comfreyroad/src/request/mod.rs
+++ b/crates/comfreyroad/src/request/mod.rs
@@ -12,6 +12,7 @@
 
 mod allowed;
 mod answered;
+mod choice;
 mod claimed;
 mod class;
 mod head;
@@ -19,11 +20,13 @@
 mod placed;
 mod received;
 mod retrying;
+mod sending;
 mod sent;
 mod target;
 
 pub use allowed::{Allowed, Repeat};
 pub use answered::{Answered, Billed, Usage};
+pub use choice::Choice;
 pub use claimed::Claimed;
 pub use class::Class;
 pub use head::Head;
@@ -31,6 +34,7 @@
 pub use placed::{Origin, Placed};
 pub use received::Received;
 pub use retrying::Retrying;
+pub use sending::Sending;
 pub use sent::{Returned, Sent};
 pub use target::{Chat, Service, Target};
 
--- a/crates/comfreyroad/src/request/pinned.rs
+++ b/crates/comfreyroad/src/request/pinned.rs
@@ -1,8 +1,8 @@
 use std::sync::Arc;
 
-use super::{Allowed, Claimed, Repeat, Request, Stage};
+use super::{Allowed, Choice, Claimed, Repeat, Request, Stage};
 use crate::controller::claim::Proof;
-use crate::id::VersionId;
+use crate::id::{LaneId, SessionHash, VersionId};
 
 /// Bound to the version, or the chain of versions, that is to answer.
 #[derive(Clone, Debug)]
@@ -13,6 +13,32 @@
     pub plan: Plan,
     /// The session token to hand back.
     pub session: Option<Arc<str>>,
+    /// The session, where the caller names it itself.
+    pub own_id: Option<SessionHash>,
+    /// The version that the session had before, where it had to move.
+    pub moved_from: Option<VersionId>,
+}
+
+impl Pinned {
+    /// Binds a request to a version.
+    pub(crate) fn new(allowed: Allowed, choice: Choice) -> Self {
+        Self {
+            allowed,
+            plan: choice.plan,
+            session: choice.session,
+            own_id: choice.own_id,
+            moved_from: choice.moved_from,
+        }
+    }
+
+    /// What shares upstreams with this request: its version, or its pool where there is none.
+    pub fn lane(&self) -> LaneId {
+        let version = self.plan.version();
+        version
+            .or(self.allowed.pool.as_ref())
+            .cloned()
+            .unwrap_or_default()
+    }
 }
 
 /// A chain of versions: each but the last is tried and rated, the last one answers.
--- a/crates/comfreyroad/src/request/placed.rs
+++ b/crates/comfreyroad/src/request/placed.rs
@@ -1,5 +1,4 @@
-use super::{Claimed, Pinned, Request, Retrying, Sent, Stage};
-use crate::id::{AttemptId, AttemptTag};
+use super::{Claimed, Pinned, Retrying, Stage};
 use crate::upstream::Slot;
 
 /// Given a slot at an upstream.
@@ -55,14 +54,3 @@
 impl Stage for Placed {
     const NAME: &'static str = "send";
 }
-
-impl Request<Placed> {
-    pub(crate) fn send(self, attempt: AttemptId, tag: AttemptTag) -> Request<Sent> {
-        self.into_stage(|placed| Sent {
-            placed,
-            attempt,
-            tag,
-            status: None,
-        })
-    }
-}
--- a/crates/comfreyroad/src/request/retrying.rs
+++ b/crates/comfreyroad/src/request/retrying.rs
@@ -1,4 +1,4 @@
-use super::{Claimed, Origin, Placed, Request, Stage};
+use super::{Claimed, Origin, Pinned, Placed, Request, Stage};
 use crate::upstream::Slot;
 
 /// Sent before, failed, and free to be sent again.
@@ -8,7 +8,7 @@
     pub claimed: Claimed,
     /// Tokens that the caller already has.
     pub delivered: u64,
-    /// Sendings so far.
+    /// Sendings since the caller last got something.
     pub sendings: u32,
 }
 
@@ -24,4 +24,8 @@
             slot,
         })
     }
+
+    pub(crate) fn set_pinned(&mut self, pinned: Pinned) {
+        self.stage.claimed.pinned = pinned;
+    }
 }
--- a/crates/comfreyroad/src/session/token.rs
+++ b/crates/comfreyroad/src/session/token.rs
@@ -1,10 +1,15 @@
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
 use data_encoding::BASE64URL_NOPAD;
 
 use crate::id::{CustomerId, RouteId, VersionId};
 
+/// Bytes of the keyed hash that a token carries.
+const MAC_BYTES: usize = 16;
+
 /// What a session was bound to at its start, in a form that any entry can trust.
 ///
-/// The text is `customer/route/version` and a keyed hash of it, both in base64.
+/// The text is `customer/route/version/until` and a keyed hash of it, both in base64.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Token {
     /// Whose session it is.
@@ -13,39 +18,50 @@
     pub route: RouteId,
     /// The version that the session keeps.
     pub version: VersionId,
+    /// When the token ends, to the second.
+    pub until: SystemTime,
 }
 
 impl Token {
     /// The token as text, sealed with a key.
     pub fn seal(&self, key: &[u8; 32]) -> String {
-        let body = format!("{}/{}/{}", self.customer, self.route, self.version);
+        let until = self.until.duration_since(UNIX_EPOCH).unwrap_or_default();
+        let body = format!(
+            "{}/{}/{}/{}",
+            self.customer,
+            self.route,
+            self.version,
+            until.as_secs()
+        );
         let mac = blake3::keyed_hash(key, body.as_bytes());
         let (body, mac) = (
             BASE64URL_NOPAD.encode(body.as_bytes()),
-            BASE64URL_NOPAD.encode(&mac.as_bytes()[..16]),
+            BASE64URL_NOPAD.encode(&mac.as_bytes()[..MAC_BYTES]),
         );
         format!("{body}.{mac}")
     }
 
-    /// Reads a token sealed with any of the keys.
+    /// Reads a token sealed with any of the keys, whether or not it has ended.
     pub fn open(text: &str, keys: &[[u8; 32]]) -> Option<Self> {
         let (body, mac) = text.split_once('.')?;
         let body = BASE64URL_NOPAD.decode(body.as_bytes()).ok()?;
         let mac = BASE64URL_NOPAD.decode(mac.as_bytes()).ok()?;
         keys.iter().find(|key| Self::is_sealed(&body, &mac, key))?;
         let body = String::from_utf8(body).ok()?;
-        let mut parts = body.splitn(3, '/');
+        let mut parts = body.splitn(4, '/');
         let (customer, route, version) = (parts.next()?, parts.next()?, parts.next()?);
+        let until = Duration::from_secs(parts.next()?.parse().ok()?);
         Some(Self {
             customer: customer.into(),
             route: route.into(),
             version: version.into(),
+            until: UNIX_EPOCH.checked_add(until)?,
         })
     }
 
     /// Compares in constant time, by comparing hashes of the two.
     fn is_sealed(body: &[u8], mac: &[u8], key: &[u8; 32]) -> bool {
         let expected = blake3::keyed_hash(key, body);
-        blake3::hash(&expected.as_bytes()[..16]) == blake3::hash(mac)
+        blake3::hash(&expected.as_bytes()[..MAC_BYTES]) == blake3::hash(mac)
     }
 }
--- a/crates/comfreyroad/src/settings.rs
+++ b/crates/comfreyroad/src/settings.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::id::{Address, BootId, EntryId, ZoneId};
+use crate::switches::Switches;
 
 /// Settings of the decisions.
 #[derive(Clone, Debug)]
@@ -31,8 +32,18 @@
     pub drain_notice: Duration,
     /// Calls that may be under way at once.
     pub max_calls: usize,
+    /// Bytes that the requests of all open calls may hold.
+    pub max_body_bytes: usize,
+    /// Time for which a session token is good.
+    pub session_life: Duration,
+    /// Time without a request after which a session known by the caller's own id is forgotten.
+    pub session_idle: Duration,
+    /// Time before the end of the term in which no session begins.
+    pub last_sessions: Duration,
     /// Seed of random choices.
     pub seed: u64,
+    /// Mechanisms that tests switch off.
+    pub switches: Switches,
 }
 
 impl Default for Settings {
@@ -50,7 +61,12 @@
             drain_timeout: Duration::from_secs(30),
             drain_notice: Duration::from_secs(1),
             max_calls: 4096,
+            max_body_bytes: 32 * 1024 * 1024,
+            session_life: Duration::from_secs(24 * 3600),
+            session_idle: Duration::from_secs(1800),
+            last_sessions: Duration::from_secs(3600),
             seed: 1,
+            switches: Switches::default(),
         }
     }
 }
--- a/crates/comfreyroad_entry/src/settings/flag.rs
+++ b/crates/comfreyroad_entry/src/settings/flag.rs
@@ -100,6 +100,30 @@
         "a number above 0",
         "calls under way at once",
     ),
+    Flag::new(
+        "max-body-bytes",
+        Some("33554432"),
+        "a number above 0",
+        "bytes that the requests of all calls may hold",
+    ),
+    Flag::new(
+        "session-life-ms",
+        Some("86400000"),
+        MILLISECONDS,
+        "time for which a session token is good",
+    ),
+    Flag::new(
+        "session-idle-ms",
+        Some("1800000"),
+        MILLISECONDS,
+        "time after which a silent session is forgotten",
+    ),
+    Flag::new(
+        "last-sessions-ms",
+        Some("3600000"),
+        MILLISECONDS,
+        "time before the end of the term in which no session begins",
+    ),
     Flag::new(
         "seed",
         Some(""),
--- a/crates/comfreyroad_entry/src/settings/settings.rs
+++ b/crates/comfreyroad_entry/src/settings/settings.rs
@@ -121,6 +121,11 @@
         drain_timeout: reader.get("drain-timeout-ms", reader::milliseconds),
         drain_notice: reader.get("drain-notice-ms", reader::milliseconds),
         max_calls: reader.get("max-calls", reader::count),
+        max_body_bytes: reader.get("max-body-bytes", reader::count),
+        session_life: reader.get("session-life-ms", reader::milliseconds),
+        session_idle: reader.get("session-idle-ms", reader::milliseconds),
+        last_sessions: reader.get("last-sessions-ms", reader::milliseconds),
+        switches: comfreyroad::Switches::default(),
         seed: seed.unwrap_or_else(|| fastrand::u64(..)),
     }
 }
