--- a/crates/comfreyroad/src/answer/mod.rs
+++ b/crates/comfreyroad/src/answer/mod.rs
@@ -116,16 +116,17 @@
     }
 }
 
-/// An engine's answer is whole only with as many tokens as the engine has counted.
+/// An answer is whole only with as many tokens, or bytes, as its upstream has counted.
 fn counted(request: &Request<Sent>, part: Part) -> Result<Part, Fault> {
     let Part::Whole { usage, .. } = &part else {
         return Ok(part);
     };
     let delivered = request.stage().delivered;
     let counted = u64::from(usage.completion_tokens);
-    match request.head().target {
-        Target::Chat(_) if counted != delivered => Err(Fault::Count { counted, delivered }),
-        _ => Ok(part),
+    if counted == delivered.min(u32::MAX.into()) {
+        Ok(part)
+    } else {
+        Err(Fault::Count { counted, delivered })
     }
 }
 
--- a/crates/comfreyroad/src/controller/trail.rs
+++ b/crates/comfreyroad/src/controller/trail.rs
@@ -72,7 +72,7 @@
 
     /// Adds a detail.
     #[must_use]
-    pub fn with(mut self, name: &'static str, value: impl ToString) -> Self {
+    pub fn with(mut self, name: &'static str, value: impl std::fmt::Display) -> Self {
         self.fields.push((name, value.to_string()));
         self
     }
--- a/crates/comfreyroad/src/request/answered.rs
+++ b/crates/comfreyroad/src/request/answered.rs
@@ -25,7 +25,7 @@
 pub struct Usage {
     /// Tokens of the prompt.
     pub prompt_tokens: u32,
-    /// Tokens of the answer.
+    /// Tokens of the answer; bytes for a plain service.
     pub completion_tokens: u32,
     /// Tokens of the prompt that were found in the prefix cache.
     pub cached_tokens: u32,
--- a/crates/comfreyroad/tests/proof/bench/upstream.rs
+++ b/crates/comfreyroad/tests/proof/bench/upstream.rs
@@ -324,11 +324,16 @@
             return;
         };
         upstream.good += u32::from(!answer.is_busy);
+        // Tokens of an engine, bytes of a plain service.
+        let counted = match answer.is_chat {
+            true => answer.parts.len(),
+            false => answer.parts.iter().map(|part| part.len()).sum(),
+        };
         let usage = Usage {
-            completion_tokens: answer.parts.len() as u32,
+            completion_tokens: counted as u32,
             ..Usage::default()
         };
-        self.signal(answer.post, answer.attempt, &id, WAY, Signal::End { usage });
+        self.signal(answer.post, answer.attempt, id, WAY, Signal::End { usage });
     }
 
     fn signal(
--- a/crates/comfreyroad_entry/src/outside/attempt.rs
+++ b/crates/comfreyroad_entry/src/outside/attempt.rs
@@ -12,7 +12,7 @@
 use comfreyroad_wire::engine::{self, Chunk};
 use comfreyroad_wire::sse;
 use http::{HeaderMap, Request, Response, StatusCode};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 
 use crate::daemon::Shared;
 
@@ -42,6 +42,10 @@
     Events(#[from] sse::Error),
     #[error("read answer: {0}")]
     Chunk(#[from] engine::ChunkError),
+    #[error("answer is by version {0:?}")]
+    Version(String),
+    #[error("the end of the body is not told")]
+    Unframed,
     #[error("answer ended before its last chunk")]
     Short,
 }
@@ -90,12 +94,13 @@
             status if is_chat => return Err(Broken::Status(status)),
             _ => {}
         }
+        let framing = Framing::of(&answer, &self.send)?;
         self.signal(head(&answer));
         let reader = Reader::new(address, answer.into_body());
         if is_chat {
             self.tokens(reader).await
         } else {
-            self.bytes(reader).await
+            self.bytes(reader, framing).await
         }
     }
 
@@ -136,8 +141,11 @@
                     return usage.ok_or(Broken::Short);
                 }
                 let chunk = Chunk::parse(&data)?;
+                if chunk.model.as_deref() != self.send.version.as_deref() {
+                    return Err(Broken::Version(chunk.model.unwrap_or_default()));
+                }
                 if chunk.finished {
-                    usage = Some(chunk.usage.unwrap_or_default());
+                    usage = Some(chunk.usage.ok_or(Broken::Short)?);
                 }
                 if !chunk.text.is_empty() {
                     self.signal(piece(chunk));
@@ -147,7 +155,7 @@
         Err(Broken::Short)
     }
 
-    async fn bytes(&self, mut reader: Reader) -> Result<Usage, Broken> {
+    async fn bytes(&self, mut reader: Reader, framing: Framing) -> Result<Usage, Broken> {
         let mut offset = 0;
         while let Some(bytes) = reader.chunk(self.send.deadline).await? {
             let length = bytes.len() as u64;
@@ -159,7 +167,43 @@
             });
             offset += length;
         }
-        Ok(Usage::default())
+        let length = match framing {
+            Framing::Length(length) => length,
+            Framing::Chunked => offset,
+        };
+        Ok(Usage {
+            completion_tokens: u32::try_from(length).unwrap_or(u32::MAX),
+            ..Usage::default()
+        })
+    }
+}
+
+/// How the end of a body is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Framing {
+    /// By its length in bytes.
+    Length(u64),
+    /// By its last chunk.
+    Chunked,
+}
+
+impl Framing {
+    /// A body that ends with its connection cannot be told from one that was cut.
+    fn of(answer: &Response<Incoming>, send: &Send) -> Result<Self, Broken> {
+        let is_head =
+            matches!(&send.head.target, Target::Service(service) if &*service.method == "HEAD");
+        if is_head {
+            return Ok(Self::Length(0));
+        }
+        if let Some(length) = answer.body().size_hint().exact() {
+            return Ok(Self::Length(length));
+        }
+        let coding = text(answer.headers(), "transfer-encoding").unwrap_or_default();
+        if coding.to_ascii_lowercase().ends_with("chunked") {
+            Ok(Self::Chunked)
+        } else {
+            Err(Broken::Unframed)
+        }
     }
 }
 
--- a/crates/comfreyroad_wire/src/engine/chunk.rs
+++ b/crates/comfreyroad_wire/src/engine/chunk.rs
@@ -14,6 +14,8 @@
 pub struct Chunk {
     /// The attempt that it answers.
     pub id: String,
+    /// The version that answers.
+    pub model: Option<String>,
     /// Tokens before it.
     pub offset: u64,
     /// Its text; empty in the last chunk.
@@ -27,6 +29,7 @@
 #[derive(Deserialize)]
 struct Body {
     id: String,
+    model: Option<String>,
     #[serde(default)]
     offset: u64,
     choices: Vec<Choice>,
@@ -72,6 +75,7 @@
             .unwrap_or_default();
         Ok(Self {
             id: body.id,
+            model: body.model,
             offset: body.offset,
             text,
             finished,
