--- a/crates/comfreyroad/src/answer/mod.rs
+++ b/crates/comfreyroad/src/answer/mod.rs
@@ -136,6 +136,10 @@
         return part;
     };
     let stage = request.stage();
+    // The upstream failed in a way that it could still tell, so there is nothing to pay for.
+    if stage.sending.status.is_some_and(|status| status >= 500) {
+        return Part::Whole { usage, bill: None };
+    }
     let bill = bill(stage.origin.pinned(), request.head(), stage.delivered, view);
     Part::Whole {
         usage,
--- a/crates/comfreyroad/src/controller/budgets.rs
+++ b/crates/comfreyroad/src/controller/budgets.rs
@@ -6,6 +6,7 @@
 use super::Controller;
 use crate::clock::Now;
 use crate::event::Event;
+use crate::mechanism::Mechanism;
 use crate::outbox::Outbox;
 use crate::settings::Settings;
 
@@ -63,8 +64,8 @@
         Self {
             retries: Bucket::new(RETRY_BURST, RETRY_SHARE),
             hedges: Bucket::new(HEDGE_BURST, HEDGE_SHARE),
-            is_bounded: settings.switches.bounds_retries,
-            may_hedge: settings.switches.hedges,
+            is_bounded: settings.has(Mechanism::RetryBudget),
+            may_hedge: settings.has(Mechanism::Hedges),
         }
     }
 
--- a/crates/comfreyroad/src/controller/life.rs
+++ b/crates/comfreyroad/src/controller/life.rs
@@ -10,6 +10,7 @@
 use crate::action::Action;
 use crate::clock::Now;
 use crate::event::Event;
+use crate::mechanism::Mechanism;
 use crate::note::{self, Note};
 use crate::outbox::Outbox;
 use crate::settings::Settings;
@@ -105,6 +106,7 @@
     timeout: Duration,
     drains: bool,
     takes_work: bool,
+    is_fresh: bool,
     ready: bool,
     is_term_over: bool,
     // Calls and records left, counted after the entry last changed what it takes.
@@ -118,8 +120,9 @@
             phase: Phase::Joining(Joining),
             notice: settings.drain_notice,
             timeout: settings.drain_timeout,
-            drains: settings.switches.drains,
+            drains: settings.has(Mechanism::Draining),
             takes_work: false,
+            is_fresh: false,
             ready: false,
             is_term_over: false,
             left: None,
@@ -151,7 +154,8 @@
     }
 
     fn set_ready(&mut self, out: &mut Outbox) {
-        self.ready = matches!(self.phase, Phase::Serving(_)) && !self.is_term_over;
+        let is_serving = matches!(self.phase, Phase::Serving(_));
+        self.ready = is_serving && self.is_fresh && !self.is_term_over;
         out.act(Action::Ready(self.ready));
     }
 
@@ -231,6 +235,10 @@
                 self.is_term_over = *is_over;
                 self.set_ready(out);
             }
+            Event::Fresh(is_fresh) => {
+                self.is_fresh = *is_fresh;
+                self.set_ready(out);
+            }
             Event::CallsLeft(left) => self.on_count(*left),
             Event::Shutdown => self.on_shutdown(now, out),
             Event::Tick => self.on_tick(now, out),
--- a/crates/comfreyroad/src/controller/limits.rs
+++ b/crates/comfreyroad/src/controller/limits.rs
@@ -6,6 +6,7 @@
 use crate::clock::Now;
 use crate::event::Event;
 use crate::id::CallId;
+use crate::mechanism::Mechanism;
 use crate::outbox::Outbox;
 use crate::request::Class;
 use crate::settings::Settings;
@@ -27,7 +28,7 @@
             max_bytes: settings.max_body_bytes,
             open: IndexMap::new(),
             bytes: 0,
-            sheds: settings.switches.sheds,
+            sheds: settings.has(Mechanism::Shedding),
         }
     }
 
--- a/crates/comfreyroad/src/controller/queue.rs
+++ b/crates/comfreyroad/src/controller/queue.rs
@@ -13,6 +13,7 @@
 use crate::clock::Now;
 use crate::event::Event;
 use crate::id::{CallId, CustomerId, LaneId};
+use crate::mechanism::Mechanism;
 use crate::outbox::Outbox;
 use crate::request::Class;
 use crate::settings::Settings;
@@ -94,7 +95,7 @@
         Self {
             lines: IndexMap::new(),
             calls: IndexMap::new(),
-            is_fair: settings.switches.is_fair,
+            is_fair: settings.has(Mechanism::FairQueue),
         }
     }
 
--- a/crates/comfreyroad/src/controller/sessions.rs
+++ b/crates/comfreyroad/src/controller/sessions.rs
@@ -18,6 +18,7 @@
 use crate::filter::allow::Allow;
 use crate::frame::{Beat, Frame, Pins, View as Members};
 use crate::id::{Address, SessionHash, VersionId};
+use crate::mechanism::Mechanism;
 use crate::outbox::Outbox;
 use crate::refusal::Code;
 use crate::request::{Allowed, Choice, Head, Plan};
@@ -67,8 +68,8 @@
             life: settings.session_life,
             idle: settings.session_idle,
             last_sessions: settings.last_sessions,
-            keeps_ids: settings.switches.keeps_ids,
-            pins_again: settings.switches.pins_again,
+            keeps_ids: settings.has(Mechanism::KeptIds),
+            pins_again: settings.has(Mechanism::PinAgain),
             table: Table::default(),
             rules: None,
             before: None,
--- a/crates/comfreyroad/src/dispatcher/answer.rs
+++ b/crates/comfreyroad/src/dispatcher/answer.rs
@@ -8,7 +8,7 @@
 use crate::controller::trail::Step;
 use crate::event::{Event, Signal};
 use crate::id::{AttemptId, CallId};
-use crate::record::{Bill, Outcome};
+use crate::record::Bill;
 use crate::request::{Request, Sent, Target, Usage};
 
 /// Bytes of a plain service's answer that are held back until it is whole.
@@ -85,6 +85,9 @@
             turn.out.raise(Event::Began { lane, took });
             turn.explain(call, Step::new("answer", "begins"));
         }
+        if known.claim.is_some() {
+            known.kept.push(&bytes);
+        }
         if is_held && !known.begun && known.held_bytes() + bytes.len() <= HELD_BYTES {
             known.held.push(bytes);
             return;
@@ -107,6 +110,7 @@
         };
         let stage = request.stage();
         let pinned = stage.origin.pinned();
+        known.kept.begin(stage.sending.content_type.clone());
         turn.out.act(Action::Begin {
             call,
             status: stage.sending.status.unwrap_or(200),
@@ -128,7 +132,6 @@
         turn: &mut Turn<'_>,
     ) {
         self.choose(call, attempt, turn);
-        let body = self.held_body(call);
         self.begin(call, turn);
         let Some(known) = self.calls.get_mut(&call) else {
             return;
@@ -150,23 +153,19 @@
                 .with("length", stage.delivered),
         );
         if let Some(key) = known.claim.clone() {
-            let status = stage.status;
-            Self::write_outcome(&key, call, Outcome::Answered { status, body }, turn);
-        }
-        if let Some(bill) = bill {
-            turn.explain(call, Step::new("bill", "written").with("cost", bill.cost));
-            turn.out.raise(Event::BillWanted { call, bill });
+            let outcome = std::mem::take(&mut known.kept).outcome(stage.status);
+            Self::write_outcome(&key, call, outcome, turn);
         }
+        let cost = bill.as_ref().map_or(0, |bill| bill.cost);
+        turn.explain(call, Step::new("bill", "written").with("cost", cost));
+        turn.out.raise(match bill {
+            Some(bill) => Event::BillWanted { call, bill },
+            None => Event::BillSafe(call),
+        });
         turn.out.raise(Event::Room);
         known.active = Some(Active::Billing(Box::new(request)));
     }
 
-    /// A whole body that is short enough to be kept with its claim.
-    fn held_body(&self, call: CallId) -> Option<Arc<[u8]>> {
-        let known = self.calls.get(&call)?;
-        (!known.begun && known.claim.is_some()).then(|| known.held.concat().into())
-    }
-
     pub(super) fn on_bill_safe(&mut self, call: CallId, turn: &mut Turn<'_>) {
         let Some(known) = self.calls.get_mut(&call) else {
             return;
--- a/crates/comfreyroad/src/dispatcher/call.rs
+++ b/crates/comfreyroad/src/dispatcher/call.rs
@@ -1,5 +1,6 @@
 use std::sync::Arc;
 
+use super::kept::Kept;
 use crate::record::Key;
 use crate::request::{Answered, Claimed, Pinned, Request, Retrying, Sent};
 
@@ -14,6 +15,8 @@
     pub(super) claim: Option<Key>,
     /// A plain service's answer, while it is held back.
     pub(super) held: Vec<Arc<[u8]>>,
+    /// What is kept of the answer for later attempts.
+    pub(super) kept: Kept,
 }
 
 /// Where a call stands.
--- a/crates/comfreyroad/src/dispatcher/end.rs
+++ b/crates/comfreyroad/src/dispatcher/end.rs
@@ -19,13 +19,13 @@
             return;
         };
         let (has_begun, claim) = (known.begun, known.claim.clone());
-        if refusal.ran() == Ran::No
-            && let Some(key) = claim
-        {
-            turn.out.raise(Event::ClaimReleased {
-                key,
-                writer: turn.state.claims.writer(call),
-            });
+        if let Some(key) = claim {
+            if refusal.was_sent() {
+                Self::write_outcome(&key, call, Outcome::Doubtful, turn);
+            } else {
+                let writer = turn.state.claims.writer(call);
+                turn.out.raise(Event::ClaimReleased { key, writer });
+            }
         }
         turn.out.note(
             Note::new(&note::REFUSED)
@@ -78,7 +78,15 @@
     }
 
     /// The caller has hung up: stops the work and bills what was delivered.
+    ///
+    /// What may run once at most goes on, so that the caller's next attempt gets its answer.
     pub(super) fn on_caller_gone(&mut self, call: CallId, turn: &mut Turn<'_>) {
+        let runs_once = self
+            .running(call)
+            .is_some_and(|request| !request.is_idempotent());
+        if runs_once {
+            return;
+        }
         self.stop(call, turn);
         let Some(known) = self.calls.get_mut(&call) else {
             return;
@@ -93,9 +101,6 @@
                     let bill = answer::bill(pinned, request.head(), stage.delivered, &view);
                     turn.out.raise(Event::BillWanted { call, bill });
                 }
-                if let Some(key) = claim {
-                    Self::write_outcome(&key, call, Outcome::Doubtful, turn);
-                }
             }
             Some(Active::Claiming(_) | Active::Queued(_)) => {
                 if let Some(key) = claim {
@@ -142,7 +147,6 @@
                 continue;
             }
             self.stop(call, turn);
-            self.doubt(call, turn);
             self.refuse(call, Refusal::maybe(Code::NotReady, "drain"), turn);
         }
         if !cut.is_empty() {
--- a/crates/comfreyroad/src/dispatcher/fail.rs
+++ b/crates/comfreyroad/src/dispatcher/fail.rs
@@ -7,7 +7,6 @@
 use crate::filter::chain;
 use crate::id::{AttemptId, CallId};
 use crate::note::{self, Note};
-use crate::record::Outcome;
 use crate::refusal::{Code, Refusal};
 use crate::request::{Request, Returned, Sent};
 
@@ -113,16 +112,8 @@
                 self.settle(call, result, turn);
             }
             Err(()) => {
-                self.doubt(call, turn);
                 self.refuse(call, Refusal::maybe(Code::UpstreamFailed, "send"), turn);
             }
         }
     }
-
-    /// Writes down that nobody knows what became of a claimed request.
-    pub(super) fn doubt(&self, call: CallId, turn: &mut Turn<'_>) {
-        if let Some(key) = self.calls.get(&call).and_then(|known| known.claim.clone()) {
-            Self::write_outcome(&key, call, Outcome::Doubtful, turn);
-        }
-    }
 }
--- a/crates/comfreyroad/src/dispatcher/mod.rs
+++ b/crates/comfreyroad/src/dispatcher/mod.rs
@@ -5,6 +5,8 @@
 mod end;
 mod fail;
 mod hedge;
+mod kept;
+mod replay;
 mod send;
 mod wait;
 
@@ -18,8 +20,8 @@
 use crate::filter::chain::{self, Stop};
 use crate::filter::{View, admit};
 use crate::id::{AttemptId, CallId};
+use crate::mechanism::Mechanism;
 use crate::outbox::Outbox;
-use crate::record::Key;
 use crate::refusal::{Code, Refusal};
 use crate::request::{Pinned, Placed, Received, Request};
 use crate::settings::Settings;
@@ -64,7 +66,7 @@
         Self {
             prefix: format!("{}.{}", settings.entry, settings.boot),
             max_calls: settings.max_calls,
-            checks_answers: settings.switches.checks_answers,
+            checks_answers: settings.has(Mechanism::AnswerSteps),
             calls: IndexMap::new(),
             attempts: IndexMap::new(),
             last_attempt: 0,
@@ -118,6 +120,9 @@
         let active = match result {
             Ok(request) => return self.send(call, request, turn),
             Err(Stop::Refused(refusal)) => return self.refuse(call, refusal, turn),
+            Err(Stop::Replayed(request, replay)) => {
+                return self.replay(call, request, replay, turn);
+            }
             Err(Stop::Claiming(request)) => {
                 self.want_claim(call, &request, turn);
                 Active::Claiming(request)
@@ -144,10 +149,7 @@
         if known.claim.is_some() {
             return;
         }
-        let key = Key {
-            customer: request.stage().allowed.customer.clone(),
-            request: request.head().id.clone(),
-        };
+        let key = request.key();
         known.claim = Some(key.clone());
         turn.explain(call, Step::new("claim", "waits for the log"));
         turn.out.raise(Event::ClaimWanted {
--- a/crates/comfreyroad/src/dispatcher/wait.rs
+++ b/crates/comfreyroad/src/dispatcher/wait.rs
@@ -98,7 +98,6 @@
             .collect();
         for call in overdue {
             self.stop(call, turn);
-            self.doubt(call, turn);
             self.refuse(call, Refusal::maybe(Code::Deadline, "send"), turn);
             turn.out.raise(Event::Room);
         }
--- a/crates/comfreyroad/src/event/event.rs
+++ b/crates/comfreyroad/src/event/event.rs
@@ -94,6 +94,13 @@
         /// The record.
         record: Rc<Record>,
     },
+    /// Records are on the log.
+    Written {
+        /// The stream.
+        stream: Stream,
+        /// The records.
+        records: Vec<Rc<Record>>,
+    },
     /// New rules are in force.
     InForce(Arc<InForce>),
     /// The set of live entries, or what they say of themselves, has changed.
@@ -103,6 +110,13 @@
         /// The peer's IP number and port.
         to: Address,
     },
+    /// A peer is to get a frame that speaks of the rules only.
+    Brief {
+        /// The peer's IP number and port.
+        to: Address,
+    },
+    /// Whether the rules are fresh enough to take new work by them.
+    Fresh(bool),
     /// A claim is wanted.
     ClaimWanted {
         /// The request.
--- a/crates/comfreyroad/src/filter/chain.rs
+++ b/crates/comfreyroad/src/filter/chain.rs
@@ -4,14 +4,17 @@
     Filter, Halt, View, admit::Admit, allow::Allow, claim::Claim, pin::Pin, pin_again::PinAgain,
     place::Place, queue::Queue, retry::Retry,
 };
+use crate::record::Replay;
 use crate::refusal::Refusal;
-use crate::request::{Allowed, Claimed, Pinned, Placed, Received, Request, Retrying};
+use crate::request::{Allowed, Answered, Claimed, Pinned, Placed, Received, Request, Retrying};
 
 /// Where a request stands that did not come through.
 #[derive(Debug)]
 pub enum Stop {
     /// It is refused.
     Refused(Refusal),
+    /// It ran before, and its answer is known.
+    Replayed(Box<Request<Answered>>, Replay),
     /// It waits for the verdict on its claim.
     Claiming(Box<Request<Pinned>>),
     /// It waits for a slot.
@@ -51,6 +54,7 @@
     fn from(halt: Halt<Received>) -> Self {
         match halt {
             Halt::Refuse(refusal) => Self::Refused(refusal),
+            Halt::Replay(request, replay) => Self::Replayed(request, replay),
             Halt::Wait(request) => {
                 Self::Refused(Refusal::not_run(&request, crate::refusal::Code::NotReady))
             }
@@ -62,6 +66,7 @@
     fn from(halt: Halt<Allowed>) -> Self {
         match halt {
             Halt::Refuse(refusal) => Self::Refused(refusal),
+            Halt::Replay(request, replay) => Self::Replayed(request, replay),
             Halt::Wait(request) => {
                 Self::Refused(Refusal::not_run(&request, crate::refusal::Code::NotReady))
             }
@@ -73,6 +78,7 @@
     fn from(halt: Halt<Pinned>) -> Self {
         match halt {
             Halt::Refuse(refusal) => Self::Refused(refusal),
+            Halt::Replay(request, replay) => Self::Replayed(request, replay),
             Halt::Wait(request) => Self::Claiming(request),
         }
     }
@@ -82,6 +88,7 @@
     fn from(halt: Halt<Claimed>) -> Self {
         match halt {
             Halt::Refuse(refusal) => Self::Refused(refusal),
+            Halt::Replay(request, replay) => Self::Replayed(request, replay),
             Halt::Wait(request) => Self::Queued(request),
         }
     }
@@ -91,6 +98,7 @@
     fn from(halt: Halt<Retrying>) -> Self {
         match halt {
             Halt::Refuse(refusal) => Self::Refused(refusal),
+            Halt::Replay(request, replay) => Self::Replayed(request, replay),
             Halt::Wait(request) => Self::Retrying(request),
         }
     }
--- a/crates/comfreyroad/src/frame/mod.rs
+++ b/crates/comfreyroad/src/frame/mod.rs
@@ -4,13 +4,17 @@
 //! everything in it is soft state that any entry can lose.
 
 mod beat;
+mod doubt;
 mod frame;
 mod news;
 mod pins;
+mod text;
 mod view;
 
 pub use beat::Beat;
+pub use doubt::Doubt;
 pub use frame::Frame;
 pub use news::News;
 pub use pins::Pins;
+pub use text::Text;
 pub use view::View;
--- /dev/null
+++ b/crates/comfreyroad/src/mechanism.rs
@@ -0,0 +1,39 @@
+//! Mechanisms that a proof can switch off.
+
+/// A mechanism that a proof can switch off, to show that its checks notice.
+///
+/// No setting of a shipped program reaches it.
+#[doc(hidden)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mechanism {
+    /// Rules and their confirmation are passed on between entries.
+    Passing,
+    /// The age of a peer's confirmation counts from when the peer was asked.
+    AskedAge,
+    /// Unconfirmed rules count as stale.
+    Staleness,
+    /// Serving on without the log takes word from every zone.
+    EveryZone,
+    /// Rules are repeated on the log before their record expires.
+    Checkpoints,
+    /// Missed records make the rules unknown.
+    Gaps,
+    /// Versions are checked again when a request is sent.
+    SendCheck,
+    /// Parts of an answer are held against its attempt, order and count.
+    AnswerSteps,
+    /// Retries have a budget.
+    RetryBudget,
+    /// Late first parts are hedged.
+    Hedges,
+    /// Calls are refused early by class and deadline.
+    Shedding,
+    /// Waiting calls get their turn by class, customer and weight.
+    FairQueue,
+    /// Sessions of callers' own ids keep their version when shares change.
+    KeptIds,
+    /// Waiting requests get another version when theirs is withdrawn.
+    PinAgain,
+    /// A draining entry waits for its calls.
+    Draining,
+}
--- a/crates/comfreyroad/src/record/record.rs
+++ b/crates/comfreyroad/src/record/record.rs
@@ -28,6 +28,12 @@
         by: Arc<str>,
         /// The whole file.
         text: Arc<str>,
+        /// Offset of the first record that was not counted. A reader that has all records from there on knows the rules.
+        #[cfg_attr(feature = "serde", serde(default))]
+        next: Offset,
+        /// Versions held back at that offset.
+        #[cfg_attr(feature = "serde", serde(default))]
+        held: Vec<VersionId>,
     },
     /// A version is withheld until the next accepted publish after this offset.
     Hold {
@@ -120,6 +126,9 @@
     Answered {
         /// HTTP status.
         status: u16,
+        /// Type of the body.
+        #[cfg_attr(feature = "serde", serde(default))]
+        content_type: Option<Arc<str>>,
         /// Body, where it was small enough to keep.
         body: Option<Arc<[u8]>>,
     },
--- a/crates/comfreyroad/src/request/pinned.rs
+++ b/crates/comfreyroad/src/request/pinned.rs
@@ -1,8 +1,9 @@
 use std::sync::Arc;
 
-use super::{Allowed, Choice, Claimed, Repeat, Request, Stage};
+use super::{Allowed, Answered, Choice, Claimed, Repeat, Request, Stage, Usage};
 use crate::controller::claim::Proof;
 use crate::id::{LaneId, SessionHash, VersionId};
+use crate::record::{Key, Replay};
 
 /// Bound to the version, or the chain of versions, that is to answer.
 #[derive(Clone, Debug)]
@@ -83,6 +84,24 @@
         })
     }
 
+    /// The name under which it is claimed and billed.
+    pub fn key(&self) -> Key {
+        Key {
+            customer: self.stage.allowed.customer.clone(),
+            request: self.head.id.clone(),
+        }
+    }
+
+    /// Goes on as answered, by an answer that an earlier attempt got.
+    pub(crate) fn replay(self, replay: &Replay) -> Request<Answered> {
+        self.into_stage(|pinned| Answered {
+            pinned,
+            status: replay.status,
+            delivered: replay.body.len() as u64,
+            usage: Usage::default(),
+        })
+    }
+
     /// Goes on without a claim, which only what may be repeated can do.
     pub(crate) fn skip_claim(self) -> Result<Request<Claimed>, Self> {
         match self.stage.allowed.repeat {
--- a/crates/comfreyroad/src/settings.rs
+++ b/crates/comfreyroad/src/settings.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::id::{Address, BootId, EntryId, ZoneId};
-use crate::switches::Switches;
+use crate::mechanism::Mechanism;
 
 /// Settings of the decisions.
 #[derive(Clone, Debug)]
@@ -22,8 +22,17 @@
     pub session_keys: Vec<[u8; 32]>,
     /// Time without confirmation after which the rules count as stale.
     pub stale_after: Duration,
+    /// Time after which the record that holds the rules in force is repeated on the log.
+    pub checkpoint_after: Duration,
+    /// Entries of each zone that read the rules from the log; the others learn of them by peers.
+    pub readers: usize,
     /// Time without a heartbeat after which a peer counts as lost.
     pub peer_timeout: Duration,
+    /// Time for which a request's id is known: two requests with one id that are further apart are different ones. The
+    /// log must keep records for longer than this.
+    pub horizon: Duration,
+    /// Time for which a request that may run once at most waits for its claim.
+    pub claim_wait: Duration,
     /// Time for which the end of an answer waits for its bill to be safe.
     pub bill_wait: Duration,
     /// Time that a shutdown may take.
@@ -42,8 +51,15 @@
     pub last_sessions: Duration,
     /// Seed of random choices.
     pub seed: u64,
-    /// Mechanisms that tests switch off.
-    pub switches: Switches,
+    #[doc(hidden)]
+    pub without: Vec<Mechanism>,
+}
+
+impl Settings {
+    /// Whether a mechanism is at work.
+    pub(crate) fn has(&self, mechanism: Mechanism) -> bool {
+        !self.without.contains(&mechanism)
+    }
 }
 
 impl Default for Settings {
@@ -56,7 +72,11 @@
             peers: Vec::new(),
             session_keys: vec![[0; 32]],
             stale_after: Duration::from_secs(3),
+            checkpoint_after: Duration::from_secs(60),
+            readers: 2,
             peer_timeout: Duration::from_secs(3),
+            horizon: Duration::from_secs(30 * 60),
+            claim_wait: Duration::from_secs(2),
             bill_wait: Duration::from_secs(2),
             drain_timeout: Duration::from_secs(30),
             drain_notice: Duration::from_secs(1),
@@ -66,7 +86,7 @@
             session_idle: Duration::from_secs(1800),
             last_sessions: Duration::from_secs(3600),
             seed: 1,
-            switches: Switches::default(),
+            without: Vec::new(),
         }
     }
 }
--- a/crates/comfreyroad/tests/calls/answers.rs
+++ b/crates/comfreyroad/tests/calls/answers.rs
@@ -1,8 +1,9 @@
 //! A caller gets the whole answer to its own request, or is told that it does not.
 
+use comfreyroad::Settings;
 use comfreyroad::event::Signal;
+use comfreyroad::mechanism::Mechanism;
 use comfreyroad::refusal::{Code, Ran};
-use comfreyroad::{Settings, Switches};
 
 use crate::rig::{Ask, End, Rig, text};
 
@@ -217,10 +218,7 @@
 #[test]
 fn unchecked_answers_are_wrong() {
     let settings = Settings {
-        switches: Switches {
-            checks_answers: false,
-            ..Switches::default()
-        },
+        without: vec![Mechanism::AnswerSteps],
         ..Settings::default()
     };
     let mut rig = Rig::usual(&settings);
--- a/crates/comfreyroad/tests/calls/drain.rs
+++ b/crates/comfreyroad/tests/calls/drain.rs
@@ -1,8 +1,9 @@
 //! A graceful shutdown cuts no request, and one that cannot wait says what it cut.
 
+use comfreyroad::mechanism::Mechanism;
 use comfreyroad::record::{Record, Stream};
 use comfreyroad::refusal::{Code, Ran};
-use comfreyroad::{Event, Settings, Switches};
+use comfreyroad::{Event, Settings};
 
 use crate::rig::{Ask, End, Rig, text};
 
@@ -145,12 +146,9 @@
 /// Without the wait for calls, a stream is cut.
 #[test]
 fn an_entry_that_does_not_drain_cuts() {
-    let switches = Switches {
-        drains: false,
-        ..Switches::default()
-    };
+    let without = vec![Mechanism::Draining];
     let mut rig = Rig::usual(&Settings {
-        switches,
+        without,
         ..Settings::default()
     });
     let call = rig.call(&Ask::chat("r1", "draft"));
--- a/crates/comfreyroad/tests/calls/hedges.rs
+++ b/crates/comfreyroad/tests/calls/hedges.rs
@@ -1,17 +1,18 @@
 //! Retries have a budget, and late first parts are hedged within another.
 
-use comfreyroad::{Settings, Switches};
+use comfreyroad::Settings;
+use comfreyroad::mechanism::Mechanism;
 
-use crate::rig::{Ask, End, Rig, text};
+use crate::rig::{Ask, End, Rig, text, unless};
 
 /// A rig that has seen enough first parts, each after 100 ms.
 fn known() -> Rig {
-    known_with(Switches::default())
+    known_with(Vec::new())
 }
 
-fn known_with(switches: Switches) -> Rig {
+fn known_with(without: Vec<Mechanism>) -> Rig {
     let mut rig = Rig::usual(&Settings {
-        switches,
+        without,
         ..Settings::default()
     });
     see_first_parts(&mut rig);
@@ -106,10 +107,7 @@
 /// Sendings of calls that all fail, for each call.
 fn amplification(bounds_retries: bool) -> f64 {
     let mut rig = Rig::usual(&Settings {
-        switches: Switches {
-            bounds_retries,
-            ..Switches::default()
-        },
+        without: unless(bounds_retries, Mechanism::RetryBudget),
         ..Settings::default()
     });
     let mut failed = 0;
@@ -139,10 +137,7 @@
 #[test]
 fn hedges_shorten_the_tail() {
     let p99 = |hedges: bool| {
-        let mut rig = known_with(Switches {
-            hedges,
-            ..Switches::default()
-        });
+        let mut rig = known_with(unless(hedges, Mechanism::Hedges));
         let mut times = Vec::new();
         for index in 0..400_u64 {
             let call = rig.call(&Ask::chat(format!("r{index}"), "mona@1"));
--- a/crates/comfreyroad/tests/calls/overload.rs
+++ b/crates/comfreyroad/tests/calls/overload.rs
@@ -2,16 +2,17 @@
 
 use std::time::Duration;
 
+use comfreyroad::Settings;
+use comfreyroad::mechanism::Mechanism;
 use comfreyroad::refusal::{Code, Ran};
-use comfreyroad::{Settings, Switches};
 
-use crate::rig::{Ask, End, Rig};
+use crate::rig::{Ask, End, Rig, unless};
 
-fn rig(switches: Switches, more: &[&str]) -> Rig {
+fn rig(without: Vec<Mechanism>, more: &[&str]) -> Rig {
     let rules = Rig::rules((100, 0), more);
     let rules: Vec<&str> = rules.iter().map(String::as_str).collect();
     let settings = Settings {
-        switches,
+        without,
         max_calls: 200,
         ..Settings::default()
     };
@@ -45,14 +46,14 @@
 
 /// Waiting times in ticks of a quiet customer's calls while another floods the same version.
 fn quiet_waits(is_fair: bool, weight: u32) -> Vec<usize> {
-    let switches = Switches {
-        is_fair,
-        sheds: false,
-        ..Switches::default()
-    };
+    let without = [
+        unless(is_fair, Mechanism::FairQueue),
+        vec![Mechanism::Shedding],
+    ]
+    .concat();
     let key = "09".repeat(32);
     let heavy = format!("customer c9 firm=inkwell key={key} allow=mona@* weight={weight}");
-    let mut rig = rig(switches, &[&heavy]);
+    let mut rig = rig(without, &[&heavy]);
     let mut done = 0;
     let (mut flood, mut quiet, mut waits) = (0, Vec::new(), Vec::new());
     for tick in 0..60 {
@@ -93,13 +94,7 @@
 fn slots_go_by_weight() {
     let key = "09".repeat(32);
     let heavy = format!("customer c9 firm=inkwell key={key} allow=mona@* weight=3");
-    let mut rig = rig(
-        Switches {
-            sheds: false,
-            ..Switches::default()
-        },
-        &[&heavy],
-    );
+    let mut rig = rig(vec![Mechanism::Shedding], &[&heavy]);
     for index in 0..60 {
         rig.call(&Ask::chat(format!("a{index}"), "draft"));
         rig.call(&Ask::chat(format!("b{index}"), "draft").by(9));
@@ -115,13 +110,7 @@
 #[test]
 fn urgent_classes_pass_a_flood_of_drafts() {
     for sheds in [true, false] {
-        let mut rig = rig(
-            Switches {
-                sheds,
-                ..Switches::default()
-            },
-            &[],
-        );
+        let mut rig = rig(unless(sheds, Mechanism::Shedding), &[]);
         for index in 0..300 {
             rig.call(&Ask::chat(format!("d{index}"), "draft"));
         }
@@ -138,7 +127,7 @@
 
 #[test]
 fn a_quiet_customer_finds_room_that_a_flood_has_filled() {
-    let mut rig = rig(Switches::default(), &[]);
+    let mut rig = rig(Vec::new(), &[]);
     let flood: Vec<u64> = (0..300)
         .map(|index| rig.call(&Ask::chat(format!("d{index}"), "draft")))
         .collect();
@@ -161,13 +150,7 @@
 #[test]
 fn the_queue_holds_only_what_can_make_its_deadline() {
     for sheds in [true, false] {
-        let mut rig = rig(
-            Switches {
-                sheds,
-                ..Switches::default()
-            },
-            &[],
-        );
+        let mut rig = rig(unless(sheds, Mechanism::Shedding), &[]);
         let (mut done, mut late, mut told) = (0, 0, Vec::new());
         let mut calls = Vec::new();
         for tick in 0..400_u32 {
@@ -198,7 +181,7 @@
 #[test]
 fn a_booking_that_is_shed_gives_its_claim_back() {
     use comfreyroad::record::{Record, Stream};
-    let mut rig = rig(Switches::default(), &[]);
+    let mut rig = rig(Vec::new(), &[]);
     for index in 0..40 {
         rig.call(
             &Ask::service(format!("b{index}"), "POST", "/bookings").within(Duration::from_secs(3)),
--- a/crates/comfreyroad/tests/calls/rig.rs
+++ b/crates/comfreyroad/tests/calls/rig.rs
@@ -9,6 +9,7 @@
 use comfreyroad::event::{Failure, LogEntry, Page, Signal};
 use comfreyroad::frame::Frame;
 use comfreyroad::id::{CallId, Offset};
+use comfreyroad::mechanism::Mechanism;
 use comfreyroad::note::Note;
 use comfreyroad::record::{Record, Stream};
 use comfreyroad::request::{Chat, Head, Request, Service, Target, Usage};
@@ -209,8 +210,14 @@
         self.generation += 1;
         self.append(Stream::Rules, record);
         self.answer_reads();
-        let generation = self.entry.state().rules.generation();
-        assert_eq!(generation, self.generation, "the rules do not check");
+        // An entry with peers gives them some time to tell it the rules.
+        for _ in 0..100 {
+            if self.entry.state().rules.generation() == self.generation {
+                return;
+            }
+            self.advance(50);
+        }
+        panic!("the rules do not come into force");
     }
 
     pub(crate) fn append(&mut self, stream: Stream, record: Record) {
@@ -475,3 +482,8 @@
         .collect::<String>()
         .into_bytes()
 }
+
+/// What to do without, so that a test can run with a mechanism and without it.
+pub(crate) fn unless(has: bool, mechanism: Mechanism) -> Vec<Mechanism> {
+    if has { Vec::new() } else { vec![mechanism] }
+}
--- a/crates/comfreyroad/tests/calls/sessions.rs
+++ b/crates/comfreyroad/tests/calls/sessions.rs
@@ -3,11 +3,13 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 
+use comfreyroad::frame::{Frame, News};
+use comfreyroad::mechanism::Mechanism;
 use comfreyroad::refusal::Code;
 use comfreyroad::session::Token;
-use comfreyroad::{Event, Settings, Switches};
+use comfreyroad::{Event, Settings};
 
-use crate::rig::{Ask, End, Rig};
+use crate::rig::{Ask, End, Rig, unless};
 
 fn publish(rig: &mut Rig, shares: (u32, u32)) {
     let rules = Rig::rules(shares, &[]);
@@ -157,12 +159,9 @@
 #[test]
 fn what_waits_gets_another_version_when_its_own_is_withdrawn() {
     for pins_again in [true, false] {
-        let switches = Switches {
-            pins_again,
-            ..Switches::default()
-        };
+        let without = unless(pins_again, Mechanism::PinAgain);
         let mut rig = Rig::usual(&Settings {
-            switches,
+            without,
             ..Settings::default()
         });
         let calls: Vec<u64> = (0..20)
@@ -209,20 +208,11 @@
 impl Fleet {
     fn new(keeps_ids: bool) -> Self {
         let rig = |index: usize| {
-            let switches = Switches {
-                keeps_ids,
-                ..Switches::default()
-            };
-            let address = |index| format!("10.0.0.{index}:80").into();
+            let without = unless(keeps_ids, Mechanism::KeptIds);
             Rig::usual(&Settings {
                 entry: format!("e{index}").into(),
-                address: address(index),
-                peers: (0..7)
-                    .filter(|other| *other != index)
-                    .map(address)
-                    .collect(),
                 seed: index as u64,
-                switches,
+                without,
                 ..Settings::default()
             })
         };
@@ -231,17 +221,31 @@
     }
 
     fn advance(&mut self, ms: u64) {
-        for _ in 0..ms / 50 {
+        for tick in 0..ms / 50 {
             self.rigs.iter_mut().for_each(|rig| rig.advance(50));
-            for from in 0..self.rigs.len() {
-                for frame in std::mem::take(&mut self.rigs[from].told) {
-                    let to = (from + 1 + self.any() % 6) % 7;
-                    self.rigs[to].handle(Event::Peer(Box::new(frame)));
-                }
+            for from in (0..7).filter(|from| (tick + from) % 20 == 0) {
+                (0..3).for_each(|_| self.tell(from as usize));
             }
         }
     }
 
+    /// Each entry reads a log of its own, so that only the pins go from one to another.
+    fn tell(&mut self, from: usize) {
+        self.rigs[from].handle(Event::Gossip {
+            to: "10.0.0.1:80".into(),
+        });
+        let told = std::mem::take(&mut self.rigs[from].told);
+        for frame in told {
+            let frame = Frame {
+                beats: Vec::new(),
+                news: News::default(),
+                ..frame
+            };
+            let to = (from + 1 + self.any() % 6) % 7;
+            self.rigs[to].handle(Event::Peer(Box::new(frame)));
+        }
+    }
+
     fn any(&mut self) -> usize {
         self.rng = self
             .rng
--- a/crates/comfreyroad_entry/src/settings/settings.rs
+++ b/crates/comfreyroad_entry/src/settings/settings.rs
@@ -116,6 +116,8 @@
             .collect(),
         session_keys: reader.get("session-keys", reader::keys),
         stale_after: reader.get("stale-after-ms", reader::milliseconds),
+        checkpoint_after: reader.get("checkpoint-after-ms", reader::milliseconds),
+        readers: reader.get("rules-readers", reader::count),
         peer_timeout: reader.get("peer-timeout-ms", reader::milliseconds),
         bill_wait: reader.get("bill-wait-ms", reader::milliseconds),
         drain_timeout: reader.get("drain-timeout-ms", reader::milliseconds),
@@ -125,7 +127,7 @@
         session_life: reader.get("session-life-ms", reader::milliseconds),
         session_idle: reader.get("session-idle-ms", reader::milliseconds),
         last_sessions: reader.get("last-sessions-ms", reader::milliseconds),
-        switches: comfreyroad::Switches::default(),
         seed: seed.unwrap_or_else(|| fastrand::u64(..)),
+        ..comfreyroad::Settings::default()
     }
 }
