--- a/crates/comfreyroad/src/frame/mod.rs
+++ b/crates/comfreyroad/src/frame/mod.rs
@@ -7,6 +7,7 @@
 mod doubt;
 mod frame;
 mod news;
+mod pins;
 mod text;
 mod view;
 
@@ -14,5 +15,6 @@
 pub use doubt::Doubt;
 pub use frame::Frame;
 pub use news::News;
+pub use pins::Pins;
 pub use text::Text;
 pub use view::View;
