Measure both firms' deployments beside simple routers

Nothing showed what the router gains or loses by its policy. scripts/measure runs both firms at today's sizes and sends one load to comfreyroad and, at the same time, to four small routers of this crate: round robin, least loaded, always the dearest model, always the cheapest. They read the same rules from the log, and keep no sessions, claims, bills, retries or care for cold upstreams. Each run has a calm span, one with a bad version, and one in which a zone goes out, loses power and comes back cold.

--- a/crates/comfreyroad_bench/src/demo.rs
+++ b/crates/comfreyroad_bench/src/demo.rs
@@ -64,6 +64,7 @@
         eprintln!("refusals on the way: {}", trace.refusals());
         let bills = settled(&deployment, whole).await?;
         let journals = deployment.journals().await?;
+        deployment.stop().await?;
         Report::new(&trace, &journals, &bills)
     }
 
--- a/crates/comfreyroad_bench/src/deployment/deployment.rs
+++ b/crates/comfreyroad_bench/src/deployment/deployment.rs
@@ -15,6 +15,8 @@
 
 /// Time for a process to answer after its start.
 const START: Duration = Duration::from_secs(10);
+/// Time for all entries to end.
+const STOP: Duration = Duration::from_secs(10);
 /// Time for a publish to be in force.
 const PUBLISH: Duration = Duration::from_secs(10);
 /// The keys that seal the session tokens of every deployment here.
@@ -77,21 +79,46 @@
     pub fn start_entry(&mut self, number: u8) -> Result<()> {
         let id = entry_id(number);
         let (plan, addresses) = (&self.plan, self.addresses);
-        let mut command = Command::new(self.binaries.entry());
+        let mut command = self.program();
         command
-            .env("COMFREYROAD_SESSION_KEYS", SESSION_KEY)
             .args(["--entry", &id, "--zone", plan.zone(number)])
             .args(["--listen", &addresses.entry(number).to_string()])
             .args(["--log", &addresses.log().to_string()])
             .args(["--vms", &addresses.vms().to_string()])
-            .args(["--ratings", &addresses.ratings().to_string()])
-            .args(["--seed", &plan.seed.wrapping_add(number.into()).to_string()])
-            .args(&plan.entry_flags);
+            .args(["--seed", &plan.seed.wrapping_add(number.into()).to_string()]);
         let child = Child::start(&id, &mut command, self.folder.file(&id))?;
         self.entries.insert(id, child);
         Ok(())
     }
 
+    /// The entry daemon, or a router to compare with.
+    fn program(&self) -> Command {
+        let plan = &self.plan;
+        let Some(policy) = plan.policy else {
+            let mut command = Command::new(self.binaries.entry());
+            command
+                .env("COMFREYROAD_SESSION_KEYS", SESSION_KEY)
+                .args(["--ratings", &self.addresses.ratings().to_string()])
+                .args(&plan.entry_flags);
+            return command;
+        };
+        let mut command = Command::new(self.binaries.bench());
+        command.args(["router", "--policy", policy.name()]);
+        command
+    }
+
+    /// Asks all entries to end, and waits until they have.
+    pub async fn stop(mut self) -> Result<()> {
+        let deadline = Instant::now() + STOP;
+        for child in self.entries.values_mut() {
+            child.terminate()?;
+        }
+        for child in self.entries.values_mut() {
+            child.wait(deadline).await?;
+        }
+        Ok(())
+    }
+
     /// Waits until all entries are ready to serve.
     pub async fn until_ready(&self) -> Result<()> {
         let deadline = Instant::now() + START;
@@ -181,6 +208,15 @@
     }
 }
 
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        // All are asked before the first is waited for; a failure is left to the guards.
+        for child in self.entries.values_mut() {
+            child.terminate().ok();
+        }
+    }
+}
+
 /// Name of an entry.
 fn entry_id(number: u8) -> VmId {
     format!("entry-{}", number + 1)
--- a/crates/comfreyroad_bench/src/deployment/plan.rs
+++ b/crates/comfreyroad_bench/src/deployment/plan.rs
@@ -2,6 +2,7 @@
 
 use super::{Deployment, Group};
 use crate::binaries::Binaries;
+use crate::router::Policy;
 use crate::{Result, ZoneId};
 
 /// What to start.
@@ -19,6 +20,8 @@
     pub delay: Duration,
     /// Seed of the stand-ins and entries.
     pub seed: u64,
+    /// Runs routers to compare with in the place of entries.
+    pub policy: Option<Policy>,
     /// More flags of the entries.
     pub entry_flags: Vec<String>,
 }
@@ -60,6 +63,12 @@
         Self { seed, ..self }
     }
 
+    /// Runs routers to compare with in the place of entries.
+    #[must_use]
+    pub fn with_policy(self, policy: Option<Policy>) -> Self {
+        Self { policy, ..self }
+    }
+
     /// Adds a flag of the entries.
     #[must_use]
     pub fn with_entry_flag(mut self, name: &str, value: &str) -> Self {
--- a/crates/comfreyroad_bench/src/lib.rs
+++ b/crates/comfreyroad_bench/src/lib.rs
@@ -9,14 +9,18 @@
 pub mod demo;
 pub mod deployment;
 pub mod error;
+pub mod firm;
 pub mod folder;
 pub mod http;
 pub mod journal;
 pub mod ledger;
 pub mod load;
+pub mod measure;
 pub mod options;
 pub mod report;
+pub mod router;
 pub mod trace;
+pub mod watch;
 
 pub use error::{Error, Result};
 
--- a/crates/comfreyroad_bench/src/main.rs
+++ b/crates/comfreyroad_bench/src/main.rs
@@ -5,6 +5,7 @@
 
 use comfreyroad_bench::binaries::Binaries;
 use comfreyroad_bench::options::Command;
+use comfreyroad_bench::router::Router;
 use comfreyroad_bench::{Error, Result};
 use comfreyroad_net::{runtime, signal};
 use futures_util::future::{Either, select};
@@ -47,6 +48,16 @@
             print!("{text}");
             Ok(true)
         }
+        Command::Measure(measure) => {
+            for file in measure.run(&Binaries::beside_this()?).await? {
+                println!("{}", file.display());
+            }
+            Ok(true)
+        }
+        Command::Router(settings) => {
+            Router::new(settings).run().await?;
+            Ok(true)
+        }
         Command::Demo(demo) => {
             let report = demo.run(&Binaries::beside_this()?).await?;
             println!("{}", report.line()?);
--- /dev/null
+++ b/crates/comfreyroad_bench/src/measure/mod.rs
@@ -0,0 +1,28 @@
+//! Measurements of a firm's deployment, beside simple routers with the same load at the same time.
+//!
+//! A run goes through three spans: a calm one, one in which the version under roll-out is bad, and one in which a zone is
+//! taken out and comes back.
+
+mod contender;
+mod goodness;
+mod measure;
+mod metric;
+mod overhead;
+mod plot;
+mod processor;
+mod run;
+mod sample;
+mod series;
+mod table;
+mod timeline;
+
+pub use contender::Contender;
+pub use measure::Measure;
+pub use metric::Metric;
+pub use overhead::Overhead;
+pub use plot::Plot;
+pub use run::Run;
+pub use sample::Sample;
+pub use series::Series;
+pub use table::{Samples, Table};
+pub use timeline::Timeline;
--- a/crates/comfreyroad_bench/src/options.rs
+++ b/crates/comfreyroad_bench/src/options.rs
@@ -1,12 +1,15 @@
 //! Command line of `comfreyroad-bench`.
 
 use std::fmt::Display;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::str::FromStr;
 use std::time::Duration;
 
 use getopts::Matches;
 
 use crate::demo::Demo;
+use crate::measure::Measure;
+use crate::router::{Policy, Settings};
 use crate::{Error, Result};
 
 /// What a command line asks for.
@@ -14,6 +17,10 @@
 pub enum Command {
     /// A run without faults.
     Demo(Demo),
+    /// Measurements beside simple routers.
+    Measure(Measure),
+    /// A simple router to compare with.
+    Router(Settings),
     /// The help text.
     Help(String),
 }
@@ -26,6 +33,8 @@
             .map_or(("help", args), |(name, rest)| (name.as_str(), rest));
         match name {
             "demo" => demo(rest),
+            "measure" => measure(rest),
+            "router" => router(rest),
             "help" | "--help" => Ok(Self::Help(usage())),
             other => Err(Error::Options(vec![format!("{other}: no such command")])),
         }
@@ -35,6 +44,8 @@
 fn usage() -> String {
     let mut usage = String::from("Usage: comfreyroad-bench COMMAND\n\n");
     usage += &demo_flags().usage("comfreyroad-bench demo");
+    usage += &measure_flags().usage("comfreyroad-bench measure");
+    usage += &router_flags().usage("comfreyroad-bench router");
     usage
 }
 
@@ -51,12 +62,75 @@
     let demo = demo
         .clone()
         .with_duration(Duration::from_secs(
-            reader.number("seconds", demo.duration.as_secs()),
+            reader.value("seconds", demo.duration.as_secs()),
         ))
-        .with_seed(reader.number("seed", demo.seed));
+        .with_seed(reader.value("seed", demo.seed));
     reader.end(Command::Demo(demo))
 }
 
+fn measure_flags() -> getopts::Options {
+    let mut flags = getopts::Options::new();
+    flags.optopt("", "firm", "inkwell, tahtiaskel or both (both)", "NAME");
+    flags.optopt("", "seed", "first seed (1)", "N");
+    flags.optopt("", "seeds", "number of seeds (5)", "N");
+    flags.optopt("", "seconds", "how long requests arrive in a run (34)", "N");
+    flags.optopt("", "out", "folder to write to (target/measure)", "DIR");
+    flags
+}
+
+fn measure(args: &[String]) -> Result<Command> {
+    let mut reader = Reader::new(&measure_flags(), args)?;
+    let default = Measure::default();
+    let firm: String = reader.value("firm", "both".to_owned());
+    let mut firms = default.firms;
+    firms.retain(|own| firm == "both" || own.name == firm);
+    if firms.is_empty() {
+        reader.errors.push(format!("--firm {firm}: no such firm"));
+    }
+    let measure = Measure {
+        firms,
+        seed: reader.value("seed", default.seed),
+        seeds: reader.value("seeds", default.seeds),
+        duration: Duration::from_secs(reader.value("seconds", default.duration.as_secs())),
+        out: reader
+            .value("out", default.out.display().to_string())
+            .into(),
+    };
+    reader.end(Command::Measure(measure))
+}
+
+fn router_flags() -> getopts::Options {
+    let mut flags = getopts::Options::new();
+    flags.optopt(
+        "",
+        "policy",
+        "round-robin, least-loaded, dearest or cheapest (round-robin)",
+        "NAME",
+    );
+    flags.optopt("", "entry", "name of this router", "NAME");
+    flags.optopt("", "zone", "its availability zone", "NAME");
+    flags.optopt("", "listen", "where it listens", "ADDR");
+    flags.optopt("", "log", "log service", "ADDR");
+    flags.optopt("", "vms", "VM list", "ADDR");
+    flags.optopt("", "seed", "seed of random numbers (1)", "N");
+    flags
+}
+
+fn router(args: &[String]) -> Result<Command> {
+    let mut reader = Reader::new(&router_flags(), args)?;
+    let nowhere = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let settings = Settings {
+        entry: reader.value("entry", "router".to_owned()),
+        zone: reader.value("zone", String::new()),
+        listen: reader.value("listen", nowhere),
+        log: reader.value("log", nowhere),
+        vms: reader.value("vms", nowhere),
+        policy: reader.value("policy", Policy::default()),
+        seed: reader.value("seed", 1),
+    };
+    reader.end(Command::Router(settings))
+}
+
 /// Reads the values of one command, and notes what is wrong with them.
 struct Reader {
     matches: Matches,
@@ -73,7 +147,7 @@
         Ok(Self { matches, errors })
     }
 
-    fn number<T>(&mut self, name: &str, default: T) -> T
+    fn value<T>(&mut self, name: &str, default: T) -> T
     where
         T: FromStr,
         T::Err: Display,
@@ -82,7 +156,7 @@
             return default;
         };
         match text.parse() {
-            Ok(number) => number,
+            Ok(value) => value,
             Err(error) => {
                 self.errors.push(format!("--{name} {text}: {error}"));
                 default
--- /dev/null
+++ b/crates/comfreyroad_bench/src/router/refresh.rs
@@ -0,0 +1,87 @@
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use comfreyroad::record::Stream;
+use comfreyroad_net::client::Client;
+use comfreyroad_net::platform::{Log, Vms};
+use comfreyroad_net::upstream::LoadReports;
+use comfreyroad_wire::platform::Kind;
+use comfreyroad_wire::record;
+use compio::time::sleep;
+use futures_util::future::join_all;
+
+use super::State;
+use crate::VmId;
+
+/// Wait between two looks at the VM list and the load reports.
+const INTERVAL: Duration = Duration::from_millis(200);
+/// Longest wait for a record of the log.
+const LOG_WAIT: Duration = Duration::from_secs(2);
+/// Time for one call.
+const TIMEOUT: Duration = Duration::from_secs(3);
+/// Time for one load report, so that a silent upstream does not hold the others up.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Records in a page of the log.
+const PAGE: usize = 500;
+
+/// Reads the rules for ever.
+pub(super) async fn rules(state: Rc<RefCell<State>>, log: SocketAddr) {
+    let log = Log::new(Client::default(), log);
+    loop {
+        let from = state.borrow().history.next();
+        let now = Instant::now();
+        let page = log
+            .read(
+                Stream::Rules.name(),
+                from,
+                PAGE,
+                now + LOG_WAIT,
+                now + LOG_WAIT + TIMEOUT,
+            )
+            .await;
+        let Ok(page) = page else {
+            sleep(INTERVAL).await;
+            continue;
+        };
+        let history = &mut state.borrow_mut().history;
+        for stored in &page.records {
+            match record::decode(&stored.bytes) {
+                Ok(record) => drop(history.feed(stored.offset, stored.at, &record)),
+                Err(_) => history.skip(stored.offset),
+            }
+        }
+    }
+}
+
+/// Reads the VM list and the load reports for ever.
+pub(super) async fn upstreams(state: Rc<RefCell<State>>, vms: SocketAddr) {
+    let client = Client::default();
+    let list = Vms::new(client.clone(), vms);
+    let reports = LoadReports::new(client);
+    loop {
+        // While the list is away, the last one holds.
+        if let Ok(vms) = list.list(Instant::now() + TIMEOUT).await {
+            state.borrow_mut().vms = vms.vms;
+        }
+        let known = known(&state.borrow());
+        let asked = known.into_iter().map(|(id, address)| {
+            let report = reports.get(address, Instant::now() + REPORT_TIMEOUT);
+            async move { (id, report.await) }
+        });
+        for (id, report) in join_all(asked).await {
+            match report {
+                Ok(load) => state.borrow_mut().report(id, load),
+                Err(_) => drop(state.borrow_mut().loads.swap_remove(&id)),
+            }
+        }
+        sleep(INTERVAL).await;
+    }
+}
+
+fn known(state: &State) -> Vec<(VmId, SocketAddr)> {
+    let upstreams = state.vms.iter().filter(|vm| vm.kind == Kind::Upstream);
+    let known = upstreams.filter_map(|vm| Some((vm.id.clone(), vm.address.parse().ok()?)));
+    known.collect()
+}
--- /dev/null
+++ b/crates/comfreyroad_bench/src/router/state.rs
@@ -0,0 +1,166 @@
+use std::net::SocketAddr;
+
+use comfreyroad::rules::{Customer, History, Rules, Version};
+use comfreyroad_wire::engine::Load;
+use comfreyroad_wire::platform::{Kind, State as Presence, Vm};
+use indexmap::IndexMap;
+
+use super::Policy;
+use crate::{VersionId, VmId};
+
+/// What a request asks for.
+#[derive(Clone, Copy, Debug)]
+pub enum Call<'a> {
+    /// A route, model or version.
+    Chat(&'a str),
+    /// The path of a plain service.
+    Service(&'a str),
+}
+
+/// Where a request goes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// The upstream.
+    pub address: SocketAddr,
+    /// The version, for an engine.
+    pub version: Option<VersionId>,
+}
+
+/// What the router knows.
+#[derive(Debug, Default)]
+pub struct State {
+    /// The rules, as read from the log.
+    pub history: History,
+    /// The VM list.
+    pub vms: Vec<Vm>,
+    /// The last load reports.
+    pub loads: IndexMap<VmId, Load>,
+    /// Requests sent to each upstream since its last report.
+    sent: IndexMap<VmId, u32>,
+    turn: usize,
+    rng: fastrand::Rng,
+}
+
+impl State {
+    /// A router that knows nothing yet.
+    #[must_use]
+    pub fn new(seed: u64) -> Self {
+        Self {
+            rng: fastrand::Rng::with_seed(seed),
+            ..Self::default()
+        }
+    }
+
+    /// Takes an upstream's load report.
+    pub fn report(&mut self, id: VmId, load: Load) {
+        self.sent.swap_remove(&id);
+        self.loads.insert(id, load);
+    }
+
+    /// Whether it can route.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.history.in_force().is_some() && !self.loads.is_empty()
+    }
+
+    /// Chooses a version and an upstream; nothing when none is allowed or up.
+    pub fn place(&mut self, policy: Policy, key: &[u8; 32], call: Call<'_>) -> Option<Place> {
+        self.turn = self.turn.wrapping_add(1);
+        let rules = self.history.in_force()?.rules.clone();
+        let customer = rules.customer_by_key(key)?;
+        let (pool, version) = match call {
+            Call::Chat(model) => {
+                let version = self.version(policy, &rules, customer, model)?;
+                (version.pool.clone(), Some(version.id.to_string()))
+            }
+            Call::Service(path) => {
+                let mut services = rules.services.iter();
+                let service = services.find(|service| service.covers(path))?;
+                (service.pool.clone(), None)
+            }
+        };
+        let id = self.upstream(policy, &rules, &pool, version.as_deref())?;
+        *self.sent.entry(id.clone()).or_default() += 1;
+        let vm = self.vms.iter().find(|vm| vm.id == id)?;
+        let address = vm.address.parse().ok()?;
+        Some(Place { address, version })
+    }
+
+    /// A version of the model that the policy names, by shares.
+    fn version<'a>(
+        &mut self,
+        policy: Policy,
+        rules: &'a Rules,
+        customer: &Customer,
+        asked: &str,
+    ) -> Option<&'a Version> {
+        let takes = |version: &&Version| {
+            let is_asked = match rules.routes.get(asked) {
+                Some(route) => route.models.contains(&version.model),
+                None => *version.model == *asked || *version.id == *asked,
+            };
+            is_asked && !version.withdrawn && customer.allows(version)
+        };
+        let versions: Vec<&Version> = rules.versions.values().filter(takes).collect();
+        let mut models: Vec<&str> = versions.iter().map(|version| &*version.model).collect();
+        models.dedup();
+        let model = match policy {
+            Policy::RoundRobin | Policy::LeastLoaded => {
+                *models.get(self.turn % models.len().max(1))?
+            }
+            Policy::Dearest => &versions.iter().max_by_key(|version| version.cost)?.model,
+            Policy::Cheapest => &versions.iter().min_by_key(|version| version.cost)?.model,
+        };
+        let of_model = versions.iter().filter(|version| *version.model == *model);
+        let of_model: Vec<&Version> = of_model.copied().collect();
+        let mut draw = self.rng.u32(
+            0..of_model
+                .iter()
+                .map(|version| version.share)
+                .sum::<u32>()
+                .max(1),
+        );
+        for version in &of_model {
+            if draw < version.share {
+                return Some(version);
+            }
+            draw -= version.share;
+        }
+        of_model.first().copied()
+    }
+
+    fn upstream(
+        &self,
+        policy: Policy,
+        rules: &Rules,
+        pool: &str,
+        version: Option<&str>,
+    ) -> Option<VmId> {
+        let takes = |vm: &&Vm| {
+            let load = self.loads.get(&vm.id);
+            let serves = |version: &str| {
+                load.is_some_and(|load| load.versions.iter().any(|own| own == version))
+            };
+            let is_up = vm.kind == Kind::Upstream && vm.pool == pool && vm.state == Presence::Live;
+            is_up && rules.is_zone_in(&vm.zone.as_str().into()) && version.is_none_or(serves)
+        };
+        let up: Vec<&Vm> = self.vms.iter().filter(takes).collect();
+        let count = up.len();
+        // Equal ones are taken in turn too.
+        let mut in_turn = (0..count).map(|step| up[(self.turn + step) % count]);
+        let chosen = match policy {
+            Policy::RoundRobin => in_turn.next(),
+            _ => in_turn
+                .min_by(|one, other| self.crowding(&one.id).total_cmp(&self.crowding(&other.id))),
+        };
+        chosen.map(|vm| vm.id.clone())
+    }
+
+    fn crowding(&self, id: &str) -> f64 {
+        let sent = self.sent.get(id).copied().unwrap_or_default();
+        let Some(load) = self.loads.get(id) else {
+            return f64::from(sent);
+        };
+        f64::from(load.running + load.waiting + sent) / f64::from(load.slots.max(1))
+    }
+}
--- a/crates/comfreyroad_bench/src/trace.rs
+++ b/crates/comfreyroad_bench/src/trace.rs
@@ -97,6 +97,21 @@
         Ok(Self { lines })
     }
 
+    /// The requests that arrived from one moment to another, in milliseconds from the run's begin.
+    #[must_use]
+    pub fn between(&self, from_ms: u64, to_ms: u64) -> Self {
+        let arrived = |line: &&Line| (from_ms..to_ms).contains(&line.at_ms);
+        let lines = self.lines.iter().filter(arrived).cloned().collect();
+        Self { lines }
+    }
+
+    /// Percent of the requests answered whole and by their deadline.
+    #[must_use]
+    pub fn on_time(&self) -> f64 {
+        let on_time = self.lines.iter().filter(|line| line.is_on_time()).count();
+        100.0 * on_time as f64 / self.lines.len().max(1) as f64
+    }
+
     /// Requests with a verdict.
     #[must_use]
     pub fn count(&self, verdict: Verdict) -> u64 {
--- /dev/null
+++ b/crates/comfreyroad_bench/src/watch.rs
@@ -0,0 +1,59 @@
+//! Watches what upstreams take on.
+
+use std::time::{Duration, Instant};
+
+use compio::time::sleep;
+
+use crate::deployment::Deployment;
+use crate::journal::{Journal, Journals};
+use crate::{Result, ZoneId};
+
+/// Wait between two looks at the journals.
+const INTERVAL: Duration = Duration::from_millis(150);
+
+/// Watches the upstreams of a zone for new work.
+pub struct Watch<'a> {
+    deployment: &'a Deployment,
+    zone: ZoneId,
+}
+
+impl<'a> Watch<'a> {
+    /// A watch of one zone.
+    #[must_use]
+    pub fn new(deployment: &'a Deployment, zone: &str) -> Self {
+        let zone = zone.to_owned();
+        Self { deployment, zone }
+    }
+
+    /// Looks until `end`; gives the last moment before which new work was seen.
+    pub async fn last_work(&self, end: Instant) -> Result<Option<Instant>> {
+        let mut before = self.work().await?;
+        let mut last = None;
+        while Instant::now() < end {
+            sleep(INTERVAL).await;
+            let seen = Instant::now();
+            let work = self.work().await?;
+            if work > before {
+                last = Some(seen);
+                before = work;
+            }
+        }
+        Ok(last)
+    }
+
+    /// Work that the zone's upstreams have taken so far.
+    pub async fn work(&self) -> Result<u64> {
+        let mut journals = Journals::default();
+        for (id, (zone, address)) in self.deployment.upstreams() {
+            if *zone == self.zone {
+                let journal: Journal = self
+                    .deployment
+                    .http()
+                    .get("read journal", *address, "/journal")
+                    .await?;
+                journals.journals.insert(id.clone(), journal);
+            }
+        }
+        Ok(journals.work().values().sum())
+    }
+}
--- a/crates/comfreyroad_fakes/src/load/options.rs
+++ b/crates/comfreyroad_fakes/src/load/options.rs
@@ -6,6 +6,13 @@
 use crate::options::{delay, number};
 use crate::{Error, Result};
 
+/// Flags of the time given to each kind of answer.
+const PATIENCE: [(&str, &str); 3] = [
+    ("draft-deadline-ms", "time given to streamed answers"),
+    ("whole-deadline-ms", "time given to answers in one piece"),
+    ("plain-deadline-ms", "time given to bookings and lookups"),
+];
+
 /// A customer of the system.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Customer {
@@ -112,6 +119,9 @@
             "time given to each answer (by profile)",
             "MS",
         );
+        for (name, what) in PATIENCE {
+            flags.optopt("", name, what, "MS");
+        }
         flags.optopt("", "trace", "file for a line of JSON per request", "FILE");
         flags
     }
@@ -216,10 +226,16 @@
         *low = most.min(*low);
         *high = most.min(*high);
     }
-    let patience = number(matches, "deadline-ms", 0, errors);
-    if patience > 0 {
-        profile.draft_patience = Duration::from_millis(patience);
-        profile.whole_patience = Duration::from_millis(patience);
-        profile.plain_patience = Duration::from_millis(patience);
+    let all = number(matches, "deadline-ms", 0, errors);
+    let patience = PATIENCE.map(|(name, _)| number(matches, name, all, errors));
+    let of_kind = [
+        &mut profile.draft_patience,
+        &mut profile.whole_patience,
+        &mut profile.plain_patience,
+    ];
+    for (kept, given) in of_kind.into_iter().zip(patience) {
+        if given > 0 {
+            *kept = Duration::from_millis(given);
+        }
     }
 }
