--- a/crates/comfreyroad/src/controller/rules/confirmation.rs
+++ b/crates/comfreyroad/src/controller/rules/confirmation.rs
@@ -26,17 +26,17 @@
 
     /// Whether a peer who may know better is to be asked.
     pub(super) fn is_old(&self, now: Instant) -> bool {
-        self.is_past(now, self.stale_after / 3)
+        self.is_past(now, self.stale_after * 2 / 5)
     }
 
     /// Whether the log seems out of reach of the entries that usually read it.
     pub(super) fn is_doubtful(&self, now: Instant) -> bool {
-        self.is_past(now, self.stale_after / 2)
+        self.is_past(now, self.stale_after * 3 / 5)
     }
 
     /// Whether this entry is to read the log itself.
     pub(super) fn is_overdue(&self, now: Instant) -> bool {
-        self.is_past(now, self.stale_after * 2 / 3)
+        self.is_past(now, self.stale_after * 3 / 4)
     }
 
     pub(super) fn is_stale(&self, now: Instant) -> bool {
--- a/crates/comfreyroad/src/controller/rules/mod.rs
+++ b/crates/comfreyroad/src/controller/rules/mod.rs
@@ -310,7 +310,7 @@
             self.reader.read(at, self.history.next(), out);
         }
         if self.confirmation.is_old(at) && self.has(Mechanism::Passing) {
-            let reader = self.reader.other(self.fleet.view());
+            let reader = self.reader.other();
             let is_doubtful = self.confirmation.is_doubtful(at);
             let others = is_doubtful.then(|| self.fleet.view());
             self.spread.ask(at, reader, others, out);
--- a/crates/comfreyroad/src/controller/rules/reader.rs
+++ b/crates/comfreyroad/src/controller/rules/reader.rs
@@ -3,15 +3,15 @@
 use fastrand::Rng;
 
 use crate::action::Action;
-use crate::frame::View;
-use crate::id::{EntryId, Offset, ZoneId};
+use crate::frame::{Beat, View};
+use crate::id::{Address, EntryId, Offset, ZoneId};
 use crate::outbox::Outbox;
 use crate::record::Stream;
 use crate::rendezvous;
 use crate::settings::Settings;
 
 /// How long the log may hold a question of a reader open.
-const WAIT: Duration = Duration::from_millis(500);
+const WAIT: Duration = Duration::from_millis(250);
 /// Pause of a reader after a failed read.
 const PAUSE: Duration = Duration::from_millis(200);
 /// Least pause between two reads of an entry that usually learns by peers; up to twice as long.
@@ -28,6 +28,7 @@
     zone: ZoneId,
     count: usize,
     is_reader: bool,
+    others: Vec<Address>,
     is_under_way: bool,
     not_before: Option<Instant>,
     rng: Rng,
@@ -40,6 +41,7 @@
             zone: settings.zone.clone(),
             count: settings.readers,
             is_reader: true,
+            others: Vec::new(),
             is_under_way: false,
             not_before: None,
             rng: Rng::with_seed(settings.seed),
@@ -58,22 +60,25 @@
 
     /// Settles who reads: the highest rendezvous hashes of the zone.
     pub(super) fn on_members(&mut self, view: &View) {
-        self.is_reader = Self::rank(&self.entry, &self.zone, view) < self.count;
+        let key = format!("rules/{}", self.zone);
+        let members = view.members.values().filter(|beat| beat.zone == self.zone);
+        let mut ranked: Vec<_> = members
+            .map(|beat| (rendezvous::hash(&key, &beat.entry), beat))
+            .collect();
+        ranked.sort_unstable_by_key(|(hash, _)| std::cmp::Reverse(*hash));
+        ranked.truncate(self.count);
+        let is_own = |(_, beat): &(u64, &Beat)| beat.entry == self.entry;
+        self.is_reader = ranked.iter().any(is_own);
+        ranked.retain(|member| !is_own(member));
+        self.others = ranked
+            .iter()
+            .map(|(_, beat)| beat.address.clone())
+            .collect();
     }
 
     /// Some other reader of this entry's zone, by chance.
-    pub(super) fn other(&mut self, view: &View) -> Option<crate::id::Address> {
-        let zone = view.members.values().filter(|beat| beat.zone == self.zone);
-        let others = zone.filter(|beat| beat.entry != self.entry);
-        let readers = others.filter(|beat| Self::rank(&beat.entry, &self.zone, view) < self.count);
-        let addresses: Vec<_> = readers.map(|beat| &beat.address).collect();
-        self.rng.choice(addresses).cloned()
-    }
-
-    fn rank(entry: &EntryId, zone: &ZoneId, view: &View) -> usize {
-        let members = view.members.values().filter(|beat| beat.zone == *zone);
-        let members = members.map(|beat| &*beat.entry);
-        rendezvous::rank(&format!("rules/{zone}"), entry, members)
+    pub(super) fn other(&mut self) -> Option<Address> {
+        self.rng.choice(&self.others).cloned()
     }
 
     /// Asks the log, unless a question is under way or it is too early.
--- a/crates/comfreyroad/src/frame/frame.rs
+++ b/crates/comfreyroad/src/frame/frame.rs
@@ -18,24 +18,42 @@
     #[cfg_attr(feature = "serde", serde(default))]
     pub number: u64,
     /// Number of the newest frame that the sender got, where it came from the receiver.
-    #[cfg_attr(feature = "serde", serde(default))]
+    #[cfg_attr(
+        feature = "serde",
+        serde(default, skip_serializing_if = "Option::is_none")
+    )]
     pub answers: Option<u64>,
     /// Whether only the rules are spoken of; answered likewise.
-    #[cfg_attr(feature = "serde", serde(default))]
+    #[cfg_attr(
+        feature = "serde",
+        serde(default, skip_serializing_if = "std::ops::Not::not")
+    )]
     pub is_brief: bool,
     /// Heartbeats: the sender's own and some that it has heard.
-    #[cfg_attr(feature = "serde", serde(default))]
+    #[cfg_attr(
+        feature = "serde",
+        serde(default, skip_serializing_if = "Vec::is_empty")
+    )]
     pub beats: Vec<Beat>,
     /// The sender's knowledge of the rules.
     #[cfg_attr(feature = "serde", serde(default))]
     pub news: News,
     /// Bills that the receiver is asked to keep until they are on the log.
-    #[cfg_attr(feature = "serde", serde(default))]
+    #[cfg_attr(
+        feature = "serde",
+        serde(default, skip_serializing_if = "Vec::is_empty")
+    )]
     pub keep: Vec<Bill>,
     /// Bills that the sender keeps for the receiver.
-    #[cfg_attr(feature = "serde", serde(default))]
+    #[cfg_attr(
+        feature = "serde",
+        serde(default, skip_serializing_if = "Vec::is_empty")
+    )]
     pub kept: Vec<Key>,
     /// Bills that the receiver need not keep any longer.
-    #[cfg_attr(feature = "serde", serde(default))]
+    #[cfg_attr(
+        feature = "serde",
+        serde(default, skip_serializing_if = "Vec::is_empty")
+    )]
     pub done: Vec<Key>,
 }
--- a/crates/comfreyroad/src/frame/news.rs
+++ b/crates/comfreyroad/src/frame/news.rs
@@ -13,20 +13,35 @@
     #[cfg_attr(feature = "serde", serde(default))]
     pub next: Option<Offset>,
     /// Versions held back.
-    #[cfg_attr(feature = "serde", serde(default))]
+    #[cfg_attr(
+        feature = "serde",
+        serde(default, skip_serializing_if = "Vec::is_empty")
+    )]
     pub held: Vec<VersionId>,
     /// Age of the moment at which no record from `next` on was on the log.
     pub age: Option<Duration>,
     /// Age of the newest checkpoint on the log.
-    #[cfg_attr(feature = "serde", serde(default))]
+    #[cfg_attr(
+        feature = "serde",
+        serde(default, skip_serializing_if = "Option::is_none")
+    )]
     pub checkpoint: Option<Duration>,
     /// Zones whose entries do not hear of the log either.
-    #[cfg_attr(feature = "serde", serde(default))]
+    #[cfg_attr(
+        feature = "serde",
+        serde(default, skip_serializing_if = "Vec::is_empty")
+    )]
     pub doubts: Vec<Doubt>,
     /// Whether the sender wants the receiver's rules.
-    #[cfg_attr(feature = "serde", serde(default))]
+    #[cfg_attr(
+        feature = "serde",
+        serde(default, skip_serializing_if = "std::ops::Not::not")
+    )]
     pub wants: bool,
     /// The rules themselves, for a peer that wants them.
-    #[cfg_attr(feature = "serde", serde(default))]
+    #[cfg_attr(
+        feature = "serde",
+        serde(default, skip_serializing_if = "Option::is_none")
+    )]
     pub text: Option<Text>,
 }
--- a/crates/comfreyroad/src/rendezvous.rs
+++ b/crates/comfreyroad/src/rendezvous.rs
@@ -2,6 +2,11 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+/// The hash of a member for a key.
+pub fn hash(key: &str, member: &str) -> u64 {
+    xxh3_64_with_seed(member.as_bytes(), xxh3_64_with_seed(key.as_bytes(), 0))
+}
+
 /// The member with the highest hash for a key.
 pub fn owner<'a>(key: &str, members: impl Iterator<Item = &'a str>) -> Option<&'a str> {
     let seed = xxh3_64_with_seed(key.as_bytes(), 0);
@@ -10,9 +15,6 @@
 
 /// How many members have a higher hash for a key than one of them.
 pub fn rank<'a>(key: &str, own: &str, members: impl Iterator<Item = &'a str>) -> usize {
-    let seed = xxh3_64_with_seed(key.as_bytes(), 0);
-    let own = xxh3_64_with_seed(own.as_bytes(), seed);
-    members
-        .filter(|member| xxh3_64_with_seed(member.as_bytes(), seed) > own)
-        .count()
+    let own = hash(key, own);
+    members.filter(|member| hash(key, member) > own).count()
 }
