--- a/crates/comfreyroad/src/controller/rules/mod.rs
+++ b/crates/comfreyroad/src/controller/rules/mod.rs
@@ -131,6 +131,24 @@
         self.history.held().contains(version)
     }
 
+    /// Whether a customer's request may go to a version now, whatever held when it arrived.
+    pub fn may_use(
+        &self,
+        customer: &rules::Customer,
+        version: &rules::Version,
+    ) -> Result<(), Code> {
+        if !self.has(Mechanism::SendCheck) {
+            return Ok(());
+        }
+        if version.withdrawn || self.is_held(&version.id) {
+            return Err(Code::Withdrawn);
+        }
+        if !customer.allows(version) {
+            return Err(Code::NotAllowed);
+        }
+        Ok(())
+    }
+
     /// Whether the newest frame of a peer spoke of the rules only, so that the answer does as well.
     pub(crate) fn is_brief(&self, peer: &Address) -> bool {
         self.spread.is_brief(peer)
--- a/crates/comfreyroad/src/filter/place.rs
+++ b/crates/comfreyroad/src/filter/place.rs
@@ -50,12 +50,7 @@
         });
     };
     let version = rules.versions.get(id).ok_or(Code::Withdrawn)?;
-    if version.withdrawn || view.state.rules.is_held(id) {
-        return Err(Code::Withdrawn);
-    }
-    if !customer.allows(version) {
-        return Err(Code::NotAllowed);
-    }
+    view.state.rules.may_use(customer, version)?;
     let prefix = match &head.target {
         crate::request::Target::Chat(chat) => Some(chat.prefix),
         crate::request::Target::Service(_) => None,
--- a/crates/comfreyroad/tests/proof/bench/log.rs
+++ b/crates/comfreyroad/tests/proof/bench/log.rs
@@ -62,6 +62,13 @@
         })
     }
 
+    /// How often the rules in force were repeated.
+    pub(crate) fn checkpoints(&self) -> usize {
+        let stored = self.streams[Stream::Rules as usize].iter();
+        let is_it = |stored: &&Stored| matches!(*stored.record, Record::Checkpoint { .. });
+        stored.filter(is_it).count()
+    }
+
     /// The oldest record still kept, as seen at a time.
     fn oldest(&self, stream: Stream, now: SystemTime) -> Offset {
         let is_gone = |stored: &&Stored| self.keep.is_some_and(|keep| stored.at + keep < now);
--- a/crates/comfreyroad/tests/proof/bench/mod.rs
+++ b/crates/comfreyroad/tests/proof/bench/mod.rs
@@ -13,7 +13,7 @@
 
 pub(crate) use caller::{Ask, CallSpec, Outcome};
 pub(crate) use fault::{Fault, Step};
-pub(crate) use journal::Journal;
+pub(crate) use journal::{Journal, Sending};
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant, SystemTime};
@@ -70,6 +70,11 @@
 impl Bench {
     /// A fleet whose first rules are published and whose entries have just started.
     pub(crate) fn new(seed: u64) -> Self {
+        Self::with(seed, |_| {})
+    }
+
+    /// The same with other settings for the entries.
+    pub(crate) fn with(seed: u64, change: impl Fn(&mut Settings)) -> Self {
         // The one reading of a real clock; everything after is counted from here.
         let base = Instant::now() + Duration::from_secs(1_000);
         let now = Now {
@@ -93,7 +98,8 @@
         };
         bench.edit("mona", |_| {});
         for index in 0..ENTRIES {
-            let settings = bench.settings(index);
+            let mut settings = bench.settings(index);
+            change(&mut settings);
             bench.nodes.push(Node::new(settings));
             bench.start(index);
         }
--- a/crates/comfreyroad/tests/proof/bench/rules.rs
+++ b/crates/comfreyroad/tests/proof/bench/rules.rs
@@ -13,6 +13,8 @@
     pub(crate) out: IndexSet<&'static str>,
     /// Whether `mona@1` is withdrawn.
     pub(crate) is_withdrawn: bool,
+    /// Whether the author may no longer use `mona`.
+    pub(crate) is_narrowed: bool,
 }
 
 impl Plan {
@@ -27,6 +29,11 @@
             true => (0, 100, "withdrawn"),
             false => (60, 40, "active"),
         };
+        let allowed = if self.is_narrowed {
+            "lisa@1"
+        } else {
+            "mona@*,lisa@1"
+        };
         let rules = [
             "firm inkwell".into(),
             "firm tahtiaskel".into(),
@@ -39,7 +46,7 @@
             "service bookings pool=orders path=/bookings class=payment".into(),
             "service lookups pool=orders path=/orders class=lookup".into(),
             format!(
-                "customer author firm=inkwell key={} allow=mona@*,lisa@1",
+                "customer author firm=inkwell key={} allow={allowed}",
                 "01".repeat(32)
             ),
             format!(
--- /dev/null
+++ b/crates/comfreyroad/tests/proof/config.rs
@@ -0,0 +1,346 @@
+//! Configuration and freshness: what an entry does that is cut off, paused, or behind, and that each mechanism is needed.
+//!
+//! A cell is a run of faults. With all mechanisms it keeps every promise; without one that it names, it must not.
+
+use std::time::Duration;
+
+use comfreyroad::controller::rules::Freshness;
+use comfreyroad::mechanism::Mechanism;
+use comfreyroad::refusal::{Code, Ran};
+
+use crate::bench::{self, Ask, Bench, CallSpec, ENTRIES, Outcome, promise};
+
+/// One cell.
+struct Cell {
+    name: &'static str,
+    run: fn(&mut Bench) -> Vec<String>,
+    /// Mechanisms without which it breaks.
+    needs: &'static [Mechanism],
+}
+
+const CELLS: &[Cell] = &[
+    Cell {
+        name: "an entry cut off from log and peers",
+        run: cut_off,
+        needs: &[Mechanism::Staleness],
+    },
+    Cell {
+        name: "a partition with the log on the smaller side",
+        run: smaller_side,
+        needs: &[Mechanism::Staleness, Mechanism::EveryZone],
+    },
+    Cell {
+        name: "an outage of the log, and an entry that starts in it",
+        run: outage,
+        needs: &[Mechanism::Passing],
+    },
+    Cell {
+        name: "an outage, then a partition with the log on the smaller side",
+        run: outage_then_partition,
+        needs: &[Mechanism::Staleness, Mechanism::EveryZone],
+    },
+    Cell {
+        name: "a paused entry with old frames in its queue",
+        run: paused,
+        needs: &[Mechanism::AskedAge],
+    },
+    Cell {
+        name: "frames late by seconds, and an entry without the log",
+        run: late_frames,
+        needs: &[Mechanism::AskedAge],
+    },
+    Cell {
+        name: "records expired while an entry was away",
+        run: missed_records,
+        needs: &[Mechanism::Gaps],
+    },
+    Cell {
+        name: "writers of checkpoints die, then all entries",
+        run: writers_die,
+        needs: &[Mechanism::Checkpoints],
+    },
+    Cell {
+        name: "rules change while requests wait",
+        run: queued,
+        needs: &[Mechanism::SendCheck],
+    },
+];
+
+#[test]
+fn config_cells_hold() {
+    for cell in CELLS {
+        let broken = run(cell, &[]);
+        assert!(
+            broken.is_empty(),
+            "{}, seed {}: {broken:#?}",
+            cell.name,
+            bench::seed()
+        );
+    }
+}
+
+#[test]
+fn config_cells_break_without_their_mechanism() {
+    for cell in CELLS {
+        for mechanism in cell.needs {
+            let broken = run(cell, &[*mechanism]);
+            println!("{} without {mechanism:?}: {broken:?}", cell.name);
+            assert!(
+                !broken.is_empty(),
+                "{} holds without {mechanism:?}",
+                cell.name
+            );
+        }
+    }
+}
+
+fn run(cell: &Cell, without: &[Mechanism]) -> Vec<String> {
+    let mut bench = Bench::with(bench::seed(), |settings| {
+        settings.without = without.to_vec();
+    });
+    run_ms(&mut bench, 3_000);
+    let mut broken = (cell.run)(&mut bench);
+    let promises = promise::all(&bench).into_iter();
+    broken.extend(promises.map(|(name, evidence)| format!("{name}: {evidence}")));
+    broken.extend(by_own_rules(&bench));
+    broken
+}
+
+fn run_ms(bench: &mut Bench, time: u64) {
+    bench.run_for(Duration::from_millis(time));
+}
+
+/// Lookups and drafts to some entries, whatever the balancer thinks, by callers who do not try again.
+fn traffic(bench: &mut Bench, nodes: &'static [usize], time: u64) {
+    for at in (0..time).step_by(200) {
+        bench.after(Duration::from_millis(at), move |bench| {
+            for node in nodes {
+                for (kind, ask) in [("look", Ask::Look), ("chat", Ask::Chat("draft", 3))] {
+                    let id = format!("{kind}-{node}-{}", bench.calls.len());
+                    let mut spec = CallSpec::new(id, "author", ask);
+                    spec.retries = false;
+                    bench.call(*node, spec);
+                }
+            }
+        });
+    }
+}
+
+/// Takes the zone of two entries out.
+fn take_out(bench: &mut Bench) {
+    _ = bench.edit("mona", |plan| _ = plan.out.insert("a"));
+}
+
+fn part(bench: &mut Bench, one: &[usize], other: &[usize]) {
+    for node in one {
+        other.iter().for_each(|peer| bench.cut(*node, *peer));
+    }
+}
+
+fn refused(bench: &Bench, code: Code) -> usize {
+    let is_it = |outcome: Outcome| matches!(outcome, Outcome::Refused(why, _) if why == code);
+    bench
+        .calls
+        .iter()
+        .filter(|call| is_it(call.outcome))
+        .count()
+}
+
+fn freshness(bench: &Bench, node: usize) -> Option<Freshness> {
+    let entry = bench.nodes[node].entry.as_ref()?;
+    Some(entry.state().rules.freshness(bench.now))
+}
+
+/// What is wrong with an entry that should be ready or not.
+fn ready(bench: &Bench, node: usize, is_ready: bool) -> Option<String> {
+    let has = bench.nodes[node].ready;
+    (has != is_ready).then(|| format!("entry-{node} ready: {has}, {:?}", freshness(bench, node)))
+}
+
+/// A sending goes by the rules in force at its entry at that moment, however long it waited.
+fn by_own_rules(bench: &Bench) -> Option<String> {
+    let own = |generation| {
+        let mut accepted = bench.journal.accepted.iter();
+        accepted.find(|rules| rules.generation == generation)
+    };
+    let is_wrong = |sending: &&bench::Sending| {
+        let Some(rules) = own(sending.generation).map(|accepted| &accepted.rules) else {
+            return true;
+        };
+        let zone = &bench.upstreams[&sending.upstream].zone;
+        let customer = &rules.customers[&sending.customer];
+        let version = sending.version.as_ref().map(|id| &rules.versions[id]);
+        let is_fine = version.is_none_or(|version| !version.withdrawn && customer.allows(version));
+        !rules.is_zone_in(zone) || !is_fine
+    };
+    let wrong = bench.journal.sendings.iter().find(is_wrong)?;
+    let (tag, version) = (&wrong.tag, &wrong.version);
+    Some(format!(
+        "{tag} to {} {version:?} against generation {}",
+        wrong.upstream, wrong.generation
+    ))
+}
+
+fn cut_off(bench: &mut Bench) -> Vec<String> {
+    bench.wire.log_cut.insert(0);
+    part(bench, &[0], &[1, 2, 3]);
+    traffic(bench, &[0], 12_000);
+    run_ms(bench, 300);
+    take_out(bench);
+    run_ms(bench, 3_700);
+    let mut broken: Vec<String> = ready(bench, 0, false).into_iter().collect();
+    run_ms(bench, 8_000);
+    bench.mend();
+    run_ms(bench, 2_000);
+    broken.extend(ready(bench, 0, true));
+    broken
+}
+
+fn smaller_side(bench: &mut Bench) -> Vec<String> {
+    part(bench, &[1], &[0, 2, 3]);
+    bench.wire.log_cut.extend([0, 2, 3]);
+    traffic(bench, &[0, 2, 3], 12_000);
+    run_ms(bench, 300);
+    take_out(bench);
+    run_ms(bench, 3_700);
+    let broken = [0, 2, 3]
+        .into_iter()
+        .filter_map(|node| ready(bench, node, false))
+        .collect();
+    run_ms(bench, 8_000);
+    bench.mend();
+    run_ms(bench, 4_000);
+    broken
+}
+
+fn outage(bench: &mut Bench) -> Vec<String> {
+    bench.log.outage = true;
+    traffic(bench, &[0, 1, 2, 3], 16_000);
+    run_ms(bench, 6_000);
+    bench.restart_after(2, Duration::from_millis(500));
+    run_ms(bench, 4_000);
+    let mut broken: Vec<String> = (0..ENTRIES)
+        .filter_map(|node| ready(bench, node, true))
+        .collect();
+    if freshness(bench, 2) != Some(Freshness::Outage) {
+        broken.push(format!("entry-2 is {:?}", freshness(bench, 2)));
+    }
+    run_ms(bench, 10_000);
+    bench.log.outage = false;
+    run_ms(bench, 3_000);
+    broken.extend((0..ENTRIES).filter_map(|node| ready(bench, node, true)));
+    let stale = refused(bench, Code::Stale);
+    broken.extend((stale > 0).then(|| format!("{stale} refused as stale")));
+    broken
+}
+
+fn outage_then_partition(bench: &mut Bench) -> Vec<String> {
+    bench.log.outage = true;
+    run_ms(bench, 10_000);
+    part(bench, &[1], &[0, 2, 3]);
+    bench.wire.log_cut.extend([0, 2, 3]);
+    bench.log.outage = false;
+    traffic(bench, &[0, 2, 3], 12_000);
+    run_ms(bench, 300);
+    take_out(bench);
+    run_ms(bench, 14_000);
+    bench.mend();
+    run_ms(bench, 4_000);
+    vec![]
+}
+
+fn paused(bench: &mut Bench) -> Vec<String> {
+    bench.pause(0);
+    traffic(bench, &[0], 2_000);
+    run_ms(bench, 1_000);
+    take_out(bench);
+    run_ms(bench, 5_000);
+    bench.resume(0);
+    run_ms(bench, 4_000);
+    ready(bench, 0, true).into_iter().collect()
+}
+
+fn late_frames(bench: &mut Bench) -> Vec<String> {
+    bench.wire.log_cut.insert(0);
+    bench.wire.delay = Duration::from_millis(2_500);
+    run_ms(bench, 6_000);
+    traffic(bench, &[0], 12_000);
+    take_out(bench);
+    run_ms(bench, 14_000);
+    bench.mend();
+    run_ms(bench, 4_000);
+    vec![]
+}
+
+fn missed_records(bench: &mut Bench) -> Vec<String> {
+    part(bench, &[0], &[1, 2, 3]);
+    bench.wire.log_cut.insert(0);
+    take_out(bench);
+    bench.log.keep = Some(Duration::from_secs(1));
+    run_ms(bench, 13_000);
+    // Whoever knows better is silent, and what stood on the log is gone.
+    [1, 2, 3].into_iter().for_each(|node| bench.pause(node));
+    run_ms(bench, 2_000);
+    bench.wire.log_cut.clear();
+    traffic(bench, &[0], 8_000);
+    run_ms(bench, 9_000);
+    let mut broken: Vec<String> = ready(bench, 0, false).into_iter().collect();
+    [1, 2, 3].into_iter().for_each(|node| bench.resume(node));
+    bench.mend();
+    run_ms(bench, 4_000);
+    broken.extend(ready(bench, 0, true));
+    broken
+}
+
+fn writers_die(bench: &mut Bench) -> Vec<String> {
+    bench.log.keep = Some(Duration::from_secs(200));
+    for node in [0, 1, 2] {
+        run_ms(bench, 40_000);
+        bench.kill(node);
+    }
+    take_out(bench);
+    run_ms(bench, 400_000);
+    bench.kill(3);
+    bench.start(1);
+    run_ms(bench, 4_000);
+    let mut broken: Vec<String> = ready(bench, 1, true).into_iter().collect();
+    let count = bench.log.checkpoints();
+    broken.extend((count > 20).then(|| format!("{count} checkpoints in 520 s")));
+    broken
+}
+
+fn queued(bench: &mut Bench) -> Vec<String> {
+    for index in 0..90 {
+        let customer = if index % 2 == 0 { "author" } else { "band" };
+        let ask = Ask::Chat(["mona", "mona", "mona@1", "lisa"][index % 4], 40);
+        let mut spec = CallSpec::new(format!("chat-{index}"), customer, ask);
+        spec.retries = false;
+        bench.call(0, spec);
+    }
+    run_ms(bench, 200);
+    let sent = bench.journal.sendings.len();
+    _ = bench.edit("mona", |plan| {
+        plan.is_withdrawn = true;
+        _ = plan.out.insert("a");
+    });
+    run_ms(bench, 300);
+    _ = bench.edit("mona", |plan| plan.is_narrowed = true);
+    run_ms(bench, 12_000);
+    let is_told = |outcome| {
+        matches!(
+            outcome,
+            Outcome::Refused(Code::Withdrawn | Code::NotAllowed, Ran::No)
+        )
+    };
+    let told = bench
+        .calls
+        .iter()
+        .filter(|call| is_told(call.outcome))
+        .count();
+    let later = bench.journal.sendings.len() - sent;
+    let count = format!("{sent} sendings before the change, {later} after, {told} told why not");
+    (later == 0 || told == 0)
+        .then_some(count)
+        .into_iter()
+        .collect()
+}
--- a/crates/comfreyroad/tests/proof/main.rs
+++ b/crates/comfreyroad/tests/proof/main.rs
@@ -3,5 +3,6 @@
 //! One binary, so that each part of [`bench`] is used by some proof. A new proof is a module of its own.
 
 mod bench;
+mod config;
 mod fault_matrix;
 mod thin_path;
