--- a/crates/comfreyroad/src/controller/rules/mod.rs
+++ b/crates/comfreyroad/src/controller/rules/mod.rs
@@ -260,6 +260,9 @@
             return;
         }
         let news = &frame.news;
+        if let Some(next) = news.next {
+            self.history.compare(news.generation, next);
+        }
         if let Some(next) = news.next
             && self.history.lacks(next)
         {
--- a/crates/comfreyroad/src/filter/place.rs
+++ b/crates/comfreyroad/src/filter/place.rs
@@ -42,9 +42,10 @@
         .get(&pinned.allowed.customer)
         .ok_or(Code::NotAllowed)?;
     let Some(id) = pinned.plan.version() else {
-        let pool = pinned.allowed.pool.clone().ok_or(Code::NotFound)?;
+        let mut services = rules.services.iter();
+        let service = services.find(|service| service.id == pinned.allowed.route);
         return Ok(Need {
-            pool,
+            pool: service.ok_or(Code::NotFound)?.pool.clone(),
             version: None,
             prefix: None,
         });
--- a/crates/comfreyroad/tests/config_readers.rs
+++ b/crates/comfreyroad/tests/config_readers.rs
@@ -52,7 +52,11 @@
             1 => generation.saturating_sub(1),
             _ => generation,
         };
-        let told = if choice % 11 == 0 { after + 1 } else { after };
+        let told = if choice.is_multiple_of(11) {
+            after + 1
+        } else {
+            after
+        };
         let zone = self.log.len();
         let text =
             format!("format 1 after {told} # asked by ada\nzone z{zone} state=in # asked by ada\n");
--- a/crates/comfreyroad/tests/proof/bench/mod.rs
+++ b/crates/comfreyroad/tests/proof/bench/mod.rs
@@ -13,7 +13,7 @@
 
 pub(crate) use caller::{Ask, CallSpec, Outcome};
 pub(crate) use fault::{Fault, Step};
-pub(crate) use journal::{Journal, Sending};
+pub(crate) use journal::{Enacted, Journal, Sending};
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant, SystemTime};
--- a/crates/comfreyroad/tests/rules_history.rs
+++ b/crates/comfreyroad/tests/rules_history.rs
@@ -170,6 +170,50 @@
     assert_eq!(history.next(), 9);
 }
 
+#[test]
+fn a_newer_program_is_believed_on_a_format_that_this_one_cannot_read() {
+    let mut history = History::default();
+    feed(&mut history, 0, &publish("ada", 0));
+    let newer = Record::Publish {
+        by: "bo".into(),
+        after: 1,
+        text: "format 2 after 1 # asked by bo\n".into(),
+    };
+    let verdict = feed(&mut history, 1, &newer);
+    assert!(matches!(verdict, Some(Verdict::Faulty(_))), "{verdict:?}");
+    assert!(history.is_known(), "nobody has accepted it");
+    let checkpoint = |next| Record::Checkpoint {
+        generation: 2,
+        offset: 1,
+        by: "bo".into(),
+        text: text(1, "bo"),
+        next,
+        held: vec![],
+    };
+    feed(&mut history, 2, &checkpoint(2));
+    assert!(!history.is_known(), "somebody has");
+    feed(&mut history, 3, &checkpoint(3));
+    assert!(history.is_known());
+    assert_eq!(history.generation(), 2);
+}
+
+#[test]
+fn nobody_is_believed_on_what_this_program_can_judge() {
+    let mut history = History::default();
+    feed(&mut history, 0, &publish("ada", 0));
+    feed(&mut history, 1, &publish("bo", 0));
+    let wrong = Record::Checkpoint {
+        generation: 2,
+        offset: 1,
+        by: "bo".into(),
+        text: text(0, "bo"),
+        next: 2,
+        held: vec![],
+    };
+    feed(&mut history, 2, &wrong);
+    assert_eq!((history.is_known(), history.generation()), (true, 1));
+}
+
 /// A stream made of what operators, controllers and writers of checkpoints do, some of it late.
 fn stream(steps: &[(u8, u8)]) -> Vec<Record> {
     let mut history = History::default();
