--- a/crates/comfreyroad/src/controller/rules/mod.rs
+++ b/crates/comfreyroad/src/controller/rules/mod.rs
@@ -131,6 +131,24 @@
         self.history.held().contains(version)
     }
 
+    /// Whether a customer's request may go to a version now, whatever held when it arrived.
+    pub fn may_use(
+        &self,
+        customer: &rules::Customer,
+        version: &rules::Version,
+    ) -> Result<(), Code> {
+        if !self.has(Mechanism::SendCheck) {
+            return Ok(());
+        }
+        if version.withdrawn || self.is_held(&version.id) {
+            return Err(Code::Withdrawn);
+        }
+        if !customer.allows(version) {
+            return Err(Code::NotAllowed);
+        }
+        Ok(())
+    }
+
     /// Whether the newest frame of a peer spoke of the rules only, so that the answer does as well.
     pub(crate) fn is_brief(&self, peer: &Address) -> bool {
         self.spread.is_brief(peer)
@@ -242,6 +260,9 @@
             return;
         }
         let news = &frame.news;
+        if let Some(next) = news.next {
+            self.history.compare(news.generation, next);
+        }
         if let Some(next) = news.next
             && self.history.lacks(next)
         {
@@ -310,7 +331,7 @@
             self.reader.read(at, self.history.next(), out);
         }
         if self.confirmation.is_old(at) && self.has(Mechanism::Passing) {
-            let reader = self.reader.other(self.fleet.view());
+            let reader = self.reader.other();
             let is_doubtful = self.confirmation.is_doubtful(at);
             let others = is_doubtful.then(|| self.fleet.view());
             self.spread.ask(at, reader, others, out);
--- a/crates/comfreyroad/src/rules/history.rs
+++ b/crates/comfreyroad/src/rules/history.rs
@@ -20,6 +20,7 @@
     start: Option<Offset>,
     next: Offset,
     is_known: bool,
+    unread: Option<Offset>,
     kept: Vec<(Offset, SystemTime, Record)>,
 }
 
@@ -49,15 +50,30 @@
                 }
                 self.apply(offset, at, record)
             }
-            // Whoever knows the rules learns nothing from a checkpoint.
-            Record::Checkpoint { next, .. } if self.lacks(*next) => {
-                self.adopt(Snapshot::read(record)?);
+            Record::Checkpoint {
+                generation, next, ..
+            } => {
+                self.compare(*generation, *next);
+                // Whoever knows the rules learns nothing from a checkpoint.
+                if self.lacks(*next) {
+                    self.adopt(Snapshot::read(record)?);
+                }
                 None
             }
             _ => None,
         }
     }
 
+    /// Takes in that another reader found a generation in force before an offset.
+    ///
+    /// Where this program refused a publish for its newer format and the other did not, the rules are no longer known.
+    pub fn compare(&mut self, generation: Generation, next: Offset) {
+        let has_passed = self.unread.is_some_and(|unread| unread < next);
+        if self.is_known && has_passed && generation > self.generation() {
+            self.restart(self.next);
+        }
+    }
+
     /// Passes over a record that this program cannot read.
     pub fn skip(&mut self, offset: Offset) {
         self.step(offset);
@@ -91,6 +107,7 @@
         self.in_force = snapshot.in_force;
         self.held = snapshot.held;
         self.is_known = true;
+        self.unread = None;
         self.start.get_or_insert(snapshot.next);
         self.next = self.next.max(snapshot.next);
         for (offset, at, record) in std::mem::take(&mut self.kept) {
@@ -193,7 +210,12 @@
                     .map_or("".into(), |rules| rules.by.clone()),
             };
         }
-        let draft = match Draft::new(text.clone()).parse().and_then(Draft::check) {
+        let draft = Draft::new(text.clone());
+        if draft.is_newer() {
+            // Refused here; a newer program may have accepted it, and will tell.
+            self.unread = Some(offset);
+        }
+        let draft = match draft.parse().and_then(Draft::check) {
             Ok(draft) => draft,
             Err(faults) => return Verdict::Faulty(faults),
         };
--- a/crates/comfreyroad/tests/proof/main.rs
+++ b/crates/comfreyroad/tests/proof/main.rs
@@ -4,5 +4,6 @@
 
 mod bench;
 mod checks;
+mod config;
 mod fault_matrix;
 mod thin_path;
