--- a/crates/comfreyroad/src/controller/mod.rs
+++ b/crates/comfreyroad/src/controller/mod.rs
@@ -22,7 +22,7 @@
 
 use crate::clock::Now;
 use crate::event::Event;
-use crate::frame::{Frame, News};
+use crate::frame::Frame;
 use crate::id::{Address, EntryId};
 use crate::outbox::Outbox;
 use crate::settings::Settings;
@@ -142,15 +142,7 @@
             boot: identity.boot,
             zone: identity.zone,
             address: identity.address,
-            number: 0,
-            answers: None,
-            is_brief: false,
-            beats: Vec::new(),
-            news: News::default(),
-            keep: Vec::new(),
-            kept: Vec::new(),
-            done: Vec::new(),
-            pins: Vec::new(),
+            ..Frame::default()
         }
     }
 
--- a/crates/comfreyroad/src/frame/frame.rs
+++ b/crates/comfreyroad/src/frame/frame.rs
@@ -3,7 +3,7 @@
 use crate::record::{Bill, Key};
 
 /// One message between two entries.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 #[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Frame {
     /// Who sends it.
--- a/crates/comfreyroad_wire/examples/rules_at_scale/fleet.rs
+++ b/crates/comfreyroad_wire/examples/rules_at_scale/fleet.rs
@@ -430,14 +430,8 @@
         boot: own.boot.clone(),
         zone: own.zone.clone(),
         address: own.address.clone(),
-        number: 0,
-        answers: None,
-        is_brief: false,
         beats: beats.to_vec(),
-        news: News::default(),
-        keep: Vec::new(),
-        kept: Vec::new(),
-        done: Vec::new(),
+        ..Frame::default()
     }
 }
 
