--- a/crates/comfreyroad/src/controller/claim/book.rs
+++ b/crates/comfreyroad/src/controller/claim/book.rs
@@ -3,46 +3,35 @@
 
 use indexmap::IndexMap;
 
+use super::Held;
 use crate::controller::reach::Reach;
 use crate::event::{LogEntry, Page};
 use crate::record::{Key, Outcome, Record, Writer};
 
 /// The claims stream, read in order: who holds which request.
 ///
-/// A claim counts if no other one holds its request at its place in the stream. A release gives the request back, and
-/// only claims after it count. A claim is forgotten when a claim of the same request comes a horizon later by the log's
-/// own time. All of this is a function of the stream, so every reader comes to the same holder.
+/// Of the claims of a request that were neither given back nor taken longer than a horizon ago, the earliest holds it.
+/// The horizon goes by the log's own time. A claim that comes to hold a request because an earlier one grew old is not
+/// sure, for that one may have been used. What a claim is worth depends on two horizons of the stream before it and no
+/// more, so readers that start late come to the same verdicts or know that they can't.
 #[derive(Debug)]
 pub struct Book {
     horizon: Duration,
     reach: Reach,
-    held: IndexMap<Key, Held>,
+    claims: IndexMap<Key, Vec<Held>>,
     // Given back, so that a late copy of the same claim does not count.
     released: IndexMap<Writer, SystemTime>,
     claims_by_age: VecDeque<(SystemTime, Key)>,
     releases_by_age: VecDeque<(SystemTime, Writer)>,
 }
 
-/// The claim that counts for a request.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Held {
-    /// Who made it.
-    pub writer: Writer,
-    /// When the log took it.
-    pub at: SystemTime,
-    /// Whether this reader has read everything that could have come before it.
-    pub is_sure: bool,
-    /// How it ended, once known.
-    pub outcome: Option<Outcome>,
-}
-
 impl Book {
     /// Nothing read yet.
     pub fn new(horizon: Duration) -> Self {
         Self {
             horizon,
             reach: Reach::default(),
-            held: IndexMap::new(),
+            claims: IndexMap::new(),
             released: IndexMap::new(),
             claims_by_age: VecDeque::new(),
             releases_by_age: VecDeque::new(),
@@ -71,24 +60,21 @@
                 writer,
                 outcome,
             } => {
-                let held = self.held.get_mut(key);
-                if let Some(held) = held.filter(|held| held.writer == *writer) {
-                    held.outcome.get_or_insert_with(|| outcome.clone());
-                }
+                self.on_settle(key, writer, outcome);
                 Some(key)
             }
             _ => None,
         }
     }
 
-    /// The claim that counts for a request.
+    /// The claim that holds a request.
     pub fn holder(&self, key: &Key) -> Option<&Held> {
-        self.held.get(key)
+        self.claims.get(key)?.first()
     }
 
     /// Requests and releases kept in memory.
     pub fn len(&self) -> usize {
-        self.held.len() + self.released.len()
+        self.claims.len() + self.released.len()
     }
 
     /// Whether nothing is kept.
@@ -97,40 +83,62 @@
     }
 
     fn on_claim(&mut self, key: &Key, writer: &Writer, at: SystemTime) {
-        if self.released.contains_key(writer) || self.held.contains_key(key) {
+        if self.released.contains_key(writer) {
+            return;
+        }
+        let claims = self.claims.entry(key.clone()).or_default();
+        if claims.iter().any(|held| held.writer == *writer) {
             return;
         }
-        let horizon_before = at.checked_sub(self.horizon);
-        let held = Held {
+        // One horizon for the claims that may come before, another for releases that came before these.
+        let from = at.checked_sub(self.horizon * 2);
+        claims.push(Held {
             writer: writer.clone(),
             at,
-            is_sure: horizon_before.is_none_or(|from| self.reach.covers(from)),
+            is_sure: from.is_none_or(|from| self.reach.covers(from)),
             outcome: None,
-        };
-        self.held.insert(key.clone(), held);
+        });
         self.claims_by_age.push_back((at, key.clone()));
     }
 
     fn on_release(&mut self, key: &Key, writer: &Writer, at: SystemTime) {
-        if self
-            .held
-            .get(key)
-            .is_some_and(|held| held.writer == *writer && held.outcome.is_none())
-        {
-            self.held.swap_remove(key);
+        if let Some(claims) = self.claims.get_mut(key) {
+            // What was used cannot be given back.
+            claims.retain(|held| held.writer != *writer || held.outcome.is_some());
+            if claims.is_empty() {
+                self.claims.swap_remove(key);
+            }
         }
-        if self.released.insert(writer.clone(), at).is_none() {
+        if !self.released.contains_key(writer) {
+            self.released.insert(writer.clone(), at);
             self.releases_by_age.push_back((at, writer.clone()));
         }
     }
 
+    fn on_settle(&mut self, key: &Key, writer: &Writer, outcome: &Outcome) {
+        let Some(claims) = self.claims.get_mut(key) else {
+            return;
+        };
+        let mut claims = claims.iter_mut();
+        if let Some(held) = claims.find(|held| held.writer == *writer) {
+            held.outcome.get_or_insert_with(|| outcome.clone());
+        }
+    }
+
     /// Forgets what is a horizon older than a record.
     fn expire(&mut self, at: SystemTime) {
-        let is_old = |then: SystemTime| then + self.horizon <= at;
+        let horizon = self.horizon;
+        let is_old = |then: SystemTime| then + horizon <= at;
         while let Some((_, key)) = self.claims_by_age.pop_front_if(|(then, _)| is_old(*then)) {
-            // The request may have been given back and claimed anew since.
-            if self.held.get(&key).is_some_and(|held| is_old(held.at)) {
-                self.held.swap_remove(&key);
+            let Some(claims) = self.claims.get_mut(&key) else {
+                continue;
+            };
+            let count = claims.len();
+            claims.retain(|held| !is_old(held.at));
+            if claims.is_empty() {
+                self.claims.swap_remove(&key);
+            } else if claims.len() < count {
+                claims.iter_mut().for_each(|held| held.is_sure = false);
             }
         }
         while let Some((_, writer)) = self.releases_by_age.pop_front_if(|(then, _)| is_old(*then)) {
--- a/crates/comfreyroad/src/controller/claim/mod.rs
+++ b/crates/comfreyroad/src/controller/claim/mod.rs
@@ -1,14 +1,16 @@
 //! Claims: a request that may run once at most runs for the first claim on the log, and for no other.
 //!
 //! The entry that reads its own claim as the first holds the request. One whose claim is not the first waits a little
-//! for the holder: it repeats the recorded answer, claims again where the holder gave the request back, and else says
+//! for the holder: it repeats the recorded answer, takes the request over where the holder gave it back, and else says
 //! that the request may have run.
 
 mod book;
+mod held;
 mod proof;
 mod verdict;
 
-pub use book::{Book, Held};
+pub use book::Book;
+pub use held::Held;
 pub use proof::Proof;
 pub use verdict::Verdict;
 
@@ -96,6 +98,9 @@
             let Some(key) = self.book.feed(entry) else {
                 continue;
             };
+            if let Some(Record::Settle { writer, .. }) = &entry.record {
+                self.wanted.swap_remove(writer);
+            }
             if self.wanted.values().any(|wanted| wanted == key) {
                 self.on_news(entry, key, out);
             }
@@ -104,32 +109,21 @@
 
     /// A record concerns a request that a call here waits for.
     fn on_news(&mut self, entry: &LogEntry, key: &Key, out: &mut Outbox) {
-        let holder = self.book.holder(key).map(|held| &held.writer);
-        match (&entry.record, holder) {
-            (Some(Record::Claim { writer, .. }), Some(holder))
-                if holder != writer && self.wanted.contains_key(writer) =>
-            {
-                out.note(
-                    Note::new(&note::CLAIM_LOST)
-                        .with("request", &key.request)
-                        .with("to", &holder.entry),
-                );
-            }
-            // The holder gave it back, and claims made before that do not count.
-            (Some(Record::Release { .. }), None) => {
-                for (writer, _) in self.wanted.iter().filter(|(_, wanted)| *wanted == key) {
-                    out.raise(Self::write(Record::Claim {
-                        key: key.clone(),
-                        writer: writer.clone(),
-                    }));
-                }
-            }
-            _ => {}
-        }
-        if let Some(holder) = holder.cloned() {
-            self.wanted.swap_remove(&holder);
-            out.raise(Event::ClaimDecided(key.clone()));
+        let Some(holder) = self.book.holder(key) else {
+            return;
+        };
+        let holder = &holder.writer;
+        if let Some(Record::Claim { writer, .. }) = &entry.record
+            && writer != holder
+            && self.wanted.contains_key(writer)
+        {
+            out.note(
+                Note::new(&note::CLAIM_LOST)
+                    .with("request", &key.request)
+                    .with("to", &holder.entry),
+            );
         }
+        out.raise(Event::ClaimDecided(key.clone()));
     }
 
     fn write(record: Record) -> Event {
--- a/crates/comfreyroad/src/controller/ledger/tally.rs
+++ b/crates/comfreyroad/src/controller/ledger/tally.rs
@@ -22,8 +22,7 @@
     bills: IndexMap<Key, Vec<Seen>>,
     by_age: VecDeque<(SystemTime, Key)>,
     sums: IndexMap<CustomerId, Sum>,
-    // `Some` while the sums before the first record read are not known: what came after, by offset.
-    loose: Option<Vec<Loose>>,
+    loose: Option<Loose>,
 }
 
 /// A bill that was read.
@@ -33,9 +32,18 @@
     cost: u64,
 }
 
-/// What a bill adds to sums that are not known yet.
+/// Bills that come after a gap, while the sums before it are not known.
 #[derive(Clone, Debug)]
 struct Loose {
+    /// Offset from which on all were read.
+    from: Offset,
+    bills: VecDeque<Addition>,
+}
+
+/// What a bill adds.
+#[derive(Clone, Debug)]
+struct Addition {
+    at: SystemTime,
     offset: Offset,
     customer: CustomerId,
     sum: Sum,
@@ -60,7 +68,10 @@
         if page.oldest > self.reach.next() {
             // Bills were dropped unread; only totals can make up for them.
             self.sums.clear();
-            self.loose = Some(Vec::new());
+            self.loose = Some(Loose {
+                from: page.oldest,
+                bills: VecDeque::new(),
+            });
         }
         self.reach.read(page);
     }
@@ -71,7 +82,7 @@
         match &entry.record {
             Some(Record::Bill(bill)) => self.on_bill(entry.offset, entry.at, bill),
             Some(Record::Totals { before, sums }) => {
-                self.on_totals(*before, sums);
+                self.on_totals(entry.at, *before, sums);
                 false
             }
             _ => false,
@@ -129,11 +140,10 @@
         self.by_age.push_back((at, bill.key.clone()));
         let customer = bill.key.customer.clone();
         self.sums.entry(customer.clone()).or_default().add(sum);
-        let is_sure = at
-            .checked_sub(self.horizon)
-            .is_none_or(|from| self.reach.covers(from));
+        let is_sure = self.sees_horizon(at);
         if let Some(loose) = &mut self.loose {
-            loose.push(Loose {
+            loose.bills.push_back(Addition {
+                at,
                 offset,
                 customer,
                 sum,
@@ -143,11 +153,18 @@
         sum == Sum::default()
     }
 
-    /// Takes totals over, where the sums are not known and every bill after these was counted rightly.
-    fn on_totals(&mut self, before: Offset, sums: &[(CustomerId, u64, u64)]) {
+    /// Whether every bill was read that a bill of a moment is held against.
+    fn sees_horizon(&self, at: SystemTime) -> bool {
+        let from = at.checked_sub(self.horizon);
+        from.is_none_or(|from| self.reach.covers(from))
+    }
+
+    /// Takes totals over, where the sums are not known and every bill after these is counted rightly.
+    fn on_totals(&mut self, at: SystemTime, before: Offset, sums: &[(CustomerId, u64, u64)]) {
         let Some(loose) = &self.loose else { return };
-        let after = || loose.iter().filter(|loose| loose.offset >= before);
-        if !after().all(|loose| loose.is_sure) {
+        let after = || loose.bills.iter().filter(|bill| bill.offset >= before);
+        let has_read_all = before >= loose.from && self.sees_horizon(at);
+        if !has_read_all || !after().all(|bill| bill.is_sure) {
             return;
         }
         let mut whole: IndexMap<CustomerId, Sum> = IndexMap::new();
@@ -156,9 +173,9 @@
             let sum = whole.entry(customer.clone()).or_default();
             sum.add(Sum { requests, cost });
         }
-        for loose in after() {
-            let sum = whole.entry(loose.customer.clone()).or_default();
-            sum.add(loose.sum);
+        for bill in after() {
+            let sum = whole.entry(bill.customer.clone()).or_default();
+            sum.add(bill.sum);
         }
         self.sums = whole;
         self.loose = None;
@@ -177,5 +194,9 @@
                 self.bills.swap_remove(&key);
             }
         }
+        let Some(loose) = &mut self.loose else { return };
+        while let Some(bill) = loose.bills.pop_front_if(|bill| is_old(bill.at)) {
+            loose.from = bill.offset + 1;
+        }
     }
 }
--- a/crates/comfreyroad/src/settings.rs
+++ b/crates/comfreyroad/src/settings.rs
@@ -24,7 +24,7 @@
     /// Time without a heartbeat after which a peer counts as lost.
     pub peer_timeout: Duration,
     /// Time for which a request's id is known: two requests with one id that are further apart are different ones. The
-    /// log must keep records for longer than this.
+    /// log must keep records for more than twice as long.
     pub horizon: Duration,
     /// Time for which a request that may run once at most waits for its claim.
     pub claim_wait: Duration,
@@ -51,7 +51,7 @@
             session_keys: vec![[0; 32]],
             stale_after: Duration::from_secs(3),
             peer_timeout: Duration::from_secs(3),
-            horizon: Duration::from_secs(30 * 60),
+            horizon: Duration::from_secs(20 * 60),
             claim_wait: Duration::from_secs(2),
             bill_wait: Duration::from_secs(2),
             drain_timeout: Duration::from_secs(30),
--- /dev/null
+++ b/crates/comfreyroad/tests/claim.rs
@@ -0,0 +1,188 @@
+//! Claims against a naive reader that knows the whole stream and looks at all of it for each verdict.
+
+use std::time::{Duration, SystemTime};
+
+use comfreyroad::controller::claim::Book;
+use comfreyroad::event::{LogEntry, Page};
+use comfreyroad::record::{Key, Outcome, Record, Stream, Writer};
+use quickcheck::{Arbitrary, Gen, quickcheck};
+
+const HORIZON: Duration = Duration::from_secs(100);
+const KEYS: u8 = 3;
+
+/// A step of a random stream: how long after the one before, for which request, by whom, and what.
+#[derive(Clone, Debug)]
+struct Op {
+    pause: u64,
+    key: u8,
+    writer: u8,
+    kind: u8,
+}
+
+impl Arbitrary for Op {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let pause = *g.choose(&[0, 1, 1, 5, 20, 60, 120]).unwrap_or(&1);
+        Self {
+            pause,
+            key: u8::arbitrary(g) % KEYS,
+            writer: u8::arbitrary(g) % 6,
+            kind: u8::arbitrary(g) % 8,
+        }
+    }
+}
+
+fn key(number: u8) -> Key {
+    Key {
+        customer: "author".into(),
+        request: format!("r{number}").into(),
+    }
+}
+
+/// Writers belong to one request each, as calls do.
+fn writer(key: u8, number: u8) -> Writer {
+    Writer {
+        entry: format!("entry-{number}").into(),
+        boot: "b".into(),
+        number: key.into(),
+    }
+}
+
+fn stream(ops: &[Op]) -> Vec<LogEntry> {
+    let mut at = SystemTime::UNIX_EPOCH + Duration::from_secs(1_000_000);
+    let entry = |(offset, op): (usize, &Op)| {
+        at += Duration::from_secs(op.pause);
+        let (key, writer) = (key(op.key), writer(op.key, op.writer));
+        let record = match op.kind {
+            0..=4 => Record::Claim { key, writer },
+            5 | 6 => Record::Release { key, writer },
+            _ => Record::Settle {
+                key,
+                writer,
+                outcome: Outcome::Doubtful,
+            },
+        };
+        LogEntry {
+            offset: offset as u64,
+            at,
+            record: Some(record),
+        }
+    };
+    ops.iter().enumerate().map(entry).collect()
+}
+
+/// Reads a stream from an offset on, as one page a record.
+fn read(stream: &[LogEntry], from: usize, mut each: impl FnMut(usize, &Book)) {
+    let mut book = Book::new(HORIZON);
+    for (index, entry) in stream.iter().enumerate().skip(from) {
+        book.begin(&Page {
+            stream: Stream::Claims,
+            asked: std::time::Instant::now(),
+            from: index as u64,
+            oldest: from as u64,
+            next: stream.len() as u64,
+            entries: vec![entry.clone()],
+        });
+        book.feed(entry);
+        each(index, &book);
+    }
+}
+
+/// A claim that may still count, and whether one before it grew old.
+struct Naive {
+    writer: Writer,
+    at: SystemTime,
+    is_sure: bool,
+    is_settled: bool,
+}
+
+/// The claims of a request after a record, the earliest first.
+fn naive(stream: &[LogEntry], last: usize, request: &Key) -> Vec<Naive> {
+    let mut claims: Vec<Naive> = Vec::new();
+    for (index, entry) in stream.iter().enumerate().take(last + 1) {
+        let is_live = |then: SystemTime| then + HORIZON > entry.at;
+        let expired = claims.iter().any(|claim| !is_live(claim.at));
+        claims.retain(|claim| is_live(claim.at));
+        for claim in &mut claims {
+            claim.is_sure &= !expired;
+        }
+        let was_released = |by: &Writer| {
+            let mut first = None;
+            for before in &stream[..index] {
+                let is_it =
+                    matches!(&before.record, Some(Record::Release { writer, .. }) if writer == by);
+                let lapsed = first.is_some_and(|at: SystemTime| at + HORIZON <= before.at);
+                if is_it && (first.is_none() || lapsed) {
+                    first = Some(before.at);
+                }
+            }
+            first.is_some_and(is_live)
+        };
+        match &entry.record {
+            Some(Record::Claim { key, writer }) if key == request => {
+                let is_known = claims.iter().any(|claim| claim.writer == *writer);
+                if !is_known && !was_released(writer) {
+                    claims.push(Naive {
+                        writer: writer.clone(),
+                        at: entry.at,
+                        is_sure: true,
+                        is_settled: false,
+                    });
+                }
+            }
+            Some(Record::Release { key, writer }) if key == request => {
+                claims.retain(|claim| claim.writer != *writer || claim.is_settled);
+            }
+            Some(Record::Settle { key, writer, .. }) if key == request => {
+                let own = claims.iter_mut().filter(|claim| claim.writer == *writer);
+                own.for_each(|claim| claim.is_settled = true);
+            }
+            _ => {}
+        }
+    }
+    claims
+}
+
+quickcheck! {
+    fn holder_is_the_naive_one(ops: Vec<Op>) -> bool {
+        let stream = stream(&ops);
+        let mut agrees = true;
+        read(&stream, 0, |index, book| {
+            for number in 0..KEYS {
+                let key = key(number);
+                let naive = naive(&stream, index, &key);
+                let first = naive.first().map(|claim| (&claim.writer, claim.is_sure, claim.is_settled));
+                let held = book.holder(&key).map(|held| (&held.writer, held.is_sure, held.outcome.is_some()));
+                agrees &= first == held;
+            }
+        });
+        agrees
+    }
+
+    fn late_reader_is_never_surely_wrong(ops: Vec<Op>, from: usize) -> bool {
+        let stream = stream(&ops);
+        let from = if stream.is_empty() { 0 } else { from % stream.len() };
+        let mut agrees = true;
+        read(&stream, from, |index, book| {
+            for number in 0..KEYS {
+                let key = key(number);
+                let Some(held) = book.holder(&key).filter(|held| held.is_sure) else { continue };
+                let naive = naive(&stream, index, &key);
+                agrees &= naive.first().is_some_and(|claim| claim.writer == held.writer && claim.is_sure);
+            }
+        });
+        agrees
+    }
+
+    fn memory_is_bounded_by_the_horizon(ops: Vec<Op>) -> bool {
+        let mut stream = stream(&ops);
+        let Some(last) = stream.last().cloned() else { return true };
+        stream.push(LogEntry {
+            offset: last.offset + 1,
+            at: last.at + HORIZON,
+            record: None,
+        });
+        let mut left = 0;
+        read(&stream, 0, |_, book| left = book.len());
+        left == 0
+    }
+}
--- /dev/null
+++ b/crates/comfreyroad/tests/ledger.rs
@@ -0,0 +1,185 @@
+//! Bills against a naive ledger that looks at the whole stream for each bill.
+
+use std::time::{Duration, Instant, SystemTime};
+
+use comfreyroad::controller::ledger::{Sum, Tally};
+use comfreyroad::event::{LogEntry, Page};
+use comfreyroad::record::{Bill, Key, Record, Stream};
+use indexmap::IndexMap;
+use quickcheck::{Arbitrary, Gen, quickcheck};
+
+const HORIZON: Duration = Duration::from_secs(100);
+
+/// A step of a random stream: how long after the one before, and a bill or totals of some bills before.
+#[derive(Clone, Debug)]
+struct Op {
+    pause: u64,
+    key: u8,
+    cost: u8,
+    kind: u8,
+}
+
+impl Arbitrary for Op {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let pause = *g.choose(&[0, 1, 1, 5, 20, 60, 120]).unwrap_or(&1);
+        Self {
+            pause,
+            key: u8::arbitrary(g) % 6,
+            cost: u8::arbitrary(g) % 4,
+            kind: u8::arbitrary(g) % 5,
+        }
+    }
+}
+
+type Sums = IndexMap<String, Sum>;
+
+/// What is owed by the bills before an offset.
+fn naive(stream: &[LogEntry], before: usize) -> Sums {
+    let mut sums = Sums::new();
+    for (index, entry) in stream.iter().enumerate().take(before) {
+        let Some(Record::Bill(bill)) = &entry.record else {
+            continue;
+        };
+        let earlier = stream[..index].iter().filter_map(|other| {
+            let Some(Record::Bill(known)) = &other.record else {
+                return None;
+            };
+            let counts = known.key == bill.key && other.at + HORIZON > entry.at;
+            counts.then_some(known.cost)
+        });
+        let highest = earlier.max();
+        let sum = sums.entry(bill.key.customer.to_string()).or_default();
+        sum.requests += u64::from(highest.is_none());
+        sum.cost += bill.cost.saturating_sub(highest.unwrap_or(0));
+    }
+    sums
+}
+
+fn stream(ops: &[Op]) -> Vec<LogEntry> {
+    let mut at = SystemTime::UNIX_EPOCH + Duration::from_secs(1_000_000);
+    let mut stream: Vec<LogEntry> = Vec::new();
+    for (index, op) in ops.iter().enumerate() {
+        at += Duration::from_secs(op.pause);
+        let record = if op.kind == 0 {
+            let before = index.saturating_sub(op.cost.into());
+            let sums = naive(&stream, before).into_iter();
+            Record::Totals {
+                before: before as u64,
+                sums: sums
+                    .map(|(customer, sum)| (customer.into(), sum.requests, sum.cost))
+                    .collect(),
+            }
+        } else {
+            Record::Bill(Bill {
+                key: Key {
+                    customer: format!("c{}", op.key % 2).into(),
+                    request: format!("r{}", op.key).into(),
+                },
+                version: None,
+                tokens: 0,
+                cost: u64::from(op.cost) + 1,
+            })
+        };
+        stream.push(LogEntry {
+            offset: index as u64,
+            at,
+            record: Some(record),
+        });
+    }
+    stream
+}
+
+/// Reads a stream, but for the records that were dropped before they could be read. A last record shows that some were.
+fn read(stream: &[LogEntry], dropped: std::ops::Range<usize>) -> Tally {
+    let mut tally = Tally::new(HORIZON);
+    let mut oldest = 0;
+    let last = stream.last().map(|last| LogEntry {
+        offset: last.offset + 1,
+        at: last.at,
+        record: None,
+    });
+    for (index, entry) in stream.iter().chain(&last).enumerate() {
+        if dropped.contains(&index) {
+            oldest = index as u64 + 1;
+            continue;
+        }
+        tally.begin(&Page {
+            stream: Stream::Ledger,
+            asked: Instant::now(),
+            from: index as u64,
+            oldest,
+            next: stream.len() as u64,
+            entries: vec![entry.clone()],
+        });
+        tally.feed(entry);
+    }
+    tally
+}
+
+fn sums(tally: &Tally) -> Sums {
+    let sum = |(customer, sum): (&comfreyroad::id::CustomerId, &Sum)| (customer.to_string(), *sum);
+    tally.sums().iter().map(sum).collect()
+}
+
+quickcheck! {
+    fn sums_are_the_naive_ones(ops: Vec<Op>) -> bool {
+        let stream = stream(&ops);
+        let tally = read(&stream, 0..0);
+        tally.is_whole() && sums(&tally) == naive(&stream, stream.len())
+    }
+
+    /// Whoever starts late, or misses records, comes to the same sums or knows that it has not.
+    fn late_reader_comes_to_the_same_sums(ops: Vec<Op>, from: usize, count: usize) -> bool {
+        let stream = stream(&ops);
+        let from = from % (stream.len() + 1);
+        let until = stream.len().min(from + count % 8);
+        let dropped = if count.is_multiple_of(2) { 0..from } else { from..until };
+        let tally = read(&stream, dropped);
+        !tally.is_whole() || sums(&tally) == naive(&stream, stream.len())
+    }
+
+    fn memory_is_bounded_by_the_horizon(ops: Vec<Op>) -> bool {
+        let mut stream = stream(&ops);
+        let Some(last) = stream.last().cloned() else { return true };
+        stream.push(LogEntry {
+            offset: last.offset + 1,
+            at: last.at + HORIZON,
+            record: None,
+        });
+        read(&stream, 0..0).is_empty()
+    }
+}
+
+/// Totals every quarter of a horizon are enough for a reader to start at a record that is two horizons old.
+#[test]
+fn late_reader_finds_totals_it_can_take() {
+    let ops = (0..100).map(|index| Op {
+        pause: 5,
+        key: index % 6,
+        cost: index % 3,
+        kind: u8::from(index % 5 != 0),
+    });
+    let stream = stream(&ops.collect::<Vec<_>>());
+    let tally = read(&stream, 0..60);
+    assert!(tally.is_whole());
+    assert_eq!(sums(&tally), naive(&stream, stream.len()));
+}
+
+/// Half an answer and then the whole are paid for as the whole, in whichever order the bills come to the log.
+#[test]
+fn broken_answer_and_its_retry_are_one_bill() {
+    for costs in [[0, 3], [3, 0]] {
+        let ops = costs.map(|cost| Op {
+            pause: 1,
+            key: 0,
+            cost,
+            kind: 1,
+        });
+        let tally = read(&stream(&ops), 0..0);
+        let owed = Sum {
+            requests: 1,
+            cost: 4,
+        };
+        assert_eq!(sums(&tally).values().copied().collect::<Vec<_>>(), [owed]);
+    }
+}
