Prove at most once and billed once, and show that the cells notice

Cause: the promises held in the matrix, but nothing showed that its cells would notice a missing mechanism, and "not run" was held against its own attempt only.

Done: the check of "not run" now also fails when a later attempt says so after an earlier one of its caller has run. Mechanisms can be switched off by proofs, not by a setting of the program.

--- a/crates/comfreyroad/src/controller/appends/mod.rs
+++ b/crates/comfreyroad/src/controller/appends/mod.rs
@@ -13,9 +13,11 @@
 use crate::clock::Now;
 use crate::event::Event;
 use crate::id::BatchId;
+use crate::mechanism::Mechanism;
 use crate::note::{self, Note};
 use crate::outbox::Outbox;
 use crate::record::Stream;
+use crate::settings::Settings;
 use queue::Queue;
 
 /// Appends to one stream in a second by all entries together, at most.
@@ -28,19 +30,19 @@
     last_batch: BatchId,
     // Least time between two appends to one stream, so that all entries together keep the rate.
     interval: Duration,
+    reads_back: bool,
 }
 
-impl Default for Appends {
-    fn default() -> Self {
+impl Appends {
+    pub(super) fn new(settings: &Settings) -> Self {
         Self {
             queues: Stream::ALL.map(Queue::new),
             last_batch: 0,
             interval: Duration::ZERO,
+            reads_back: !settings.without.contains(&Mechanism::ReadBack),
         }
     }
-}
 
-impl Appends {
     /// Records not yet known to be on the log.
     pub fn pending(&self) -> usize {
         self.queues.iter().map(Queue::len).sum()
@@ -79,8 +81,14 @@
     }
 
     fn on_unclear(&mut self, now: Now, batch: BatchId, out: &mut Outbox) {
+        let reads_back = self.reads_back;
         let Some(queue) = self.at(batch) else { return };
-        queue.on_unclear(now.instant);
+        // Claims are appended again at once, since a caller waits and a second copy does no harm.
+        if reads_back && queue.stream != Stream::Claims {
+            queue.on_unclear(now.instant);
+        } else {
+            queue.on_refused(now.instant);
+        }
         let stream = queue.stream.name();
         out.note(
             Note::new(&note::APPEND_UNCLEAR)
@@ -105,7 +113,7 @@
                 queue.on_refused(now.instant);
             }
             Event::AppendUnclear(batch) => self.on_unclear(now, *batch, out),
-            Event::Read(page) => {
+            Event::Read(page) if self.reads_back => {
                 let Some(queue) = self.of(page.stream) else {
                     return;
                 };
--- a/crates/comfreyroad/src/controller/appends/queue.rs
+++ b/crates/comfreyroad/src/controller/appends/queue.rs
@@ -95,14 +95,8 @@
         self.not_before = Some(now + PAUSE);
     }
 
-    /// The append may have been taken.
-    ///
-    /// Claims are appended again at once, since a caller waits and a second copy does no harm. Others first wait for
-    /// what the log shows.
+    /// The append may have been taken: its records wait for what the log shows.
     pub(super) fn on_unclear(&mut self, now: Instant) {
-        if self.stream == Stream::Claims {
-            return self.on_refused(now);
-        }
         let Some(batch) = self.under_way.take() else {
             return;
         };
--- a/crates/comfreyroad/src/controller/claim/mod.rs
+++ b/crates/comfreyroad/src/controller/claim/mod.rs
@@ -23,6 +23,7 @@
 use crate::clock::Now;
 use crate::event::{Event, LogEntry, Page};
 use crate::id::{BootId, CallId, EntryId};
+use crate::mechanism::Mechanism;
 use crate::note::{self, Note};
 use crate::outbox::Outbox;
 use crate::record::{Key, Record, Stream, Writer};
@@ -38,6 +39,7 @@
     wait: Duration,
     book: Book,
     wanted: IndexMap<Writer, Key>,
+    without: Vec<Mechanism>,
 }
 
 impl Claims {
@@ -49,6 +51,7 @@
             wait: settings.claim_wait,
             book: Book::new(settings.horizon),
             wanted: IndexMap::new(),
+            without: settings.without.clone(),
         }
     }
 
@@ -73,8 +76,9 @@
 
     /// What the log, as far as it was read, says of a writer's claim.
     pub fn verdict(&self, key: &Key, writer: &Writer, now: Now) -> Verdict {
+        let ignores_order = self.without.contains(&Mechanism::ClaimOrder);
         match self.book.holder(key) {
-            Some(held) if held.writer == *writer => self.proof(held, now),
+            Some(held) if held.writer == *writer || ignores_order => self.proof(held, now),
             Some(Held {
                 outcome: Some(outcome),
                 ..
@@ -87,7 +91,9 @@
     fn proof(&self, held: &Held, now: Now) -> Verdict {
         let age = now.system.duration_since(held.at).unwrap_or_default();
         match (self.horizon / 2).checked_sub(age) {
-            Some(left) if held.is_sure => Verdict::First(Proof::new(now.instant + left)),
+            Some(left) if held.is_sure || self.without.contains(&Mechanism::ClaimHistory) => {
+                Verdict::First(Proof::new(now.instant + left))
+            }
             _ => Verdict::Unsure,
         }
     }
--- a/crates/comfreyroad/src/controller/ledger/mod.rs
+++ b/crates/comfreyroad/src/controller/ledger/mod.rs
@@ -21,6 +21,7 @@
 use crate::event::{Event, Page};
 use crate::frame::{Beat, Frame, View};
 use crate::id::{Address, CallId, CustomerId, EntryId, ZoneId};
+use crate::mechanism::Mechanism;
 use crate::note::{self, Note};
 use crate::outbox::Outbox;
 use crate::record::{Bill, Key, Record, Stream};
@@ -57,6 +58,7 @@
     avoided: IndexMap<Address, Instant>,
     totals_at: Option<Instant>,
     at_risk: u64,
+    without: Vec<Mechanism>,
 }
 
 impl Ledger {
@@ -75,6 +77,7 @@
             avoided: IndexMap::new(),
             totals_at: None,
             at_risk: 0,
+            without: settings.without.clone(),
         }
     }
 
@@ -142,7 +145,8 @@
     /// Asks a peer in another zone to keep what is not safe yet; one question at a time.
     fn ask(&mut self, now: Now, out: &mut Outbox) {
         self.avoided.retain(|_, until| *until > now.instant);
-        if self.pending.values().all(|pending| pending.is_kept) {
+        let is_off = self.without.contains(&Mechanism::Keepers);
+        if is_off || self.pending.values().all(|pending| pending.is_kept) {
             return;
         }
         let Some(keeper) = self.choose_keeper() else {
@@ -279,7 +283,8 @@
 
     fn write_totals(&mut self, now: Now, out: &mut Outbox) {
         let due = self.totals_due(now, Duration::ZERO);
-        if *self.totals_at.get_or_insert(due) > now.instant {
+        let is_off = self.without.contains(&Mechanism::Totals);
+        if is_off || *self.totals_at.get_or_insert(due) > now.instant {
             return;
         }
         self.totals_at = Some(due);
--- a/crates/comfreyroad/src/controller/mod.rs
+++ b/crates/comfreyroad/src/controller/mod.rs
@@ -77,7 +77,7 @@
             ledger: ledger::Ledger::new(settings),
             sessions: sessions::Sessions::new(settings),
             log: log::Log::default(),
-            appends: appends::Appends::default(),
+            appends: appends::Appends::new(settings),
             identity: Identity {
                 entry: settings.entry.clone(),
                 boot: settings.boot.clone(),
--- a/crates/comfreyroad/src/lib.rs
+++ b/crates/comfreyroad/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod filter;
 pub mod frame;
 pub mod id;
+pub mod mechanism;
 pub mod note;
 pub mod outbox;
 pub mod record;
--- /dev/null
+++ b/crates/comfreyroad/src/mechanism.rs
@@ -0,0 +1,33 @@
+//! Mechanisms that a proof can switch off.
+
+/// A mechanism that a proof can switch off, to show that its checks notice.
+///
+/// No setting of a shipped program reaches it.
+#[doc(hidden)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mechanism {
+    /// Rules and their confirmation are passed on between entries.
+    Passing,
+    /// The age of a peer's confirmation counts from when the peer was asked.
+    AskedAge,
+    /// Unconfirmed rules count as stale.
+    Staleness,
+    /// Serving on without the log takes word from every zone.
+    EveryZone,
+    /// Rules are repeated on the log before their record expires.
+    Checkpoints,
+    /// Missed records make the rules unknown.
+    Gaps,
+    /// Versions are checked again when a request is sent.
+    SendCheck,
+    /// A claim counts by its place on the log.
+    ClaimOrder,
+    /// A claim counts only for a reader who has read what may have come before it.
+    ClaimHistory,
+    /// Bills are kept by a peer until they are on the log.
+    Keepers,
+    /// The log is read back after an unclear append of bills.
+    ReadBack,
+    /// Totals of the bills are written before these expire.
+    Totals,
+}
--- a/crates/comfreyroad/src/settings.rs
+++ b/crates/comfreyroad/src/settings.rs
@@ -38,6 +38,8 @@
     pub max_calls: usize,
     /// Seed of random choices.
     pub seed: u64,
+    #[doc(hidden)]
+    pub without: Vec<crate::mechanism::Mechanism>,
 }
 
 impl Default for Settings {
@@ -58,6 +60,7 @@
             drain_notice: Duration::from_secs(1),
             max_calls: 4096,
             seed: 1,
+            without: Vec::new(),
         }
     }
 }
--- a/crates/comfreyroad/tests/proof/bench/mod.rs
+++ b/crates/comfreyroad/tests/proof/bench/mod.rs
@@ -20,6 +20,7 @@
 
 use comfreyroad::clock::Now;
 use comfreyroad::id::{Address, UpstreamId};
+use comfreyroad::mechanism::Mechanism;
 use comfreyroad::settings::Settings;
 use fastrand::Rng;
 use indexmap::IndexMap;
@@ -100,6 +101,22 @@
         bench
     }
 
+    /// The same with other settings, at each entry.
+    pub(crate) fn with(seed: u64, change: impl Fn(&mut Settings)) -> Self {
+        let mut bench = Self::new(seed);
+        for index in 0..ENTRIES {
+            change(&mut bench.nodes[index].settings);
+            bench.kill(index);
+            bench.start(index);
+        }
+        bench
+    }
+
+    /// The same with a mechanism switched off.
+    pub(crate) fn without(seed: u64, mechanism: Mechanism) -> Self {
+        Self::with(seed, |settings| settings.without.push(mechanism))
+    }
+
     fn settings(&mut self, index: usize) -> Settings {
         let address = |index: usize| -> Address { format!("10.0.0.{index}:8080").into() };
         Settings {
--- a/crates/comfreyroad/tests/proof/bench/promise.rs
+++ b/crates/comfreyroad/tests/proof/bench/promise.rs
@@ -243,6 +243,25 @@
             format!("refused as not run: {}", bench.describe(sending))
         })?;
     }
+    // Nor may an attempt say so after another one of its caller's, begun earlier, has run.
+    for sending in bench
+        .journal
+        .sendings
+        .iter()
+        .filter(|it| ran.contains(&it.tag))
+    {
+        let sent = &bench.calls[sending.call];
+        let later = bench.calls.iter().find(|call| {
+            let is_later = call.spec.id == sent.spec.id && call.attempt > sent.attempt;
+            is_later && call.asked >= sending.at && is_refused(call)
+        });
+        ensure(later.is_none(), || {
+            format!(
+                "a later attempt was refused as not run: {}",
+                bench.describe(sending)
+            )
+        })?;
+    }
     let runs: IndexSet<_> = bench.journal.runs.iter().map(|run| &run.request).collect();
     for id in runs {
         let mut tries = bench.calls.iter().filter(|call| call.spec.id == *id);
--- a/crates/comfreyroad/tests/proof/fault_matrix.rs
+++ b/crates/comfreyroad/tests/proof/fault_matrix.rs
@@ -7,6 +7,8 @@
 use std::sync::OnceLock;
 use std::time::Duration;
 
+use comfreyroad::mechanism::Mechanism;
+
 use crate::bench::{self, Ask, Bench, CallSpec, Fault, Step, promise};
 
 /// Steps at which faults strike.
@@ -143,7 +145,20 @@
 }
 
 fn run(row: Step, column: &'static [Fault]) -> Cell {
-    let mut bench = Bench::new(bench::seed());
+    run_in(Bench::new(bench::seed()), row, column)
+}
+
+/// The names of the promises that a cell breaks in a fleet without a mechanism.
+pub(crate) fn broken_without(
+    mechanism: Mechanism,
+    row: Step,
+    column: &'static [Fault],
+) -> Vec<&'static str> {
+    let cell = run_in(Bench::without(bench::seed(), mechanism), row, column);
+    cell.broken.into_iter().map(|(name, _)| name).collect()
+}
+
+fn run_in(mut bench: Bench, row: Step, column: &'static [Fault]) -> Cell {
     bench.run_for(Duration::from_secs(2));
     let skip = bench.rng.u32(..2);
     // Steps that come once in a run are struck at that one time.
--- a/crates/comfreyroad/tests/proof/main.rs
+++ b/crates/comfreyroad/tests/proof/main.rs
@@ -4,4 +4,5 @@
 
 mod bench;
 mod fault_matrix;
+mod once;
 mod thin_path;
