Count the ledger alike in entries and in the operators' command

The command counted the first bill of a key, the entries count the highest within a horizon. Both now use one fold of the stream, and the horizon is a constant, since readers that went by different ones would disagree.

--- a/crates/comfreyroad/src/settings.rs
+++ b/crates/comfreyroad/src/settings.rs
@@ -23,9 +23,6 @@
     pub stale_after: Duration,
     /// Time without a heartbeat after which a peer counts as lost.
     pub peer_timeout: Duration,
-    /// Time for which a request's id is known: two requests with one id that are further apart are different ones. The
-    /// log must keep records for more than twice as long.
-    pub horizon: Duration,
     /// Time for which a request that may run once at most waits for its claim.
     pub claim_wait: Duration,
     /// Time for which the end of an answer waits for its bill to be safe.
@@ -39,6 +36,8 @@
     /// Seed of random choices.
     pub seed: u64,
     #[doc(hidden)]
+    pub horizon: Duration,
+    #[doc(hidden)]
     pub without: Vec<crate::mechanism::Mechanism>,
 }
 
@@ -53,13 +52,13 @@
             session_keys: vec![[0; 32]],
             stale_after: Duration::from_secs(3),
             peer_timeout: Duration::from_secs(3),
-            horizon: Duration::from_secs(20 * 60),
             claim_wait: Duration::from_secs(2),
             bill_wait: Duration::from_secs(2),
             drain_timeout: Duration::from_secs(30),
             drain_notice: Duration::from_secs(1),
             max_calls: 4096,
             seed: 1,
+            horizon: crate::record::HORIZON,
             without: Vec::new(),
         }
     }
--- a/crates/comfreyroad_cli/src/command/ledger.rs
+++ b/crates/comfreyroad_cli/src/command/ledger.rs
@@ -1,5 +1,6 @@
 use std::io::Write;
 
+use comfreyroad::event::LogEntry;
 use comfreyroad::record::Stream;
 
 use crate::{Client, Error, Exit, Ledger, Log, Settings, text};
@@ -52,9 +53,13 @@
 pub(super) async fn read(log: &Log) -> Result<(Ledger, u64), Error> {
     let mut ledger = Ledger::default();
     let mut unread = 0;
-    let each = |offset, _, record: Option<&_>| match record {
-        Some(record) => ledger.feed(offset, record),
-        None => unread += 1,
+    let each = |offset, at, record: Option<&_>| {
+        unread += u64::from(record.is_none());
+        ledger.feed(&LogEntry {
+            offset,
+            at,
+            record: record.cloned(),
+        });
     };
     log.read(Stream::Ledger, 0, each).await?;
     Ok((ledger, unread))
--- a/crates/comfreyroad_cli/src/ledger.rs
+++ b/crates/comfreyroad_cli/src/ledger.rs
@@ -1,8 +1,11 @@
 use std::sync::Arc;
+use std::time::Instant;
 
+use comfreyroad::controller::ledger::Tally;
+use comfreyroad::event::{LogEntry, Page};
 use comfreyroad::id::{CustomerId, Offset};
-use comfreyroad::record::{Bill, Key, Record};
-use indexmap::{IndexMap, IndexSet};
+use comfreyroad::record::{HORIZON, Record, Stream};
+use indexmap::IndexMap;
 
 /// What one customer, or one firm, owes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -15,60 +18,64 @@
     pub doubles: u64,
 }
 
-impl Total {
-    fn add(&mut self, requests: u64, cost: u64) {
-        self.requests = self.requests.saturating_add(requests);
-        self.cost = self.cost.saturating_add(cost);
-    }
-}
-
-/// The ledger stream, read in order.
-///
-/// Totals stand for all bills before an offset, so bills before it are not counted again; their keys are kept to tell
-/// doubles.
-#[derive(Clone, Debug, Default)]
+/// The ledger stream, read in order and counted as entries do.
+#[derive(Debug)]
 pub struct Ledger {
+    tally: Tally,
     oldest: Option<Offset>,
     before: Offset,
-    sums: IndexMap<CustomerId, Total>,
-    bills: Vec<(Offset, Bill)>,
+    doubles: IndexMap<CustomerId, u64>,
     closing: Vec<(Arc<str>, u64, u64)>,
 }
 
+impl Default for Ledger {
+    fn default() -> Self {
+        Self {
+            tally: Tally::new(HORIZON),
+            oldest: None,
+            before: 0,
+            doubles: IndexMap::new(),
+            closing: Vec::new(),
+        }
+    }
+}
+
 impl Ledger {
     /// Takes the next record.
-    pub fn feed(&mut self, offset: Offset, record: &Record) {
-        self.oldest.get_or_insert(offset);
-        match record {
-            Record::Bill(bill) => self.bills.push((offset, bill.clone())),
-            Record::Totals { before, sums } if *before > self.before => {
-                self.before = *before;
-                self.sums.clear();
-                for (customer, requests, cost) in sums {
-                    self.sums
-                        .entry(customer.clone())
-                        .or_default()
-                        .add(*requests, *cost);
-                }
+    pub fn feed(&mut self, entry: &LogEntry) {
+        let offset = entry.offset;
+        self.tally.begin(&Page {
+            stream: Stream::Ledger,
+            asked: Instant::now(),
+            from: offset,
+            oldest: *self.oldest.get_or_insert(offset),
+            next: offset + 1,
+            entries: vec![entry.clone()],
+        });
+        let is_double = self.tally.feed(entry);
+        match &entry.record {
+            Some(Record::Bill(bill)) if is_double => {
+                *self.doubles.entry(bill.key.customer.clone()).or_default() += 1;
+            }
+            Some(Record::Totals { before, .. }) => self.before = self.before.max(*before),
+            Some(Record::Closing { sums }) if self.closing.is_empty() => {
+                self.closing.clone_from(sums);
             }
-            Record::Closing { sums } if self.closing.is_empty() => self.closing.clone_from(sums),
             _ => {}
         }
     }
 
     /// Totals by customer.
     pub fn totals(&self) -> IndexMap<CustomerId, Total> {
-        let mut totals = self.sums.clone();
-        let mut seen: IndexSet<&Key> = IndexSet::new();
-        for (offset, bill) in &self.bills {
-            let is_first = seen.insert(&bill.key);
-            let total = totals.entry(bill.key.customer.clone()).or_default();
-            if !is_first {
-                total.doubles += 1;
-            } else if *offset >= self.before {
-                total.add(1, bill.cost);
-            }
-        }
+        let total = |(customer, sum): (&CustomerId, &comfreyroad::controller::ledger::Sum)| {
+            let total = Total {
+                requests: sum.requests,
+                cost: sum.cost,
+                doubles: self.doubles.get(customer).copied().unwrap_or(0),
+            };
+            (customer.clone(), total)
+        };
+        let mut totals: IndexMap<CustomerId, Total> = self.tally.sums().iter().map(total).collect();
         totals.sort_keys();
         totals
     }
@@ -76,7 +83,7 @@
     /// Offsets of bills that neither the log nor any totals still have, as the first and the one after the last.
     pub fn lost(&self) -> Option<(Offset, Offset)> {
         let oldest = self.oldest?;
-        (self.before < oldest).then_some((self.before, oldest))
+        (!self.tally.is_whole()).then_some((self.before.min(oldest), oldest))
     }
 
     /// Totals of the firms, where the venture is closed.
--- a/crates/comfreyroad_entry/src/settings/settings.rs
+++ b/crates/comfreyroad_entry/src/settings/settings.rs
@@ -122,5 +122,6 @@
         drain_notice: reader.get("drain-notice-ms", reader::milliseconds),
         max_calls: reader.get("max-calls", reader::count),
         seed: seed.unwrap_or_else(|| fastrand::u64(..)),
+        ..comfreyroad::Settings::default()
     }
 }
