--- a/crates/comfreyroad/src/controller/claim/mod.rs
+++ b/crates/comfreyroad/src/controller/claim/mod.rs
@@ -1,14 +1,16 @@
 //! Claims: a request that may run once at most runs for the first claim on the log, and for no other.
 //!
 //! The entry that reads its own claim as the first holds the request. One whose claim is not the first waits a little
-//! for the holder: it repeats the recorded answer, claims again where the holder gave the request back, and else says
+//! for the holder: it repeats the recorded answer, takes the request over where the holder gave it back, and else says
 //! that the request may have run.
 
 mod book;
+mod held;
 mod proof;
 mod verdict;
 
-pub use book::{Book, Held};
+pub use book::Book;
+pub use held::Held;
 pub use proof::Proof;
 pub use verdict::Verdict;
 
@@ -21,6 +23,7 @@
 use crate::clock::Now;
 use crate::event::{Event, LogEntry, Page};
 use crate::id::{BootId, CallId, EntryId};
+use crate::mechanism::Mechanism;
 use crate::note::{self, Note};
 use crate::outbox::Outbox;
 use crate::record::{Key, Record, Stream, Writer};
@@ -36,6 +39,7 @@
     wait: Duration,
     book: Book,
     wanted: IndexMap<Writer, Key>,
+    without: Vec<Mechanism>,
 }
 
 impl Claims {
@@ -47,6 +51,7 @@
             wait: settings.claim_wait,
             book: Book::new(settings.horizon),
             wanted: IndexMap::new(),
+            without: settings.without.clone(),
         }
     }
 
@@ -71,8 +76,9 @@
 
     /// What the log, as far as it was read, says of a writer's claim.
     pub fn verdict(&self, key: &Key, writer: &Writer, now: Now) -> Verdict {
+        let ignores_order = self.without.contains(&Mechanism::ClaimOrder);
         match self.book.holder(key) {
-            Some(held) if held.writer == *writer => self.proof(held, now),
+            Some(held) if held.writer == *writer || ignores_order => self.proof(held, now),
             Some(Held {
                 outcome: Some(outcome),
                 ..
@@ -85,7 +91,9 @@
     fn proof(&self, held: &Held, now: Now) -> Verdict {
         let age = now.system.duration_since(held.at).unwrap_or_default();
         match (self.horizon / 2).checked_sub(age) {
-            Some(left) if held.is_sure => Verdict::First(Proof::new(now.instant + left)),
+            Some(left) if held.is_sure || self.without.contains(&Mechanism::ClaimHistory) => {
+                Verdict::First(Proof::new(now.instant + left))
+            }
             _ => Verdict::Unsure,
         }
     }
@@ -96,6 +104,9 @@
             let Some(key) = self.book.feed(entry) else {
                 continue;
             };
+            if let Some(Record::Settle { writer, .. }) = &entry.record {
+                self.wanted.swap_remove(writer);
+            }
             if self.wanted.values().any(|wanted| wanted == key) {
                 self.on_news(entry, key, out);
             }
@@ -104,32 +115,21 @@
 
     /// A record concerns a request that a call here waits for.
     fn on_news(&mut self, entry: &LogEntry, key: &Key, out: &mut Outbox) {
-        let holder = self.book.holder(key).map(|held| &held.writer);
-        match (&entry.record, holder) {
-            (Some(Record::Claim { writer, .. }), Some(holder))
-                if holder != writer && self.wanted.contains_key(writer) =>
-            {
-                out.note(
-                    Note::new(&note::CLAIM_LOST)
-                        .with("request", &key.request)
-                        .with("to", &holder.entry),
-                );
-            }
-            // The holder gave it back, and claims made before that do not count.
-            (Some(Record::Release { .. }), None) => {
-                for (writer, _) in self.wanted.iter().filter(|(_, wanted)| *wanted == key) {
-                    out.raise(Self::write(Record::Claim {
-                        key: key.clone(),
-                        writer: writer.clone(),
-                    }));
-                }
-            }
-            _ => {}
-        }
-        if let Some(holder) = holder.cloned() {
-            self.wanted.swap_remove(&holder);
-            out.raise(Event::ClaimDecided(key.clone()));
+        let Some(holder) = self.book.holder(key) else {
+            return;
+        };
+        let holder = &holder.writer;
+        if let Some(Record::Claim { writer, .. }) = &entry.record
+            && writer != holder
+            && self.wanted.contains_key(writer)
+        {
+            out.note(
+                Note::new(&note::CLAIM_LOST)
+                    .with("request", &key.request)
+                    .with("to", &holder.entry),
+            );
         }
+        out.raise(Event::ClaimDecided(key.clone()));
     }
 
     fn write(record: Record) -> Event {
--- a/crates/comfreyroad/src/mechanism.rs
+++ b/crates/comfreyroad/src/mechanism.rs
@@ -36,4 +36,14 @@
     PinAgain,
     /// A draining entry waits for its calls.
     Draining,
+    /// A claim counts by its place on the log.
+    ClaimOrder,
+    /// A claim counts only for a reader who has read what may have come before it.
+    ClaimHistory,
+    /// Bills are kept by a peer until they are on the log.
+    Keepers,
+    /// The log is read back after an unclear append of bills.
+    ReadBack,
+    /// Totals of the bills are written before these expire.
+    Totals,
 }
