Divide what a starting upstream bears among entries, and probe peers

Cause: an entry took every upstream of 30 s uptime, and each that answered it, for warm on its own; slots had an owner by each entry's own view with no wait for the former one, and heartbeats of all entries were passed on in every frame, at a cost that grows with the fleet.

Now: membership by probes, suspicion and rumours at a constant cost; slots by (upstream, boot, slot) among the entries of the upstream's zone, with a wait for the former owner to notice and for its requests to end; silent entries keep their seats while the VM list names them; an entry that was paused starts anew; good answers and reports travel as digests; any hint of a new start stops sending until a report tells; the better of two random picks, own zone first; pauses that grow.

--- /dev/null
+++ b/crates/comfreyroad/src/controller/upstreams/need.rs
@@ -0,0 +1,14 @@
+use crate::id::{PoolId, PrefixHash, VersionId};
+
+/// What an upstream must offer to take a request.
+#[derive(Clone, Debug)]
+pub struct Need {
+    /// The pool.
+    pub pool: PoolId,
+    /// The version that it must have loaded.
+    pub version: Option<VersionId>,
+    /// Prefix that would best be in its cache.
+    pub prefix: Option<PrefixHash>,
+    /// Makes the random part of the choice, the same in each run.
+    pub salt: u64,
+}
--- a/crates/comfreyroad/src/event/event.rs
+++ b/crates/comfreyroad/src/event/event.rs
@@ -64,6 +64,13 @@
         /// Its report; `None` when it did not answer.
         load: Option<Load>,
     },
+    /// An upstream has emptied its caches, as its cache events say.
+    CacheCleared {
+        /// The upstream.
+        upstream: UpstreamId,
+        /// Number of the cache event.
+        seq: u64,
+    },
     /// A frame of a peer, sent of its own accord or as an answer.
     Peer(Box<Frame>),
     /// A peer did not answer.
--- a/crates/comfreyroad/src/filter/place.rs
+++ b/crates/comfreyroad/src/filter/place.rs
@@ -47,6 +47,7 @@
             pool,
             version: None,
             prefix: None,
+            salt: head.call,
         });
     };
     let version = rules.versions.get(id).ok_or(Code::Withdrawn)?;
@@ -64,5 +65,6 @@
         pool: version.pool.clone(),
         version: Some(id.clone()),
         prefix,
+        salt: head.call,
     })
 }
--- a/crates/comfreyroad/src/frame/beat.rs
+++ b/crates/comfreyroad/src/frame/beat.rs
@@ -1,3 +1,5 @@
+use std::time::SystemTime;
+
 use crate::id::{Address, BootId, EntryId, ZoneId};
 
 /// A heartbeat of an entry, passed on by others.
@@ -5,15 +7,39 @@
 #[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Beat {
     /// The entry.
+    #[cfg_attr(feature = "serde", serde(rename = "e"))]
     pub entry: EntryId,
     /// Its start.
+    #[cfg_attr(feature = "serde", serde(rename = "b"))]
     pub boot: BootId,
     /// Its zone.
+    #[cfg_attr(feature = "serde", serde(rename = "z"))]
     pub zone: ZoneId,
     /// Its IP number and port.
+    #[cfg_attr(feature = "serde", serde(rename = "a"))]
     pub address: Address,
+    /// When it started, by its own clock: a later start replaces an earlier one.
+    #[cfg_attr(feature = "serde", serde(rename = "t", with = "super::millis"))]
+    pub born: SystemTime,
     /// Rises with each beat of one start.
+    #[cfg_attr(feature = "serde", serde(rename = "c"))]
     pub count: u64,
     /// Whether it takes new work.
+    #[cfg_attr(feature = "serde", serde(rename = "s"))]
     pub serving: bool,
+    /// Whether someone got no answer from it at this count.
+    #[cfg_attr(feature = "serde", serde(rename = "q", default))]
+    pub suspect: bool,
+}
+
+impl Beat {
+    /// Whether this says something newer than another beat of the same entry.
+    pub fn is_newer_than(&self, other: &Self) -> bool {
+        self.order() > other.order()
+    }
+
+    /// A suspicion holds against the beat that it is about, and against no later one.
+    fn order(&self) -> (SystemTime, u64, bool) {
+        (self.born, self.count, self.suspect)
+    }
 }
--- a/crates/comfreyroad/src/frame/frame.rs
+++ b/crates/comfreyroad/src/frame/frame.rs
@@ -1,5 +1,5 @@
-use super::{Beat, News};
-use crate::id::{Address, BootId, EntryId, ZoneId};
+use super::{Beat, Digest, News};
+use crate::id::{Address, BootId, EntryId, UpstreamId, ZoneId};
 use crate::record::{Bill, Key};
 
 /// One message between two entries.
@@ -14,6 +14,9 @@
     pub zone: ZoneId,
     /// The sender's IP number and port.
     pub address: Address,
+    /// Whether the sender asks for all heartbeats that the receiver knows.
+    #[cfg_attr(feature = "serde", serde(default))]
+    pub wants_all: bool,
     /// Number of this frame among all that the sender has sent.
     #[cfg_attr(feature = "serde", serde(default))]
     pub number: u64,
@@ -26,6 +29,15 @@
     /// Heartbeats: the sender's own and some that it has heard.
     #[cfg_attr(feature = "serde", serde(default))]
     pub beats: Vec<Beat>,
+    /// How many entries the sender knows.
+    #[cfg_attr(feature = "serde", serde(default))]
+    pub members: u32,
+    /// Upstreams of which something hints at a new start.
+    #[cfg_attr(feature = "serde", serde(default))]
+    pub doubts: Vec<UpstreamId>,
+    /// What the sender knows of some upstreams.
+    #[cfg_attr(feature = "serde", serde(default))]
+    pub digests: Vec<Digest>,
     /// The sender's knowledge of the rules.
     #[cfg_attr(feature = "serde", serde(default))]
     pub news: News,
--- a/crates/comfreyroad/src/frame/mod.rs
+++ b/crates/comfreyroad/src/frame/mod.rs
@@ -4,13 +4,17 @@
 //! everything in it is soft state that any entry can lose.
 
 mod beat;
+mod digest;
 mod doubt;
 mod frame;
+#[cfg(feature = "serde")]
+mod millis;
 mod news;
 mod text;
 mod view;
 
 pub use beat::Beat;
+pub use digest::Digest;
 pub use doubt::Doubt;
 pub use frame::Frame;
 pub use news::News;
--- a/crates/comfreyroad/src/mechanism.rs
+++ b/crates/comfreyroad/src/mechanism.rs
@@ -18,6 +18,20 @@
     Checkpoints,
     /// Missed records make the rules unknown.
     Gaps,
+    /// Slots of a starting upstream belong to one entry each.
+    SlotOwnership,
+    /// A slot's new owner waits until the old one must have noticed.
+    SlotSettling,
+    /// A slot's new owner waits for what the old one has in flight.
+    SlotFlight,
+    /// Slots open with good answers only.
+    Ramp,
+    /// An entry that was paused trusts its view only after it has heard peers again.
+    PauseVoid,
+    /// Silent entries keep their slots while the VM list names them.
+    SeatHold,
+    /// An old heartbeat cannot bring a lost peer back.
+    Tombstones,
     /// Versions are checked again when a request is sent.
     SendCheck,
 }
--- a/crates/comfreyroad/src/note/catalogue.rs
+++ b/crates/comfreyroad/src/note/catalogue.rs
@@ -32,6 +32,8 @@
     PEER_JOINED = 301, Info, "peer joined";
     /// A peer has not been heard for too long, or has left.
     PEER_LOST = 302, Warn, "peer lost";
+    /// The entry was paused, and starts anew with its knowledge of peers.
+    PAUSED = 303, Warn, "entry was paused";
     /// An upstream appeared.
     UPSTREAM_JOINED = 401, Info, "upstream joined";
     /// An upstream is cold again.
--- a/crates/comfreyroad/src/rendezvous.rs
+++ b/crates/comfreyroad/src/rendezvous.rs
@@ -8,6 +8,11 @@
     members.max_by_key(|member| xxh3_64_with_seed(member.as_bytes(), seed))
 }
 
+/// The hash by which a member stands for a key; the highest comes first.
+pub fn weight(key: &str, member: &str) -> u64 {
+    xxh3_64_with_seed(member.as_bytes(), xxh3_64_with_seed(key.as_bytes(), 0))
+}
+
 /// How many members have a higher hash for a key than one of them.
 pub fn rank<'a>(key: &str, own: &str, members: impl Iterator<Item = &'a str>) -> usize {
     let seed = xxh3_64_with_seed(key.as_bytes(), 0);
--- a/crates/comfreyroad/src/upstream/life.rs
+++ b/crates/comfreyroad/src/upstream/life.rs
@@ -1,8 +1,8 @@
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Instant, SystemTime};
 
-use super::{Load, Vm};
+use super::{Evidence, Load, Pause, Share, Vm};
 use crate::id::{Address, BootId, PoolId, UpstreamId, ZoneId};
 
 /// A stage of an upstream's life.
@@ -28,10 +28,20 @@
     pub load: Option<Load>,
     /// Requests of this entry at the upstream; counted down by the slots' drop.
     pub in_flight: Rc<Cell<u32>>,
-    /// After a failure, when it may be tried again.
-    pub avoid_until: Option<Instant>,
-    /// Requests of this entry sent since the newest report was true.
-    pub sent_since_load: u32,
+    /// How sure the knowledge of its present start is.
+    pub evidence: Evidence,
+    /// What of it belongs to this entry while it is not warm.
+    pub share: Share,
+    /// After failures, when it may be tried again.
+    pub pause: Pause,
+    /// Whether this entry sends to it by choice; others only where it holds slots.
+    pub is_near: bool,
+    /// Whether it falls to this entry to ask it for its load.
+    pub is_poller: bool,
+    /// When it is to be asked next.
+    pub ask_at: Option<Instant>,
+    /// Whether the VM list still names it.
+    pub is_listed: bool,
 }
 
 /// An upstream at one stage of its life.
@@ -91,16 +101,49 @@
     }
 
     /// It has started again, or shows a sign of it.
-    pub(crate) fn restart(self, boot: Option<BootId>) -> Upstream<Cold> {
+    pub(crate) fn restart(
+        mut self,
+        boot: Option<BootId>,
+        born: Option<SystemTime>,
+    ) -> Upstream<Cold> {
+        let doubted = self.info.evidence.doubt.take().and_then(|doubt| doubt.boot);
+        let before = self.info.boot.take().or(doubted);
+        if before.is_some() && before != boot {
+            self.info.evidence.former = before;
+        }
+        let evidence = Evidence {
+            born,
+            former: self.info.evidence.former,
+            at: self.info.evidence.at,
+            hinted: self.info.evidence.hinted,
+            ..Evidence::default()
+        };
         let info = Info {
             boot,
             load: None,
-            sent_since_load: 0,
+            evidence,
             ..self.info
         };
         Upstream { info, stage: Cold }
     }
 
+    /// Something hints at a new start; what was known is kept in the evidence.
+    pub(crate) fn doubt(self) -> Upstream<Cold> {
+        Upstream {
+            info: self.info,
+            stage: Cold,
+        }
+    }
+
+    /// Cold again, at the same start: its caches were emptied.
+    pub(crate) fn clear(mut self, cleared: u64) -> Upstream<Cold> {
+        self.info.evidence.cleared = cleared;
+        Upstream {
+            info: self.info,
+            stage: Cold,
+        }
+    }
+
     /// It is on its way out.
     pub(crate) fn leave(self) -> Upstream<Leaving> {
         Upstream {
@@ -120,20 +163,17 @@
             boot: None,
             load: None,
             in_flight: Rc::default(),
-            avoid_until: None,
-            sent_since_load: 0,
+            evidence: Evidence::default(),
+            share: Share::default(),
+            pause: Pause::default(),
+            is_near: false,
+            is_poller: false,
+            ask_at: None,
+            is_listed: true,
         };
         Self { info, stage: Cold }
     }
 
-    /// It has been up for long, by its own report.
-    pub(crate) fn trust(self) -> Upstream<Warm> {
-        Upstream {
-            info: self.info,
-            stage: Warm,
-        }
-    }
-
     /// The first good answer.
     pub(crate) fn warm_up(self, now: Instant) -> Upstream<Warming> {
         Upstream {
@@ -147,8 +187,9 @@
 }
 
 impl Upstream<Warming> {
-    pub(crate) fn count_good(&mut self) {
-        self.stage.good = self.stage.good.saturating_add(1);
+    /// It is known to have given this many good answers.
+    pub(crate) fn prove(&mut self, good: u32) {
+        self.stage.good = self.stage.good.max(good);
     }
 
     /// Enough good answers at full size.
