--- a/crates/comfreyroad_wire/examples/rules_at_scale/fleet.rs
+++ b/crates/comfreyroad_wire/examples/rules_at_scale/fleet.rs
@@ -417,8 +417,10 @@
         boot: settings.boot.clone(),
         zone: settings.zone.clone(),
         address: settings.address.clone(),
+        born: SystemTime::UNIX_EPOCH,
         count: 0,
         serving: false,
+        suspect: false,
     }
 }
 
