--- a/crates/comfreyroad_cli/src/command/status.rs
+++ b/crates/comfreyroad_cli/src/command/status.rs
@@ -3,12 +3,13 @@
 
 use crate::{Client, Entries, Error, Exit, Settings, Status, text};
 
-const HEAD: [&str; 7] = [
+const HEAD: [&str; 8] = [
     "ADDRESS",
     "ENTRY",
     "ZONE",
     "PHASE",
     "GENERATION",
+    "RULES",
     "CONFIRMED",
     "IN FLIGHT",
 ];
@@ -43,7 +44,7 @@
     text::table(&rows) + &failures
 }
 
-fn cells(status: &Status) -> [String; 6] {
+fn cells(status: &Status) -> [String; 7] {
     let number = |number: Option<u64>, unit| match number {
         Some(number) => format!("{number}{unit}"),
         None => "-".into(),
@@ -53,6 +54,7 @@
         text::plain(&status.zone),
         text::plain(&status.phase),
         status.generation.to_string(),
+        text::plain(&status.rules),
         number(status.confirmed_age_ms, " ms ago"),
         number(status.in_flight, ""),
     ]
--- a/crates/comfreyroad_cli/src/command/watch.rs
+++ b/crates/comfreyroad_cli/src/command/watch.rs
@@ -54,7 +54,7 @@
                 continue;
             }
             let reason = match answer {
-                Ok(status) => format!("{} is at generation {}", status.entry, status.generation),
+                Ok(status) => behind(status),
                 Err(error) => error.to_string(),
             };
             writeln!(out, "not in force: {address}: {}", text::plain(&reason))?;
@@ -79,6 +79,16 @@
     }
 }
 
+fn behind(status: &Status) -> String {
+    let (entry, generation) = (&status.entry, status.generation);
+    let work = if status.is_stale() {
+        ", stale, and takes no new work"
+    } else {
+        ""
+    };
+    format!("{entry} is at generation {generation}{work}")
+}
+
 fn is_gone(answer: &Answer) -> bool {
     matches!(answer, Ok(status) if status.is_gone())
 }
--- a/crates/comfreyroad_cli/tests/cli/publish.rs
+++ b/crates/comfreyroad_cli/tests/cli/publish.rs
@@ -228,3 +228,43 @@
     let (exit, out, _) = run("left.rules", vec![], &flags);
     assert_eq!(exit, Exit::Ok, "{out}");
 }
+
+#[test]
+fn an_entry_that_is_cut_off_is_named_with_what_it_does() {
+    let (here, stale) = (entry(2, "serving"), entry(1, "serving"));
+    stale.set(|state| {
+        state.status = state.status.replace(":1}", r#":1,"rules":"stale"}"#);
+    });
+    let flags = format!(
+        "--entries {},{} --timeout-ms 600",
+        here.address, stale.address
+    );
+    let (exit, out, _) = run("stale.rules", vec![], &flags);
+    assert_eq!(exit, Exit::Refused, "{out}");
+    assert!(out.contains("in force on 1 of 2 entries after "), "{out}");
+    let line = format!(
+        "not in force: {}: e is at generation 1, stale, and takes no new work",
+        stale.address
+    );
+    assert!(out.contains(&line), "{out}");
+}
+
+#[test]
+fn an_entry_that_leaves_meanwhile_is_not_waited_for() {
+    let (here, leaving) = (entry(2, "serving"), entry(1, "serving"));
+    let flags = format!(
+        "--entries {},{} --timeout-ms 5000",
+        here.address, leaving.address
+    );
+    let later = leaving.address;
+    std::thread::scope(|scope| {
+        scope.spawn(|| {
+            std::thread::sleep(std::time::Duration::from_millis(400));
+            leaving.set(|state| state.status = state.status.replace("serving", "gone"));
+        });
+        let (exit, out, _) = run("leaves.rules", vec![], &flags);
+        assert_eq!(exit, Exit::Ok, "{out}");
+        assert!(out.contains("in force on 1 of 1 entries after "), "{out}");
+        assert!(!out.contains(&later.to_string()), "{out}");
+    });
+}
