--- a/crates/comfreyroad/src/settings.rs
+++ b/crates/comfreyroad/src/settings.rs
@@ -28,9 +28,6 @@
     pub readers: usize,
     /// Time without a heartbeat after which a peer counts as lost.
     pub peer_timeout: Duration,
-    /// Time for which a request's id is known: two requests with one id that are further apart are different ones. The
-    /// log must keep records for longer than this.
-    pub horizon: Duration,
     /// Time for which a request that may run once at most waits for its claim.
     pub claim_wait: Duration,
     /// Time for which the end of an answer waits for its bill to be safe.
@@ -52,6 +49,8 @@
     /// Seed of random choices.
     pub seed: u64,
     #[doc(hidden)]
+    pub horizon: Duration,
+    #[doc(hidden)]
     pub without: Vec<Mechanism>,
 }
 
@@ -75,7 +74,6 @@
             checkpoint_after: Duration::from_secs(60),
             readers: 2,
             peer_timeout: Duration::from_secs(3),
-            horizon: Duration::from_secs(30 * 60),
             claim_wait: Duration::from_secs(2),
             bill_wait: Duration::from_secs(2),
             drain_timeout: Duration::from_secs(30),
@@ -86,6 +84,7 @@
             session_idle: Duration::from_secs(1800),
             last_sessions: Duration::from_secs(3600),
             seed: 1,
+            horizon: crate::record::HORIZON,
             without: Vec::new(),
         }
     }
--- a/crates/comfreyroad/tests/proof/main.rs
+++ b/crates/comfreyroad/tests/proof/main.rs
@@ -6,4 +6,5 @@
 mod checks;
 mod config;
 mod fault_matrix;
+mod once;
 mod thin_path;
