--- a/crates/comfreyroad/src/entry.rs
+++ b/crates/comfreyroad/src/entry.rs
@@ -8,6 +8,7 @@
 use crate::clock::Now;
 use crate::controller::Controllers;
 use crate::controller::ledger::Sum;
+use crate::controller::life::Phase;
 use crate::dispatcher::{Dispatcher, Turn};
 use crate::event::Event;
 use crate::id::FirmId;
@@ -111,6 +112,15 @@
             .collect()
     }
 
+    /// Whether nothing is under way that time alone changes soon.
+    pub fn is_idle(&self) -> bool {
+        let is_serving = matches!(self.state.life.phase(), Phase::Serving(_));
+        is_serving
+            && self.dispatcher.calls() == 0
+            && self.state.appends.pending() == 0
+            && self.state.ledger.pending() == 0
+    }
+
     /// The state, to be read.
     pub fn state(&self) -> &Controllers {
         &self.state
--- a/crates/comfreyroad_entry/src/daemon.rs
+++ b/crates/comfreyroad_entry/src/daemon.rs
@@ -9,7 +9,9 @@
 use comfreyroad::controller::life::Phase;
 use comfreyroad::{Action, Entry, Event};
 use comfreyroad_net::{listener::Listener, runtime, server, signal};
-use futures_channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
+use futures_channel::mpsc::{
+    Receiver, Sender, UnboundedReceiver, UnboundedSender, channel, unbounded,
+};
 use futures_util::StreamExt;
 use futures_util::future::select;
 
@@ -19,8 +21,10 @@
 use crate::outside::Outside;
 use crate::settings::Settings;
 
-/// Time between two ticks.
+/// Time between two ticks while there is work.
 const TICK: Duration = Duration::from_millis(50);
+/// Time between two ticks while there is none.
+const IDLE_TICK: Duration = Duration::from_millis(250);
 
 /// An entry that could not start, or whose loop broke.
 #[derive(Debug, thiserror::Error)]
@@ -43,11 +47,16 @@
     /// The settings.
     pub settings: Rc<Settings>,
     events: UnboundedSender<Event>,
+    work: Rc<RefCell<Sender<()>>>,
 }
 
 impl Shared {
     /// Queues an event.
     pub fn queue(&self, event: Event) {
+        if matches!(event, Event::Call(_) | Event::Shutdown) {
+            // One word of work is enough until the ticks have heard it.
+            let _ = self.work.borrow_mut().try_send(());
+        }
         // The loop is gone only when the process ends.
         let _ = self.events.unbounded_send(event);
     }
@@ -80,12 +89,14 @@
     };
     let listener = Listener::bind(settings.listen).map_err(fail)?;
     let (events, mut queue) = unbounded();
+    let (work, worked) = channel(1);
     let shared = Shared {
         entry: Rc::new(RefCell::new(Entry::new(&settings.core))),
         metrics: Rc::default(),
         calls: Rc::default(),
         settings: Rc::new(settings),
         events,
+        work: Rc::new(RefCell::new(work)),
     };
     let server = server::Server::new(listener);
     let stop = server.stop();
@@ -93,7 +104,7 @@
     let served = compio::runtime::spawn(
         server.serve(move |request, peer| handler.clone().answer(request, peer)),
     );
-    compio::runtime::spawn(ticks(shared.clone())).detach();
+    compio::runtime::spawn(ticks(shared.clone(), worked)).detach();
     compio::runtime::spawn(signals(shared.clone())).detach();
     shared.queue(Event::Started);
     let mut outside = Outside::new(shared.clone());
@@ -106,9 +117,15 @@
     Ok(())
 }
 
-async fn ticks(shared: Shared) {
+/// Ticks, and less often while there is no work.
+async fn ticks(shared: Shared, mut worked: Receiver<()>) {
     loop {
-        compio::time::sleep(TICK).await;
+        if shared.entry.borrow().is_idle() {
+            let sleep = pin!(compio::time::sleep(IDLE_TICK));
+            select(sleep, worked.next()).await;
+        } else {
+            compio::time::sleep(TICK).await;
+        }
         shared.queue(Event::Tick);
     }
 }
