--- a/crates/comfreyroad/src/filter/place.rs
+++ b/crates/comfreyroad/src/filter/place.rs
@@ -42,20 +42,16 @@
         .get(&pinned.allowed.customer)
         .ok_or(Code::NotAllowed)?;
     let Some(id) = pinned.plan.version() else {
-        let pool = pinned.allowed.pool.clone().ok_or(Code::NotFound)?;
+        let mut services = rules.services.iter();
+        let service = services.find(|service| service.id == pinned.allowed.route);
         return Ok(Need {
-            pool,
+            pool: service.ok_or(Code::NotFound)?.pool.clone(),
             version: None,
             prefix: None,
         });
     };
     let version = rules.versions.get(id).ok_or(Code::Withdrawn)?;
-    if version.withdrawn || view.state.rules.is_held(id) {
-        return Err(Code::Withdrawn);
-    }
-    if !customer.allows(version) {
-        return Err(Code::NotAllowed);
-    }
+    view.state.rules.may_use(customer, version)?;
     let prefix = match &head.target {
         crate::request::Target::Chat(chat) => Some(chat.prefix),
         crate::request::Target::Service(_) => None,
--- a/crates/comfreyroad/src/rules/draft.rs
+++ b/crates/comfreyroad/src/rules/draft.rs
@@ -36,6 +36,11 @@
         }
     }
 
+    /// Whether it is in a newer format than this program reads, so that only a newer program can judge it.
+    pub fn is_newer(&self) -> bool {
+        parse::is_newer(&self.text)
+    }
+
     /// Reads each line; all faults are given.
     pub fn parse(self) -> Result<Draft<Parsed>, Vec<Fault>> {
         let (rules, lines) = parse::file(&self.text)?;
--- a/crates/comfreyroad/tests/proof/main.rs
+++ b/crates/comfreyroad/tests/proof/main.rs
@@ -4,5 +4,7 @@
 
 mod bench;
 mod checks;
+mod config;
 mod fault_matrix;
+mod once;
 mod thin_path;
