--- a/crates/comfreyroad/src/frame/frame.rs
+++ b/crates/comfreyroad/src/frame/frame.rs
@@ -1,9 +1,9 @@
-use super::{Beat, Digest, News};
+use super::{Beat, Digest, News, Pins};
 use crate::id::{Address, BootId, EntryId, UpstreamId, ZoneId};
 use crate::record::{Bill, Key};
 
 /// One message between two entries.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 #[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Frame {
     /// Who sends it.
@@ -15,39 +15,69 @@
     /// The sender's IP number and port.
     pub address: Address,
     /// Whether the sender asks for all heartbeats that the receiver knows.
-    #[cfg_attr(feature = "serde", serde(default))]
+    #[cfg_attr(
+        feature = "serde",
+        serde(default, skip_serializing_if = "std::ops::Not::not")
+    )]
     pub wants_all: bool,
     /// Number of this frame among all that the sender has sent.
     #[cfg_attr(feature = "serde", serde(default))]
     pub number: u64,
     /// Number of the newest frame that the sender got, where it came from the receiver.
-    #[cfg_attr(feature = "serde", serde(default))]
+    #[cfg_attr(
+        feature = "serde",
+        serde(default, skip_serializing_if = "Option::is_none")
+    )]
     pub answers: Option<u64>,
     /// Whether only the rules are spoken of; answered likewise.
-    #[cfg_attr(feature = "serde", serde(default))]
+    #[cfg_attr(
+        feature = "serde",
+        serde(default, skip_serializing_if = "std::ops::Not::not")
+    )]
     pub is_brief: bool,
     /// Heartbeats: the sender's own and some that it has heard.
-    #[cfg_attr(feature = "serde", serde(default))]
+    #[cfg_attr(
+        feature = "serde",
+        serde(default, skip_serializing_if = "Vec::is_empty")
+    )]
     pub beats: Vec<Beat>,
     /// How many entries the sender knows.
     #[cfg_attr(feature = "serde", serde(default))]
     pub members: u32,
     /// Upstreams of which something hints at a new start.
-    #[cfg_attr(feature = "serde", serde(default))]
+    #[cfg_attr(
+        feature = "serde",
+        serde(default, skip_serializing_if = "Vec::is_empty")
+    )]
     pub doubts: Vec<UpstreamId>,
     /// What the sender knows of some upstreams.
-    #[cfg_attr(feature = "serde", serde(default))]
+    #[cfg_attr(
+        feature = "serde",
+        serde(default, skip_serializing_if = "Vec::is_empty")
+    )]
     pub digests: Vec<Digest>,
     /// The sender's knowledge of the rules.
     #[cfg_attr(feature = "serde", serde(default))]
     pub news: News,
     /// Bills that the receiver is asked to keep until they are on the log.
-    #[cfg_attr(feature = "serde", serde(default))]
+    #[cfg_attr(
+        feature = "serde",
+        serde(default, skip_serializing_if = "Vec::is_empty")
+    )]
     pub keep: Vec<Bill>,
     /// Bills that the sender keeps for the receiver.
-    #[cfg_attr(feature = "serde", serde(default))]
+    #[cfg_attr(
+        feature = "serde",
+        serde(default, skip_serializing_if = "Vec::is_empty")
+    )]
     pub kept: Vec<Key>,
     /// Bills that the receiver need not keep any longer.
-    #[cfg_attr(feature = "serde", serde(default))]
+    #[cfg_attr(
+        feature = "serde",
+        serde(default, skip_serializing_if = "Vec::is_empty")
+    )]
     pub done: Vec<Key>,
+    /// Sessions of callers' own ids that keep a version which they would not get now.
+    #[cfg_attr(feature = "serde", serde(default))]
+    pub pins: Vec<Pins>,
 }
--- a/crates/comfreyroad/src/frame/mod.rs
+++ b/crates/comfreyroad/src/frame/mod.rs
@@ -10,6 +10,7 @@
 #[cfg(feature = "serde")]
 mod millis;
 mod news;
+mod pins;
 mod text;
 mod view;
 
@@ -18,5 +19,6 @@
 pub use doubt::Doubt;
 pub use frame::Frame;
 pub use news::News;
+pub use pins::Pins;
 pub use text::Text;
 pub use view::View;
--- a/crates/comfreyroad/src/mechanism.rs
+++ b/crates/comfreyroad/src/mechanism.rs
@@ -34,4 +34,30 @@
     Tombstones,
     /// Versions are checked again when a request is sent.
     SendCheck,
+    /// Parts of an answer are held against its attempt, order and count.
+    AnswerSteps,
+    /// Retries have a budget.
+    RetryBudget,
+    /// Late first parts are hedged.
+    Hedges,
+    /// Calls are refused early by class and deadline.
+    Shedding,
+    /// Waiting calls get their turn by class, customer and weight.
+    FairQueue,
+    /// Sessions of callers' own ids keep their version when shares change.
+    KeptIds,
+    /// Waiting requests get another version when theirs is withdrawn.
+    PinAgain,
+    /// A draining entry waits for its calls.
+    Draining,
+    /// A claim counts by its place on the log.
+    ClaimOrder,
+    /// A claim counts only for a reader who has read what may have come before it.
+    ClaimHistory,
+    /// Bills are kept by a peer until they are on the log.
+    Keepers,
+    /// The log is read back after an unclear append of bills.
+    ReadBack,
+    /// Totals of the bills are written before these expire.
+    Totals,
 }
--- a/crates/comfreyroad/src/rules/parse/mod.rs
+++ b/crates/comfreyroad/src/rules/parse/mod.rs
@@ -58,6 +58,17 @@
     Err(faults)
 }
 
+/// Whether a file is in a format that this program does not know, so that it cannot say whether the file has faults.
+pub(super) fn is_newer(text: &str) -> bool {
+    let lines = lines(text, &mut Vec::new());
+    let mut rules = Rules::default();
+    let first = lines.first().filter(|line| line.keyword.text == "format");
+    if let Some(line) = first {
+        format::read(line, &mut rules, &mut Vec::new());
+    }
+    rules.format > FORMAT
+}
+
 fn lines(text: &str, faults: &mut Vec<Fault>) -> Vec<Line> {
     let numbered = text.lines().enumerate();
     numbered
--- a/crates/comfreyroad/src/settings.rs
+++ b/crates/comfreyroad/src/settings.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::id::{Address, BootId, EntryId, ZoneId};
+use crate::mechanism::Mechanism;
 
 /// Settings of the decisions.
 #[derive(Clone, Debug)]
@@ -27,9 +28,6 @@
     pub readers: usize,
     /// Time without a heartbeat after which a peer counts as lost.
     pub peer_timeout: Duration,
-    /// Time for which a request's id is known: two requests with one id that are further apart are different ones. The
-    /// log must keep records for longer than this.
-    pub horizon: Duration,
     /// Time for which a request that may run once at most waits for its claim.
     pub claim_wait: Duration,
     /// Time for which the end of an answer waits for its bill to be safe.
@@ -40,10 +38,27 @@
     pub drain_notice: Duration,
     /// Calls that may be under way at once.
     pub max_calls: usize,
+    /// Bytes that the requests of all open calls may hold.
+    pub max_body_bytes: usize,
+    /// Time for which a session token is good.
+    pub session_life: Duration,
+    /// Time without a request after which a session known by the caller's own id is forgotten.
+    pub session_idle: Duration,
+    /// Time before the end of the term in which no session begins.
+    pub last_sessions: Duration,
     /// Seed of random choices.
     pub seed: u64,
     #[doc(hidden)]
-    pub without: Vec<crate::mechanism::Mechanism>,
+    pub horizon: Duration,
+    #[doc(hidden)]
+    pub without: Vec<Mechanism>,
+}
+
+impl Settings {
+    /// Whether a mechanism is at work.
+    pub(crate) fn has(&self, mechanism: Mechanism) -> bool {
+        !self.without.contains(&mechanism)
+    }
 }
 
 impl Default for Settings {
@@ -59,13 +74,17 @@
             checkpoint_after: Duration::from_secs(60),
             readers: 2,
             peer_timeout: Duration::from_secs(3),
-            horizon: Duration::from_secs(30 * 60),
             claim_wait: Duration::from_secs(2),
             bill_wait: Duration::from_secs(2),
             drain_timeout: Duration::from_secs(30),
             drain_notice: Duration::from_secs(1),
             max_calls: 4096,
+            max_body_bytes: 32 * 1024 * 1024,
+            session_life: Duration::from_secs(24 * 3600),
+            session_idle: Duration::from_secs(1800),
+            last_sessions: Duration::from_secs(3600),
             seed: 1,
+            horizon: crate::record::HORIZON,
             without: Vec::new(),
         }
     }
--- a/crates/comfreyroad/tests/fleet/members.rs
+++ b/crates/comfreyroad/tests/fleet/members.rs
@@ -4,7 +4,7 @@
 
 use crate::support::{Fleet, Size};
 use comfreyroad::clock::Now;
-use comfreyroad::frame::{Beat, Frame, News};
+use comfreyroad::frame::{Beat, Frame};
 use comfreyroad::mechanism::Mechanism;
 use comfreyroad::{Action, Entry, Event, Settings};
 
@@ -150,17 +150,9 @@
         zone: "zone".into(),
         address: "10.0.0.3:80".into(),
         number: 1,
-        answers: None,
-        is_brief: false,
-        wants_all: false,
         beats: vec![beat],
         members: 3,
-        doubts: Vec::new(),
-        digests: Vec::new(),
-        news: News::default(),
-        keep: Vec::new(),
-        kept: Vec::new(),
-        done: Vec::new(),
+        ..Frame::default()
     }))
 }
 
