--- a/crates/comfreyroad/src/controller/upstreams/list.rs
+++ b/crates/comfreyroad/src/controller/upstreams/list.rs
@@ -11,9 +11,11 @@
 use crate::rendezvous;
 use crate::upstream::{Any, Upstream, Vm, VmKind, VmState};
 
-/// Upstreams of a pool in the own zone that an entry sends to.
+/// Upstreams of a pool up to which an entry sends to all of them.
+const SMALL: usize = 32;
+/// Upstreams of a larger pool in the own zone that an entry sends to.
 const NEAR: usize = 8;
-/// Upstreams of a pool in each other zone.
+/// Upstreams of a larger pool in each other zone.
 const FAR: usize = 2;
 
 impl Upstreams {
@@ -79,13 +81,19 @@
     /// Chooses the upstreams that this entry sends to, so that none has to know all of them well.
     fn choose_near(&mut self) {
         let mut groups: IndexMap<(PoolId, ZoneId), Vec<UpstreamId>> = IndexMap::new();
+        let mut sizes: IndexMap<PoolId, usize> = IndexMap::new();
         for info in self.known.values().map(Any::info) {
+            *sizes.entry(info.pool.clone()).or_default() += 1;
             let group = (info.pool.clone(), info.zone.clone());
             groups.entry(group).or_default().push(info.id.clone());
         }
         let mut near: IndexSet<UpstreamId> = IndexSet::new();
-        for ((_, zone), mut group) in groups {
-            let count = if zone == self.zone { NEAR } else { FAR };
+        for ((pool, zone), mut group) in groups {
+            let count = match sizes.get(&pool) {
+                Some(..=SMALL) => SMALL,
+                _ if zone == self.zone => NEAR,
+                _ => FAR,
+            };
             group.sort_by_cached_key(|id| Reverse(rendezvous::weight(&self.own, id)));
             near.extend(group.into_iter().take(count));
         }
--- a/crates/comfreyroad/src/controller/upstreams/need.rs
+++ b/crates/comfreyroad/src/controller/upstreams/need.rs
@@ -1,4 +1,4 @@
-use crate::id::{PoolId, PrefixHash, VersionId};
+use crate::id::{PoolId, PrefixHash, UpstreamId, VersionId};
 
 /// What an upstream must offer to take a request.
 #[derive(Clone, Debug)]
@@ -9,6 +9,8 @@
     pub version: Option<VersionId>,
     /// Prefix that would best be in its cache.
     pub prefix: Option<PrefixHash>,
+    /// An upstream that has the request already.
+    pub but: Option<UpstreamId>,
     /// Makes the random part of the choice, the same in each run.
     pub salt: u64,
 }
--- a/crates/comfreyroad/src/controller/upstreams/pick.rs
+++ b/crates/comfreyroad/src/controller/upstreams/pick.rs
@@ -39,6 +39,9 @@
 
     fn suits(&self, upstream: &Any, need: &Need, rules: &Rules, view: &filter::View<'_>) -> bool {
         let info = upstream.info();
+        if need.but.as_ref() == Some(&info.id) {
+            return false;
+        }
         if info.pool != need.pool || upstream.is_leaving() || info.pause.is_on(view.now.instant) {
             return false;
         }
--- a/crates/comfreyroad/src/filter/hedge.rs
+++ b/crates/comfreyroad/src/filter/hedge.rs
@@ -4,9 +4,6 @@
 use crate::request::{Request, Sent};
 use crate::upstream::Slot;
 
-/// Picks that are tried to find another upstream.
-const PICKS: usize = 3;
-
 /// A slot for a second sending, if one is due.
 pub fn slot(request: &Request<Sent>, has_begun: bool, view: &View<'_>) -> Option<Slot> {
     let stage = request.stage();
@@ -22,8 +19,7 @@
     if stage.sending.at + late_after >= view.now.instant {
         return None;
     }
-    let need = place::need(pinned, request.head(), view).ok()?;
-    (0..PICKS)
-        .filter_map(|_| state.upstreams.pick(&need, view))
-        .find(|slot| slot.upstream != stage.sending.slot.upstream)
+    let mut need = place::need(pinned, request.head(), view).ok()?;
+    need.but = Some(stage.sending.slot.upstream.clone());
+    state.upstreams.pick(&need, view)
 }
--- a/crates/comfreyroad/src/filter/place.rs
+++ b/crates/comfreyroad/src/filter/place.rs
@@ -48,6 +48,7 @@
             pool: service.ok_or(Code::NotFound)?.pool.clone(),
             version: None,
             prefix: None,
+            but: None,
             salt: head.call,
         });
     };
@@ -61,6 +62,7 @@
         pool: version.pool.clone(),
         version: Some(id.clone()),
         prefix,
+        but: None,
         salt: head.call,
     })
 }
