--- a/crates/comfreyroad/src/settings.rs
+++ b/crates/comfreyroad/src/settings.rs
@@ -21,6 +21,10 @@
     pub session_keys: Vec<[u8; 32]>,
     /// Time without confirmation after which the rules count as stale.
     pub stale_after: Duration,
+    /// Time after which the record that holds the rules in force is repeated on the log.
+    pub checkpoint_after: Duration,
+    /// Entries of each zone that read the rules from the log; the others learn of them by peers.
+    pub readers: usize,
     /// Time without a heartbeat after which a peer counts as lost.
     pub peer_timeout: Duration,
     /// Time for which a request that may run once at most waits for its claim.
@@ -51,6 +55,8 @@
             peers: Vec::new(),
             session_keys: vec![[0; 32]],
             stale_after: Duration::from_secs(3),
+            checkpoint_after: Duration::from_secs(60),
+            readers: 2,
             peer_timeout: Duration::from_secs(3),
             claim_wait: Duration::from_secs(2),
             bill_wait: Duration::from_secs(2),
