--- a/crates/comfreyroad/src/dispatcher/replay.rs
+++ b/crates/comfreyroad/src/dispatcher/replay.rs
@@ -2,6 +2,8 @@
 
 use super::{Active, Dispatcher, Turn};
 use crate::action::Action;
+use crate::answer;
+use crate::controller::trail::Step;
 use crate::event::Event;
 use crate::id::CallId;
 use crate::record::Replay;
@@ -24,6 +26,7 @@
             turn.out.raise(Event::ClaimReleased { key, writer });
         }
         known.begun = true;
+        turn.explain(call, Step::new("claim", "answered before"));
         turn.out.act(Action::Begin {
             call,
             status: replay.status,
@@ -36,7 +39,7 @@
             bytes: replay.body,
         });
         let stage = request.stage();
-        let bill = Self::bill(&stage.pinned, request.head(), stage.delivered, turn);
+        let bill = answer::bill(&stage.pinned, request.head(), stage.delivered, &turn.view());
         turn.out.raise(Event::BillWanted { call, bill });
         known.active = Some(Active::Billing(request));
     }
--- a/crates/comfreyroad/src/mechanism.rs
+++ b/crates/comfreyroad/src/mechanism.rs
@@ -30,4 +30,20 @@
     ReadBack,
     /// Totals of the bills are written before these expire.
     Totals,
+    /// Parts of an answer are held against its attempt, order and count.
+    AnswerSteps,
+    /// Retries have a budget.
+    RetryBudget,
+    /// Late first parts are hedged.
+    Hedges,
+    /// Calls are refused early by class and deadline.
+    Shedding,
+    /// Waiting calls get their turn by class, customer and weight.
+    FairQueue,
+    /// Sessions of callers' own ids keep their version when shares change.
+    KeptIds,
+    /// Waiting requests get another version when theirs is withdrawn.
+    PinAgain,
+    /// A draining entry waits for its calls.
+    Draining,
 }
