Hand bills over in brief frames, and measure what bills and claims cost

Cause: each bill went to its keeper in a frame of its own, with heartbeats in it, and the keeper was chosen anew among all entries each time.

Conclusion: questions to a keeper are 100 ms apart and brief, the keeper is chosen when the set of entries changes.

--- a/crates/comfreyroad/src/controller/ledger/mod.rs
+++ b/crates/comfreyroad/src/controller/ledger/mod.rs
@@ -4,6 +4,7 @@
 //! or does not get it onto the log for long.
 
 mod keeper;
+mod keepers;
 mod pending;
 mod sum;
 mod tally;
@@ -19,19 +20,19 @@
 use super::Controller;
 use crate::clock::Now;
 use crate::event::{Event, Page};
-use crate::frame::{Beat, Frame, View};
-use crate::id::{Address, CallId, CustomerId, EntryId, ZoneId};
+use crate::frame::{Frame, View};
+use crate::id::{Address, CallId, CustomerId, EntryId};
 use crate::mechanism::Mechanism;
 use crate::note::{self, Note};
 use crate::outbox::Outbox;
 use crate::record::{Bill, Key, Record, Stream};
-use crate::rendezvous;
 use crate::settings::Settings;
 use keeper::Keeper;
+use keepers::Keepers;
 use pending::Pending;
 
-/// Time for which a peer that failed is not asked to keep bills.
-const AVOID: Duration = Duration::from_secs(2);
+/// Least time between two questions to keep bills.
+const ASK_PERIOD: Duration = Duration::from_millis(100);
 /// Time after which a kept bill is appended although its origin lives.
 const KEEP: Duration = Duration::from_secs(10);
 /// Bills handed over in one frame at most.
@@ -45,7 +46,6 @@
 #[derive(Debug)]
 pub struct Ledger {
     entry: EntryId,
-    zone: ZoneId,
     bill_wait: Duration,
     horizon: Duration,
     tally: Tally,
@@ -54,8 +54,9 @@
     // Bills that peers need not keep any longer.
     done: IndexMap<Address, Vec<Key>>,
     members: Rc<View>,
+    keepers: Keepers,
     asked: IndexSet<Address>,
-    avoided: IndexMap<Address, Instant>,
+    ask_at: Option<Instant>,
     totals_at: Option<Instant>,
     at_risk: u64,
     without: Vec<Mechanism>,
@@ -65,7 +66,6 @@
     pub(super) fn new(settings: &Settings) -> Self {
         Self {
             entry: settings.entry.clone(),
-            zone: settings.zone.clone(),
             bill_wait: settings.bill_wait,
             horizon: settings.horizon,
             tally: Tally::new(settings.horizon),
@@ -73,8 +73,9 @@
             keeper: Keeper::default(),
             done: IndexMap::new(),
             members: Rc::default(),
+            keepers: Keepers::new(&settings.entry, &settings.zone),
             asked: IndexSet::new(),
-            avoided: IndexMap::new(),
+            ask_at: None,
             totals_at: None,
             at_risk: 0,
             without: settings.without.clone(),
@@ -142,34 +143,30 @@
         });
     }
 
-    /// Asks a peer in another zone to keep what is not safe yet; one question at a time.
+    /// Asks a peer in another zone to keep what is not safe yet; one question at a time, and not too often.
     fn ask(&mut self, now: Now, out: &mut Outbox) {
-        self.avoided.retain(|_, until| *until > now.instant);
-        let is_off = self.without.contains(&Mechanism::Keepers);
-        if is_off || self.pending.values().all(|pending| pending.is_kept) {
+        let is_early = self.ask_at.is_some_and(|at| at > now.instant);
+        if is_early || self.without.contains(&Mechanism::Keepers) {
             return;
         }
-        let Some(keeper) = self.choose_keeper() else {
+        let mut unkept = self
+            .pending
+            .values_mut()
+            .filter(|it| !it.is_kept)
+            .peekable();
+        if unkept.peek().is_none() {
+            return;
+        }
+        let Some(keeper) = self.keepers.choose(now.instant) else {
             return;
         };
-        let unkept = self.pending.values_mut().filter(|pending| !pending.is_kept);
         unkept.for_each(|pending| pending.keeper = Some(keeper.clone()));
         if self.asked.insert(keeper.clone()) {
-            out.raise(Event::Gossip { to: keeper });
+            self.ask_at = Some(now.instant + ASK_PERIOD);
+            out.raise(Event::Brief { to: keeper });
         }
     }
 
-    /// The same peer for all of this entry's bills, so that they come in few frames.
-    fn choose_keeper(&self) -> Option<Address> {
-        let is_fit =
-            |beat: &&Beat| beat.zone != self.zone && !self.avoided.contains_key(&beat.address);
-        let fit = || self.members.members.values().filter(is_fit);
-        let names = fit().map(|beat| &*beat.entry);
-        let name = rendezvous::owner(&self.entry, names)?;
-        let keeper = fit().find(|beat| &*beat.entry == name)?;
-        Some(keeper.address.clone())
-    }
-
     fn on_frame(&mut self, now: Now, frame: &Frame, out: &mut Outbox) {
         let orphans = self.keeper.on_frame(frame, now.instant + KEEP);
         self.adopt(now, &orphans, out);
@@ -194,12 +191,14 @@
 
     fn on_failure(&mut self, now: Now, peer: &Address, out: &mut Outbox) {
         self.asked.swap_remove(peer);
-        self.avoided.insert(peer.clone(), now.instant + AVOID);
+        self.keepers.avoid(peer, now.instant);
+        self.ask_at = None;
         self.ask(now, out);
     }
 
     fn on_members(&mut self, now: Now, view: &Rc<View>, out: &mut Outbox) {
         self.members = Rc::clone(view);
+        self.keepers.set(view);
         let lives = |address: &Address| view.members.values().any(|beat| beat.address == *address);
         for pending in self.pending.values_mut() {
             if pending.keeper.as_ref().is_some_and(|keeper| !lives(keeper)) {
--- a/crates/comfreyroad/src/controller/mod.rs
+++ b/crates/comfreyroad/src/controller/mod.rs
@@ -127,11 +127,12 @@
         frame
     }
 
-    /// A frame for a peer that speaks of the rules only.
+    /// A frame for a peer that speaks of the rules and of bills only.
     pub fn brief_frame(&mut self, now: Now, to: &Address) -> Frame {
         let mut frame = self.empty_frame();
         frame.is_brief = true;
         self.rules.fill(now, to, &mut frame);
+        self.ledger.fill(now, to, &mut frame);
         frame
     }
 
--- a/crates/comfreyroad/src/frame/frame.rs
+++ b/crates/comfreyroad/src/frame/frame.rs
@@ -23,7 +23,7 @@
         serde(default, skip_serializing_if = "Option::is_none")
     )]
     pub answers: Option<u64>,
-    /// Whether only the rules are spoken of; answered likewise.
+    /// Whether only the rules and bills are spoken of; answered likewise.
     #[cfg_attr(
         feature = "serde",
         serde(default, skip_serializing_if = "std::ops::Not::not")
--- /dev/null
+++ b/crates/comfreyroad_wire/examples/ledger_slopes.rs
@@ -0,0 +1,339 @@
+//! What bills and claims cost at several sizes of the fleet.
+//!
+//! `cargo run --release -p comfreyroad_wire --example ledger_slopes [BILLS-PER-SECOND-AND-ENTRY]` drives real entries
+//! by a clock moved by hand. Each hands its bills to a peer in another zone and appends them; frames and records are
+//! encoded as they are between processes. Processor time is that of the decisions and of the encoding.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime};
+
+use comfreyroad::clock::Now;
+use comfreyroad::controller::claim::Book;
+use comfreyroad::controller::ledger::Tally;
+use comfreyroad::event::{LogEntry, Page};
+use comfreyroad::frame::{Beat, View};
+use comfreyroad::record::{Bill, HORIZON, Key, Outcome, Record, Stream, Writer};
+use comfreyroad::{Action, Entry, Event, Settings};
+use comfreyroad_wire::{frame, record};
+
+const ZONES: usize = 9;
+const STEP: Duration = Duration::from_millis(5);
+const TICK_STEPS: u64 = 10;
+const RUN: Duration = Duration::from_secs(20);
+/// Records that a reader reads within one horizon.
+const READ: u64 = 400_000;
+/// Base64 in the log's JSON, per byte.
+const BASE64: f64 = 4.0 / 3.0;
+
+#[derive(Default)]
+struct Counts {
+    bills: u64,
+    safe: u64,
+    appends: u64,
+    records: u64,
+    record_bytes: u64,
+    frames: u64,
+    frame_bytes: u64,
+    busy: Duration,
+}
+
+struct Fleet {
+    entries: Vec<Entry>,
+    // Events of the next step, by entry.
+    events: Vec<(usize, Event)>,
+    exchanges: Vec<usize>,
+    now: Now,
+    counts: Counts,
+}
+
+fn address(index: usize) -> String {
+    format!(
+        "10.{}.{}.{}:8080",
+        index / 65536,
+        index / 256 % 256,
+        index % 256
+    )
+}
+
+fn settings(index: usize) -> Settings {
+    Settings {
+        entry: format!("entry-{index:04}").into(),
+        boot: format!("{index:08x}").into(),
+        zone: format!("zone-{}", index % ZONES).into(),
+        address: address(index).into(),
+        seed: index as u64,
+        ..Settings::default()
+    }
+}
+
+fn view(size: usize) -> View {
+    let mut view = View::default();
+    for settings in (0..size).map(settings) {
+        let beat = Beat {
+            entry: settings.entry.clone(),
+            boot: settings.boot,
+            zone: settings.zone,
+            address: settings.address,
+            count: 1,
+            serving: true,
+        };
+        view.members.insert(settings.entry, beat);
+    }
+    view
+}
+
+fn bill(entry: usize, number: u64) -> Bill {
+    Bill {
+        key: Key {
+            customer: format!("customer-{}", number % 10).into(),
+            request: format!(
+                "{:08x}-{:04x}-4000-8000-{number:012x}",
+                entry,
+                entry % 65536
+            )
+            .into(),
+        },
+        version: Some("mona@2".into()),
+        tokens: 400 + number % 300,
+        cost: 1_200 + number % 900,
+    }
+}
+
+impl Fleet {
+    fn new(size: usize) -> Self {
+        let mut fleet = Self {
+            entries: (0..size)
+                .map(|index| Entry::new(&settings(index)))
+                .collect(),
+            events: Vec::new(),
+            exchanges: Vec::new(),
+            now: Now {
+                instant: Instant::now(),
+                system: SystemTime::now(),
+            },
+            counts: Counts::default(),
+        };
+        let view = Rc::new(view(size));
+        for entry in &mut fleet.entries {
+            entry.handle(fleet.now, Event::Members(Rc::clone(&view)));
+        }
+        fleet
+    }
+
+    fn handle(&mut self, index: usize, event: Event) {
+        let start = Instant::now();
+        let actions = self.entries[index].handle(self.now, event);
+        let mut encoded = Vec::new();
+        for action in &actions {
+            match action {
+                Action::Tell { frame, .. } | Action::Reply { frame, .. } => {
+                    encoded.push(frame::encode(frame).len());
+                }
+                Action::Append { records, .. } => {
+                    encoded.push(records.iter().map(|it| record::encode(it).len()).sum());
+                }
+                _ => {}
+            }
+        }
+        self.counts.busy += start.elapsed();
+        let mut encoded = encoded.into_iter();
+        for action in actions {
+            self.perform(index, action, &mut encoded);
+        }
+    }
+
+    fn perform(&mut self, index: usize, action: Action, encoded: &mut impl Iterator<Item = usize>) {
+        match action {
+            Action::Tell { to, frame } => {
+                self.count_frame(encoded);
+                let peer = (0..self.entries.len()).find(|peer| address(*peer) == *to);
+                let Some(peer) = peer else { return };
+                self.exchanges.push(index);
+                let exchange = self.exchanges.len() as u64 - 1;
+                let asks = Event::PeerAsks {
+                    exchange,
+                    address: frame.address.clone(),
+                };
+                self.events.push((peer, Event::Peer(frame)));
+                self.events.push((peer, asks));
+            }
+            Action::Reply { exchange, frame } => {
+                self.count_frame(encoded);
+                let asker = self.exchanges[exchange as usize];
+                self.events.push((asker, Event::Peer(frame)));
+            }
+            Action::Append { batch, records, .. } => {
+                self.counts.appends += 1;
+                self.counts.records += records.len() as u64;
+                self.counts.record_bytes += encoded.next().unwrap_or(0) as u64;
+                self.events
+                    .push((index, Event::Appended { batch, first: 0 }));
+            }
+            _ => {}
+        }
+    }
+
+    fn count_frame(&mut self, encoded: &mut impl Iterator<Item = usize>) {
+        self.counts.frames += 1;
+        self.counts.frame_bytes += encoded.next().unwrap_or(0) as u64;
+    }
+
+    fn run(&mut self, rate: f64) {
+        let steps = (RUN.as_millis() / STEP.as_millis()) as u64;
+        let per_step = rate * STEP.as_secs_f64();
+        let mut due = vec![0.0; self.entries.len()];
+        for (index, due) in due.iter_mut().enumerate() {
+            *due = index as f64 * 0.618 % 1.0;
+        }
+        for step in 0..steps {
+            self.now.instant += STEP;
+            self.now.system += STEP;
+            for (index, event) in std::mem::take(&mut self.events) {
+                self.handle(index, event);
+            }
+            for (index, due) in due.iter_mut().enumerate() {
+                if (step + index as u64).is_multiple_of(TICK_STEPS) {
+                    self.handle(index, Event::Tick);
+                }
+                *due += per_step;
+                while *due >= 1.0 {
+                    *due -= 1.0;
+                    self.counts.bills += 1;
+                    let bill = bill(index, self.counts.bills);
+                    let call = self.counts.bills;
+                    self.handle(index, Event::BillWanted { call, bill });
+                }
+            }
+        }
+        let pending: usize = self
+            .entries
+            .iter()
+            .map(|it| it.state().ledger.pending())
+            .sum();
+        self.counts.safe = self.counts.bills - pending as u64;
+    }
+}
+
+fn main() {
+    readers();
+    let rate = std::env::args().nth(1).and_then(|word| word.parse().ok());
+    let rate = rate.unwrap_or(22.5);
+    println!("{rate} bills a second and entry, {ZONES} zones, {RUN:?}");
+    println!(
+        "{:>8} {:>10} {:>10} {:>12} {:>12} {:>14} {:>14} {:>12} {:>12}",
+        "entries",
+        "appends/s",
+        "records",
+        "log B/bill",
+        "frame B/bill",
+        "frame B/s/node",
+        "frames/s/node",
+        "us/bill",
+        "core %/node"
+    );
+    for size in [12, 50, 200, 800] {
+        let mut fleet = Fleet::new(size);
+        fleet.run(rate);
+        let counts = &fleet.counts;
+        let (bills, seconds) = (counts.bills as f64, RUN.as_secs_f64());
+        println!(
+            "{:>8} {:>10.1} {:>10.1} {:>12.1} {:>12.1} {:>14.0} {:>14.1} {:>12.1} {:>12.3}",
+            size,
+            counts.appends as f64 / seconds,
+            counts.records as f64 / counts.appends as f64,
+            counts.record_bytes as f64 * BASE64 / counts.records as f64,
+            counts.frame_bytes as f64 / bills,
+            // Each frame is sent by one node and received by another.
+            2.0 * counts.frame_bytes as f64 / seconds / size as f64,
+            2.0 * counts.frames as f64 / seconds / size as f64,
+            counts.busy.as_secs_f64() * 1e6 / bills,
+            100.0 * counts.busy.as_secs_f64() / seconds / size as f64,
+        );
+    }
+}
+
+/// What a reader of the streams pays for each record that it has to remember for a horizon.
+fn readers() {
+    println!(
+        "{:>8} {:>10} {:>14} {:>14} {:>14}",
+        "stream", "records", "us/record", "memory B/rec", "B on the log"
+    );
+    let mut tally = Tally::new(HORIZON);
+    let bills = (0..READ).map(|number| Record::Bill(bill(number as usize % 800, number)));
+    read("ledger", bills, |entry| {
+        tally.begin(&page(Stream::Ledger));
+        tally.feed(entry);
+    });
+    let mut book = Book::new(HORIZON);
+    read("claims", (0..READ).map(claim), |entry| {
+        book.begin(&page(Stream::Claims));
+        book.feed(entry);
+    });
+}
+
+/// Claims and, after each, how it ended.
+fn claim(number: u64) -> Record {
+    let call = number / 2;
+    let key = bill(call as usize % 800, call).key;
+    let writer = Writer {
+        entry: format!("entry-{:04}", call % 800).into(),
+        boot: "0badcafe".into(),
+        number: call,
+    };
+    if number.is_multiple_of(2) {
+        return Record::Claim { key, writer };
+    }
+    let outcome = Outcome::Answered {
+        status: 200,
+        content_type: Some("application/json".into()),
+        body: Some(vec![b'x'; 64].into()),
+    };
+    Record::Settle {
+        key,
+        writer,
+        outcome,
+    }
+}
+
+fn page(stream: Stream) -> Page {
+    Page {
+        stream,
+        asked: Instant::now(),
+        from: 0,
+        oldest: 0,
+        next: u64::MAX,
+        entries: Vec::new(),
+    }
+}
+
+/// Resident memory of this process in bytes.
+fn resident() -> f64 {
+    let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm.split_whitespace().nth(1);
+    pages.and_then(|word| word.parse().ok()).unwrap_or(0.0) * 4096.0
+}
+
+/// Reads records within one horizon, and shows what it took after each doubling.
+fn read(stream: &str, records: impl Iterator<Item = Record>, mut each: impl FnMut(&LogEntry)) {
+    let bytes: Vec<_> = records.map(|it| record::encode(&it)).collect();
+    let size = bytes.iter().map(Vec::len).sum::<usize>() as f64 * BASE64 / bytes.len() as f64;
+    let (start, step) = (SystemTime::now(), HORIZON / READ as u32);
+    let (before, mut busy) = (resident(), Duration::ZERO);
+    for (number, bytes) in (0_u64..).zip(&bytes) {
+        let clock = Instant::now();
+        each(&LogEntry {
+            offset: number,
+            at: start + step * number as u32,
+            record: record::decode(bytes).ok(),
+        });
+        busy += clock.elapsed();
+        let count = number + 1;
+        if [READ / 4, READ / 2, READ].contains(&count) {
+            println!(
+                "{stream:>8} {count:>10} {:>14.2} {:>14.0} {size:>14.0}",
+                busy.as_secs_f64() * 1e6 / count as f64,
+                (resident() - before) / count as f64,
+            );
+        }
+    }
+}
