Let a few appends at once go ahead of their rate

A fixed pause after each append made a second booking at one entry wait for up to 120 ms at seven entries.

--- a/crates/comfreyroad/src/controller/appends/mod.rs
+++ b/crates/comfreyroad/src/controller/appends/mod.rs
@@ -51,7 +51,7 @@
     fn start(&mut self, now: Now, out: &mut Outbox) {
         for queue in &mut self.queues {
             let batch = self.last_batch + 1;
-            let Some(records) = queue.start(now.instant, batch) else {
+            let Some(records) = queue.start(now.instant, batch, self.interval) else {
                 continue;
             };
             self.last_batch = batch;
@@ -72,11 +72,10 @@
         self.queues.iter_mut().find(|queue| queue.stream == stream)
     }
 
-    fn on_taken(&mut self, now: Now, batch: BatchId, out: &mut Outbox) {
-        let interval = self.interval;
+    fn on_taken(&mut self, batch: BatchId, out: &mut Outbox) {
         let Some(queue) = self.at(batch) else { return };
         let stream = queue.stream;
-        let records = queue.on_taken(now.instant, interval);
+        let records = queue.on_taken();
         out.raise(Event::Written { stream, records });
     }
 
@@ -107,7 +106,7 @@
                 };
                 queue.push(Rc::clone(record));
             }
-            Event::Appended { batch, .. } => self.on_taken(now, *batch, out),
+            Event::Appended { batch, .. } => self.on_taken(*batch, out),
             Event::AppendRefused(batch) => {
                 let Some(queue) = self.at(*batch) else { return };
                 queue.on_refused(now.instant);
--- a/crates/comfreyroad/src/controller/appends/queue.rs
+++ b/crates/comfreyroad/src/controller/appends/queue.rs
@@ -10,6 +10,8 @@
 const BATCH: usize = 256;
 /// Pause after an append that was not taken or is unclear.
 const PAUSE: Duration = Duration::from_millis(100);
+/// How far appends may run ahead of their rate, so that a few at once need not wait.
+const BURST: Duration = Duration::from_millis(500);
 /// Longest wait for the pages that show what became of an unclear append.
 const READ_BACK: Duration = Duration::from_secs(3);
 
@@ -21,6 +23,8 @@
     under_way: Option<Batch>,
     doubtful: Option<Doubtful>,
     not_before: Option<Instant>,
+    // When the appends so far are paid for, at one an interval.
+    paid_at: Option<Instant>,
 }
 
 /// An append under way.
@@ -47,6 +51,7 @@
             under_way: None,
             doubtful: None,
             not_before: None,
+            paid_at: None,
         }
     }
 
@@ -68,13 +73,20 @@
     }
 
     /// The next append, where one may start.
-    pub(super) fn start(&mut self, now: Instant, id: BatchId) -> Option<Vec<Rc<Record>>> {
+    pub(super) fn start(
+        &mut self,
+        now: Instant,
+        id: BatchId,
+        interval: Duration,
+    ) -> Option<Vec<Rc<Record>>> {
+        let is_ahead = self.paid_at.is_some_and(|at| at > now + BURST);
         let is_paused = self.not_before.is_some_and(|at| at > now);
-        if is_paused || self.under_way.is_some() || self.waiting.is_empty() {
+        if is_ahead || is_paused || self.under_way.is_some() || self.waiting.is_empty() {
             return None;
         }
         let count = self.waiting.len().min(BATCH);
         let records: Vec<_> = self.waiting.drain(..count).collect();
+        self.paid_at = Some(self.paid_at.map_or(now, |at| at.max(now)) + interval);
         self.under_way = Some(Batch {
             id,
             records: records.clone(),
@@ -83,8 +95,7 @@
     }
 
     /// The append was taken.
-    pub(super) fn on_taken(&mut self, now: Instant, interval: Duration) -> Vec<Rc<Record>> {
-        self.not_before = Some(now + interval);
+    pub(super) fn on_taken(&mut self) -> Vec<Rc<Record>> {
         self.under_way.take().map_or(Vec::new(), |at| at.records)
     }
 
