--- a/crates/comfreyroad/src/mechanism.rs
+++ b/crates/comfreyroad/src/mechanism.rs
@@ -20,16 +20,6 @@
     Gaps,
     /// Versions are checked again when a request is sent.
     SendCheck,
-    /// A claim counts by its place on the log.
-    ClaimOrder,
-    /// A claim counts only for a reader who has read what may have come before it.
-    ClaimHistory,
-    /// Bills are kept by a peer until they are on the log.
-    Keepers,
-    /// The log is read back after an unclear append of bills.
-    ReadBack,
-    /// Totals of the bills are written before these expire.
-    Totals,
     /// Parts of an answer are held against its attempt, order and count.
     AnswerSteps,
     /// Retries have a budget.
@@ -46,4 +36,14 @@
     PinAgain,
     /// A draining entry waits for its calls.
     Draining,
+    /// A claim counts by its place on the log.
+    ClaimOrder,
+    /// A claim counts only for a reader who has read what may have come before it.
+    ClaimHistory,
+    /// Bills are kept by a peer until they are on the log.
+    Keepers,
+    /// The log is read back after an unclear append of bills.
+    ReadBack,
+    /// Totals of the bills are written before these expire.
+    Totals,
 }
--- a/crates/comfreyroad/tests/proof/fault_matrix.rs
+++ b/crates/comfreyroad/tests/proof/fault_matrix.rs
@@ -49,6 +49,7 @@
     &[Fault::FramesLate],
     &[Fault::SlowLog],
     &[Fault::LostAcks],
+    &[Fault::LateAppends],
     &[Fault::RateCap],
     &[Fault::LogOutage],
     &[Fault::ColdRestart],
@@ -68,6 +69,9 @@
     &[Fault::Pause, Fault::Duplicate],
     &[Fault::Pause, Fault::ZoneOut],
     &[Fault::LostAcks, Fault::Duplicate],
+    &[Fault::LateAppends, Fault::Duplicate],
+    &[Fault::LateAppends, Fault::KillLater],
+    &[Fault::LateAppends, Fault::CallerGone],
     &[Fault::CutFromLog, Fault::CutFromPeers],
     &[Fault::CutFromPeers, Fault::ColdRestart],
     &[Fault::LogOutage, Fault::Leaving],
@@ -177,8 +181,7 @@
     };
     bench.arm(row, skip, column);
     script(&mut bench);
-    // The last answers end after 18 seconds; their bills come to the log a little later.
-    bench.run_for(Duration::from_secs(19));
+    bench.run_for(Duration::from_secs(21));
     Cell {
         row,
         column,
--- a/crates/comfreyroad_bench/src/ledger.rs
+++ b/crates/comfreyroad_bench/src/ledger.rs
@@ -47,7 +47,6 @@
                     source: Box::new(source),
                 })?;
             for stored in &page.records {
-                // What this program cannot read, it cannot count.
                 ledger.feed(&LogEntry {
                     offset: stored.offset,
                     at: stored.at,
