Weigh holding the end of an answer whose bill is not safe

Conclusion: the end is delivered after 2 s and the bill kept and counted as at risk. A bill is lost only when an entry is cut from the log and from every other zone and then dies; holding would make every caller wait for the whole cut, and would not have served those of an entry that dies.

--- a/crates/comfreyroad/tests/proof/once.rs
+++ b/crates/comfreyroad/tests/proof/once.rs
@@ -225,3 +225,62 @@
         assert!(broken.contains(&"billed_once"), "{column:?}: {broken:?}");
     }
 }
+
+/// What became of lookups at an entry that reaches neither the log nor a peer for eight seconds.
+#[derive(Debug, Default)]
+struct Ends {
+    answered: usize,
+    unbilled: usize,
+    slowest: Duration,
+}
+
+fn ends_without_log_and_peers(bill_wait: Duration, is_killed: bool) -> Ends {
+    let bench = Bench::with(bench::seed(), |settings| settings.bill_wait = bill_wait);
+    let mut bench = started(bench);
+    bench.wire.log_cut.insert(0);
+    (1..bench::ENTRIES).for_each(|peer| bench.cut(0, peer));
+    let calls: Vec<usize> = (0..20)
+        .map(|index| bench.call(0, spec(&format!("r{index}"), Ask::Look)))
+        .collect();
+    let start = bench.now.instant;
+    let mut ends = Ends::default();
+    for step in 0..200 {
+        run_for_ms(&mut bench, 100);
+        if step == 50 && is_killed {
+            bench.restart_after(0, Duration::from_secs(1));
+        }
+        if step == 80 {
+            bench.mend();
+        }
+        let count = calls
+            .iter()
+            .filter(|call| bench.calls[**call].is_answered())
+            .count();
+        if count > ends.answered {
+            ends.slowest = bench.now.instant - start;
+        }
+        ends.answered = count;
+    }
+    let billed = bench.log.bills().count();
+    ends.unbilled = ends.answered.saturating_sub(billed);
+    ends
+}
+
+/// The end of an answer is held for two seconds. Held for longer, fewer bills are lost with an entry that is cut off
+/// and then dies, but callers wait.
+#[test]
+fn holding_the_end_of_an_answer_is_weighed() {
+    let (short, long) = (Duration::from_secs(2), Duration::from_secs(60));
+    for bill_wait in [short, long] {
+        for is_killed in [false, true] {
+            let ends = ends_without_log_and_peers(bill_wait, is_killed);
+            println!("wait {bill_wait:?}, killed {is_killed}: {ends:?}");
+            let is_lost = bill_wait == short && is_killed;
+            assert_eq!(ends.unbilled > 0, is_lost, "{ends:?}");
+            assert!(
+                bill_wait == long || ends.slowest < Duration::from_secs(3),
+                "{ends:?}"
+            );
+        }
+    }
+}
