--- a/crates/comfreyroad/tests/proof/fault_matrix.rs
+++ b/crates/comfreyroad/tests/proof/fault_matrix.rs
@@ -11,6 +11,7 @@
 use comfreyroad::mechanism::Mechanism;
 
 use crate::bench::{self, Ask, Bench, CallSpec, Fault, Step, promise};
+use crate::bookings::Bookings;
 
 /// Steps at which faults strike.
 const ROWS: &[Step] = &[
@@ -96,6 +97,7 @@
     column: &'static [Fault],
     has_struck: bool,
     broken: Vec<(&'static str, String)>,
+    bookings: Bookings,
 }
 
 /// A promise's test fails with every cell in which the promise is broken.
@@ -187,6 +189,7 @@
         column,
         has_struck: bench.struck.is_some(),
         broken: promise::all(&bench),
+        bookings: Bookings::count(&bench),
     }
 }
 
@@ -269,7 +272,7 @@
     let mut text = format!("{} cells\n{:42}", cells().count(), "");
     let names = promise::ALL.map(|(name, _)| name);
     names.iter().for_each(|name| _ = write!(text, "{name:>13}"));
-    text.push('\n');
+    text.push_str("  bookings answered/not run/unclear\n");
     for column in COLUMNS {
         let ran: Vec<&Cell> = cells().filter(|cell| cell.column == *column).collect();
         _ = write!(text, "{:42}", format!("{column:?}"));
@@ -278,7 +281,8 @@
             let broken = ran.iter().filter(is_broken).count();
             _ = write!(text, "{:>13}", format!("{broken}/{}", ran.len()));
         }
-        text.push('\n');
+        let bookings = ran.iter().map(|cell| cell.bookings).sum::<Bookings>();
+        _ = writeln!(text, "  {bookings}");
     }
     for (name, _) in promise::ALL {
         _ = write!(text, "{name}\n{}", failures(name));
