Rate answers, choose chains of versions by their ratings, and hold bad versions

Cause: a new session got the cheapest model whatever its answers were worth, and nothing withheld a version that turned bad.

Counts: a cell per (route, version) and start of an entry, written by that start alone and only growing, so the greater of two is the newer one. Merging is idempotent and free of order (quickcheck against a plain count). Ruled out: adding up the counts of entries that are gone, as two heirs would count them twice; they are kept as they are, 4096 cells at most, then forgotten. A publish that lifts a hold begins the version's counts anew; any other publish leaves them.

A chain's answers are good at least as often as those of each of its versions, so no assumption on how failures hang together is needed. Same cost as the cheapest of all chains listed one by one (quickcheck). Chains only for drafts, only within 80 of 100 of the time left by known times, and only while ratings come; an unrated first answer is dropped for the last version's. The first answer of a session names its version.

Each check is run with its mechanism and without: without Judging a bad answer comes through, without RatingHealth each draft of an outage pays for a first step, without MergedCounts 6 ratings told 12 times hold a version, without AnytimeEvidence the first bad rating does, without Guard a bad version goes on.

--- a/crates/comfreyroad/src/controller/mod.rs
+++ b/crates/comfreyroad/src/controller/mod.rs
@@ -7,11 +7,13 @@
 pub mod budgets;
 pub mod claim;
 pub mod delays;
+pub mod guard;
 pub mod ledger;
 pub mod life;
 pub mod limits;
 pub mod log;
 pub mod members;
+pub mod quality;
 pub mod queue;
 pub mod reach;
 pub mod rules;
@@ -71,6 +73,10 @@
     pub trail: trail::Trail,
     /// The end of the venture.
     pub term: term::Term,
+    /// Counts of rated answers, and the rating service.
+    pub quality: quality::Quality,
+    /// The watch over versions that turn out bad.
+    pub guard: guard::Guard,
     identity: Identity,
 }
 
@@ -102,6 +108,8 @@
             delays: delays::Delays::default(),
             trail: trail::Trail::default(),
             term: term::Term::new(settings),
+            quality: quality::Quality::new(settings),
+            guard: guard::Guard::new(settings),
             identity: Identity {
                 entry: settings.entry.clone(),
                 boot: settings.boot.clone(),
@@ -146,7 +154,7 @@
         }
     }
 
-    fn all(&mut self) -> [&mut dyn Controller; 15] {
+    fn all(&mut self) -> [&mut dyn Controller; 17] {
         [
             &mut self.log,
             &mut self.rules,
@@ -162,6 +170,8 @@
             &mut self.delays,
             &mut self.trail,
             &mut self.term,
+            &mut self.quality,
+            &mut self.guard,
             &mut self.life,
         ]
     }
--- a/crates/comfreyroad/src/controller/rules/mod.rs
+++ b/crates/comfreyroad/src/controller/rules/mod.rs
@@ -18,6 +18,8 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use indexmap::IndexSet;
+
 use checkpoint::Checkpoint;
 use confirmation::Confirmation;
 use doubts::Doubts;
@@ -52,6 +54,8 @@
     spread: Spread,
     checkpoint: Checkpoint,
     seeds: Vec<Address>,
+    // Versions that the others were told are held.
+    held: IndexSet<VersionId>,
     without: Vec<Mechanism>,
 }
 
@@ -69,6 +73,7 @@
             spread: Spread::new(settings),
             checkpoint: Checkpoint::new(settings),
             seeds: settings.peers.clone(),
+            held: IndexSet::new(),
             without: settings.without.clone(),
         }
     }
@@ -215,12 +220,21 @@
     /// Brings the history's newest rules into force, if they are newer than the ones in force.
     fn enact(&mut self, now: Now, out: &mut Outbox) {
         self.review(now, out);
+        self.renew(out);
+        let told = std::mem::replace(&mut self.held, self.history.held().clone());
+        for version in self.history.held().difference(&told) {
+            out.raise(Event::Held(version.clone()));
+        }
+    }
+
+    fn renew(&mut self, out: &mut Outbox) {
         let Some(newest) = self.history.in_force() else {
             return;
         };
         if newest.generation <= self.generation() {
             return;
         }
+        self.held.clear();
         out.note(
             Note::new(&note::IN_FORCE)
                 .with("generation", newest.generation)
--- a/crates/comfreyroad/src/controller/sessions.rs
+++ b/crates/comfreyroad/src/controller/sessions.rs
@@ -16,6 +16,7 @@
 use crate::event::Event;
 use crate::filter::View;
 use crate::filter::allow::Allow;
+use crate::filter::plan;
 use crate::frame::{Beat, Frame, Pins, View as Members};
 use crate::id::{Address, SessionHash, VersionId};
 use crate::mechanism::Mechanism;
@@ -152,8 +153,22 @@
             return Err(Code::TermOver);
         }
         let seed = share::hash(&allowed.customer, &allowed.route, &head.id);
-        let version = share::choose(active, seed).ok_or(Code::NotFound)?;
-        Ok(self.choice(allowed, version, view))
+        let plan = plan::plan(allowed, active, head, seed, view).ok_or(Code::NotFound)?;
+        let first = plan.versions.first().cloned().ok_or(Code::NotFound)?;
+        Ok(Choice {
+            plan,
+            ..self.choice(allowed, first, view)
+        })
+    }
+
+    /// The token of a session that begins with a version.
+    pub(crate) fn token(
+        &self,
+        allowed: &Allowed,
+        version: VersionId,
+        view: &View<'_>,
+    ) -> Option<Arc<str>> {
+        self.choice(allowed, version, view).session
     }
 
     /// A session that the caller names itself.
--- a/crates/comfreyroad/src/dispatcher/answer.rs
+++ b/crates/comfreyroad/src/dispatcher/answer.rs
@@ -75,8 +75,14 @@
             return;
         };
         let is_held = matches!(request.head().target, Target::Service(_));
+        let is_ratable = Self::is_ratable(request);
         let stage = request.stage();
         let (lane, at) = (stage.origin.pinned().lane(), stage.sending.at);
+        let is_rated = stage.origin.pinned().plan.is_rated();
+        let is_judged = self.judges && is_rated;
+        if is_ratable && !is_rated {
+            self.copy(call, &bytes, turn);
+        }
         let Some(known) = self.calls.get_mut(&call) else {
             return;
         };
@@ -88,6 +94,10 @@
         if known.claim.is_some() {
             known.kept.push(&bytes);
         }
+        if is_judged {
+            known.hold_for_rating(bytes);
+            return;
+        }
         if is_held && !known.begun && known.held_bytes() + bytes.len() <= HELD_BYTES {
             known.held.push(bytes);
             return;
@@ -132,7 +142,13 @@
         turn: &mut Turn<'_>,
     ) {
         self.choose(call, attempt, turn);
-        self.begin(call, turn);
+        let is_judged = self
+            .running(call)
+            .is_some_and(|request| request.stage().origin.pinned().plan.is_rated())
+            && self.judges;
+        if !is_judged {
+            self.begin(call, turn);
+        }
         let Some(known) = self.calls.get_mut(&call) else {
             return;
         };
@@ -144,26 +160,12 @@
         let lane = stage.origin.pinned().lane();
         let took = turn.now.instant.saturating_duration_since(stage.sending.at);
         turn.out.raise(Event::Answered { lane, took });
-        let request = request.answer(usage);
-        let stage = request.stage();
-        turn.explain(
-            call,
-            Step::new("answer", "whole")
-                .with("status", stage.status)
-                .with("length", stage.delivered),
-        );
-        if let Some(key) = known.claim.clone() {
-            let outcome = std::mem::take(&mut known.kept).outcome(stage.status);
-            Self::write_outcome(&key, call, outcome, turn);
+        if is_judged {
+            return self.judge(call, *request, usage, bill, turn);
         }
-        let cost = bill.as_ref().map_or(0, |bill| bill.cost);
-        turn.explain(call, Step::new("bill", "written").with("cost", cost));
-        turn.out.raise(match bill {
-            Some(bill) => Event::BillWanted { call, bill },
-            None => Event::BillSafe(call),
-        });
-        turn.out.raise(Event::Room);
-        known.active = Some(Active::Billing(Box::new(request)));
+        let request = request.answer(usage);
+        self.rate_sample(call, &request, turn);
+        self.settle_bill(call, request, bill, turn);
     }
 
     pub(super) fn on_bill_safe(&mut self, call: CallId, turn: &mut Turn<'_>) {
--- a/crates/comfreyroad/src/dispatcher/call.rs
+++ b/crates/comfreyroad/src/dispatcher/call.rs
@@ -1,8 +1,9 @@
 use std::sync::Arc;
 
+use super::judge::RATED_BYTES;
 use super::kept::Kept;
 use crate::record::Key;
-use crate::request::{Answered, Claimed, Pinned, Request, Retrying, Sent};
+use crate::request::{Answered, Claimed, Judged, Pinned, Request, Retrying, Sent};
 
 /// One call under way.
 #[derive(Debug, Default)]
@@ -13,8 +14,10 @@
     pub(super) begun: bool,
     /// The claim made for it.
     pub(super) claim: Option<Key>,
-    /// A plain service's answer, while it is held back.
+    /// An answer, while it is held back.
     pub(super) held: Vec<Arc<[u8]>>,
+    /// A copy of the answer, where it may be rated as a sample.
+    pub(super) copy: Option<Vec<u8>>,
     /// What is kept of the answer for later attempts.
     pub(super) kept: Kept,
 }
@@ -30,6 +33,8 @@
     Retrying(Box<Request<Retrying>>),
     /// At an upstream.
     Running(Box<Request<Sent>>),
+    /// Answered by a version of a chain, waits for the rating.
+    Judging(Box<Request<Judged>>),
     /// Waits until its bill is safe.
     Billing(Box<Request<Answered>>),
 }
@@ -42,6 +47,7 @@
             Self::Queued(request) => (&request.stage().pinned, request.head()),
             Self::Retrying(request) => (&request.stage().claimed.pinned, request.head()),
             Self::Running(request) => (request.stage().origin.pinned(), request.head()),
+            Self::Judging(request) => (&request.stage().claimed.pinned, request.head()),
             Self::Billing(request) => (&request.stage().pinned, request.head()),
         };
         Key {
@@ -52,6 +58,13 @@
 }
 
 impl Call {
+    /// Holds a part back until the answer is rated. One that is too long is not rated, and what is over is not kept.
+    pub(super) fn hold_for_rating(&mut self, bytes: Arc<[u8]>) {
+        if self.held_bytes() <= RATED_BYTES {
+            self.held.push(bytes);
+        }
+    }
+
     /// Bytes held back.
     pub(super) fn held_bytes(&self) -> usize {
         self.held.iter().map(|part| part.len()).sum()
--- a/crates/comfreyroad/src/dispatcher/mod.rs
+++ b/crates/comfreyroad/src/dispatcher/mod.rs
@@ -5,6 +5,7 @@
 mod end;
 mod fail;
 mod hedge;
+mod judge;
 mod kept;
 mod replay;
 mod send;
@@ -34,6 +35,7 @@
     prefix: String,
     max_calls: usize,
     checks_answers: bool,
+    judges: bool,
     calls: IndexMap<CallId, Call>,
     attempts: IndexMap<AttemptId, CallId>,
     last_attempt: AttemptId,
@@ -67,6 +69,7 @@
             prefix: format!("{}.{}", settings.entry, settings.boot),
             max_calls: settings.max_calls,
             checks_answers: settings.has(Mechanism::AnswerSteps),
+            judges: settings.has(Mechanism::Judging),
             calls: IndexMap::new(),
             attempts: IndexMap::new(),
             last_attempt: 0,
@@ -95,6 +98,7 @@
             Event::InForce(_) | Event::Held(_) => self.resume_all(turn),
             Event::Room => self.resume_lines(turn),
             Event::Queued(ticket) => self.make_room(&ticket, turn),
+            Event::Rated { call, good } => self.on_rated(call, good, turn),
             Event::BillSafe(call) => self.on_bill_safe(call, turn),
             Event::CutOff => self.cut_off(turn),
             Event::Tick => self.on_tick(turn),
--- a/crates/comfreyroad/src/event/event.rs
+++ b/crates/comfreyroad/src/event/event.rs
@@ -9,6 +9,7 @@
 use crate::id::{
     Address, AttemptId, BatchId, CallId, LaneId, Offset, SessionHash, UpstreamId, VersionId,
 };
+use crate::quality::{Cell, Subject};
 use crate::record::{Bill, Key, Record, Stream, Writer};
 use crate::request::{Allowed, Received, Request};
 use crate::rules::InForce;
@@ -142,6 +143,20 @@
     },
     /// A call's bill is on the log, or kept where it survives this entry.
     BillSafe(CallId),
+    /// An answer was given to the rating service.
+    RatingAsked {
+        /// The call.
+        call: CallId,
+        /// What is rated.
+        subject: Subject,
+    },
+    /// The ratings of a version on a route have changed.
+    Counted {
+        /// What was rated.
+        subject: Subject,
+        /// The ratings of all entries.
+        sum: Cell,
+    },
     /// A version is withheld.
     Held(VersionId),
     /// A request was sent to an upstream.
--- a/crates/comfreyroad/src/filter/mod.rs
+++ b/crates/comfreyroad/src/filter/mod.rs
@@ -11,6 +11,7 @@
 pub mod pin;
 pub mod pin_again;
 pub mod place;
+pub mod plan;
 pub mod queue;
 pub mod retry;
 
--- a/crates/comfreyroad/src/frame/frame.rs
+++ b/crates/comfreyroad/src/frame/frame.rs
@@ -1,5 +1,6 @@
 use super::{Beat, News, Pins};
 use crate::id::{Address, BootId, EntryId, ZoneId};
+use crate::quality::Count;
 use crate::record::{Bill, Key};
 
 /// One message between two entries.
@@ -59,4 +60,10 @@
     /// Sessions of callers' own ids that keep a version which they would not get now.
     #[cfg_attr(feature = "serde", serde(default))]
     pub pins: Vec<Pins>,
+    /// Counts of rated answers that the receiver may lack.
+    #[cfg_attr(feature = "serde", serde(default))]
+    pub counts: Vec<Count>,
+    /// Hash of all counts that the sender has.
+    #[cfg_attr(feature = "serde", serde(default))]
+    pub counts_hash: u64,
 }
--- a/crates/comfreyroad/src/lib.rs
+++ b/crates/comfreyroad/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod mechanism;
 pub mod note;
 pub mod outbox;
+pub mod quality;
 pub mod record;
 pub mod refusal;
 pub mod rendezvous;
--- a/crates/comfreyroad/src/mechanism.rs
+++ b/crates/comfreyroad/src/mechanism.rs
@@ -36,4 +36,14 @@
     PinAgain,
     /// A draining entry waits for its calls.
     Draining,
+    /// Of two cells with one place the greater one counts.
+    MergedCounts,
+    /// A chain of versions needs a rating service that answers.
+    RatingHealth,
+    /// Answers of all but the last version of a chain are rated before they are delivered.
+    Judging,
+    /// Versions that turn out bad are held back.
+    Guard,
+    /// Evidence is valid at any time, and not only when it is looked at once.
+    AnytimeEvidence,
 }
--- a/crates/comfreyroad/src/note/catalogue.rs
+++ b/crates/comfreyroad/src/note/catalogue.rs
@@ -80,4 +80,14 @@
     BILL_DOUBLED = 702, Info, "bill stands twice on the log";
     /// A claim was lost to an earlier one.
     CLAIM_LOST = 703, Info, "claim lost";
+    /// The rating service does not answer.
+    RATINGS_DOWN = 801, Warn, "rating service does not answer";
+    /// The rating service answers again.
+    RATINGS_UP = 802, Info, "rating service answers again";
+    /// A version turned out bad and is to be held back.
+    VERSION_BAD = 803, Error, "version found bad";
+    /// A version turned out bad, but no other one could answer instead.
+    VERSION_KEPT = 804, Error, "bad version kept for want of another";
+    /// An answer was rated bad, and the next version of the chain answers.
+    STEPPED_UP = 805, Info, "answer rated bad, next version answers";
 }
--- a/crates/comfreyroad/src/request/sent.rs
+++ b/crates/comfreyroad/src/request/sent.rs
@@ -1,6 +1,9 @@
-use super::{Answered, Claimed, Origin, Placed, Repeat, Request, Retrying, Sending, Stage, Usage};
+use super::{
+    Answered, Claimed, Judged, Origin, Placed, Repeat, Request, Retrying, Sending, Stage, Usage,
+};
 use crate::event::Unwritten;
 use crate::id::AttemptId;
+use crate::record::Bill;
 
 /// Handed to an upstream.
 #[derive(Debug)]
@@ -124,6 +127,18 @@
         }))
     }
 
+    /// Goes on to be rated before its caller gets the answer.
+    pub(crate) fn judge(self, usage: Usage, bill: Option<Bill>) -> Request<Judged> {
+        self.into_stage(|sent| Judged {
+            status: sent.sending.status.unwrap_or(200),
+            content_type: sent.sending.content_type.clone(),
+            length: sent.delivered,
+            claimed: sent.origin.into_claimed(),
+            usage,
+            bill,
+        })
+    }
+
     pub(crate) fn answer(self, usage: Usage) -> Request<Answered> {
         self.into_stage(|sent| Answered {
             status: sent.sending.status.unwrap_or(200),
--- a/crates/comfreyroad/src/settings.rs
+++ b/crates/comfreyroad/src/settings.rs
@@ -49,6 +49,11 @@
     pub session_idle: Duration,
     /// Time before the end of the term in which no session begins.
     pub last_sessions: Duration,
+    /// Answers that all entries together have rated in a second, beside those that are rated before they are delivered; 0
+    /// where there is no rating service.
+    pub ratings: u32,
+    /// Cost of a rating, in millionths of the venture's currency.
+    pub rating_cost: u64,
     /// Seed of random choices.
     pub seed: u64,
     #[doc(hidden)]
@@ -85,6 +90,8 @@
             session_life: Duration::from_secs(24 * 3600),
             session_idle: Duration::from_secs(1800),
             last_sessions: Duration::from_secs(3600),
+            ratings: 20,
+            rating_cost: 0,
             seed: 1,
             without: Vec::new(),
         }
--- /dev/null
+++ b/crates/comfreyroad/tests/calls/guard.rs
@@ -0,0 +1,219 @@
+//! Versions that turn out bad are held on the log, and the next accepted publish lifts it.
+
+use std::sync::Arc;
+
+use comfreyroad::frame::Frame;
+use comfreyroad::mechanism::Mechanism;
+use comfreyroad::quality::{Cell, Count, Origin, Score, Subject};
+use comfreyroad::record::{Record, Stream};
+use comfreyroad::{Event, Settings};
+
+use crate::rig::{Ask, Rig, unless};
+
+/// A roll-out of `mona@2` next to `mona@1`.
+fn rig(without: Vec<Mechanism>) -> Rig {
+    let settings = Settings {
+        without,
+        ..Settings::default()
+    };
+    Rig::usual(&settings)
+}
+
+/// What an entry has counted of a version on the drafts' route.
+fn count(by: u32, version: &str, old: (u32, u32), new: (u32, u32)) -> Count {
+    let score = |(rated, good)| Score { rated, good };
+    Count {
+        origin: Origin {
+            entry: format!("entry-{by}").into(),
+            boot: "b1".into(),
+        },
+        subject: Subject {
+            route: "draft".into(),
+            version: version.into(),
+        },
+        cell: Cell {
+            since: 0,
+            window: 7,
+            old: score(old),
+            new: score(new),
+        },
+    }
+}
+
+fn hear(rig: &mut Rig, counts: Vec<Count>) {
+    let frame = Frame {
+        counts,
+        ..Frame::default()
+    };
+    rig.handle(Event::Peer(Box::new(frame)));
+}
+
+fn holds(rig: &Rig) -> Vec<(Arc<str>, u64)> {
+    let hold = |record: &Record| match record {
+        Record::Hold {
+            version,
+            generation,
+            ..
+        } => Some((version.clone(), *generation)),
+        _ => None,
+    };
+    let records = rig.log.get(&Stream::Rules).into_iter().flatten();
+    records.filter_map(|(_, record)| hold(record)).collect()
+}
+
+/// Versions that new drafts get, of many.
+fn versions(rig: &mut Rig, prefix: &str) -> Vec<Arc<str>> {
+    let mut versions = Vec::new();
+    for index in 0..20 {
+        let call = rig.call(&Ask::chat(format!("{prefix}-{index}"), "draft"));
+        versions.extend(rig.sends_of(call)[0].version.clone());
+        rig.answer(rig.last_attempt(call), 1);
+    }
+    versions
+}
+
+fn bad_rollout(rig: &mut Rig) {
+    hear(rig, vec![count(1, "mona@1", (200, 180), (0, 0))]);
+    hear(rig, vec![count(2, "mona@2", (60, 24), (0, 0))]);
+    rig.advance(1_000);
+}
+
+#[test]
+fn a_bad_rollout_is_held_and_a_publish_lifts_it() {
+    let mut rig = rig(Vec::new());
+    bad_rollout(&mut rig);
+    assert_eq!(holds(&rig), [("mona@2".into(), 1)]);
+    assert_eq!(rig.noted(803), 1);
+    rig.advance(500);
+    assert!(
+        versions(&mut rig, "held")
+            .iter()
+            .all(|version| **version == *"mona@1")
+    );
+    let rules = Rig::rules((50, 50), &[]);
+    rig.publish(&rules.iter().map(String::as_str).collect::<Vec<_>>());
+    let after = versions(&mut rig, "lifted");
+    assert!(after.iter().any(|version| **version == *"mona@2"));
+    // The counts from before are void, also where a peer tells them once more.
+    hear(&mut rig, vec![count(2, "mona@2", (61, 24), (0, 0))]);
+    rig.advance(1_000);
+    assert_eq!(holds(&rig).len(), 1, "not held again for old ratings");
+}
+
+#[test]
+fn without_the_guard_a_bad_version_goes_on() {
+    let mut rig = rig(unless(false, Mechanism::Guard));
+    bad_rollout(&mut rig);
+    assert!(holds(&rig).is_empty(), "the check notices");
+    assert!(
+        versions(&mut rig, "on")
+            .iter()
+            .any(|version| **version == *"mona@2")
+    );
+}
+
+#[test]
+fn a_version_as_good_is_not_held() {
+    let mut rig = rig(Vec::new());
+    hear(&mut rig, vec![count(1, "mona@1", (200, 180), (0, 0))]);
+    for rated in 1..=60_u32 {
+        hear(
+            &mut rig,
+            vec![count(2, "mona@2", (rated, rated - rated / 9), (0, 0))],
+        );
+    }
+    rig.advance(1_000);
+    assert!(holds(&rig).is_empty());
+}
+
+#[test]
+fn a_version_that_turns_bad_is_held() {
+    let mut rig = rig(Vec::new());
+    hear(&mut rig, vec![count(1, "mona@1", (900, 810), (40, 10))]);
+    rig.advance(1_000);
+    assert_eq!(holds(&rig), [("mona@1".into(), 1)]);
+}
+
+#[test]
+fn the_last_version_is_kept() {
+    let mut rig = rig(Vec::new());
+    let rules = Rig::rules((0, 100), &[]);
+    rig.publish(&rules.iter().map(String::as_str).collect::<Vec<_>>());
+    bad_rollout(&mut rig);
+    assert!(holds(&rig).is_empty());
+    assert_eq!(rig.noted(804), 1);
+}
+
+#[test]
+fn counts_told_twice_are_counted_once() {
+    for has in [true, false] {
+        let mut rig = rig(unless(has, Mechanism::MergedCounts));
+        // Three of six good: too little for a verdict, unless it is taken for much more.
+        let counts = vec![
+            count(1, "mona@1", (200, 180), (0, 0)),
+            count(2, "mona@2", (6, 3), (0, 0)),
+        ];
+        (0..12).for_each(|_| hear(&mut rig, counts.clone()));
+        rig.advance(1_000);
+        assert_eq!(holds(&rig).is_empty(), has);
+    }
+}
+
+#[test]
+fn one_look_too_many_needs_evidence_valid_at_any_time() {
+    for has in [true, false] {
+        let mut rig = rig(unless(has, Mechanism::AnytimeEvidence));
+        hear(&mut rig, vec![count(1, "mona@1", (200, 180), (0, 0))]);
+        // The first answers of a version that is as good happen to be bad.
+        for (rated, good) in [(1, 0), (2, 1), (3, 2), (9, 8), (40, 36)] {
+            hear(&mut rig, vec![count(2, "mona@2", (rated, good), (0, 0))]);
+        }
+        rig.advance(1_000);
+        assert_eq!(holds(&rig).is_empty(), has);
+    }
+}
+
+#[test]
+fn a_hold_that_the_log_does_not_take_comes_later() {
+    let mut rig = rig(Vec::new());
+    rig.log_is_up = false;
+    bad_rollout(&mut rig);
+    assert!(holds(&rig).is_empty());
+    rig.log_is_up = true;
+    rig.advance(1_000);
+    assert_eq!(holds(&rig).len(), 1);
+}
+
+#[test]
+fn a_second_hold_changes_nothing() {
+    let mut rig = rig(Vec::new());
+    bad_rollout(&mut rig);
+    let hold = Record::Hold {
+        version: "mona@2".into(),
+        generation: 1,
+        reason: "found by another entry".into(),
+    };
+    rig.append(Stream::Rules, hold);
+    rig.advance(1_000);
+    let rules = Rig::rules((50, 50), &[]);
+    rig.publish(&rules.iter().map(String::as_str).collect::<Vec<_>>());
+    assert!(
+        versions(&mut rig, "lifted")
+            .iter()
+            .any(|version| **version == *"mona@2")
+    );
+}
+
+#[test]
+fn another_entrys_hold_is_enough() {
+    let mut rig = rig(Vec::new());
+    let hold = Record::Hold {
+        version: "mona@2".into(),
+        generation: 1,
+        reason: "found by another entry".into(),
+    };
+    rig.append(Stream::Rules, hold);
+    rig.advance(500);
+    bad_rollout(&mut rig);
+    assert_eq!(holds(&rig).len(), 1, "nobody repeats it");
+}
--- a/crates/comfreyroad/tests/calls/main.rs
+++ b/crates/comfreyroad/tests/calls/main.rs
@@ -1,7 +1,9 @@
 //! Calls at one entry, driven event by event: answers, sessions, overload, shutdown and the end of the term.
 
 mod answers;
+mod cascade;
 mod drain;
+mod guard;
 mod hedges;
 mod model;
 mod overload;
--- a/crates/comfreyroad/tests/calls/rig.rs
+++ b/crates/comfreyroad/tests/calls/rig.rs
@@ -108,6 +108,8 @@
     pub(crate) ready: bool,
     pub(crate) exited: bool,
     pub(crate) told: Vec<Frame>,
+    /// Answers handed to the rating service.
+    pub(crate) rated: Vec<(CallId, Arc<str>)>,
     /// Whether appends are taken.
     pub(crate) log_is_up: bool,
     upstreams: Vec<Vm>,
@@ -143,6 +145,7 @@
             ready: false,
             exited: false,
             told: Vec::new(),
+            rated: Vec::new(),
             log_is_up: true,
             upstreams: engines.chain(apps).collect(),
             reads: IndexMap::new(),
@@ -320,7 +323,8 @@
             Action::Note(note) => self.notes.push(note),
             Action::Exit => self.exited = true,
             Action::Tell { frame, .. } => self.told.push(*frame),
-            Action::Reply { .. } | Action::Rate { .. } => {}
+            Action::Rate { call, version, .. } => self.rated.push((call, version)),
+            Action::Reply { .. } => {}
         }
         None
     }
--- /dev/null
+++ b/crates/comfreyroad/tests/quality.rs
@@ -0,0 +1,265 @@
+//! Counts, bounds, evidence and plans, each against a naive version or its stated error.
+
+use std::time::Duration;
+
+use comfreyroad::quality::{
+    self, Candidate, Cell, Count, MAX_STEPS, Origin, Score, Subject, Tally, Terms,
+};
+use fastrand::Rng;
+use indexmap::IndexMap;
+use quickcheck::quickcheck;
+
+fn origin(index: u8) -> Origin {
+    Origin {
+        entry: format!("entry-{}", index % 4).into(),
+        boot: "b1".into(),
+    }
+}
+
+fn subject(index: u8) -> Subject {
+    Subject {
+        route: "draft".into(),
+        version: format!("mona@{}", index % 3).into(),
+    }
+}
+
+/// Every state of every cell on the way through a history of ratings.
+fn states(history: &[(u8, u8, bool, bool)]) -> Vec<Count> {
+    let mut cells: IndexMap<(Origin, Subject), Cell> = IndexMap::new();
+    let mut window = 1;
+    let mut states = Vec::new();
+    for (by, of, is_good, is_later) in history {
+        window += u64::from(*is_later);
+        let place = (origin(*by), subject(*of));
+        let cell = cells.entry(place.clone()).or_default();
+        cell.count(window, *is_good);
+        states.push(Count {
+            origin: place.0,
+            subject: place.1,
+            cell: *cell,
+        });
+    }
+    states
+}
+
+quickcheck! {
+    /// Late, doubled and reordered counts come to the same, and to what a plain count says.
+    fn merging_is_order_free(history: Vec<(u8, u8, bool, bool)>, seed: u64) -> bool {
+        let states = states(&history);
+        let mut ordered = Tally::default();
+        states.iter().for_each(|count| _ = ordered.merge(count));
+        let mut mixed: Vec<&Count> = states.iter().chain(&states).collect();
+        Rng::with_seed(seed).shuffle(&mut mixed);
+        let mut merged = Tally::default();
+        mixed.iter().for_each(|count| _ = merged.merge(count));
+        let is_counted = (0..3).all(|of| {
+            let mut naive = Score::default();
+            let own = history.iter().filter(|(_, version, ..)| version % 3 == of);
+            own.for_each(|(_, _, is_good, _)| naive.count(*is_good));
+            merged.sum(&subject(of)).all() == naive && merged.sum(&subject(of)) == ordered.sum(&subject(of))
+        });
+        is_counted && merged.hash() == ordered.hash()
+    }
+
+    /// The plan costs what the cheapest of all chains costs.
+    fn plan_is_the_cheapest(raw: Vec<(u8, u8, u8, u8)>, target: u8, room: Option<u8>) -> bool {
+        let candidates = candidates(&raw);
+        let terms = Terms {
+            target: f64::from(target % 100) / 100.0,
+            rating_cost: 3,
+            rating_takes: Duration::from_secs(1),
+            room: room.map(|room| Duration::from_secs(room.into())),
+        };
+        let chain = quality::chain(&candidates, &terms);
+        let best = naive_chains(&candidates, &terms)
+            .iter()
+            .map(|chain| naive_cost(&candidates, chain, &terms))
+            .min_by(f64::total_cmp);
+        match best {
+            None => chain.is_empty(),
+            Some(best) => (naive_cost(&candidates, &chain, &terms) - best).abs() < 1e-9,
+        }
+    }
+}
+
+fn candidates(raw: &[(u8, u8, u8, u8)]) -> Vec<Candidate> {
+    let candidate = |(index, (cost, rated, bad, takes)): (usize, &(u8, u8, u8, u8))| Candidate {
+        version: format!("v{index}").into(),
+        cost: 1 + u64::from(*cost),
+        score: Score {
+            rated: u32::from(*rated) * 8,
+            good: (u32::from(*rated) * 8).saturating_sub((*bad).into()),
+        },
+        takes: (*takes > 20).then(|| Duration::from_secs((takes / 16).into())),
+    };
+    raw.iter().take(5).enumerate().map(candidate).collect()
+}
+
+/// All chains that may be taken, listed one by one.
+fn naive_chains(candidates: &[Candidate], terms: &Terms) -> Vec<Vec<usize>> {
+    let mut all: Vec<Vec<usize>> = vec![Vec::new()];
+    let mut longer = all.clone();
+    for _ in 0..MAX_STEPS {
+        let mut next = Vec::new();
+        for chain in &longer {
+            for index in (0..candidates.len()).filter(|index| !chain.contains(index)) {
+                next.push([chain.as_slice(), &[index]].concat());
+            }
+        }
+        all.extend(next.iter().cloned());
+        longer = next;
+    }
+    let lasts = naive_lasts(candidates, terms.target);
+    all.retain(|chain| {
+        chain.last().is_some_and(|last| lasts.contains(last)) && in_time(candidates, chain, terms)
+    });
+    all
+}
+
+fn naive_lasts(candidates: &[Candidate], target: f64) -> Vec<usize> {
+    let bound = |index: &usize| quality::lower(candidates[*index].score);
+    let is_known = |index: &usize| candidates[*index].score.rated >= 30;
+    let all = 0..candidates.len();
+    let good: Vec<usize> = all
+        .clone()
+        .filter(|index| target == 0.0 || (is_known(index) && bound(index) >= target))
+        .collect();
+    if !good.is_empty() {
+        return good;
+    }
+    let Some(dearest) = all.clone().max_by_key(|index| candidates[*index].cost) else {
+        return Vec::new();
+    };
+    let best = all
+        .filter(is_known)
+        .max_by(|a, b| bound(a).total_cmp(&bound(b)));
+    vec![best.filter(|_| is_known(&dearest)).unwrap_or(dearest)]
+}
+
+fn in_time(candidates: &[Candidate], chain: &[usize], terms: &Terms) -> bool {
+    if chain.len() == 1 {
+        return true;
+    }
+    let ratings = terms.rating_takes * (chain.len() - 1) as u32;
+    let times: Option<Duration> = chain.iter().map(|index| candidates[*index].takes).sum();
+    terms
+        .room
+        .zip(times)
+        .is_some_and(|(room, times)| times + ratings <= room)
+}
+
+/// What a chain costs when each step is reached as often as the best of the steps before it fails.
+fn naive_cost(candidates: &[Candidate], chain: &[usize], terms: &Terms) -> f64 {
+    let mut cost = 0.0;
+    for (place, index) in chain.iter().enumerate() {
+        let fails = chain[..place]
+            .iter()
+            .map(|before| 1.0 - candidates[*before].score.mean());
+        let reached = fails.fold(1.0, f64::min);
+        let is_last = place + 1 == chain.len();
+        let rating = if is_last { 0 } else { terms.rating_cost };
+        cost += reached * (candidates[*index].cost + rating) as f64;
+    }
+    cost
+}
+
+/// The bound is below the true rate in about 95 of 100 cases; summed over all outcomes, without chance.
+#[test]
+fn bound_covers() {
+    for rate in [0.5_f64, 0.7, 0.8, 0.9, 0.95, 0.99] {
+        for rated in [30_u32, 60, 120, 250, 500] {
+            // As a logarithm, since the first ones are too small for a float.
+            let mut chance = f64::from(rated) * (1.0 - rate).ln();
+            let mut covered = 0.0;
+            for good in 0..=rated {
+                if quality::lower(Score { rated, good }) <= rate {
+                    covered += chance.exp();
+                }
+                let step = f64::from(rated - good) / f64::from(good + 1) * rate / (1.0 - rate);
+                chance += step.ln();
+            }
+            assert!(covered > 0.94, "rate {rate}, {rated} rated: {covered}");
+        }
+    }
+}
+
+/// Evidence looked at after each rating crosses its limit no oftener than stated while nothing is wrong.
+#[test]
+fn evidence_keeps_its_error_under_peeking() {
+    let limit = (1.0_f64 / 0.01).ln();
+    for (rate, ahead) in [(0.9, 0), (0.9, 500), (0.6, 100), (0.98, 50)] {
+        let crossed = (0..400).filter(|seed| peek(*seed, rate, rate, ahead, 600) >= limit);
+        let count = crossed.count();
+        assert!(count <= 8, "rate {rate}, {ahead} ahead: {count} of 400");
+    }
+}
+
+/// A version that is clearly worse is found within some dozens of ratings.
+#[test]
+fn evidence_finds_what_is_worse() {
+    let limit = (1.0_f64 / 0.01).ln();
+    for seed in 0..40 {
+        assert!(peek(seed, 0.4, 0.9, 300, 60) >= limit, "seed {seed}");
+    }
+}
+
+/// The greatest evidence seen on the way, with the other version so many ratings ahead.
+fn peek(seed: u64, rate: f64, other_rate: f64, ahead: u32, steps: u32) -> f64 {
+    let mut rng = Rng::with_seed(seed);
+    let (mut new, mut old) = (Score::default(), Score::default());
+    (0..ahead).for_each(|_| old.count(rng.f64() < other_rate));
+    let mut greatest = f64::MIN;
+    for _ in 0..steps {
+        new.count(rng.f64() < rate);
+        old.count(rng.f64() < other_rate);
+        greatest = greatest.max(quality::worse(new, old, 0.02));
+    }
+    greatest
+}
+
+/// Rules that drop a version and origins that go leave no trace in the hash.
+#[test]
+fn forgetting_keeps_the_hash_true() {
+    let history: Vec<(u8, u8, bool, bool)> = (0..60).map(|n| (n, n, n % 2 == 0, false)).collect();
+    let states = states(&history);
+    let mut tally = Tally::default();
+    states.iter().for_each(|count| _ = tally.merge(count));
+    tally.retain(|kept| *kept == subject(1));
+    let mut expected = Tally::default();
+    let kept = states.iter().filter(|count| count.subject == subject(1));
+    kept.for_each(|count| _ = expected.merge(count));
+    assert_eq!(tally.hash(), expected.hash());
+    assert_eq!(tally.sum(&subject(1)), expected.sum(&subject(1)));
+    assert_eq!(tally.sum(&subject(0)), Cell::default());
+}
+
+/// Counts of origins that are gone are bounded, and those of live ones stay.
+#[test]
+fn gone_origins_are_bounded() {
+    let mut tally = Tally::default();
+    for index in 0..6_000 {
+        let mut cell = Cell::default();
+        cell.count(1, true);
+        tally.merge(&Count {
+            origin: Origin {
+                entry: format!("entry-{index}").into(),
+                boot: "b1".into(),
+            },
+            subject: subject(0),
+            cell,
+        });
+    }
+    tally.forget(|origin| &*origin.entry == "entry-0");
+    assert!(tally.len() <= 4_097, "{}", tally.len());
+    assert!(
+        tally
+            .cell(
+                &subject(0),
+                &Origin {
+                    entry: "entry-0".into(),
+                    boot: "b1".into()
+                }
+            )
+            .is_some()
+    );
+}
--- a/crates/comfreyroad_entry/src/outside.rs
+++ b/crates/comfreyroad_entry/src/outside.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod platform;
+mod ratings;
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -19,6 +20,7 @@
 use crate::daemon::Shared;
 use attempt::Attempt;
 use platform::Platform;
+use ratings::{Question, Ratings};
 
 /// Time for a peer to answer.
 const PEER_TIMEOUT: Duration = Duration::from_millis(1000);
@@ -30,6 +32,7 @@
     shared: Shared,
     client: Client,
     platform: Rc<Platform>,
+    ratings: Ratings,
     // Dropping a task stops it and closes its connection.
     attempts: IndexMap<AttemptId, JoinHandle<()>>,
 }
@@ -39,10 +42,12 @@
     pub fn new(shared: Shared) -> Self {
         let client = Client::default();
         let platform = Rc::new(Platform::new(shared.clone(), client.clone()));
+        let ratings = Ratings::new(shared.clone(), client.clone());
         Self {
             shared,
             client,
             platform,
+            ratings,
             attempts: IndexMap::new(),
         }
     }
@@ -66,6 +71,19 @@
                 }
                 self.cancel(tag.to_string(), &address);
             }
+            Action::Rate {
+                call,
+                version,
+                route,
+                head,
+                answer,
+            } => self.ratings.rate(Question {
+                call,
+                version,
+                route,
+                head,
+                answer,
+            }),
             Action::Tell { to, frame } => self.tell(to, &frame),
             action => Rc::clone(&self.platform).carry_out(action),
         }
--- a/crates/comfreyroad_entry/src/settings/flag.rs
+++ b/crates/comfreyroad_entry/src/settings/flag.rs
@@ -106,6 +106,18 @@
         MILLISECONDS,
         "time for the balancer to see a shutdown",
     ),
+    Flag::new(
+        "ratings-rate",
+        Some("20"),
+        "a number",
+        "answers a second that all entries together have rated as a sample",
+    ),
+    Flag::new(
+        "rating-cost",
+        Some("0"),
+        "a number of millionths",
+        "cost of a rating, in the currency of the rules",
+    ),
     Flag::new(
         "max-calls",
         Some("4096"),
--- a/crates/comfreyroad_entry/src/settings/reader.rs
+++ b/crates/comfreyroad_entry/src/settings/reader.rs
@@ -99,6 +99,10 @@
     text.parse().ok().filter(|count| *count > 0)
 }
 
+pub(super) fn number(text: &str) -> Option<u32> {
+    text.parse().ok()
+}
+
 pub(super) fn optional_number(text: &str) -> Option<Option<u64>> {
     if text.is_empty() {
         Some(None)
--- a/crates/comfreyroad_entry/src/settings/settings.rs
+++ b/crates/comfreyroad_entry/src/settings/settings.rs
@@ -84,12 +84,17 @@
     let log = reader.get("log", reader::address);
     let vms = reader.get("vms", reader::address);
     // An address that is missing has left a fault, so none of the unspecified ones is ever used.
+    let ratings = reader.get("ratings", reader::optional_address);
+    let mut core = core(reader, listen);
+    if ratings.is_none() {
+        core.ratings = 0;
+    }
     Settings {
-        core: core(reader, listen),
+        core,
         listen: listen.unwrap_or_else(unspecified),
         log: log.unwrap_or_else(unspecified),
         vms: vms.unwrap_or_else(unspecified),
-        ratings: reader.get("ratings", reader::optional_address),
+        ratings,
         log_format: reader.get("log-format", Format::parse),
         log_level: reader.get("log-level", Level::parse),
     }
@@ -127,6 +132,8 @@
         session_life: reader.get("session-life-ms", reader::milliseconds),
         session_idle: reader.get("session-idle-ms", reader::milliseconds),
         last_sessions: reader.get("last-sessions-ms", reader::milliseconds),
+        ratings: reader.get("ratings-rate", reader::number),
+        rating_cost: reader.get("rating-cost", reader::number).into(),
         seed: seed.unwrap_or_else(|| fastrand::u64(..)),
         ..comfreyroad::Settings::default()
     }
