Count answers of later steps apart, and measure policies

Cause: answers given after an earlier version of a chain had failed were counted with the others, though their prompts are the hard ones. Cheaper versions that may still prove good enough are now tried by 5 of 100 new sessions until ratings decide.

--- /dev/null
+++ b/crates/comfreyroad/examples/quality_policies/fleet.rs
@@ -0,0 +1,403 @@
+//! Some entries with a log, a rating service and engines, on a clock moved by hand.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime};
+
+use comfreyroad::action::Send;
+use comfreyroad::clock::Now;
+use comfreyroad::event::{LogEntry, Page, Signal};
+use comfreyroad::id::{CallId, Offset};
+use comfreyroad::record::{Record, Stream};
+use comfreyroad::request::{Chat, Head, Request, Target, Usage};
+use comfreyroad::upstream::{Load, Vm, VmKind, VmState};
+use comfreyroad::{Action, Entry, Event, Settings};
+use indexmap::IndexMap;
+
+use crate::world::World;
+
+/// Time between two ticks.
+const TICK: Duration = Duration::from_millis(100);
+/// Tokens of a prompt.
+const PROMPT: u32 = 1_000;
+/// Tokens of an answer.
+const ANSWER: u32 = 500;
+/// Engines.
+const ENGINES: usize = 4;
+
+/// What a run came to.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Outcome {
+    /// Answers delivered, by version.
+    pub(crate) by_version: IndexMap<Arc<str>, u64>,
+    /// Good answers delivered.
+    pub(crate) good: u64,
+    /// Requests refused.
+    pub(crate) refused: u64,
+    /// Cost of all runs and ratings, in millionths.
+    pub(crate) cost: u64,
+    /// Ratings.
+    pub(crate) ratings: u64,
+    /// Answers delivered from a second on that a version turned bad, by version.
+    pub(crate) late: IndexMap<Arc<str>, u64>,
+    /// When the first hold was on the log.
+    pub(crate) held: Option<Duration>,
+    /// Answers of each version when it had so many ratings: the window of a fixed test.
+    pub(crate) windowed: IndexMap<Arc<str>, u64>,
+}
+
+impl Outcome {
+    /// Answers delivered.
+    pub(crate) fn answers(&self) -> u64 {
+        self.by_version.values().sum()
+    }
+}
+
+/// When a version turns bad, in seconds.
+pub(crate) const TURN: u64 = 700;
+/// Ratings in the window of a test with a single look.
+pub(crate) const FIXED: u32 = 200;
+
+enum Job {
+    Tick(usize),
+    Deliver(usize, Event),
+    Arrive(u64),
+}
+
+/// The entries and all around them.
+pub(crate) struct Fleet {
+    world: World,
+    entries: Vec<Entry>,
+    now: Now,
+    start: Instant,
+    log: IndexMap<Stream, Vec<(SystemTime, Record)>>,
+    reads: IndexMap<(usize, Stream), Offset>,
+    queue: BTreeMap<(Instant, u64), Job>,
+    sequence: u64,
+    requests: IndexMap<(usize, CallId), Arc<str>>,
+    exchanges: IndexMap<u64, usize>,
+    rated: IndexMap<Arc<str>, u32>,
+    rating_cost: u64,
+    outcome: Outcome,
+}
+
+impl Fleet {
+    pub(crate) fn new(world: World, count: usize, rules: &str, settings: &Settings) -> Self {
+        let start = Instant::now() + Duration::from_secs(1_000);
+        let system = SystemTime::UNIX_EPOCH + Duration::from_secs(1_900_000_200);
+        let address = |index: usize| -> Arc<str> { format!("10.0.0.{index}:1").into() };
+        let entry = |index: usize| {
+            Entry::new(&Settings {
+                entry: format!("entry-{index}").into(),
+                address: address(index),
+                zone: "a".into(),
+                peers: (0..count)
+                    .filter(|peer| *peer != index)
+                    .map(address)
+                    .collect(),
+                seed: world.seed + index as u64,
+                ..settings.clone()
+            })
+        };
+        let mut fleet = Self {
+            entries: (0..count).map(entry).collect(),
+            now: Now {
+                instant: start,
+                system,
+            },
+            start,
+            log: IndexMap::new(),
+            reads: IndexMap::new(),
+            queue: BTreeMap::new(),
+            sequence: 0,
+            requests: IndexMap::new(),
+            exchanges: IndexMap::new(),
+            rated: IndexMap::new(),
+            rating_cost: settings.rating_cost,
+            outcome: Outcome::default(),
+            world,
+        };
+        let publish = Record::Publish {
+            by: "ada".into(),
+            after: 0,
+            text: rules.into(),
+        };
+        fleet.append(Stream::Rules, publish);
+        for index in 0..count {
+            fleet.deliver(index, Event::Started);
+            fleet.after(TICK, Job::Tick(index));
+        }
+        fleet
+    }
+
+    /// Lets requests of a route come for a while, so many a second.
+    pub(crate) fn run(mut self, seconds: u64, rate: u64) -> Outcome {
+        let settle = Duration::from_secs(3);
+        for number in 0..seconds * rate {
+            let at = settle + Duration::from_millis(number * 1_000 / rate);
+            self.after(at, Job::Arrive(number));
+        }
+        let end = self.start + settle + Duration::from_secs(seconds + 40);
+        while let Some(next) = self.queue.first_entry() {
+            let at = next.key().0;
+            if at > end {
+                break;
+            }
+            let job = next.remove();
+            self.now.system += at - self.now.instant;
+            self.now.instant = at;
+            self.take(job);
+        }
+        self.outcome
+    }
+
+    fn take(&mut self, job: Job) {
+        match job {
+            Job::Tick(index) => {
+                self.answer_reads(index);
+                self.deliver(index, Event::Tick);
+                self.after(TICK, Job::Tick(index));
+            }
+            Job::Deliver(index, event) => self.deliver(index, event),
+            Job::Arrive(number) => self.arrive(number),
+        }
+    }
+
+    fn after(&mut self, wait: Duration, job: Job) {
+        self.sequence += 1;
+        self.queue
+            .insert((self.now.instant + wait, self.sequence), job);
+    }
+
+    fn arrive(&mut self, number: u64) {
+        let index = (number % self.entries.len() as u64) as usize;
+        let id: Arc<str> = format!("r{number}").into();
+        self.requests.insert((index, number), id.clone());
+        let head = Head {
+            call: number,
+            id,
+            key: [1; 32],
+            session: None,
+            received: self.now.instant,
+            deadline: self.now.instant + Duration::from_secs(30),
+            attempt: 1,
+            may_repeat: None,
+            target: Target::Chat(Chat {
+                model: "plan".into(),
+                stream: false,
+                max_tokens: ANSWER,
+                prompt_tokens: PROMPT,
+                prefix: number,
+            }),
+            body: Arc::new([]),
+        };
+        self.deliver(index, Event::Call(Box::new(Request::new(head))));
+    }
+
+    fn deliver(&mut self, index: usize, event: Event) {
+        for action in self.entries[index].handle(self.now, event) {
+            self.perform(index, action);
+        }
+    }
+
+    fn perform(&mut self, index: usize, action: Action) {
+        match action {
+            Action::Send(send) => self.send(index, &send),
+            Action::Begin { call, version, .. } => self.begun(index, call, version),
+            Action::Refuse { .. } | Action::Break(_) => self.outcome.refused += 1,
+            Action::Rate { call, version, .. } => self.rate(index, call, &version),
+            Action::Append {
+                batch,
+                stream,
+                records,
+            } => {
+                let first = self.log.get(&stream).map_or(0, Vec::len) as Offset;
+                for record in records {
+                    self.append(stream, (*record).clone());
+                }
+                let event = Event::Appended { batch, first };
+                self.after(Duration::from_millis(2), Job::Deliver(index, event));
+            }
+            Action::Read { stream, from, .. } => _ = self.reads.insert((index, stream), from),
+            Action::ListVms => {
+                let event = Event::Vms {
+                    at: self.now.system,
+                    vms: self.vms(),
+                };
+                self.after(Duration::from_millis(1), Job::Deliver(index, event));
+            }
+            Action::AskLoad { upstream, .. } => {
+                let load = Some(self.load());
+                let event = Event::Load { upstream, load };
+                self.after(Duration::from_millis(1), Job::Deliver(index, event));
+            }
+            Action::Tell { to, frame } => {
+                let peer = to
+                    .strip_prefix("10.0.0.")
+                    .and_then(|rest| rest.strip_suffix(":1"));
+                let Some(peer) = peer.and_then(|peer| peer.parse::<usize>().ok()) else {
+                    return;
+                };
+                self.sequence += 1;
+                let exchange = self.sequence;
+                self.exchanges.insert(exchange, index);
+                let asks = Event::PeerAsks {
+                    exchange,
+                    address: frame.address.clone(),
+                };
+                let wait = Duration::from_millis(1);
+                self.after(wait, Job::Deliver(peer, Event::Peer(frame)));
+                self.after(wait, Job::Deliver(peer, asks));
+            }
+            Action::Reply { exchange, frame } => {
+                if let Some(asked) = self.exchanges.swap_remove(&exchange) {
+                    let event = Event::Peer(frame);
+                    self.after(Duration::from_millis(1), Job::Deliver(asked, event));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn send(&mut self, index: usize, send: &Send) {
+        let Some(version) = &send.version else { return };
+        let truth = *self.world.version(version);
+        self.outcome.cost += truth.cost * u64::from(PROMPT + ANSWER) / 1_000;
+        let (attempt, upstream) = (send.attempt, send.upstream.clone());
+        let signals = [
+            Signal::Head {
+                status: 200,
+                content_type: None,
+                tag: Some(send.tag.clone()),
+                boot: Some("b1".into()),
+            },
+            Signal::Piece {
+                tag: Some(send.tag.clone()),
+                offset: 0,
+                length: ANSWER.into(),
+                bytes: b"answer".as_slice().into(),
+            },
+            Signal::End {
+                usage: Usage {
+                    completion_tokens: ANSWER,
+                    ..Usage::default()
+                },
+            },
+        ];
+        for signal in signals {
+            let upstream = upstream.clone();
+            let event = Event::Attempt {
+                attempt,
+                upstream,
+                signal,
+            };
+            let wait = Duration::from_millis(truth.takes_ms);
+            self.after(wait, Job::Deliver(index, event));
+        }
+    }
+
+    fn second(&self) -> u64 {
+        (self.now.instant - self.start).as_secs()
+    }
+
+    fn begun(&mut self, index: usize, call: CallId, version: Option<Arc<str>>) {
+        let Some(version) = version else { return };
+        let id = &self.requests[&(index, call)];
+        let is_good = self.world.is_good(&version, id, self.second());
+        self.outcome.good += u64::from(is_good);
+        if self.second() >= TURN {
+            *self.outcome.late.entry(version.clone()).or_default() += 1;
+        }
+        *self.outcome.by_version.entry(version).or_default() += 1;
+    }
+
+    fn rate(&mut self, index: usize, call: CallId, version: &Arc<str>) {
+        let id = &self.requests[&(index, call)];
+        let good = Some(self.world.is_good(version, id, self.second()));
+        self.outcome.cost += self.rating_cost;
+        self.outcome.ratings += 1;
+        let rated = self.rated.entry(version.clone()).or_default();
+        *rated += 1;
+        if *rated == FIXED {
+            let answers = self.outcome.by_version.get(version).copied();
+            let windowed = &mut self.outcome.windowed;
+            windowed.insert(version.clone(), answers.unwrap_or_default());
+        }
+        let event = Event::Rated { call, good };
+        self.after(Duration::from_millis(300), Job::Deliver(index, event));
+    }
+
+    fn append(&mut self, stream: Stream, record: Record) {
+        if matches!(record, Record::Hold { .. }) && self.outcome.held.is_none() {
+            self.outcome.held = Some(self.now.instant - self.start);
+        }
+        let records = self.log.entry(stream).or_default();
+        records.push((self.now.system, record));
+    }
+
+    fn answer_reads(&mut self, index: usize) {
+        for stream in Stream::ALL {
+            let Some(from) = self.reads.swap_remove(&(index, stream)) else {
+                continue;
+            };
+            let log = self.log.entry(stream).or_default();
+            let entries = log.iter().enumerate().skip(from as usize);
+            let entries: Vec<LogEntry> = entries
+                .map(|(offset, (at, record))| LogEntry {
+                    offset: offset as u64,
+                    at: *at,
+                    record: Some(record.clone()),
+                })
+                .collect();
+            let page = Page {
+                stream,
+                asked: self.now.instant,
+                from,
+                oldest: 0,
+                next: log.len() as u64,
+                entries,
+            };
+            self.deliver(index, Event::Read(page));
+        }
+    }
+
+    fn vms(&self) -> Vec<Vm> {
+        let vm = |id: String, kind, pool: &str, address: Arc<str>| Vm {
+            id: id.into(),
+            kind,
+            pool: pool.into(),
+            zone: "a".into(),
+            address,
+            state: VmState::Live,
+        };
+        let engine = |index| {
+            let id = format!("eng-{index}");
+            vm(
+                id,
+                VmKind::Upstream,
+                "drafting",
+                format!("10.0.1.{index}:1").into(),
+            )
+        };
+        let entry = |index| {
+            let id = format!("entry-{index}");
+            vm(id, VmKind::Entry, "", format!("10.0.0.{index}:1").into())
+        };
+        let entries = (0..self.entries.len()).map(entry);
+        (0..ENGINES).map(engine).chain(entries).collect()
+    }
+
+    fn load(&self) -> Load {
+        let versions = self.world.versions.iter();
+        Load {
+            at: self.now.system,
+            boot: "b1".into(),
+            uptime: Duration::from_secs(3_600),
+            running: 0,
+            waiting: 0,
+            slots: 1_000,
+            kv_used: 0.0,
+            versions: versions.map(|version| version.id.into()).collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/comfreyroad/examples/quality_policies/main.rs
@@ -0,0 +1,127 @@
+//! Cost at the quality target, and exposure to bad versions, by policy, over several seeds.
+//!
+//! `cargo run --release -p comfreyroad --example quality_policies`
+
+mod error;
+mod exposure;
+mod fleet;
+mod world;
+
+use std::fmt::Write;
+
+use comfreyroad::Settings;
+
+use fleet::Fleet;
+use world::{Truth, World};
+
+/// Seeds of the runs.
+const SEEDS: std::ops::Range<u64> = 1..7;
+/// Length of a run in seconds.
+const SECONDS: u64 = 600;
+/// Requests a second.
+const RATE: u64 = 10;
+/// Entries.
+const ENTRIES: usize = 4;
+/// Cost of a rating, in millionths.
+const RATING_COST: u64 = 10;
+
+fn main() {
+    costs();
+    exposure::print();
+    error::print();
+}
+
+/// Three models of unlike cost and quality.
+fn world(seed: u64) -> World {
+    let version = |id, cost, good, takes_ms| Truth {
+        id,
+        cost,
+        good,
+        takes_ms,
+        share: 100,
+    };
+    World {
+        versions: vec![
+            version("ada@1", 100, |_| 0.62, 2_000),
+            version("bea@1", 300, |_| 0.84, 3_000),
+            version("cleo@1", 1_000, |_| 0.95, 5_000),
+        ],
+        seed,
+    }
+}
+
+/// The operators' file.
+fn rules(world: &World, models: &str, class: &str, quality: f64) -> String {
+    let mut text = String::from("format 1 after 0 # asked by ada\n");
+    let mut line = |rule: String| writeln!(text, "{rule} # asked by ada").unwrap_or_default();
+    line("zone a state=in".into());
+    line("pool drafting kind=engine bears=1000 cold=1000".into());
+    for Truth {
+        id, cost, share, ..
+    } in &world.versions
+    {
+        line(format!(
+            "version {id} pool=drafting cost={cost} share={share}"
+        ));
+    }
+    line(format!(
+        "route plan models={models} class={class} quality={quality}"
+    ));
+    line("firm inkwell".into());
+    let allowed: Vec<String> = models
+        .split(',')
+        .map(|model| format!("{model}@*"))
+        .collect();
+    let key = "01".repeat(32);
+    line(format!(
+        "customer c1 firm=inkwell key={key} allow={}",
+        allowed.join(",")
+    ));
+    text
+}
+
+fn costs() {
+    println!("target 0.9, {SECONDS} s at {RATE} a second, {ENTRIES} entries, from a cold start");
+    println!(
+        "{:28}{:>6}{:>10}{:>14}{:>14}{:>10}",
+        "policy", "seed", "good", "cost/answer", "cost/good", "refused"
+    );
+    let policies = [
+        ("always cheapest", "ada,bea,cleo", "draft", 0.0),
+        ("always dearest", "cleo", "draft", 0.0),
+        ("best single, learned", "ada,bea,cleo", "interactive", 0.9),
+        ("cascade", "ada,bea,cleo", "draft", 0.9),
+        ("always the middle one", "bea", "draft", 0.0),
+        (
+            "best single, target 0.8",
+            "ada,bea,cleo",
+            "interactive",
+            0.8,
+        ),
+        ("cascade, target 0.8", "ada,bea,cleo", "draft", 0.8),
+    ];
+    for (name, models, class, quality) in policies {
+        let mut sums = (0.0, 0.0, 0.0);
+        for seed in SEEDS {
+            let world = world(seed);
+            let settings = Settings {
+                rating_cost: RATING_COST,
+                ..Settings::default()
+            };
+            let text = rules(&world, models, class, quality);
+            let outcome = Fleet::new(world, ENTRIES, &text, &settings).run(SECONDS, RATE);
+            let answers = outcome.answers() as f64;
+            let share = outcome.good as f64 / answers;
+            let each = outcome.cost as f64 / answers;
+            println!(
+                "{name:28}{seed:>6}{share:>10.3}{each:>14.1}{:>14.1}{:>10}",
+                each / share,
+                outcome.refused
+            );
+            sums = (sums.0 + share, sums.1 + each, sums.2 + each / share);
+        }
+        let count = SEEDS.count() as f64;
+        let (share, each, per) = (sums.0 / count, sums.1 / count, sums.2 / count);
+        println!("{name:28}{:>6}{share:>10.3}{each:>14.1}{per:>14.1}", "mean");
+    }
+}
--- a/crates/comfreyroad/src/controller/guard/mod.rs
+++ b/crates/comfreyroad/src/controller/guard/mod.rs
@@ -129,6 +129,7 @@
         let other = Subject {
             route: subject.route.clone(),
             version: version.clone(),
+            is_later: subject.is_later,
         };
         self.sums.get(&other).copied().unwrap_or_default().all()
     }
@@ -207,13 +208,12 @@
     }
 }
 
-/// Names under which a version can be asked for: the routes of its model, the model and its own.
+/// Ways in which a version can be counted: the routes of its model, the model and its own name, each in two places of a
+/// chain.
 fn names(rules: &Rules, version: &Version) -> usize {
     let routes = rules.routes.values();
-    routes
-        .filter(|route| route.models.contains(&version.model))
-        .count()
-        + 2
+    let named = routes.filter(|route| route.models.contains(&version.model));
+    (named.count() + 2) * 2
 }
 
 /// Logarithm of the mean of evidence under so many names; those without ratings count as 1.
--- a/crates/comfreyroad/src/dispatcher/judge.rs
+++ b/crates/comfreyroad/src/dispatcher/judge.rs
@@ -75,6 +75,7 @@
         let subject = Subject {
             route: route.clone(),
             version: version.clone(),
+            is_later: pinned.plan.at > 0,
         };
         turn.out.raise(Event::RatingAsked { call, subject });
         turn.out.act(Action::Rate {
--- a/crates/comfreyroad/src/filter/plan.rs
+++ b/crates/comfreyroad/src/filter/plan.rs
@@ -9,8 +9,8 @@
 use crate::rules::Version;
 use crate::session::share;
 
-/// New sessions of a hundred that try a cheaper version of which too little is known.
-const EXPLORED: u64 = 2;
+/// New sessions of a hundred that try a cheaper version which may be good enough on its own.
+const EXPLORED: u64 = 5;
 /// Parts of the time until the deadline, of a hundred, that the steps of a chain may take.
 const ROOM: u32 = 80;
 /// Longest answer that can be held back for its rating, in tokens.
@@ -28,7 +28,7 @@
     let terms = terms(allowed, head, view);
     let chain = quality::chain(&candidates, &terms);
     let last = *chain.last()?;
-    let explored = explored(&candidates, last, seed);
+    let explored = explored(&candidates, terms.target, last, seed);
     let chain = match explored {
         Some(index) if terms.room.is_some() => vec![index, last],
         Some(index) => vec![index],
@@ -74,6 +74,7 @@
     let subject = Subject {
         route: allowed.route.clone(),
         version: version.clone(),
+        is_later: false,
     };
     view.state.quality.score(&subject)
 }
@@ -103,17 +104,22 @@
     }
 }
 
-/// A cheaper version of which too little is known, for a small part of new sessions.
-fn explored(candidates: &[Candidate], last: usize, seed: SessionHash) -> Option<usize> {
+/// A cheaper version that may be good enough on its own, for a small part of new sessions.
+fn explored(
+    candidates: &[Candidate],
+    target: f64,
+    last: usize,
+    seed: SessionHash,
+) -> Option<usize> {
     if seed % 100 >= EXPLORED {
         return None;
     }
-    let is_unknown = |index: &usize| {
+    let is_open = |index: &usize| {
         let candidate = &candidates[*index];
-        !candidate.is_known() && candidate.cost < candidates[last].cost
+        candidate.is_open(target) && candidate.cost < candidates[last].cost
     };
-    let unknown: Vec<usize> = (0..candidates.len()).filter(is_unknown).collect();
-    let count = unknown.len() as u64;
+    let open: Vec<usize> = (0..candidates.len()).filter(is_open).collect();
+    let count = open.len() as u64;
     let turn = (seed / 100).checked_rem(count)?;
-    unknown.get(turn as usize).copied()
+    open.get(turn as usize).copied()
 }
--- a/crates/comfreyroad/src/quality/bound.rs
+++ b/crates/comfreyroad/src/quality/bound.rs
@@ -15,3 +15,12 @@
     let spread = Z * (rate * (1.0 - rate) / count + shrink / (4.0 * count)).sqrt();
     ((middle - spread) / (1.0 + shrink)).clamp(0.0, 1.0)
 }
+
+/// Upper confidence bound (Wilson) of the part of good answers, for 95 in 100.
+pub fn upper(score: Score) -> f64 {
+    let bad = Score {
+        rated: score.rated,
+        good: score.rated.saturating_sub(score.good),
+    };
+    1.0 - lower(bad)
+}
--- a/crates/comfreyroad/src/quality/candidate.rs
+++ b/crates/comfreyroad/src/quality/candidate.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use super::{Score, lower};
+use super::{Score, lower, upper};
 use crate::id::VersionId;
 
 /// A version that might answer.
@@ -29,4 +29,9 @@
     pub fn meets(&self, target: f64) -> bool {
         target <= 0.0 || (self.is_known() && lower(self.score) >= target)
     }
+
+    /// Whether more ratings might still show that it is good enough on its own.
+    pub fn is_open(&self, target: f64) -> bool {
+        !self.meets(target) && upper(self.score) >= target
+    }
 }
--- a/crates/comfreyroad/src/quality/count.rs
+++ b/crates/comfreyroad/src/quality/count.rs
@@ -17,7 +17,7 @@
 /// A count as it leaves the process: without names of fields, since there are many.
 type Packed = (
     (EntryId, BootId),
-    (RouteId, VersionId),
+    (RouteId, VersionId, bool),
     (Generation, u64),
     [u32; 4],
 );
@@ -31,7 +31,7 @@
         } = count;
         (
             (origin.entry, origin.boot),
-            (subject.route, subject.version),
+            (subject.route, subject.version, subject.is_later),
             (cell.since, cell.window),
             [cell.old.rated, cell.old.good, cell.new.rated, cell.new.good],
         )
@@ -40,12 +40,16 @@
 
 impl From<Packed> for Count {
     fn from(packed: Packed) -> Self {
-        let ((entry, boot), (route, version), (since, window), scores) = packed;
+        let ((entry, boot), (route, version, is_later), (since, window), scores) = packed;
         let [old_rated, old_good, new_rated, new_good] = scores;
         let score = |rated, good| Score { rated, good };
         Self {
             origin: Origin { entry, boot },
-            subject: Subject { route, version },
+            subject: Subject {
+                route,
+                version,
+                is_later,
+            },
             cell: Cell {
                 since,
                 window,
--- a/crates/comfreyroad/src/quality/mod.rs
+++ b/crates/comfreyroad/src/quality/mod.rs
@@ -14,7 +14,7 @@
 mod tally;
 mod terms;
 
-pub use bound::lower;
+pub use bound::{lower, upper};
 pub use candidate::Candidate;
 pub use cell::Cell;
 pub use count::Count;
--- a/crates/comfreyroad/tests/calls/cascade.rs
+++ b/crates/comfreyroad/tests/calls/cascade.rs
@@ -37,6 +37,7 @@
             subject: Subject {
                 route: route.into(),
                 version: version.into(),
+                is_later: false,
             },
             cell: Cell {
                 since: 0,
--- a/crates/comfreyroad/tests/quality.rs
+++ b/crates/comfreyroad/tests/quality.rs
@@ -20,6 +20,7 @@
     Subject {
         route: "draft".into(),
         version: format!("mona@{}", index % 3).into(),
+        is_later: false,
     }
 }
 
