--- a/crates/comfreyroad/src/controller/mod.rs
+++ b/crates/comfreyroad/src/controller/mod.rs
@@ -101,7 +101,6 @@
             ledger: ledger::Ledger::new(settings),
             sessions: sessions::Sessions::new(settings),
             log: log::Log::default(),
-            appends: appends::Appends::default(),
             queue: queue::Queue::new(settings),
             limits: limits::Limits::new(settings),
             budgets: budgets::Budgets::new(settings),
@@ -110,6 +109,7 @@
             term: term::Term::new(settings),
             quality: quality::Quality::new(settings),
             guard: guard::Guard::new(settings),
+            appends: appends::Appends::new(settings),
             identity: Identity {
                 entry: settings.entry.clone(),
                 boot: settings.boot.clone(),
--- a/crates/comfreyroad/tests/proof/fault_matrix.rs
+++ b/crates/comfreyroad/tests/proof/fault_matrix.rs
@@ -8,6 +8,8 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use comfreyroad::mechanism::Mechanism;
+
 use crate::bench::{self, Ask, Bench, CallSpec, Fault, Step, promise};
 
 /// Steps at which faults strike.
@@ -28,6 +30,7 @@
     Step::PeerExchange,
     Step::PeerReply,
     Step::LoadAsked,
+    Step::Rating,
     Step::Start,
     Step::Drain,
 ];
@@ -79,6 +82,13 @@
     &[Fault::Stall, Fault::Duplicate],
     &[Fault::Stall, Fault::KillLater],
     &[Fault::OneWay, Fault::ColdRestart],
+    &[Fault::RatingOutage],
+    &[Fault::VersionBad],
+    &[Fault::HeldTwice],
+    &[Fault::VersionBad, Fault::Kill],
+    &[Fault::VersionBad, Fault::LogOutage],
+    &[Fault::RatingOutage, Fault::ColdRestart],
+    &[Fault::HeldTwice, Fault::Race],
 ];
 
 /// When a session goes on, counted from its first question.
@@ -107,6 +117,7 @@
 promises! {
     matrix_allowed: "allowed",
     matrix_withdrawn: "withdrawn",
+    matrix_held: "held",
     matrix_session: "session",
     matrix_billed_once: "billed_once",
     matrix_starting: "starting",
@@ -152,8 +163,22 @@
 }
 
 fn run(row: Step, column: &'static [Fault]) -> Cell {
-    let mut bench = Bench::new(bench::seed());
+    run_in(Bench::new(bench::seed()), row, column)
+}
+
+/// The names of the promises that a cell breaks in a fleet without a mechanism.
+pub(crate) fn broken_without(
+    mechanism: Mechanism,
+    row: Step,
+    column: &'static [Fault],
+) -> Vec<&'static str> {
+    let cell = run_in(Bench::without(bench::seed(), mechanism), row, column);
+    cell.broken.into_iter().map(|(name, _)| name).collect()
+}
+
+fn run_in(mut bench: Bench, row: Step, column: &'static [Fault]) -> Cell {
     bench.run_for(Duration::from_secs(2));
+    bench.teach();
     let skip = bench.rng.u32(..2);
     // Steps that come once in a run are struck at that one time.
     let skip = match row {
@@ -162,7 +187,7 @@
     };
     bench.arm(row, skip, column);
     script(&mut bench);
-    bench.run_for(Duration::from_secs(18));
+    bench.run_for(Duration::from_secs(21));
     Cell {
         row,
         column,
@@ -194,7 +219,12 @@
 fn work(bench: &mut Bench, wave: usize) {
     for index in 0..8_u64 {
         let customer = if index % 2 == 0 { "author" } else { "band" };
-        let model = if index == 4 { "mona@1" } else { "draft" };
+        let model = match index {
+            4 => "mona@1",
+            1 | 5 => "plan",
+            7 if wave == 0 => "lisa@1",
+            _ => "draft",
+        };
         let start = Duration::from_millis(index * 30);
         bench.after(start, move |bench| {
             let asks = [
--- a/crates/comfreyroad/tests/proof/main.rs
+++ b/crates/comfreyroad/tests/proof/main.rs
@@ -6,4 +6,6 @@
 mod checks;
 mod config;
 mod fault_matrix;
+mod once;
+mod ratings;
 mod thin_path;
