--- a/crates/comfreyroad/tests/proof/bench/fault.rs
+++ b/crates/comfreyroad/tests/proof/bench/fault.rs
@@ -33,6 +33,7 @@
     PeerExchange,
     PeerReply,
     LoadAsked,
+    Rating,
     Start,
     Drain,
 }
@@ -66,6 +67,9 @@
     PartDoubled,
     PartMissing,
     PartLate,
+    RatingOutage,
+    VersionBad,
+    HeldTwice,
 }
 
 /// Faults that wait for their step.
@@ -166,10 +170,14 @@
             Fault::Crossed => self.spoil(&place.upstream, Mischief::Crossed),
             Fault::PartDoubled => self.spoil(&place.upstream, Mischief::Doubled),
             Fault::PartMissing => self.spoil(&place.upstream, Mischief::Missing),
+            Fault::RatingOutage => self.ratings.outage = true,
+            Fault::VersionBad => _ = self.ratings.bad.insert("mona@2".into()),
+            Fault::HeldTwice => return self.hold_twice(),
             Fault::PartLate => self.spoil(&place.upstream, Mischief::Late),
         }
         self.after(LASTS, |bench| {
             bench.mend();
+            bench.ratings.outage = false;
             (bench.log.slow, bench.log.outage) = (Duration::ZERO, false);
         });
     }
--- a/crates/comfreyroad/tests/proof/bench/log.rs
+++ b/crates/comfreyroad/tests/proof/bench/log.rs
@@ -7,7 +7,7 @@
 use comfreyroad::record::{Bill, Record, Stream};
 use comfreyroad::rules::{History, Verdict};
 
-use super::journal::Accepted;
+use super::journal::{Accepted, Hold};
 use super::node::Post;
 use super::{Bench, Step};
 
@@ -129,13 +129,29 @@
         Some((offset, verdict?))
     }
 
-    fn take(&mut self, stream: Stream, record: &Rc<Record>) -> (Offset, Option<Verdict>) {
+    pub(super) fn take(
+        &mut self,
+        stream: Stream,
+        record: &Rc<Record>,
+    ) -> (Offset, Option<Verdict>) {
         let at = self.now.system;
         let offset = self.log.store(stream, at, Rc::clone(record));
         if stream != Stream::Rules {
             return (offset, None);
         }
         let verdict = self.log.truth.feed(offset, at, record);
+        if let Record::Hold {
+            version,
+            generation,
+            ..
+        } = &**record
+        {
+            self.journal.holds.push(Hold {
+                at: self.now.instant,
+                version: version.clone(),
+                is_lifted: *generation < self.log.generation(),
+            });
+        }
         if matches!(verdict, Some(Verdict::Accepted { .. }))
             && let Some(rules) = self.log.truth.in_force()
         {
@@ -237,7 +253,7 @@
         });
     }
 
-    fn wake(&mut self, stream: Stream) {
+    pub(super) fn wake(&mut self, stream: Stream) {
         let polls = std::mem::take(&mut self.log.polls);
         let (woken, rest) = polls.into_iter().partition(|poll| poll.stream == stream);
         self.log.polls = rest;
--- a/crates/comfreyroad/tests/proof/bench/rules.rs
+++ b/crates/comfreyroad/tests/proof/bench/rules.rs
@@ -43,6 +43,7 @@
             format!("version mona@2 pool=drafting cost=200 share={two}"),
             "version lisa@1 pool=drafting cost=900 share=100".into(),
             "route draft models=mona,lisa class=draft quality=0.9".into(),
+            "route plan models=mona,lisa class=draft quality=0.9".into(),
             "service bookings pool=orders path=/bookings class=payment".into(),
             "service lookups pool=orders path=/orders class=lookup".into(),
             format!(
--- a/crates/comfreyroad/tests/proof/bench/wire.rs
+++ b/crates/comfreyroad/tests/proof/bench/wire.rs
@@ -15,8 +15,6 @@
 const TIMEOUT: Duration = Duration::from_millis(500);
 /// Age of a load report when it arrives.
 const LOAD_LAG: Duration = Duration::from_millis(100);
-/// Time that a rating takes.
-const RATING: Duration = Duration::from_millis(50);
 
 /// The network between entries, and from them to the log.
 #[derive(Default)]
@@ -76,10 +74,7 @@
             }
             Action::Tell { to, frame } => self.tell(post, &to, &frame),
             Action::Reply { exchange, frame } => self.reply(post, exchange, frame),
-            Action::Rate { call, .. } => {
-                let good = Some(true);
-                self.answer(post, RATING, Event::Rated { call, good });
-            }
+            Action::Rate { call, version, .. } => self.rate(post, call, &version),
             Action::Ready(is_ready) => self.nodes[post.node].ready = is_ready,
             Action::Note(note) => {
                 if note.kind == &note::BILL_AT_RISK {
--- a/crates/comfreyroad/tests/proof/checks.rs
+++ b/crates/comfreyroad/tests/proof/checks.rs
@@ -4,7 +4,7 @@
 
 use comfreyroad::refusal::{Code, Ran};
 
-use crate::bench::{self, Ask, Bench, CallSpec, Outcome, promise};
+use crate::bench::{self, Ask, Bench, CallSpec, Hold, Outcome, promise};
 
 /// A run in which one chat and one booking were answered.
 fn answered() -> Bench {
@@ -58,3 +58,18 @@
     bench.journal.sendings[0].version = Some("mona@1".into());
     assert_broken(&bench, "allowed");
 }
+
+#[test]
+fn held_version_is_seen() {
+    let mut bench = answered();
+    let sending = &bench.journal.sendings[0];
+    let version = sending.version.clone().expect("a chat has its version");
+    let at = sending.at - Duration::from_secs(5);
+    bench.journal.accepted.clear();
+    bench.journal.holds.push(Hold {
+        at,
+        version,
+        is_lifted: false,
+    });
+    assert_broken(&bench, "held");
+}
