Give slots the same owner over an upstream's starts, and let owners see for themselves

Cause: a starting upstream got 5 where it bears 4 after it had left, started anew and come back. Slots were owned by (upstream, start, slot): while one entry knew the old start and another the new one, two owners held one slot. The first report of a returning upstream can be older than its start.

Ruled out: answers of the old start counted as good for the new one (the count was 0 on both sides); the wait for the former owner (no seat moved).

Now: the start is no part of the key, and a slot is used only while its owner itself has seen the present start, by a report or an answer, within 2 s. A new upstream gets its pollers when it joins, not with the next view. News of a receiver's own zone goes first.

--- a/crates/comfreyroad/examples/fleet_cost.rs
+++ b/crates/comfreyroad/examples/fleet_cost.rs
@@ -10,14 +10,19 @@
 use fleet::{Fleet, Size, Tally};
 
 /// Time over which costs are counted.
-const SPAN: Duration = Duration::from_secs(20);
+const SPAN: Duration = Duration::from_secs(10);
 /// Zones of the fleet.
 const ZONES: usize = 9;
 
 fn main() {
-    exposure();
-    println!("entries upstreams  joined_s  frames/s  bytes/s  polls/s  cpu%  KiB/entry  detect_s");
-    for (entries, upstreams) in [(50, 100), (200, 500), (800, 100), (800, 500), (800, 2_500)] {
+    let has_word = std::env::args().nth(1).is_some();
+    if !has_word {
+        exposure();
+    }
+    println!(
+        "entries upstreams  joined_s  frames/s  bytes/s  beats_B/s  digests_B/s  polls/s  cpu%  KiB/entry  detect_s"
+    );
+    for (entries, upstreams) in [(50, 100), (200, 500), (800, 100), (800, 2_500)] {
         measure(entries, upstreams);
     }
 }
@@ -48,9 +53,11 @@
     });
     let per_second = |count: u64| count as f64 / SPAN.as_secs_f64() / entries as f64;
     println!(
-        "{entries:7} {upstreams:9} {joined:9.1} {:9.1} {:8.0} {:8.1} {:5.2} {memory:10} {detected:9.1}",
+        "{entries:7} {upstreams:9} {joined:9.1} {:9.1} {:8.0} {:10.0} {:12.0} {:8.1} {:5.2} {memory:10} {detected:9.1}",
         per_second(tally.frames),
         per_second(tally.bytes),
+        per_second(tally.beats),
+        per_second(tally.digests),
         per_second(tally.polls),
         tally.busy.as_secs_f64() / SPAN.as_secs_f64() / entries as f64 * 100.0,
     );
--- a/crates/comfreyroad/src/controller/members/frames.rs
+++ b/crates/comfreyroad/src/controller/members/frames.rs
@@ -7,7 +7,7 @@
 use crate::outbox::Outbox;
 
 /// News in one frame at most.
-const NEWS: usize = 8;
+const NEWS: usize = 16;
 /// Other heartbeats in one frame, by which views grow alike again.
 const SAMPLES: usize = 2;
 /// Difference in size by which two views are taken to have been split.
@@ -112,7 +112,9 @@
             let all = self.heard.values().map(|heard| heard.beat.clone());
             return frame.beats.extend(all);
         }
-        frame.beats.extend(self.rumours.take(NEWS));
+        let receiver = self.heard.values().find(|heard| heard.beat.address == *to);
+        let zone = receiver.map(|heard| &heard.beat.zone);
+        frame.beats.extend(self.rumours.take(NEWS, zone));
         for _ in 0..SAMPLES.min(self.heard.len()) {
             let index = self.rng.usize(..self.heard.len());
             frame.beats.push(self.heard[index].beat.clone());
--- a/crates/comfreyroad/src/controller/members/rumours.rs
+++ b/crates/comfreyroad/src/controller/members/rumours.rs
@@ -1,7 +1,9 @@
+use std::cmp::Reverse;
+
 use indexmap::IndexMap;
 
 use crate::frame::Beat;
-use crate::id::EntryId;
+use crate::id::{EntryId, ZoneId};
 
 /// Heartbeats that carry news, each to be told a number of times.
 #[derive(Debug, Default)]
@@ -15,9 +17,13 @@
         self.beats.insert(beat.entry.clone(), (beat, times));
     }
 
-    /// The news that was told least, which is told once more by this.
-    pub(super) fn take(&mut self, count: usize) -> Vec<Beat> {
-        self.beats.sort_by(|_, one, _, other| other.1.cmp(&one.1));
+    /// News for a receiver, that of its own zone first and then what was told least; this tells it once more.
+    pub(super) fn take(&mut self, count: usize, zone: Option<&ZoneId>) -> Vec<Beat> {
+        if self.beats.len() > count {
+            let order = |(beat, left): &(Beat, u32)| (zone != Some(&beat.zone), Reverse(*left));
+            self.beats
+                .sort_by(|_, one, _, other| order(one).cmp(&order(other)));
+        }
         let told: Vec<Beat> = self
             .beats
             .values_mut()
--- a/crates/comfreyroad/src/controller/upstreams/cold.rs
+++ b/crates/comfreyroad/src/controller/upstreams/cold.rs
@@ -21,6 +21,7 @@
             _ if pool.cold >= pool.bears => pool.bears,
             Any::Warm(_) if info.evidence.is_fresh(now) => pool.bears,
             _ if !self.has(Mechanism::SlotOwnership) => Self::open(upstream, pool),
+            _ if !info.evidence.is_witnessed(now) => 0,
             _ => self.usable(now, info).count() as u32,
         }
     }
@@ -118,10 +119,10 @@
             .rules
             .as_ref()
             .and_then(|rules| rules.rules.pools.get(&info.pool));
-        let (Some(pool), Some(boot)) = (pool, &info.boot) else {
+        let Some(pool) = pool else {
             return Vec::new();
         };
-        if self.view.is_void || upstream.is_leaving() {
+        if self.view.is_void || upstream.is_leaving() || info.boot.is_none() {
             return Vec::new();
         }
         let open = if self.has(Mechanism::Ramp) {
@@ -131,7 +132,8 @@
         };
         let seats: Vec<&str> = self.view.seats_for(&info.zone).collect();
         let is_own = |slot: &u32| {
-            let key = format!("{id}/{boot}/{slot}");
+            // The start is not part of the key, or two starts would have two owners while one of them knows one only.
+            let key = format!("{id}/{slot}");
             rendezvous::owner(&key, seats.iter().copied()) == Some(&*self.own)
         };
         (0..open).filter(is_own).collect()
--- a/crates/comfreyroad/src/controller/upstreams/list.rs
+++ b/crates/comfreyroad/src/controller/upstreams/list.rs
@@ -23,7 +23,10 @@
         let listed = || vms.iter().filter(|vm| vm.kind == VmKind::Upstream);
         let mut has_changed = false;
         for vm in listed() {
-            has_changed |= self.join(vm, out);
+            if self.join(vm, out) {
+                has_changed = true;
+                self.divide(now, &vm.id);
+            }
             if vm.state == VmState::Leaving {
                 self.change(now, &vm.id, Any::leave, out);
             }
--- a/crates/comfreyroad/src/controller/upstreams/polls.rs
+++ b/crates/comfreyroad/src/controller/upstreams/polls.rs
@@ -6,16 +6,16 @@
 use crate::id::UpstreamId;
 use crate::outbox::Outbox;
 use crate::rendezvous;
-use crate::upstream::Info;
+use crate::upstream::{Any, Info};
 
 /// Time between two questions for the VM list.
 const LIST_PERIOD: Duration = Duration::from_secs(1);
 /// Time between two questions of one entry for an upstream's load, where it is the one to ask.
 const PERIOD: Duration = Duration::from_millis(500);
 /// Age of what peers have told from which an entry asks for itself.
-const STALE: Duration = Duration::from_secs(2);
+const STALE: Duration = Duration::from_secs(3);
 /// Time between two questions out of turn.
-const SPACING: Duration = Duration::from_millis(100);
+const SPACING: Duration = Duration::from_millis(250);
 /// Entries that ask an upstream and tell the others.
 pub(super) const POLLERS: usize = 2;
 
@@ -35,11 +35,14 @@
         let has_no_seats = self.view.seats.is_empty();
         let mut stalest: Option<(Option<Instant>, UpstreamId)> = None;
         for upstream in self.known.values_mut() {
+            let is_starting = matches!(upstream, Any::Cold(_) | Any::Warming(_));
             let info = upstream.info_mut();
             if info.ask_at.is_some_and(|at| at > now.instant) || !info.is_listed {
                 continue;
             }
-            let is_due = info.is_poller || (has_no_seats && info.is_near) || info.is_doubtful();
+            let is_own = is_starting && !info.share.slots.is_empty();
+            let is_first = has_no_seats && info.is_near;
+            let is_due = info.is_poller || is_own || is_first || info.is_doubtful();
             if is_due {
                 Self::ask_one(now, info, out);
             } else if Self::is_stale(now, info)
--- a/crates/comfreyroad/src/controller/upstreams/reports.rs
+++ b/crates/comfreyroad/src/controller/upstreams/reports.rs
@@ -56,11 +56,23 @@
             cleared: 0,
             good: if load.uptime >= LONG_UP { u32::MAX } else { 0 },
         };
-        if self.learn(now, id, &word, out) {
+        let is_new = self.learn(now, id, &word, out);
+        self.witness(now, id, load);
+        if is_new {
             out.raise(Event::Room);
         }
     }
 
+    fn witness(&mut self, now: Now, id: &UpstreamId, load: &Load) {
+        let Some(upstream) = self.known.get_mut(id) else {
+            return;
+        };
+        let info = upstream.info_mut();
+        if info.boot.as_ref() == Some(&load.boot) {
+            info.evidence.witness(moment(now, load.at));
+        }
+    }
+
     /// Takes a word in; says whether anything is new in it.
     pub(super) fn learn(
         &mut self,
--- a/crates/comfreyroad/src/controller/upstreams/signs.rs
+++ b/crates/comfreyroad/src/controller/upstreams/signs.rs
@@ -45,7 +45,7 @@
         };
         let info = upstream.info_mut();
         if info.boot.as_ref() == Some(boot) {
-            return info.evidence.see(now.instant);
+            return info.evidence.witness(now.instant);
         }
         let is_past = info.evidence.former.as_ref() == Some(boot);
         let is_doubted = info
--- a/crates/comfreyroad/src/upstream/evidence.rs
+++ b/crates/comfreyroad/src/upstream/evidence.rs
@@ -6,6 +6,9 @@
 /// Time for which a start counts as the present one after the last sign of it.
 const TRUST: Duration = Duration::from_secs(5);
 
+/// Time for which an entry's own sight of a starting upstream lets it use its slots.
+const WITNESS: Duration = Duration::from_secs(2);
+
 /// How sure an entry is that it knows an upstream's present start.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Evidence {
@@ -15,6 +18,8 @@
     pub at: Option<SystemTime>,
     /// The last moment at which this start was seen.
     pub seen: Option<Instant>,
+    /// The last moment at which this entry itself has seen this start, by a report or an answer.
+    pub witnessed: Option<Instant>,
     /// Number of the cache event by which its caches were last emptied.
     pub cleared: u64,
     /// The start before, whose late reports do not count.
@@ -52,6 +57,17 @@
         self.seen.is_some_and(|seen| seen + TRUST > now)
     }
 
+    /// Whether this entry itself has seen the start of late, and need not rely on what others say.
+    pub fn is_witnessed(&self, now: Instant) -> bool {
+        self.witnessed.is_some_and(|seen| seen + WITNESS > now)
+    }
+
+    /// This entry itself has seen the start at a moment.
+    pub(crate) fn witness(&mut self, at: Instant) {
+        self.witnessed = self.witnessed.max(Some(at));
+        self.see(at);
+    }
+
     /// The start was seen at a moment.
     pub(crate) fn see(&mut self, at: Instant) {
         self.seen = self.seen.max(Some(at));
--- a/crates/comfreyroad/tests/fleet/support/mod.rs
+++ b/crates/comfreyroad/tests/fleet/support/mod.rs
@@ -67,6 +67,9 @@
 pub(crate) struct Tally {
     pub(crate) frames: u64,
     pub(crate) bytes: u64,
+    /// Those among them for heartbeats, and for digests.
+    pub(crate) beats: u64,
+    pub(crate) digests: u64,
     pub(crate) polls: u64,
     pub(crate) busy: Duration,
 }
--- a/crates/comfreyroad/tests/fleet/support/outside.rs
+++ b/crates/comfreyroad/tests/fleet/support/outside.rs
@@ -75,9 +75,18 @@
 
     fn count(&mut self, frame: &Frame) {
         self.tally.frames += 1;
-        if self.size.is_measured {
-            self.tally.bytes += comfreyroad_wire::frame::encode(frame).len() as u64;
+        if !self.size.is_measured {
+            return;
         }
+        let size = |frame: &Frame| comfreyroad_wire::frame::encode(frame).len() as u64;
+        let all = size(frame);
+        self.tally.bytes += all;
+        let mut less = frame.clone();
+        less.beats = Vec::new();
+        self.tally.beats += all - size(&less);
+        let more = size(&less);
+        (less.digests, less.doubts) = Default::default();
+        self.tally.digests += more - size(&less);
     }
 
     /// An exchange: the peer takes the frame and answers in the same moment, and the answer takes its way back.
--- a/crates/comfreyroad/tests/fleet/upstreams.rs
+++ b/crates/comfreyroad/tests/fleet/upstreams.rs
@@ -327,10 +327,8 @@
     let before = fleet.begun("eng-1");
     load(&mut fleet, MS(5_000));
     assert_eq!(fleet.begun("eng-1"), before);
-    let now = fleet.now;
-    let model = &mut fleet.models["eng-1"];
-    model.listed = Some(VmState::Live);
-    model.restart(now);
+    fleet.models["eng-1"].listed = Some(VmState::Live);
+    fleet.restart_upstream("eng-1");
     fleet.run_for(MS(2_000));
     assert_eq!(overrated(&fleet, "eng-1"), 0);
     load(&mut fleet, MS(10_000));
