Let those who saw an upstream start overrule its long uptime

Ruled out: slots with two owners (none in the same run); good answers counted twice between entries (each count is a chain of distinct answers).

Now: warmth for a long uptime is marked as assumed, and whoever knows the number of good answers overrules it. Views are put together on news only.

--- a/crates/comfreyroad/src/controller/members/frames.rs
+++ b/crates/comfreyroad/src/controller/members/frames.rs
@@ -74,6 +74,7 @@
             (true, None) => Some(now.instant + self.timeout),
         };
         if is_news {
+            self.has_news = true;
             self.rumours.add(beat.clone(), times);
         }
     }
--- a/crates/comfreyroad/src/controller/members/mod.rs
+++ b/crates/comfreyroad/src/controller/members/mod.rs
@@ -58,6 +58,7 @@
     wants_all: bool,
     askers: IndexSet<Address>,
     view: Rc<View>,
+    has_news: bool,
     next_round: Option<Instant>,
     rng: Rng,
 }
@@ -91,6 +92,7 @@
             wants_all: true,
             askers: IndexSet::new(),
             view: Rc::new(view),
+            has_news: false,
             next_round: None,
             rng: Rng::with_seed(settings.seed),
         }
@@ -221,7 +223,9 @@
             Event::Tick => self.on_tick(now, out),
             Event::Peer(frame) => {
                 self.on_frame(now, frame, out);
-                self.publish(now, out);
+                if self.has_news || self.view.is_void {
+                    self.publish(now, out);
+                }
             }
             Event::PeerFailed(address) => self.on_failure(now, address),
             Event::Vms { vms, .. } => {
--- a/crates/comfreyroad/src/controller/members/seats.rs
+++ b/crates/comfreyroad/src/controller/members/seats.rs
@@ -18,6 +18,7 @@
 impl Members {
     /// Tells the other controllers of the view where it has changed.
     pub(super) fn publish(&mut self, now: Now, out: &mut Outbox) {
+        self.has_news = false;
         let seats = self.seats(now.instant);
         let is_void = self.is_void(now.instant, &seats);
         let view = &self.view;
--- a/crates/comfreyroad/src/controller/upstreams/digests.rs
+++ b/crates/comfreyroad/src/controller/upstreams/digests.rs
@@ -120,6 +120,7 @@
             born: info.evidence.born?,
             cleared: info.evidence.cleared,
             good: upstream.good(),
+            is_assumed: info.evidence.is_assumed,
             load: load.running + load.waiting,
             slots: load.slots,
             versions: load.versions.clone(),
@@ -149,21 +150,26 @@
             born: digest.born,
             cleared: digest.cleared,
             good: digest.good,
+            is_assumed: digest.is_assumed,
         };
         self.learn(now, &digest.upstream, &word, out);
-        let is_same = |upstream: &&Any| {
-            let info = upstream.info();
-            info.boot.as_ref() == Some(&digest.boot)
-                && info.evidence.cleared == digest.cleared
-                && info.evidence.doubt.is_none()
+        let Some(upstream) = self.known.get(&digest.upstream) else {
+            return;
         };
-        if self
-            .known
-            .get(&digest.upstream)
-            .is_some_and(|it| is_same(&it))
-        {
-            self.prove(now, &digest.upstream, digest.good, out);
+        let evidence = &upstream.info().evidence;
+        let is_same = upstream.info().boot.as_ref() == Some(&digest.boot)
+            && evidence.cleared == digest.cleared
+            && evidence.doubt.is_none();
+        if !is_same || digest.is_assumed {
+            return;
         }
+        // Whoever has seen it start knows better than one who has only seen it up for long.
+        if evidence.is_assumed {
+            let cleared = digest.cleared;
+            self.assume(&digest.upstream, false);
+            self.change(now, &digest.upstream, |it| it.clear(cleared), out);
+        }
+        self.prove(now, &digest.upstream, digest.good, out);
     }
 
     /// A peer that asks for everything is told of each upstream of its zone.
--- a/crates/comfreyroad/src/controller/upstreams/reports.rs
+++ b/crates/comfreyroad/src/controller/upstreams/reports.rs
@@ -23,6 +23,8 @@
     pub(super) born: SystemTime,
     pub(super) cleared: u64,
     pub(super) good: u32,
+    /// Whether that is assumed for a long uptime.
+    pub(super) is_assumed: bool,
 }
 
 /// How a word stands to what is known.
@@ -50,11 +52,13 @@
     ) {
         let Some(load) = load else { return };
         let born = load.at.checked_sub(load.uptime).unwrap_or(load.at);
+        let is_long_up = load.uptime >= LONG_UP;
         let word = Word {
             load,
             born,
             cleared: 0,
-            good: if load.uptime >= LONG_UP { u32::MAX } else { 0 },
+            good: if is_long_up { u32::MAX } else { 0 },
+            is_assumed: is_long_up,
         };
         let is_new = self.learn(now, id, &word, out);
         self.witness(now, id, load);
@@ -89,7 +93,10 @@
         let good = match Self::sense(now, info, word) {
             Sense::Past => return false,
             Sense::Same => 0,
-            Sense::First => word.good,
+            Sense::First => {
+                self.assume(id, word.is_assumed);
+                word.good
+            }
             Sense::Regained => self.regain(now, id),
             Sense::Later => {
                 self.restart(now, id, Some(boot), Some(word.born), out);
@@ -140,6 +147,12 @@
         }
     }
 
+    pub(super) fn assume(&mut self, id: &UpstreamId, is_assumed: bool) {
+        if let Some(upstream) = self.known.get_mut(id) {
+            upstream.info_mut().evidence.is_assumed = is_assumed;
+        }
+    }
+
     /// The hint was wrong: what was known holds again.
     fn regain(&mut self, now: Now, id: &UpstreamId) -> u32 {
         let Some(upstream) = self.known.get_mut(id) else {
--- a/crates/comfreyroad/src/frame/digest.rs
+++ b/crates/comfreyroad/src/frame/digest.rs
@@ -24,6 +24,12 @@
     /// Good answers that it is known to have given since; `u32::MAX` once it is warm.
     #[cfg_attr(feature = "serde", serde(rename = "g"))]
     pub good: u32,
+    /// Whether the sender takes it for warm for its long uptime alone.
+    #[cfg_attr(
+        feature = "serde",
+        serde(rename = "h", default, skip_serializing_if = "std::ops::Not::not")
+    )]
+    pub is_assumed: bool,
     /// Requests that run or wait in it.
     #[cfg_attr(feature = "serde", serde(rename = "l"))]
     pub load: u32,
--- a/crates/comfreyroad/src/upstream/evidence.rs
+++ b/crates/comfreyroad/src/upstream/evidence.rs
@@ -20,6 +20,8 @@
     pub seen: Option<Instant>,
     /// The last moment at which this entry itself has seen this start, by a report or an answer.
     pub witnessed: Option<Instant>,
+    /// Whether it counts as warm for its long uptime alone, which anyone who knows better overrules.
+    pub is_assumed: bool,
     /// Number of the cache event by which its caches were last emptied.
     pub cleared: u64,
     /// The start before, whose late reports do not count.
--- a/crates/comfreyroad/tests/fleet/support/mod.rs
+++ b/crates/comfreyroad/tests/fleet/support/mod.rs
@@ -33,8 +33,6 @@
     pub(crate) seed: u64,
     /// Milliseconds that a request takes.
     pub(crate) service: std::ops::Range<u64>,
-    /// Whether frames are encoded and counted.
-    pub(crate) is_measured: bool,
 }
 
 impl Default for Size {
@@ -46,7 +44,6 @@
             without: Vec::new(),
             seed: 1,
             service: 500..4_000,
-            is_measured: false,
         }
     }
 }
@@ -91,6 +88,8 @@
     pub(crate) cuts: IndexSet<(usize, usize)>,
     pub(crate) tally: Tally,
     pub(crate) is_list_down: bool,
+    /// Whether the bytes of frames are counted.
+    pub(crate) is_measured: bool,
     /// More at a starting upstream than it bears.
     pub(crate) overloads: Overloads,
     size: Size,
@@ -116,6 +115,7 @@
             cuts: IndexSet::new(),
             tally: Tally::default(),
             is_list_down: false,
+            is_measured: false,
             overloads: Overloads::default(),
             rng: Rng::with_seed(size.seed),
             text: rules::text(size.zones).into(),
--- a/crates/comfreyroad/tests/fleet/upstreams.rs
+++ b/crates/comfreyroad/tests/fleet/upstreams.rs
@@ -318,6 +318,20 @@
     assert_eq!(fleet.overloads, Overloads::default());
 }
 
+#[test]
+fn an_entry_that_joins_late_learns_how_cold_an_upstream_is() {
+    let mut fleet = settled(Size::default());
+    load(&mut fleet, MS(70_000));
+    fleet.join();
+    fleet.kill(0);
+    fleet.start(0);
+    load(&mut fleet, MS(10_000));
+    for upstream in ["eng-0", "eng-1", "eng-2"] {
+        assert_eq!(overrated(&fleet, upstream), 0);
+    }
+    assert_eq!(fleet.overloads, Overloads::default());
+}
+
 #[test]
 fn a_leaving_upstream_gets_nothing_within_the_bound_and_is_cold_when_it_returns() {
     let mut fleet = settled(Size::default());
