--- a/crates/comfreyroad/src/controller/rules/mod.rs
+++ b/crates/comfreyroad/src/controller/rules/mod.rs
@@ -29,7 +29,7 @@
 use crate::clock::Now;
 use crate::event::{Event, Page};
 use crate::frame::{Frame, News, Text};
-use crate::id::{Address, Generation, VersionId, ZoneId};
+use crate::id::{Address, Generation, Offset, VersionId, ZoneId};
 use crate::mechanism::Mechanism;
 use crate::note::{self, Note};
 use crate::outbox::Outbox;
@@ -44,6 +44,7 @@
     zone: ZoneId,
     history: History,
     in_force: Option<Arc<InForce>>,
+    newest: Offset,
     confirmation: Confirmation,
     freshness: Freshness,
     doubts: Doubts,
@@ -61,6 +62,7 @@
             zone: settings.zone.clone(),
             history: History::default(),
             in_force: None,
+            newest: 0,
             confirmation: Confirmation::new(settings.stale_after),
             freshness: Freshness::Stale,
             doubts: Doubts::new(settings.stale_after),
@@ -104,8 +106,9 @@
         } else {
             self.fleet.is_mostly_heard()
         };
-        // What was never confirmed cannot be known to be what the log held last.
-        if is_word_given && self.confirmation.at().is_some() {
+        // What was never confirmed, or is behind a peer, is not what the log held last.
+        let is_last = self.confirmation.at().is_some() && self.history.next() >= self.newest;
+        if is_word_given && is_last {
             Freshness::Outage
         } else {
             Freshness::Stale
@@ -260,6 +263,8 @@
             return;
         }
         let news = &frame.news;
+        let told = news.next.max(news.newest).unwrap_or(0);
+        self.newest = self.newest.max(told);
         if let Some(next) = news.next {
             self.history.compare(news.generation, next);
         }
@@ -306,7 +311,7 @@
     }
 
     /// What a peer's news say is in force, where this entry has or was given the text.
-    fn told(&self, news: &News, next: crate::id::Offset) -> Option<Snapshot> {
+    fn told(&self, news: &News, next: Offset) -> Option<Snapshot> {
         let in_force = match &news.text {
             Some(Text { offset, by, text }) => {
                 Some(InForce::read(news.generation, *offset, by, text)?)
@@ -357,6 +362,7 @@
         News {
             generation: in_force.map_or(0, |rules| rules.generation),
             next: snapshot.as_ref().map(|known| known.next),
+            newest: Some(self.newest).filter(|newest| *newest > self.history.next()),
             held: self.history.held().iter().cloned().collect(),
             age: confirmed.map(|at| now.saturating_duration_since(at)),
             checkpoint: self.checkpoint.age(now),
--- a/crates/comfreyroad/src/frame/news.rs
+++ b/crates/comfreyroad/src/frame/news.rs
@@ -12,6 +12,12 @@
     /// The sender knows what is in force by all records before this offset; `None` while it does not.
     #[cfg_attr(feature = "serde", serde(default))]
     pub next: Option<Offset>,
+    /// The highest such offset that the sender has heard of, where it lacks the rules of that.
+    #[cfg_attr(
+        feature = "serde",
+        serde(default, skip_serializing_if = "Option::is_none")
+    )]
+    pub newest: Option<Offset>,
     /// Versions held back.
     #[cfg_attr(
         feature = "serde",
--- a/crates/comfreyroad/tests/proof/main.rs
+++ b/crates/comfreyroad/tests/proof/main.rs
@@ -3,6 +3,7 @@
 //! One binary, so that each part of [`bench`] is used by some proof. A new proof is a module of its own.
 
 mod bench;
+mod chaos;
 mod checks;
 mod config;
 mod fault_matrix;
