--- a/crates/comfreyroad/src/frame/frame.rs
+++ b/crates/comfreyroad/src/frame/frame.rs
@@ -1,5 +1,5 @@
-use super::{Beat, News, Pins};
-use crate::id::{Address, BootId, EntryId, ZoneId};
+use super::{Beat, Digest, News, Pins};
+use crate::id::{Address, BootId, EntryId, UpstreamId, ZoneId};
 use crate::record::{Bill, Key};
 
 /// One message between two entries.
@@ -14,6 +14,12 @@
     pub zone: ZoneId,
     /// The sender's IP number and port.
     pub address: Address,
+    /// Whether the sender asks for all heartbeats that the receiver knows.
+    #[cfg_attr(
+        feature = "serde",
+        serde(default, skip_serializing_if = "std::ops::Not::not")
+    )]
+    pub wants_all: bool,
     /// Number of this frame among all that the sender has sent.
     #[cfg_attr(feature = "serde", serde(default))]
     pub number: u64,
@@ -23,7 +29,7 @@
         serde(default, skip_serializing_if = "Option::is_none")
     )]
     pub answers: Option<u64>,
-    /// Whether only the rules are spoken of; answered likewise.
+    /// Whether only the rules and bills are spoken of; answered likewise.
     #[cfg_attr(
         feature = "serde",
         serde(default, skip_serializing_if = "std::ops::Not::not")
@@ -35,6 +41,21 @@
         serde(default, skip_serializing_if = "Vec::is_empty")
     )]
     pub beats: Vec<Beat>,
+    /// How many entries the sender knows.
+    #[cfg_attr(feature = "serde", serde(default))]
+    pub members: u32,
+    /// Upstreams of which something hints at a new start.
+    #[cfg_attr(
+        feature = "serde",
+        serde(default, skip_serializing_if = "Vec::is_empty")
+    )]
+    pub doubts: Vec<UpstreamId>,
+    /// What the sender knows of some upstreams.
+    #[cfg_attr(
+        feature = "serde",
+        serde(default, skip_serializing_if = "Vec::is_empty")
+    )]
+    pub digests: Vec<Digest>,
     /// The sender's knowledge of the rules.
     #[cfg_attr(feature = "serde", serde(default))]
     pub news: News,
