--- a/crates/comfreyroad_wire/examples/ledger_slopes.rs
+++ b/crates/comfreyroad_wire/examples/ledger_slopes.rs
@@ -74,8 +74,10 @@
             boot: settings.boot,
             zone: settings.zone,
             address: settings.address,
+            born: std::time::SystemTime::UNIX_EPOCH,
             count: 1,
             serving: true,
+            suspect: false,
         };
         view.members.insert(settings.entry, beat);
     }
