--- a/crates/comfreyroad/tests/proof/main.rs
+++ b/crates/comfreyroad/tests/proof/main.rs
@@ -4,6 +4,7 @@
 
 mod bench;
 mod bookings;
+mod chaos;
 mod checks;
 mod config;
 mod fault_matrix;
