--- a/crates/comfreyroad_wire/examples/ledger_slopes.rs
+++ b/crates/comfreyroad_wire/examples/ledger_slopes.rs
@@ -76,6 +76,8 @@
             address: settings.address,
             count: 1,
             serving: true,
+            born: SystemTime::UNIX_EPOCH,
+            suspect: false,
         };
         view.members.insert(settings.entry, beat);
     }
