--- a/crates/comfreyroad/src/controller/claim/mod.rs
+++ b/crates/comfreyroad/src/controller/claim/mod.rs
@@ -118,6 +118,9 @@
         let Some(holder) = self.book.holder(key) else {
             return;
         };
+        if !holder.is_sure && self.wanted.contains_key(&holder.writer) {
+            out.note(Note::new(&note::CLAIM_UNSURE).with("request", &key.request));
+        }
         let holder = &holder.writer;
         if let Some(Record::Claim { writer, .. }) = &entry.record
             && writer != holder
--- a/crates/comfreyroad/src/note/catalogue.rs
+++ b/crates/comfreyroad/src/note/catalogue.rs
@@ -82,4 +82,6 @@
     BILL_DOUBLED = 702, Info, "bill stands twice on the log";
     /// A claim was lost to an earlier one.
     CLAIM_LOST = 703, Info, "claim lost";
+    /// A claim cannot be judged, since the log does not reach back far enough or an earlier claim has grown old.
+    CLAIM_UNSURE = 704, Warn, "claim cannot be judged";
 }
