--- /dev/null
+++ b/crates/comfreyroad_bench/src/faults/cell/mod.rs
@@ -0,0 +1,83 @@
+mod bad_version;
+mod cold_restart;
+mod kill_entry;
+mod log_outage;
+mod lost_acks;
+mod pause_entry;
+mod publish_race;
+mod terminate;
+mod zone_out;
+
+use super::{Outcome, Stage};
+use crate::Result;
+use crate::binaries::Binaries;
+
+/// One fault at one step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cell {
+    /// An entry is killed while it streams; its callers ask elsewhere.
+    KillEntry,
+    /// An entry stands still for five seconds while bookings come in.
+    PauseEntry,
+    /// The log refuses everything for a while.
+    LogOutage,
+    /// Appends and bookings take effect, but their answers are lost.
+    LostAcks,
+    /// A zone is taken out by a publish, and brought back.
+    ZoneOut,
+    /// A version under roll-out turns bad.
+    BadVersion,
+    /// An engine starts again without warning.
+    ColdRestart,
+    /// Two operators publish at once.
+    PublishRace,
+    /// An entry is asked to end while it streams.
+    Terminate,
+}
+
+impl Cell {
+    /// All of them.
+    pub const ALL: [Self; 9] = [
+        Self::KillEntry,
+        Self::PauseEntry,
+        Self::LogOutage,
+        Self::LostAcks,
+        Self::ZoneOut,
+        Self::BadVersion,
+        Self::ColdRestart,
+        Self::PublishRace,
+        Self::Terminate,
+    ];
+
+    /// Its name on a command line.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::KillEntry => "kill-entry",
+            Self::PauseEntry => "pause-entry",
+            Self::LogOutage => "log-outage",
+            Self::LostAcks => "lost-acks",
+            Self::ZoneOut => "zone-out",
+            Self::BadVersion => "bad-version",
+            Self::ColdRestart => "cold-restart",
+            Self::PublishRace => "publish-race",
+            Self::Terminate => "terminate",
+        }
+    }
+
+    /// Starts everything, brings the fault about, checks the promises, ends everything.
+    pub async fn run(self, seed: u64, binaries: &Binaries) -> Result<Outcome> {
+        let checks = match self {
+            Self::KillEntry => kill_entry::run(Stage::start(seed, binaries).await?).await,
+            Self::PauseEntry => pause_entry::run(Stage::start(seed, binaries).await?).await,
+            Self::LogOutage => log_outage::run(Stage::start(seed, binaries).await?).await,
+            Self::LostAcks => lost_acks::run(Stage::start(seed, binaries).await?).await,
+            Self::ZoneOut => zone_out::run(Stage::start(seed, binaries).await?).await,
+            Self::BadVersion => bad_version::run(seed, binaries).await,
+            Self::ColdRestart => cold_restart::run(Stage::start(seed, binaries).await?).await,
+            Self::PublishRace => publish_race::run(Stage::start(seed, binaries).await?).await,
+            Self::Terminate => terminate::run(Stage::start(seed, binaries).await?).await,
+        };
+        Ok(Outcome::new(self.name(), seed, checks?))
+    }
+}
--- /dev/null
+++ b/crates/comfreyroad_bench/src/faults/cell/publish_race.rs
@@ -0,0 +1,77 @@
+use std::time::{Duration, Instant};
+
+use serde::Deserialize;
+
+use crate::Result;
+use crate::faults::stage::RULES;
+use crate::faults::{Check, Stage};
+use crate::folder;
+
+/// Time for both publishes.
+const TIMEOUT: Duration = Duration::from_secs(12);
+
+/// What an entry says of itself.
+#[derive(Debug, Deserialize)]
+struct Status {
+    generation: u64,
+}
+
+pub(super) async fn run(mut stage: Stage) -> Result<Vec<Check>> {
+    let load = stage.load(4);
+    let mut checks = Vec::new();
+    let fault = async |stage: &mut Stage| {
+        stage.at(1.0).await;
+        checks.extend(race(stage).await?);
+        Ok(())
+    };
+    let trace = stage.under(load, fault).await?;
+    checks.extend(stage.evidence(trace).await?.usual());
+    stage.deployment.stop().await?;
+    Ok(checks)
+}
+
+async fn race(stage: &Stage) -> Result<Vec<Check>> {
+    let deployment = &stage.deployment;
+    let rules = RULES.replacen("after 0", "after 1", 1);
+    let mut ada = deployment.begin_publish("ada", &rules.replace("cost=400", "cost=410"))?;
+    let mut bob = deployment.begin_publish("bob", &rules.replace("cost=400", "cost=420"))?;
+    let deadline = Instant::now() + TIMEOUT;
+    let codes = [
+        ada.wait(deadline).await?.code(),
+        bob.wait(deadline).await?.code(),
+    ];
+    let (winner, loser) = if codes[0] == Some(0) {
+        ("ada", &bob)
+    } else {
+        ("bob", &ada)
+    };
+    let output = folder::read(loser.output())?;
+    let last = output.lines().last().unwrap_or_default().to_owned();
+    let mut generations = Vec::new();
+    for address in deployment.entry_addresses() {
+        let status: Status = deployment
+            .http()
+            .get("read status", address, "/status")
+            .await?;
+        generations.push(status.generation);
+    }
+    let mut sorted = codes;
+    sorted.sort_unstable();
+    Ok(vec![
+        Check::new(
+            "of two publishes one wins",
+            sorted == [Some(0), Some(1)],
+            format!("exit codes {codes:?}"),
+        ),
+        Check::new(
+            "the loser is told by whom",
+            last.contains(winner),
+            format!("told: {last}"),
+        ),
+        Check::new(
+            "the winner's rules are in force everywhere",
+            generations == [2, 2, 2],
+            format!("generations {generations:?}"),
+        ),
+    ])
+}
--- /dev/null
+++ b/crates/comfreyroad_bench/src/faults/mod.rs
@@ -0,0 +1,15 @@
+//! Fault cells: a fault brought about in real processes under load, and the promises that have to hold through it.
+
+mod cell;
+mod check;
+mod evidence;
+mod faults;
+mod outcome;
+mod stage;
+
+pub use cell::Cell;
+pub use check::Check;
+pub use evidence::Evidence;
+pub use faults::Faults;
+pub use outcome::Outcome;
+pub use stage::Stage;
--- /dev/null
+++ b/crates/comfreyroad_bench/src/faults/stage.rs
@@ -0,0 +1,135 @@
+use std::time::{Duration, Instant};
+
+use compio::time::sleep_until;
+use serde_json::{Value, json};
+
+use super::Evidence;
+use crate::Result;
+use crate::binaries::Binaries;
+use crate::demo;
+use crate::deployment::{Deployment, Group, Plan};
+use crate::ledger::Bills;
+use crate::load::Load;
+use crate::trace::Trace;
+
+/// The rules in force at the start.
+pub(super) const RULES: &str = include_str!("../../../../examples/demo.rules");
+/// The zones of these rules.
+const ZONES: [&str; 3] = ["a", "b", "c"];
+/// What the engines are like.
+const ENGINE: &str = "versions=quill@1+brush@3+brush@4+easel@2,slots=8,cold=2,warm_ms=1000,prefill_us=20,token_us=8000";
+/// What the plain services are like.
+const SERVICE: &str = "slots=32,cold=8,warm_ms=500,latency_ms=3";
+
+/// A small deployment of one firm, with the load of a cell.
+pub struct Stage {
+    /// What runs.
+    pub deployment: Deployment,
+    /// Seed of the load and the stand-ins.
+    pub seed: u64,
+    begin: Instant,
+}
+
+impl Stage {
+    /// Starts three entries, six engines and three plain services in three zones.
+    pub async fn start(seed: u64, binaries: &Binaries) -> Result<Self> {
+        Self::start_with(seed, RULES, binaries).await
+    }
+
+    /// Starts with other rules.
+    pub async fn start_with(seed: u64, rules: &str, binaries: &Binaries) -> Result<Self> {
+        let plan = Plan::new(rules, &ZONES)
+            .with_seed(seed)
+            .with_entries(3)
+            .with_entry_flag("--drain-notice-ms", "300")
+            .with_group(Group::engines("drafting", "eng", 6).with_settings(ENGINE))
+            .with_group(Group::services("orders", "ord", 3).with_settings(SERVICE));
+        Ok(Self {
+            deployment: plan.start(binaries).await?,
+            seed,
+            begin: Instant::now(),
+        })
+    }
+
+    /// The usual load: callers ask again where they may, also for what broke off.
+    #[must_use]
+    pub fn load(&self, seconds: u64) -> Load {
+        let load = Load {
+            to: self.deployment.entry_addresses(),
+            duration: Duration::from_secs(seconds),
+            rate: 15.0,
+            seed: self.seed,
+            ..Load::default()
+        };
+        let mut load = load
+            .with_customers("inkwell", &["stpeters", "harbour-press", "kingston-high"])
+            .with_flag("--profile", "inkwell")
+            .with_flag("--health-ms", "100")
+            .with_flag("--deadline-ms", "12000");
+        load.flags.push("--retry-broken".to_owned());
+        load
+    }
+
+    /// Runs a load from now on, and beside it what brings the fault about.
+    pub async fn under(
+        &mut self,
+        load: Load,
+        fault: impl AsyncFnOnce(&mut Self) -> Result<()>,
+    ) -> Result<Trace> {
+        let running = load.start(self.deployment.binaries(), self.deployment.folder())?;
+        self.begin = Instant::now();
+        let trace = running.finish();
+        let (trace, ()) = futures_util::future::try_join(trace, fault(self)).await?;
+        Ok(trace)
+    }
+
+    /// Waits until so long after the load's begin.
+    pub async fn at(&self, seconds: f64) {
+        sleep_until(self.begin + Duration::from_secs_f64(seconds)).await;
+    }
+
+    /// Puts faults in force at the log service.
+    pub async fn fault_log(&self, faults: Value) -> Result<()> {
+        self.deployment
+            .fault(self.deployment.addresses().log(), &faults)
+            .await
+    }
+
+    /// Puts faults in force at one upstream.
+    pub async fn fault_upstream(&self, id: &str, faults: Value) -> Result<()> {
+        match self.deployment.upstreams().get(id) {
+            Some((_, address)) => self.deployment.fault(*address, &faults).await,
+            None => Ok(()),
+        }
+    }
+
+    /// Puts faults in force at all upstreams.
+    pub async fn fault_upstreams(&self, faults: Value) -> Result<()> {
+        for (_, address) in self.deployment.upstreams().values() {
+            self.deployment.fault(*address, &faults).await?;
+        }
+        Ok(())
+    }
+
+    /// Ends a version's bad answers, or begins them.
+    pub async fn set_bad(&self, version: &str, is_bad: bool) -> Result<()> {
+        let key = if is_bad {
+            "bad_version"
+        } else {
+            "good_version"
+        };
+        self.fault_upstreams(json!({ key: version })).await
+    }
+
+    /// Gathers what callers, upstreams and the ledger say, once the last bills are on the log.
+    pub async fn evidence(&self, trace: Trace) -> Result<Evidence> {
+        let whole = trace.count(comfreyroad_fakes::load::Verdict::Whole);
+        let bills: Bills = demo::settled(&self.deployment, whole).await?;
+        let journals = self.deployment.journals().await?;
+        Ok(Evidence {
+            trace,
+            journals,
+            bills,
+        })
+    }
+}
--- a/crates/comfreyroad_bench/src/journal.rs
+++ b/crates/comfreyroad_bench/src/journal.rs
@@ -1,6 +1,6 @@
 //! What upstreams have executed, as they say themselves.
 
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use serde::Deserialize;
 
 use crate::{AttemptId, RequestId, VersionId, VmId};
@@ -19,6 +19,8 @@
     pub tokens: IndexMap<VersionId, u64>,
     /// Attempts by which each booking was executed.
     pub bookings: IndexMap<RequestId, Vec<AttemptId>>,
+    /// Calls that would book for no request.
+    pub strays: u64,
     /// Lookups executed.
     pub lookups: u64,
     /// Answers left by their caller.
@@ -37,19 +39,20 @@
 }
 
 impl Journals {
-    /// Bookings executed more than once, wherever.
+    /// Bookings executed more than once, wherever, with the VMs and attempts.
     #[must_use]
-    pub fn doubled(&self) -> u64 {
-        let mut seen: IndexSet<&str> = IndexSet::new();
-        let mut doubled: IndexSet<&str> = IndexSet::new();
-        for journal in self.journals.values() {
+    pub fn doubled(&self) -> IndexMap<&str, Vec<(&str, &str)>> {
+        let mut bookings: IndexMap<&str, Vec<(&str, &str)>> = IndexMap::new();
+        for (vm, journal) in &self.journals {
             for (request, attempts) in &journal.bookings {
-                if !seen.insert(request) || attempts.len() > 1 {
-                    doubled.insert(request);
-                }
+                let attempts = attempts
+                    .iter()
+                    .map(|attempt| (vm.as_str(), attempt.as_str()));
+                bookings.entry(request).or_default().extend(attempts);
             }
         }
-        doubled.len() as u64
+        bookings.retain(|_, attempts| attempts.len() > 1);
+        bookings
     }
 
     /// Whether a booking was executed.
--- a/crates/comfreyroad_bench/src/ledger.rs
+++ b/crates/comfreyroad_bench/src/ledger.rs
@@ -3,15 +3,14 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use comfreyroad::event::LogEntry;
-use comfreyroad::record::Stream;
+use comfreyroad::record::{Record, Stream};
 use comfreyroad_cli::Ledger;
 use comfreyroad_net::client::Client;
 use comfreyroad_net::platform::Log;
 use comfreyroad_wire::record;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
-use crate::{CustomerId, Error, Result};
+use crate::{CustomerId, Error, RequestId, Result, VersionId};
 
 /// Records in a page.
 const PAGE: usize = 1000;
@@ -27,6 +26,8 @@
     pub cost: u64,
     /// Bills that repeat an earlier one and count for nothing.
     pub doubles: u64,
+    /// The requests billed, each once.
+    pub keys: IndexSet<RequestId>,
     /// Requests by customer.
     pub customers: IndexMap<CustomerId, u64>,
 }
@@ -36,6 +37,7 @@
     pub async fn read(log: SocketAddr) -> Result<Self> {
         let service = Log::new(Client::default(), log);
         let mut ledger = Ledger::default();
+        let mut keys = IndexSet::new();
         let mut next = 0;
         loop {
             let now = Instant::now();
@@ -47,15 +49,18 @@
                     source: Box::new(source),
                 })?;
             for stored in &page.records {
-                ledger.feed(&LogEntry {
-                    offset: stored.offset,
-                    at: stored.at,
-                    record: record::decode(&stored.bytes).ok(),
-                });
+                // What this program cannot read, it cannot count.
+                if let Ok(record) = record::decode(&stored.bytes) {
+                    if let Record::Bill(bill) = &record {
+                        keys.insert(bill.key.request.to_string());
+                    }
+                    ledger.feed(stored.offset, &record);
+                }
                 next = stored.offset + 1;
             }
             if page.records.is_empty() || next >= page.next {
-                return Ok(Self::sum(&ledger));
+                let bills = Self::sum(&ledger);
+                return Ok(Self { keys, ..bills });
             }
         }
     }
@@ -71,3 +76,25 @@
         bills
     }
 }
+
+/// Versions that records of the rules stream hold back, in their order.
+pub async fn held(log: SocketAddr) -> Result<Vec<VersionId>> {
+    let service = Log::new(Client::default(), log);
+    let now = Instant::now();
+    let page = service
+        .read(Stream::Rules.name(), 0, PAGE, now, now + TIMEOUT)
+        .await
+        .map_err(|source| Error::Call {
+            step: "read rules",
+            source: Box::new(source),
+        })?;
+    let records = page
+        .records
+        .iter()
+        .filter_map(|stored| record::decode(&stored.bytes).ok());
+    let held = records.filter_map(|record| match record {
+        Record::Hold { version, .. } => Some(version.to_string()),
+        _ => None,
+    });
+    Ok(held.collect())
+}
--- a/crates/comfreyroad_bench/src/lib.rs
+++ b/crates/comfreyroad_bench/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod demo;
 pub mod deployment;
 pub mod error;
+pub mod faults;
 pub mod firm;
 pub mod folder;
 pub mod http;
--- a/crates/comfreyroad_bench/src/main.rs
+++ b/crates/comfreyroad_bench/src/main.rs
@@ -9,6 +9,7 @@
 use comfreyroad_bench::{Error, Result};
 use comfreyroad_net::{runtime, signal};
 use futures_util::future::{Either, select};
+use serde_json::json;
 
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().skip(1).collect();
@@ -48,6 +49,16 @@
             print!("{text}");
             Ok(true)
         }
+        Command::Faults(faults) => {
+            let outcomes = faults.run(&Binaries::beside_this()?).await?;
+            let failed: Vec<_> = outcomes
+                .iter()
+                .filter(|outcome| !outcome.passed)
+                .map(|outcome| outcome.name)
+                .collect();
+            println!("{}", json!({ "cells": outcomes, "failed": failed }));
+            Ok(failed.is_empty())
+        }
         Command::Measure(measure) => {
             for file in measure.run(&Binaries::beside_this()?).await? {
                 println!("{}", file.display());
--- a/crates/comfreyroad_bench/src/measure/run.rs
+++ b/crates/comfreyroad_bench/src/measure/run.rs
@@ -45,7 +45,10 @@
             .with_policy(self.contender.policy());
         let deployment = plan.start(binaries).await?;
         sleep(WARM_UP).await;
-        let load = self.firm.load(&deployment, self.duration, self.seed);
+        let load = self
+            .firm
+            .load(&deployment, self.duration, self.seed)
+            .with_flag("--health-ms", "250");
         let timeline = Timeline::new(Instant::now(), self.duration);
         let running = load.start(binaries, deployment.folder())?;
         let ((used, work), trace) =
@@ -66,7 +69,7 @@
             processor: used.processor.as_secs_f64() * 1e6 / calm.lines.len().max(1) as f64,
             zone_work: work.map_or(0.0, |at| at.duration_since(timeline.out).as_secs_f64()),
             falls: journals.falls(),
-            doubled: journals.doubled(),
+            doubled: journals.doubled().len() as u64,
             ..sample
         };
         Ok(sample)
--- a/crates/comfreyroad_bench/src/options.rs
+++ b/crates/comfreyroad_bench/src/options.rs
@@ -8,6 +8,7 @@
 use getopts::Matches;
 
 use crate::demo::Demo;
+use crate::faults::{Cell, Faults};
 use crate::measure::Measure;
 use crate::router::{Policy, Settings};
 use crate::{Error, Result};
@@ -17,6 +18,8 @@
 pub enum Command {
     /// A run without faults.
     Demo(Demo),
+    /// Fault cells.
+    Faults(Faults),
     /// Measurements beside simple routers.
     Measure(Measure),
     /// A simple router to compare with.
@@ -33,6 +36,7 @@
             .map_or(("help", args), |(name, rest)| (name.as_str(), rest));
         match name {
             "demo" => demo(rest),
+            "faults" => faults(rest),
             "measure" => measure(rest),
             "router" => router(rest),
             "help" | "--help" => Ok(Self::Help(usage())),
@@ -44,6 +48,7 @@
 fn usage() -> String {
     let mut usage = String::from("Usage: comfreyroad-bench COMMAND\n\n");
     usage += &demo_flags().usage("comfreyroad-bench demo");
+    usage += &faults_flags().usage("comfreyroad-bench faults");
     usage += &measure_flags().usage("comfreyroad-bench measure");
     usage += &router_flags().usage("comfreyroad-bench router");
     usage
@@ -68,6 +73,27 @@
     reader.end(Command::Demo(demo))
 }
 
+fn faults_flags() -> getopts::Options {
+    let mut flags = getopts::Options::new();
+    let names = Cell::ALL.map(Cell::name).join(", ");
+    flags.optopt("", "seed", "seed of random numbers (1)", "N");
+    flags.optopt("", "only", &format!("one cell: {names}"), "NAME");
+    flags
+}
+
+fn faults(args: &[String]) -> Result<Command> {
+    let mut reader = Reader::new(&faults_flags(), args)?;
+    let default = Faults::default();
+    let only: String = reader.value("only", String::new());
+    let mut cells = default.cells;
+    cells.retain(|cell| only.is_empty() || cell.name() == only);
+    if cells.is_empty() {
+        reader.errors.push(format!("--only {only}: no such cell"));
+    }
+    let seed = reader.value("seed", default.seed);
+    reader.end(Command::Faults(Faults { cells, seed }))
+}
+
 fn measure_flags() -> getopts::Options {
     let mut flags = getopts::Options::new();
     flags.optopt("", "firm", "inkwell, tahtiaskel or both (both)", "NAME");
--- a/crates/comfreyroad_bench/src/report.rs
+++ b/crates/comfreyroad_bench/src/report.rs
@@ -43,7 +43,7 @@
             refused_not_run: trace.count(Verdict::RefusedNotRun),
             refused_maybe: trace.count(Verdict::RefusedMaybe),
             wrong: trace.count(Verdict::Wrong) + trace.count(Verdict::Broken),
-            doubled: journals.doubled(),
+            doubled: journals.doubled().len() as u64,
             billed: bills.requests,
             cost: bills.cost,
             ttft_p50_ms: first.p50,
--- a/crates/comfreyroad_fakes/src/gate.rs
+++ b/crates/comfreyroad_fakes/src/gate.rs
@@ -18,6 +18,10 @@
     pub slow_ms: Option<u64>,
     /// Drop the connection instead of answering, after the effect, so many times.
     pub lose_answers: Option<u32>,
+    /// Take so many appends to the log and drop the connection instead of answering.
+    pub lose_appends: Option<u32>,
+    /// Take so many bookings and drop the connection instead of answering.
+    pub lose_bookings: Option<u32>,
     /// Answer 503 without effect so many times.
     pub refuse: Option<u32>,
     /// Start again: running streams break and the upstream is cold.
--- a/crates/comfreyroad_fakes/src/load/caller.rs
+++ b/crates/comfreyroad_fakes/src/load/caller.rs
@@ -1,4 +1,4 @@
-use std::cell::Cell;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use compio::time::{sleep, timeout_at};
@@ -6,7 +6,7 @@
 use futures_util::StreamExt;
 use serde_json::Value;
 
-use super::{Events, Job, Kind, Outcome, Verdict};
+use super::{Balancer, Events, Job, Kind, Outcome, Verdict};
 use crate::answer::Quality;
 use crate::time::millis;
 use crate::{Error, Result};
@@ -19,10 +19,10 @@
 /// Sends requests and checks their answers, as a caller of the system would.
 pub struct Caller {
     client: cyper::Client,
-    to: Vec<String>,
-    next: Cell<usize>,
+    balancer: Rc<Balancer>,
     retries: u32,
     delay: Duration,
+    retries_broken: bool,
 }
 
 /// What came of sending a request once.
@@ -40,21 +40,21 @@
 }
 
 impl Caller {
-    /// A caller of these addresses, which it takes in turn.
-    pub fn new(to: Vec<String>, retries: u32) -> Result<Self> {
+    /// A caller behind a balancer.
+    pub fn new(balancer: Rc<Balancer>, retries: u32) -> Result<Self> {
         let client = cyper::Client::builder()
             .no_proxy()
             .build()
             .map_err(|source| Error::Call {
-                peer: to.join(","),
+                peer: "any".to_owned(),
                 source,
             })?;
         Ok(Self {
             client,
-            to,
-            next: Cell::new(0),
+            balancer,
             retries,
             delay: Duration::ZERO,
+            retries_broken: false,
         })
     }
 
@@ -64,6 +64,15 @@
         Self { delay, ..self }
     }
 
+    /// Asks again for chat answers that broke off.
+    #[must_use]
+    pub fn with_retries_of_broken(self, retries_broken: bool) -> Self {
+        Self {
+            retries_broken,
+            ..self
+        }
+    }
+
     /// Sends a request until it has its answer, or can't be sent again.
     pub async fn run(&self, job: Job, begin: Instant) -> Outcome {
         let arrived = Instant::now();
@@ -77,7 +86,8 @@
             let again = match attempt.verdict {
                 Verdict::RefusedNotRun => true,
                 Verdict::RefusedMaybe => job.may_repeat(),
-                Verdict::Whole | Verdict::Wrong | Verdict::Broken => false,
+                Verdict::Broken => self.retries_broken && job.is_chat(),
+                Verdict::Whole | Verdict::Wrong => false,
             };
             let pause = attempt.retry_after.unwrap_or(RETRY_PAUSE);
             if !again
@@ -149,7 +159,7 @@
         let left = millis(deadline.saturating_duration_since(Instant::now()));
         let mut request = self
             .client
-            .request(method, format!("http://{}{path}", self.next_address()))?
+            .request(method, format!("http://{}{path}", self.balancer.next()))?
             .header("x-request-id", &job.id)?
             .header("x-deadline-ms", left.to_string())?
             .header("x-attempt", number.to_string())?;
@@ -169,12 +179,6 @@
         }
         request.send().await
     }
-
-    fn next_address(&self) -> &str {
-        let next = self.next.get();
-        self.next.set((next + 1) % self.to.len());
-        &self.to[next]
-    }
 }
 
 impl Attempt {
--- a/crates/comfreyroad_fakes/src/load/driver.rs
+++ b/crates/comfreyroad_fakes/src/load/driver.rs
@@ -7,7 +7,7 @@
 use compio::time::sleep_until;
 use serde_json::Value;
 
-use super::{Caller, Job, Options, Outcome, Session, Tally, Verdict};
+use super::{Balancer, Caller, Job, Options, Outcome, Session, Tally, Verdict};
 use crate::{Error, Result};
 
 /// Conversations of one customer in one profile that wait for their next turn.
@@ -18,6 +18,7 @@
     options: Options,
     rng: fastrand::Rng,
     caller: Rc<Caller>,
+    balancer: Rc<Balancer>,
     idle: Vec<Idle>,
     number: u64,
     begin: Instant,
@@ -26,12 +27,15 @@
 impl Driver {
     /// A driver that begins now.
     pub fn new(options: Options) -> Result<Self> {
+        let balancer = Rc::new(Balancer::new(options.to.clone()));
+        let caller = Caller::new(Rc::clone(&balancer), options.retries)?
+            .with_delay(options.delay)
+            .with_retries_of_broken(options.retries_broken);
         let conversations = options.profiles.len() * options.customers.len();
         Ok(Self {
             rng: fastrand::Rng::with_seed(options.seed),
-            caller: Rc::new(
-                Caller::new(options.to.clone(), options.retries)?.with_delay(options.delay),
-            ),
+            caller: Rc::new(caller),
+            balancer,
             idle: (0..conversations).map(|_| Idle::default()).collect(),
             number: 0,
             begin: Instant::now(),
@@ -42,6 +46,11 @@
     /// Runs to the end and gives the counts.
     pub async fn run(mut self) -> Result<Value> {
         let end = self.begin + self.options.duration;
+        // Dropped, and so ended, with this run.
+        let _watch = self.options.health.map(|interval| {
+            let balancer = Rc::clone(&self.balancer);
+            compio::runtime::spawn(balancer.watch(interval))
+        });
         let mut due = self.begin;
         let mut running: Vec<JoinHandle<Outcome>> = Vec::new();
         loop {
@@ -80,7 +89,9 @@
         let id = format!("load-{}-{}", self.options.seed, self.number);
         let customer = self.options.customers[customer].clone();
         let profile = &self.options.profiles[profile];
-        let job = profile.job(id, customer, &mut idle.borrow_mut(), &mut self.rng);
+        // A generator of its own: what one request draws changes nothing for the later ones.
+        let mut rng = self.rng.fork();
+        let job = profile.job(id, customer, &mut idle.borrow_mut(), &mut rng);
         (job, idle)
     }
 
--- a/crates/comfreyroad_fakes/src/load/mod.rs
+++ b/crates/comfreyroad_fakes/src/load/mod.rs
@@ -1,5 +1,6 @@
 //! The load tool: open-loop arrivals, callers that check each answer, and counts of what came of them.
 
+mod balancer;
 mod caller;
 mod driver;
 mod events;
@@ -10,6 +11,7 @@
 mod session;
 mod tally;
 
+pub use balancer::Balancer;
 pub use caller::Caller;
 pub use driver::Driver;
 pub use events::Events;
--- a/crates/comfreyroad_fakes/src/load/options.rs
+++ b/crates/comfreyroad_fakes/src/load/options.rs
@@ -69,6 +69,10 @@
     pub delay: Duration,
     /// Retries of a request at most.
     pub retries: u32,
+    /// How often the balancer asks addresses whether they are ready; never when absent.
+    pub health: Option<Duration>,
+    /// Whether a chat answer that broke off is asked for again.
+    pub retries_broken: bool,
     /// File for a line of JSON per request.
     pub trace: Option<String>,
 }
@@ -92,6 +96,12 @@
         flags.optopt("", "seed", "seed of random numbers (1)", "N");
         flags.optopt("", "delay-ms", "one-way delay of callers (0)", "MS");
         flags.optopt("", "retries", "retries of a request at most (3)", "N");
+        flags.optopt("", "health-ms", "interval of health checks (0: none)", "MS");
+        flags.optflag(
+            "",
+            "retry-broken",
+            "ask again for chat answers that broke off",
+        );
         flags.optopt("", "bookings", "percent of bookings (by profile)", "PCT");
         flags.optopt("", "lookups", "percent of lookups (by profile)", "PCT");
         flags.optopt(
@@ -132,6 +142,7 @@
             .parse(args)
             .map_err(|err| Error::Settings(vec![err.to_string()]))?;
         let mut errors = Vec::new();
+        let health = number(&matches, "health-ms", 0, &mut errors);
         let options = Self {
             to: list(&matches, "to"),
             profiles: profiles(&matches, &mut errors),
@@ -142,6 +153,8 @@
             seed: number(&matches, "seed", 1, &mut errors),
             delay: delay(&matches, &mut errors),
             retries: number(&matches, "retries", 3, &mut errors),
+            health: Some(Duration::from_millis(health)).filter(|interval| !interval.is_zero()),
+            retries_broken: matches.opt_present("retry-broken"),
             trace: matches.opt_str("trace"),
         };
         if options.to.is_empty() {
--- a/crates/comfreyroad_fakes/src/load/profile.rs
+++ b/crates/comfreyroad_fakes/src/load/profile.rs
@@ -135,6 +135,8 @@
             _ => (&self.whole_models, self.whole_tokens, self.whole_patience),
         };
         let model = &models[rng.usize(..models.len())];
+        // Drawn before anything that hangs on earlier answers, so that runs with one seed are alike.
+        let max_tokens = rng.u32(low..=high);
         let same = (0..idle.len()).filter(|index| idle[*index].model == *model);
         let earlier = rng
             .choice(same.collect::<Vec<_>>())
@@ -156,7 +158,7 @@
         job.chat = Chat {
             model: model.clone(),
             messages: session.messages.clone(),
-            max_tokens: rng.u32(low..=high),
+            max_tokens,
             stream: job.kind == Kind::Draft,
         };
         job.session = session;
--- a/crates/comfreyroad_fakes/src/log/service.rs
+++ b/crates/comfreyroad_fakes/src/log/service.rs
@@ -1,4 +1,4 @@
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -10,13 +10,13 @@
 use serde_json::{Value, json};
 
 use super::{Settings, Stream};
-use crate::Result;
 use crate::bucket::Bucket;
 use crate::call::Call;
-use crate::gate::Gate;
+use crate::gate::{Faults, Gate};
 use crate::reply::{self, Reply};
 use crate::server::Fake;
 use crate::time::millis;
+use crate::{Error, Result};
 
 /// Records in a page when the reader sets no limit.
 const DEFAULT_LIMIT: usize = 1000;
@@ -28,6 +28,7 @@
     streams: RefCell<IndexMap<String, Stream>>,
     appends: RefCell<Bucket>,
     counts: RefCell<Counts>,
+    lose_appends: Cell<u32>,
 }
 
 #[derive(Default)]
@@ -48,6 +49,7 @@
             streams: RefCell::default(),
             appends: RefCell::new(Bucket::new(rate, (rate / 4.0).max(1.0))),
             counts: RefCell::default(),
+            lose_appends: Cell::new(0),
         }
     }
 
@@ -68,6 +70,13 @@
         reply::json(StatusCode::OK, &appended)
     }
 
+    /// Whether a fault drops the answer to an append that was taken.
+    fn loses_append(&self) -> bool {
+        let left = self.lose_appends.get();
+        self.lose_appends.set(left.saturating_sub(1));
+        left > 0
+    }
+
     async fn read(&self, name: &str, call: &Call) -> Reply {
         self.counts.borrow_mut().reads += 1;
         let from: u64 = call.query("from");
@@ -109,6 +118,12 @@
         })
     }
 
+    fn fault(&self, faults: &Faults) {
+        if let Some(count) = faults.lose_appends {
+            self.lose_appends.set(count);
+        }
+    }
+
     fn serve(self: Rc<Self>, call: Call) -> LocalBoxFuture<'static, Result<Reply>> {
         Box::pin(async move {
             let rest = call
@@ -116,7 +131,13 @@
                 .strip_prefix("/v1/streams/")
                 .and_then(|rest| rest.split_once('/'));
             Ok(match (call.method.as_str(), rest) {
-                ("POST", Some((name, "append"))) => self.append(name, &call),
+                ("POST", Some((name, "append"))) => {
+                    let reply = self.append(name, &call);
+                    if self.loses_append() {
+                        return Err(Error::Dropped { peer: call.peer });
+                    }
+                    reply
+                }
                 ("GET", Some((name, "read"))) => self.read(name, &call).await,
                 _ => reply::error(StatusCode::NOT_FOUND, "no such path"),
             })
--- a/crates/comfreyroad_fakes/src/service.rs
+++ b/crates/comfreyroad_fakes/src/service.rs
@@ -36,7 +36,10 @@
     gate: Gate,
     slots: Rc<Slots>,
     bookings: RefCell<IndexMap<RequestId, Vec<AttemptId>>>,
+    lose_bookings: Cell<u32>,
     lookups: Cell<u64>,
+    /// Calls that would book for no request.
+    strays: Cell<u64>,
     refused: Cell<u64>,
     broken: Cell<u64>,
 }
@@ -51,7 +54,9 @@
             gate: Gate::default(),
             slots,
             bookings: RefCell::default(),
+            lose_bookings: Cell::new(0),
             lookups: Cell::new(0),
+            strays: Cell::new(0),
             refused: Cell::new(0),
             broken: Cell::new(0),
         }
@@ -85,7 +90,7 @@
         };
         let reply = self.execute(call);
         sleep(self.settings.latency).await;
-        if slot.is_broken() {
+        if slot.is_broken() || self.loses(call) {
             self.broken.set(self.broken.get() + 1);
             return Err(Error::Dropped {
                 peer: call.peer.clone(),
@@ -95,10 +100,24 @@
         Ok(reply::with_header(reply, "x-boot", &self.boot()))
     }
 
+    /// Whether a fault drops the answer to this call, whose effect stands.
+    fn loses(&self, call: &Call) -> bool {
+        let left = self.lose_bookings.get();
+        if call.method != "POST" || left == 0 {
+            return false;
+        }
+        self.lose_bookings.set(left - 1);
+        true
+    }
+
     /// Has its effect at once, so that an answer lost later is one whose effect stands.
     fn execute(&self, call: &Call) -> Reply {
+        let request = call.header("x-request-id").to_owned();
+        if call.method == "POST" && request.is_empty() {
+            self.strays.set(self.strays.get() + 1);
+            return reply::error(StatusCode::BAD_REQUEST, "no request id");
+        }
         if call.method == "POST" {
-            let request = call.header("x-request-id").to_owned();
             let mut bookings = self.bookings.borrow_mut();
             let attempts = bookings.entry(request.clone()).or_default();
             attempts.push(call.header("x-attempt-id").to_owned());
@@ -130,12 +149,15 @@
             .count();
         json!({
             "id": self.settings.id, "bookings": &*bookings, "doubled": doubled,
-            "lookups": self.lookups.get(), "refused": self.refused.get(),
+            "lookups": self.lookups.get(), "strays": self.strays.get(), "refused": self.refused.get(),
             "broken": self.broken.get(), "falls": self.slots.falls(),
         })
     }
 
     fn fault(&self, faults: &Faults) {
+        if let Some(count) = faults.lose_bookings {
+            self.lose_bookings.set(count);
+        }
         if let Some(slots) = faults.slots {
             self.slots.resize(slots);
         }
--- a/crates/comfreyroad_fakes/tests/contracts/log.rs
+++ b/crates/comfreyroad_fakes/tests/contracts/log.rs
@@ -84,3 +84,15 @@
         assert_eq!(log.get(&format!("{READ}?from=0")).await["next"], 1);
     });
 }
+
+#[test]
+fn a_lost_append_is_taken_and_reads_go_on() {
+    run(async {
+        let log = start(Settings::default());
+        log.post("/faults", json!({ "lose_appends": 1 })).await;
+        assert_eq!(log.get(&format!("{READ}?from=0")).await["next"], 0);
+        let append = json!({ "records": ["YQ=="] });
+        assert!(log.try_post(APPEND, append.clone()).await.is_none());
+        assert_eq!(log.post(APPEND, append).await.json()["first"], 1);
+    });
+}
--- a/crates/comfreyroad_fakes/tests/contracts/options.rs
+++ b/crates/comfreyroad_fakes/tests/contracts/options.rs
@@ -70,3 +70,22 @@
         assert!(err.contains(part), "{part} isn't in: {err}");
     }
 }
+
+#[test]
+fn customers_may_be_bound_to_a_profile() {
+    let options =
+        load::Options::parse(&args(&["--to", "x", "--customers", "inkwell/ada:k,bob:k"])).unwrap();
+    let sends = |customer: usize, profile: usize| {
+        options.customers[customer].sends(&options.profiles[profile])
+    };
+    assert_eq!((sends(0, 0), sends(0, 1), sends(1, 1)), (true, false, true));
+    let bad = args(&[
+        "--to",
+        "x",
+        "--profile",
+        "inkwell",
+        "--customers",
+        "tahtiaskel/ada:k",
+    ]);
+    assert!(load::Options::parse(&bad).is_err());
+}
--- a/crates/comfreyroad_fakes/tests/contracts/service.rs
+++ b/crates/comfreyroad_fakes/tests/contracts/service.rs
@@ -61,3 +61,24 @@
         assert_eq!(service.get("/v1/load").await["boot"], "ord-1-2");
     });
 }
+
+#[test]
+fn a_lost_booking_stands_and_one_without_a_name_is_none() {
+    run(async {
+        let service = Client::start(Service::new(Settings::default()));
+        service.post("/faults", json!({ "lose_bookings": 1 })).await;
+        assert!(
+            service
+                .send(Method::GET, "/stock/s1", &[], &Value::Null)
+                .await
+                .is_some()
+        );
+        assert!(book(&service, "a1").await.is_none());
+        assert_eq!(service.post("/v1/cancel", json!({})).await.status, 400);
+        let journal = service.get("/journal").await;
+        assert_eq!(
+            (&journal["bookings"]["r1"], &journal["strays"]),
+            (&json!(["a1"]), &json!(1))
+        );
+    });
+}
