--- a/crates/comfreyroad/src/filter/place.rs
+++ b/crates/comfreyroad/src/filter/place.rs
@@ -48,6 +48,8 @@
             pool: service.ok_or(Code::NotFound)?.pool.clone(),
             version: None,
             prefix: None,
+            but: None,
+            salt: head.call,
         });
     };
     let version = rules.versions.get(id).ok_or(Code::Withdrawn)?;
@@ -60,5 +62,7 @@
         pool: version.pool.clone(),
         version: Some(id.clone()),
         prefix,
+        but: None,
+        salt: head.call,
     })
 }
