--- a/crates/comfreyroad/src/frame/frame.rs
+++ b/crates/comfreyroad/src/frame/frame.rs
@@ -15,7 +15,10 @@
     /// The sender's IP number and port.
     pub address: Address,
     /// Whether the sender asks for all heartbeats that the receiver knows.
-    #[cfg_attr(feature = "serde", serde(default))]
+    #[cfg_attr(
+        feature = "serde",
+        serde(default, skip_serializing_if = "std::ops::Not::not")
+    )]
     pub wants_all: bool,
     /// Number of this frame among all that the sender has sent.
     #[cfg_attr(feature = "serde", serde(default))]
@@ -26,7 +29,7 @@
         serde(default, skip_serializing_if = "Option::is_none")
     )]
     pub answers: Option<u64>,
-    /// Whether only the rules are spoken of; answered likewise.
+    /// Whether only the rules and bills are spoken of; answered likewise.
     #[cfg_attr(
         feature = "serde",
         serde(default, skip_serializing_if = "std::ops::Not::not")
--- a/crates/comfreyroad/tests/proof/bench/log.rs
+++ b/crates/comfreyroad/tests/proof/bench/log.rs
@@ -13,6 +13,8 @@
 
 /// Time after which a question without an answer counts as failed.
 const TIMEOUT: Duration = Duration::from_secs(1);
+/// Time until a late append lands.
+const LATE: Duration = Duration::from_millis(3_200);
 
 /// The log service.
 #[derive(Default)]
@@ -23,6 +25,8 @@
     pub(crate) slow: Duration,
     /// Appends yet to be taken without the writer hearing of it.
     pub(crate) lose_acks: u32,
+    /// Appends yet to be taken only long after the writer has given them up.
+    pub(crate) late: u32,
     /// Appends yet to be refused for their rate.
     pub(crate) refuse: u32,
     /// How long a record is kept; `None` for good.
@@ -169,6 +173,17 @@
         if self.wire.log_cut.contains(&post.node) {
             return self.answer(post, TIMEOUT, Event::AppendUnclear(batch));
         }
+        if self.log.late > 0 {
+            self.log.late -= 1;
+            let records = records.to_vec();
+            self.after(LATE, move |bench| {
+                records
+                    .iter()
+                    .for_each(|record| _ = bench.take(stream, record));
+                bench.wake(stream);
+            });
+            return self.answer(post, TIMEOUT, Event::AppendUnclear(batch));
+        }
         let wait = self.latency() + self.log.slow;
         if self.log.outage || self.log.refuse > 0 {
             self.log.refuse = self.log.refuse.saturating_sub(1);
