Feed the ledger whole log entries in the bench; run fault cells one by one

The operators' ledger takes log entries now, unreadable ones included, so that it knows what it lacks. Cells share the machine, so the tests run them one after the other.

--- a/crates/comfreyroad_bench/src/ledger.rs
+++ b/crates/comfreyroad_bench/src/ledger.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use comfreyroad::event::LogEntry;
 use comfreyroad::record::{Record, Stream};
 use comfreyroad_cli::Ledger;
 use comfreyroad_net::client::Client;
@@ -49,13 +50,16 @@
                     source: Box::new(source),
                 })?;
             for stored in &page.records {
-                // What this program cannot read, it cannot count.
-                if let Ok(record) = record::decode(&stored.bytes) {
-                    if let Record::Bill(bill) = &record {
-                        keys.insert(bill.key.request.to_string());
-                    }
-                    ledger.feed(stored.offset, &record);
+                let entry = LogEntry {
+                    offset: stored.offset,
+                    at: stored.at,
+                    // What this program cannot read, it cannot count.
+                    record: record::decode(&stored.bytes).ok(),
+                };
+                if let Some(Record::Bill(bill)) = &entry.record {
+                    keys.insert(bill.key.request.to_string());
                 }
+                ledger.feed(&entry);
                 next = stored.offset + 1;
             }
             if page.records.is_empty() || next >= page.next {
--- a/crates/comfreyroad_bench/tests/faults.rs
+++ b/crates/comfreyroad_bench/tests/faults.rs
@@ -7,16 +7,16 @@
 use comfreyroad_bench::faults::Cell;
 use comfreyroad_net::runtime;
 
-/// Cells that run at once, so that they don't starve each other.
-static LANES: [Mutex<()>; 3] = [const { Mutex::new(()) }; 3];
+/// Held by the cell that runs, so that cells don't starve each other.
+static MACHINE: Mutex<()> = Mutex::new(());
 
-fn lane(number: usize) -> MutexGuard<'static, ()> {
+fn machine() -> MutexGuard<'static, ()> {
     // A cell that failed leaves nothing behind that the next one could stumble over.
-    LANES[number].lock().unwrap_or_else(PoisonError::into_inner)
+    MACHINE.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-fn hold(number: usize, cell: Cell) {
-    let _lane = lane(number);
+fn hold(cell: Cell) {
+    let _machine = machine();
     let seed = std::env::var("COMFREYROAD_SEED").ok();
     let seed = seed.and_then(|seed| seed.parse().ok()).unwrap_or(1);
     let program = Path::new(env!("CARGO_BIN_EXE_comfreyroad-bench"));
@@ -28,40 +28,40 @@
 
 #[test]
 fn callers_of_a_killed_entry_are_served_elsewhere() {
-    hold(0, Cell::KillEntry);
+    hold(Cell::KillEntry);
 }
 
 #[test]
 fn a_paused_entry_doubles_nothing() {
-    hold(1, Cell::PauseEntry);
+    hold(Cell::PauseEntry);
 }
 
 #[test]
 fn a_zone_that_is_out_gets_no_new_work() {
-    hold(2, Cell::ZoneOut);
+    hold(Cell::ZoneOut);
 }
 
 #[test]
 fn of_two_publishes_one_wins() {
-    hold(0, Cell::PublishRace);
+    hold(Cell::PublishRace);
 }
 
 #[test]
 fn a_terminated_entry_cuts_no_stream() {
-    hold(1, Cell::Terminate);
+    hold(Cell::Terminate);
 }
 
 #[test]
 fn chats_go_on_while_the_log_is_out() {
-    hold(2, Cell::LogOutage);
+    hold(Cell::LogOutage);
 }
 
 #[test]
 fn lost_answers_double_nothing() {
-    hold(0, Cell::LostAcks);
+    hold(Cell::LostAcks);
 }
 
 #[test]
 fn an_engine_that_starts_again_is_not_overloaded() {
-    hold(1, Cell::ColdRestart);
+    hold(Cell::ColdRestart);
 }
