Wait in the bench until a new fleet uses its upstreams

An entry uses its slots of a cold upstream two peer timeouts after it first saw its peers, while it says ready at once. A load that begins in this time meets a fleet that can send nothing: calls wait in the queue to their deadline.

--- a/crates/comfreyroad_bench/src/deployment/deployment.rs
+++ b/crates/comfreyroad_bench/src/deployment/deployment.rs
@@ -2,6 +2,7 @@
 use std::process::Command;
 use std::time::{Duration, Instant};
 
+use compio::time::sleep;
 use indexmap::IndexMap;
 use serde_json::Value;
 
@@ -71,6 +72,8 @@
             let rules = deployment.plan.rules.clone();
             deployment.publish("ada", &rules).await?;
             deployment.until_ready().await?;
+            // Ready entries send nothing to cold upstreams yet.
+            sleep(deployment.plan.settling()).await;
         }
         Ok(deployment)
     }
@@ -99,6 +102,10 @@
             command
                 .env("COMFREYROAD_SESSION_KEYS", SESSION_KEY)
                 .args(["--ratings", &self.addresses.ratings().to_string()])
+                .args([
+                    "--peer-timeout-ms",
+                    &plan.peer_timeout.as_millis().to_string(),
+                ])
                 .args(&plan.entry_flags);
             return command;
         };
--- a/crates/comfreyroad_bench/src/deployment/plan.rs
+++ b/crates/comfreyroad_bench/src/deployment/plan.rs
@@ -5,8 +5,13 @@
 use crate::router::Policy;
 use crate::{Result, ZoneId};
 
+/// The daemon's default.
+const PEER_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time for the last entry to see the others.
+const SLACK: Duration = Duration::from_secs(1);
+
 /// What to start.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Plan {
     /// The rules file to publish; nothing is published when empty.
     pub rules: String,
@@ -22,6 +27,8 @@
     pub seed: u64,
     /// Runs routers to compare with in the place of entries.
     pub policy: Option<Policy>,
+    /// Silence after which an entry gives a peer up.
+    pub peer_timeout: Duration,
     /// More flags of the entries.
     pub entry_flags: Vec<String>,
 }
@@ -33,11 +40,31 @@
         Self {
             rules: rules.to_owned(),
             zones: zones.iter().map(|zone| (*zone).to_owned()).collect(),
+            groups: Vec::new(),
+            entries: 0,
+            delay: Duration::ZERO,
             seed: 1,
-            ..Self::default()
+            policy: None,
+            peer_timeout: PEER_TIMEOUT,
+            entry_flags: Vec::new(),
         }
     }
 
+    /// Sets the silence after which an entry gives a peer up.
+    #[must_use]
+    pub fn with_peer_timeout(self, peer_timeout: Duration) -> Self {
+        Self {
+            peer_timeout,
+            ..self
+        }
+    }
+
+    /// Time for a new fleet to divide cold upstreams: an entry uses its slots after two peer timeouts.
+    #[must_use]
+    pub fn settling(&self) -> Duration {
+        self.peer_timeout * 2 + SLACK
+    }
+
     /// Adds upstreams.
     #[must_use]
     pub fn with_group(mut self, group: Group) -> Self {
@@ -85,7 +112,7 @@
             .map_or("", String::as_str)
     }
 
-    /// Starts everything, publishes the rules and waits until all entries are ready.
+    /// Starts everything, publishes the rules and waits until all entries use the upstreams.
     pub async fn start(self, binaries: &Binaries) -> Result<Deployment> {
         Deployment::start(self, binaries).await
     }
--- a/crates/comfreyroad_bench/src/faults/stage.rs
+++ b/crates/comfreyroad_bench/src/faults/stage.rs
@@ -16,6 +16,8 @@
 pub(super) const RULES: &str = include_str!("../../../../examples/demo.rules");
 /// The zones of these rules.
 const ZONES: [&str; 3] = ["a", "b", "c"];
+/// Silence after which an entry gives a peer up.
+const PEER_TIMEOUT: Duration = Duration::from_millis(1500);
 /// What the engines are like.
 const ENGINE: &str = "versions=quill@1+brush@3+brush@4+easel@2,slots=8,cold=2,warm_ms=1000,prefill_us=20,token_us=8000";
 /// What the plain services are like.
@@ -42,6 +44,7 @@
             .with_seed(seed)
             .with_entries(3)
             .with_entry_flag("--drain-notice-ms", "300")
+            .with_peer_timeout(PEER_TIMEOUT)
             .with_group(Group::engines("drafting", "eng", 6).with_settings(ENGINE))
             .with_group(Group::services("orders", "ord", 3).with_settings(SERVICE));
         Ok(Self {
--- a/crates/comfreyroad_bench/src/measure/run.rs
+++ b/crates/comfreyroad_bench/src/measure/run.rs
@@ -1,6 +1,6 @@
 use std::time::{Duration, Instant};
 
-use compio::time::{sleep, sleep_until};
+use compio::time::sleep_until;
 use futures_util::future::{try_join, try_join_all};
 use indexmap::IndexMap;
 use serde_json::{Value, json};
@@ -13,8 +13,6 @@
 use crate::watch::Watch;
 use crate::{Result, VersionId};
 
-/// Time in which idle upstreams get warm before the load.
-const WARM_UP: Duration = Duration::from_millis(2500);
 /// An outage that lasts until it is ended.
 const OUTAGE_MS: u64 = 3_600_000;
 
@@ -44,7 +42,6 @@
             .plan(self.seed)
             .with_policy(self.contender.policy());
         let deployment = plan.start(binaries).await?;
-        sleep(WARM_UP).await;
         let load = self
             .firm
             .load(&deployment, self.duration, self.seed)
