--- a/crates/comfreyroad_bench/src/measure/measure.rs
+++ b/crates/comfreyroad_bench/src/measure/measure.rs
@@ -81,7 +81,7 @@
             firm,
             samples: &samples,
             overhead: &overhead,
-            setting: self.setting(),
+            setting: self.setting(firm),
         };
         let page = self.out.join(format!("{}.md", firm.name));
         folder::write(&page, &table.markdown())?;
@@ -95,14 +95,15 @@
         Plot::new(firm.name, samples, timeline).draw(path)
     }
 
-    fn setting(&self) -> String {
+    fn setting(&self, firm: &Firm) -> String {
         format!(
             "{} seeds from {}, runs of {} s; all contenders run side by side with the same load on one machine, which others \
-             use too. One-way delays stand before all stand-ins (the zones' distance, also within a zone) and before callers \
+             use too. The load begins once a new fleet has divided the cold upstreams ({} s). One-way delays stand before all stand-ins (the zones' distance, also within a zone) and before callers \
              (3 ms), none between entries. Tokens come four times as fast as in production.",
             self.seeds,
             self.seed,
-            self.duration.as_secs()
+            self.duration.as_secs(),
+            firm.plan(self.seed).settling().as_secs()
         )
     }
 }
