--- a/crates/comfreyroad/src/mechanism.rs
+++ b/crates/comfreyroad/src/mechanism.rs
@@ -50,6 +50,16 @@
     PinAgain,
     /// A draining entry waits for its calls.
     Draining,
+    /// Of two cells with one place the greater one counts.
+    MergedCounts,
+    /// A chain of versions needs a rating service that answers.
+    RatingHealth,
+    /// Answers of all but the last version of a chain are rated before they are delivered.
+    Judging,
+    /// Versions that turn out bad are held back.
+    Guard,
+    /// Evidence is valid at any time, and not only when it is looked at once.
+    AnytimeEvidence,
     /// A claim counts by its place on the log.
     ClaimOrder,
     /// A claim counts only for a reader who has read what may have come before it.
--- a/crates/comfreyroad/tests/proof/bench/journal.rs
+++ b/crates/comfreyroad/tests/proof/bench/journal.rs
@@ -15,6 +15,15 @@
     pub(crate) runs: Vec<Run>,
     pub(crate) overloads: Vec<Overload>,
     pub(crate) at_risk: Vec<String>,
+    pub(crate) holds: Vec<Hold>,
+}
+
+/// A version held on the log.
+pub(crate) struct Hold {
+    pub(crate) at: Instant,
+    pub(crate) version: VersionId,
+    /// Whether a publish before it had lifted it already.
+    pub(crate) is_lifted: bool,
 }
 
 /// Rules that the log's order brought into force.
--- a/crates/comfreyroad/tests/proof/main.rs
+++ b/crates/comfreyroad/tests/proof/main.rs
@@ -8,4 +8,5 @@
 mod config;
 mod fault_matrix;
 mod once;
+mod ratings;
 mod thin_path;
