--- a/crates/comfreyroad_bench/src/measure/run.rs
+++ b/crates/comfreyroad_bench/src/measure/run.rs
@@ -1,6 +1,6 @@
 use std::time::{Duration, Instant};
 
-use compio::time::{sleep, sleep_until};
+use compio::time::sleep_until;
 use futures_util::future::{try_join, try_join_all};
 use indexmap::IndexMap;
 use serde_json::{Value, json};
@@ -13,8 +13,6 @@
 use crate::watch::Watch;
 use crate::{Result, VersionId};
 
-/// Time in which idle upstreams get warm before the load.
-const WARM_UP: Duration = Duration::from_millis(2500);
 /// An outage that lasts until it is ended.
 const OUTAGE_MS: u64 = 3_600_000;
 
@@ -44,8 +42,10 @@
             .plan(self.seed)
             .with_policy(self.contender.policy());
         let deployment = plan.start(binaries).await?;
-        sleep(WARM_UP).await;
-        let load = self.firm.load(&deployment, self.duration, self.seed);
+        let load = self
+            .firm
+            .load(&deployment, self.duration, self.seed)
+            .with_flag("--health-ms", "250");
         let timeline = Timeline::new(Instant::now(), self.duration);
         let running = load.start(binaries, deployment.folder())?;
         let ((used, work), trace) =
@@ -66,7 +66,7 @@
             processor: used.processor.as_secs_f64() * 1e6 / calm.lines.len().max(1) as f64,
             zone_work: work.map_or(0.0, |at| at.duration_since(timeline.out).as_secs_f64()),
             falls: journals.falls(),
-            doubled: journals.doubled(),
+            doubled: journals.doubled().len() as u64,
             ..sample
         };
         Ok(sample)
