--- a/crates/comfreyroad/src/controller/members/mod.rs
+++ b/crates/comfreyroad/src/controller/members/mod.rs
@@ -13,7 +13,7 @@
 mod seats;
 
 use std::rc::Rc;
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, Instant};
 
 use fastrand::Rng;
 use indexmap::{IndexMap, IndexSet};
@@ -65,16 +65,7 @@
 
 impl Members {
     pub(super) fn new(settings: &Settings) -> Self {
-        let own = Beat {
-            entry: settings.entry.clone(),
-            boot: settings.boot.clone(),
-            zone: settings.zone.clone(),
-            address: settings.address.clone(),
-            born: SystemTime::UNIX_EPOCH,
-            count: 0,
-            serving: false,
-            suspect: false,
-        };
+        let own = Beat::first(settings);
         let mut view = View::default();
         view.members.insert(own.entry.clone(), own.clone());
         Self {
--- a/crates/comfreyroad/src/frame/beat.rs
+++ b/crates/comfreyroad/src/frame/beat.rs
@@ -1,6 +1,7 @@
 use std::time::SystemTime;
 
 use crate::id::{Address, BootId, EntryId, ZoneId};
+use crate::settings::Settings;
 
 /// A heartbeat of an entry, passed on by others.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -33,6 +34,20 @@
 }
 
 impl Beat {
+    /// The beat of an entry that has not begun to count.
+    pub fn first(settings: &Settings) -> Self {
+        Self {
+            entry: settings.entry.clone(),
+            boot: settings.boot.clone(),
+            zone: settings.zone.clone(),
+            address: settings.address.clone(),
+            born: SystemTime::UNIX_EPOCH,
+            count: 0,
+            serving: false,
+            suspect: false,
+        }
+    }
+
     /// Whether this says something newer than another beat of the same entry.
     pub fn is_newer_than(&self, other: &Self) -> bool {
         self.order() > other.order()
--- a/crates/comfreyroad_wire/examples/counts_at_scale.rs
+++ b/crates/comfreyroad_wire/examples/counts_at_scale.rs
@@ -128,13 +128,15 @@
         let name = |index: usize| -> Arc<str> { format!("entry-{index}").into() };
         let mut view = View::default();
         for (index, address) in addresses.iter().enumerate() {
-            let beat = Beat {
+            let settings = Settings {
                 entry: name(index),
-                boot: "boot".into(),
-                address: address.clone(),
                 zone: "a".into(),
-                count: 0,
+                address: address.clone(),
+                ..Settings::default()
+            };
+            let beat = Beat {
                 serving: true,
+                ..Beat::first(&settings)
             };
             view.members.insert(name(index), beat);
         }
--- a/crates/comfreyroad_wire/examples/ledger_slopes.rs
+++ b/crates/comfreyroad_wire/examples/ledger_slopes.rs
@@ -70,14 +70,9 @@
     let mut view = View::default();
     for settings in (0..size).map(settings) {
         let beat = Beat {
-            entry: settings.entry.clone(),
-            boot: settings.boot,
-            zone: settings.zone,
-            address: settings.address,
-            born: SystemTime::UNIX_EPOCH,
             count: 1,
             serving: true,
-            suspect: false,
+            ..Beat::first(&settings)
         };
         view.members.insert(settings.entry, beat);
     }
--- a/crates/comfreyroad_wire/examples/rules_at_scale/fleet.rs
+++ b/crates/comfreyroad_wire/examples/rules_at_scale/fleet.rs
@@ -137,7 +137,9 @@
             enacted: Vec::new(),
         };
         fleet.clear();
-        let beats: Vec<Beat> = (0..entries).map(|node| beat(&settings(node))).collect();
+        let beats: Vec<Beat> = (0..entries)
+            .map(|node| Beat::first(&settings(node)))
+            .collect();
         for node in 0..entries {
             fleet.plan(Duration::ZERO, Task::Event(node, Event::Started));
             let frame = introduction(&beats, (node + 1) % entries);
@@ -431,19 +433,6 @@
     WAYS[usize::from(one != other) + usize::from(one / REGION != other / REGION)]
 }
 
-fn beat(settings: &Settings) -> Beat {
-    Beat {
-        entry: settings.entry.clone(),
-        boot: settings.boot.clone(),
-        zone: settings.zone.clone(),
-        address: settings.address.clone(),
-        born: SystemTime::UNIX_EPOCH,
-        count: 0,
-        serving: false,
-        suspect: false,
-    }
-}
-
 /// A frame by which an entry gets to know all others.
 fn introduction(beats: &[Beat], from: usize) -> Frame {
     let own = &beats[from];
