Tell refused callers to come back within two seconds

Cause: a call refused as overloaded was told to wait as long as the queue seemed to take, up to 30 s.

Conclusion: a hint bounded by the time in which upstreams warm up.

--- a/crates/comfreyroad/src/filter/admit.rs
+++ b/crates/comfreyroad/src/filter/admit.rs
@@ -9,8 +9,9 @@
 
 /// Time after which a refused caller may find room, where nothing better is known.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
-/// Longest time that a refused caller is told to wait.
-const MAX_RETRY_AFTER: Duration = Duration::from_secs(30);
+/// Longest time that a refused caller is told to wait: the queue is long where upstreams are cold, and they warm up
+/// within seconds.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
 
 /// Refuses at once what would only wait for its refusal.
 #[derive(Debug)]
