--- a/crates/comfreyroad/src/note/kind.rs
+++ b/crates/comfreyroad/src/note/kind.rs
@@ -12,7 +12,8 @@
 }
 
 impl Kind {
-    pub(super) const fn new(number: u16, level: Level, title: &'static str) -> Self {
+    /// A kind of event for a catalogue.
+    pub const fn new(number: u16, level: Level, title: &'static str) -> Self {
         Self {
             number,
             level,
--- a/crates/comfreyroad_net/src/client/limits.rs
+++ b/crates/comfreyroad_net/src/client/limits.rs
@@ -7,6 +7,8 @@
     pub idle: usize,
     /// How long a connection stays open without a request. It should be less than the peer allows.
     pub idle_time: Duration,
+    /// Time for a connection to be made.
+    pub connect_time: Duration,
     /// Bytes of an answer's status line and headers.
     pub header_bytes: usize,
 }
@@ -16,6 +18,7 @@
         Self {
             idle: 32,
             idle_time: Duration::from_secs(10),
+            connect_time: Duration::from_secs(5),
             header_bytes: 64 * 1024,
         }
     }
--- a/crates/comfreyroad_net/src/client/mod.rs
+++ b/crates/comfreyroad_net/src/client/mod.rs
@@ -8,11 +8,17 @@
 mod pool;
 mod reader;
 
-use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Instant};
+use std::{
+    cell::RefCell,
+    fmt,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use compio::time::timeout_at;
 use http::{
-    HeaderValue, Request, Response,
+    HeaderMap, HeaderValue, Request, Response,
     header::{Entry, HOST},
 };
 use hyper::body::Incoming;
@@ -79,6 +85,7 @@
     }
 
     async fn connect(&self, address: SocketAddr, deadline: Instant) -> Result<Connection, Error> {
+        let deadline = deadline.min(Instant::now() + self.limits.connect_time);
         timeout_at(deadline, Connection::open(address, self.limits))
             .await
             .unwrap_or(Err(Cause::Deadline))
@@ -95,7 +102,7 @@
         let before = connection.written();
         let (cause, unsent) = match timeout_at(deadline, connection.send(request)).await {
             Ok(Ok(response)) => {
-                self.keep(peer, connection);
+                self.keep(peer, connection, keep_alive(response.headers()));
                 return Ok(response);
             }
             Ok(Err(mut error)) => {
@@ -121,14 +128,14 @@
     }
 
     /// Puts the connection back once its answer was read to the end.
-    fn keep(&self, address: SocketAddr, mut connection: Connection) {
+    fn keep(&self, address: SocketAddr, mut connection: Connection, idle: Option<Duration>) {
         let pool = Rc::downgrade(&self.pool);
         let put = async move {
             let Ok(()) = connection.ready().await else {
                 return;
             };
             if let Some(pool) = pool.upgrade() {
-                Pool::put(&pool, address, connection);
+                Pool::put(&pool, address, connection, idle);
             }
         };
         compio::runtime::spawn(put).detach();
@@ -141,12 +148,31 @@
     }
 }
 
+impl fmt::Debug for Client {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let idle = self.idle();
+        f.debug_struct("Client").field("idle", &idle).finish()
+    }
+}
+
 /// An exchange that failed, with the request when it was not touched.
 struct Failure {
     error: Error,
     unsent: Option<Request<Body>>,
 }
 
+/// Header by which a peer says how long it keeps a connection without a request.
+const KEEP_ALIVE: &str = "keep-alive";
+
+/// Time for which a kept connection can safely be used: less than the peer keeps it, as a request takes time to arrive.
+fn keep_alive(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get(KEEP_ALIVE)?.to_str().ok()?;
+    let mut parameters = text.split(',').map(str::trim);
+    let seconds = parameters.find_map(|it| it.strip_prefix("timeout="))?;
+    let seconds: u32 = seconds.trim().parse().ok()?;
+    Some(Duration::from_secs(seconds.into()) / 4 * 3)
+}
+
 fn add_host(request: &mut Request<Body>, address: SocketAddr) -> Result<(), Error> {
     if let Entry::Vacant(host) = request.headers_mut().entry(HOST) {
         let value = HeaderValue::try_from(address.to_string());
--- a/crates/comfreyroad_net/src/client/pool.rs
+++ b/crates/comfreyroad_net/src/client/pool.rs
@@ -2,7 +2,7 @@
     cell::RefCell,
     net::SocketAddr,
     rc::{Rc, Weak},
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use compio::runtime::JoinHandle;
@@ -48,13 +48,19 @@
     }
 
     /// Keeps a connection for the next request, in place of the oldest one when there are too many.
-    pub(super) fn put(pool: &Rc<RefCell<Self>>, address: SocketAddr, connection: Connection) {
+    pub(super) fn put(
+        pool: &Rc<RefCell<Self>>,
+        address: SocketAddr,
+        connection: Connection,
+        idle_time: Option<Duration>,
+    ) {
         let mut open = pool.borrow_mut();
         let Limits {
             idle: most,
-            idle_time,
+            idle_time: most_time,
             ..
         } = open.limits;
+        let idle_time = idle_time.map_or(most_time, |time| time.min(most_time));
         let deadline = Instant::now() + idle_time;
         let idle = open.idle.entry(address).or_default();
         idle.push(Idle {
--- a/crates/comfreyroad_net/src/client/reader.rs
+++ b/crates/comfreyroad_net/src/client/reader.rs
@@ -36,6 +36,23 @@
             }
         }
     }
+
+    /// Reads the rest, of at most `limit` bytes, until `deadline`.
+    pub async fn whole(mut self, limit: usize, deadline: Instant) -> Result<Bytes, Error> {
+        let Some(first) = self.chunk(deadline).await? else {
+            return Ok(Bytes::new());
+        };
+        let mut all = BytesMut::from(first);
+        loop {
+            if all.len() > limit {
+                return Err(Error::body(self.peer, Cause::TooLong(limit)));
+            }
+            let Some(chunk) = self.chunk(deadline).await? else {
+                return Ok(all.freeze());
+            };
+            all.extend_from_slice(&chunk);
+        }
+    }
 }
 
 /// Reads a whole body of at most `limit` bytes that comes from `peer`, until `deadline`.
@@ -45,18 +62,5 @@
     limit: usize,
     deadline: Instant,
 ) -> Result<Bytes, Error> {
-    let mut reader = Reader::new(peer, body);
-    let Some(first) = reader.chunk(deadline).await? else {
-        return Ok(Bytes::new());
-    };
-    let mut all = BytesMut::from(first);
-    loop {
-        if all.len() > limit {
-            return Err(Error::body(peer, Cause::TooLong(limit)));
-        }
-        let Some(chunk) = reader.chunk(deadline).await? else {
-            return Ok(all.freeze());
-        };
-        all.extend_from_slice(&chunk);
-    }
+    Reader::new(peer, body).whole(limit, deadline).await
 }
--- a/crates/comfreyroad_net/src/server/mod.rs
+++ b/crates/comfreyroad_net/src/server/mod.rs
@@ -6,7 +6,7 @@
 mod stop;
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     future::{Future, poll_fn},
     io,
     net::SocketAddr,
@@ -31,7 +31,7 @@
 #[derive(Debug)]
 pub struct Server {
     listener: Listener,
-    limits: Limits,
+    limits: Rc<Cell<Limits>>,
     state: Rc<RefCell<State>>,
 }
 
@@ -40,17 +40,22 @@
     pub fn new(listener: Listener) -> Self {
         Self {
             listener,
-            limits: Limits::default(),
+            limits: Rc::default(),
             state: Rc::default(),
         }
     }
 
     /// Replaces the limits.
-    pub fn limits(mut self, limits: Limits) -> Self {
-        self.limits = limits;
+    pub fn limits(self, limits: Limits) -> Self {
+        self.limits.set(limits);
         self
     }
 
+    /// The limits, to be changed while the server runs; a change holds for new connections.
+    pub fn shared_limits(&self) -> Rc<Cell<Limits>> {
+        self.limits.clone()
+    }
+
     /// A handle that stops the server.
     pub fn stop(&self) -> Stop {
         Stop::new(self.state.clone())
@@ -66,7 +71,7 @@
         let handler = Rc::new(handler);
         loop {
             self.until(|state| {
-                state.deadline().is_some() || state.connections() < self.limits.connections
+                state.deadline().is_some() || state.connections() < self.limits.get().connections
             })
             .await;
             let stopped = pin!(self.until(|state| state.deadline().is_some()));
@@ -102,7 +107,7 @@
             stream,
             peer,
             place: Place::new(&self.state),
-            limits: self.limits,
+            limits: self.limits.get(),
         };
         let handler = handler.clone();
         compio::runtime::spawn(connection.run(move |request, peer| handler(request, peer)))
--- a/crates/comfreyroad_net/src/signal.rs
+++ b/crates/comfreyroad_net/src/signal.rs
@@ -1,4 +1,4 @@
-//! Signals that ask the process to end.
+//! Signals that ask the process to end, or to read its settings again.
 
 use std::{io, pin::pin};
 
@@ -6,6 +6,7 @@
 use futures_util::future::{Either, select};
 
 /// Signal numbers of every Unix.
+const SIGHUP: i32 = 1;
 const SIGINT: i32 = 2;
 const SIGTERM: i32 = 15;
 
@@ -27,3 +28,8 @@
         Either::Right((result, _)) => result.map(|()| Signal::Interrupt),
     }
 }
+
+/// Waits for `SIGHUP`, by which settings are read again. The handler is there from the first poll on.
+pub async fn hangup() -> io::Result<()> {
+    unix::signal(SIGHUP).await
+}
--- a/crates/comfreyroad_net/src/stream.rs
+++ b/crates/comfreyroad_net/src/stream.rs
@@ -20,6 +20,9 @@
 /// Error number of Linux for a connect that goes on; the standard library has no stable name for it.
 const EINPROGRESS: i32 = 115;
 
+/// Time after which a peer that acknowledges nothing counts as gone: the least that retransmissions on a lossy link need.
+const USER_TIMEOUT: Duration = Duration::from_secs(3);
+
 thread_local! {
     // A read is over before the next one starts, so all streams of the thread share one buffer.
     static BUFFER: RefCell<Vec<u8>> = RefCell::new(vec![0; READ_BYTES]);
@@ -58,6 +61,7 @@
     /// Wraps a connected, non-blocking socket.
     pub(crate) fn new(socket: Socket) -> io::Result<Self> {
         socket.set_tcp_nodelay(true)?;
+        socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
         Ok(Self {
             socket: Rc::new(PollFd::new(socket)?),
             shared: Rc::default(),
--- /dev/null
+++ b/crates/comfreyroad_proxy/src/outside.rs
@@ -0,0 +1,134 @@
+//! Actions carried out: calls to the store and to peers, each by a task that feeds back what comes of it.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use comfreyroad_net::body::Body;
+use comfreyroad_net::client::read_all;
+use comfreyroad_platform::store::{Cause, Error};
+use comfreyroad_router::frame::Frame;
+use comfreyroad_router::id::{Address, Offset};
+use comfreyroad_router::record::{Content, Topic};
+use comfreyroad_router::{Action, Event};
+use http::{Method, Request};
+
+use crate::control::{GOSSIP_PATH, MAX_FRAME_BYTES};
+use crate::logger;
+use crate::shared::Shared;
+
+/// Time for the store to answer, beyond what it was asked to wait.
+const STORE_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Time for the pages of a listing.
+const LIST_TIMEOUT: Duration = Duration::from_secs(4);
+/// Time for a peer to answer.
+const PEER_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Carries actions out.
+pub fn carry_out(shared: &Rc<Shared>, actions: Vec<Action>) {
+    for action in actions {
+        match action {
+            Action::Note(note) => {
+                shared.metrics.count(&note);
+                logger::write(&note);
+            }
+            Action::Close => {
+                let ends_at = shared.ends_at().unwrap_or_else(Instant::now);
+                shared.stop.stop(ends_at);
+            }
+            Action::List(topic) => spawn(list(shared.clone(), topic)),
+            Action::Read { topic, from, wait } => spawn(read(shared.clone(), topic, from, wait)),
+            Action::Write { topic, content, at } => {
+                spawn(write(shared.clone(), topic, content, at));
+            }
+            Action::Gossip { to, frame } => spawn(gossip(shared.clone(), to, frame)),
+        }
+    }
+}
+
+fn spawn(task: impl Future<Output = ()> + 'static) {
+    compio::runtime::spawn(task).detach();
+}
+
+async fn list(shared: Rc<Shared>, topic: Topic) {
+    let started = Instant::now();
+    let listed = shared.store.list(topic, started + LIST_TIMEOUT).await;
+    shared.metrics.store_call("list", started, listed.is_ok());
+    shared.raise(match listed {
+        Ok(batch) => Event::Listed {
+            topic,
+            records: batch.records,
+            next: batch.next,
+        },
+        Err(error) => failed(topic, &error),
+    });
+}
+
+async fn read(shared: Rc<Shared>, topic: Topic, from: Offset, wait: Duration) {
+    let started = Instant::now();
+    let deadline = started + wait + STORE_TIMEOUT;
+    let read = shared.store.read(topic, from, wait, deadline).await;
+    shared.metrics.store_call("read", started, read.is_ok());
+    shared.raise(match read {
+        Ok(batch) => Event::Read {
+            topic,
+            records: batch.records,
+            next: batch.next,
+        },
+        Err(error) => failed(topic, &error),
+    });
+}
+
+fn failed(topic: Topic, error: &Error) -> Event {
+    if let Cause::Expired = error.cause {
+        return Event::Expired(topic);
+    }
+    log::debug!("topic {}: {error}", topic.name());
+    Event::StoreFailed(topic)
+}
+
+async fn write(shared: Rc<Shared>, topic: Topic, content: Content, at: Option<Offset>) {
+    let started = Instant::now();
+    let deadline = started + STORE_TIMEOUT;
+    let written = shared.store.write(topic, &content, at, deadline).await;
+    shared.metrics.store_call("write", started, written.is_ok());
+    shared.raise(match written {
+        Ok(()) => Event::Written(topic),
+        Err(Error {
+            cause: Cause::Conflict,
+            ..
+        }) => Event::Conflict(topic),
+        Err(error) => {
+            log::warn!(target: logger::TARGET, "topic {}: {error}", topic.name());
+            Event::WriteFailed(topic)
+        }
+    });
+}
+
+async fn gossip(shared: Rc<Shared>, to: Address, frame: Box<Frame>) {
+    shared.raise(match exchange(&shared, &to, &frame).await {
+        Some(frame) => Event::Heard(Rc::new(frame)),
+        None => Event::PeerFailed(to),
+    });
+}
+
+/// Sends a frame and reads the one that comes back.
+async fn exchange(shared: &Shared, to: &Address, frame: &Frame) -> Option<Frame> {
+    let report = |error: &dyn std::fmt::Display| log::debug!("gossip with {to}: {error}");
+    let address = to.parse().inspect_err(|error| report(error)).ok()?;
+    let bytes = rmp_serde::to_vec_named(frame)
+        .inspect_err(|error| report(error))
+        .ok()?;
+    let request = Request::builder().method(Method::POST).uri(GOSSIP_PATH);
+    let request = request
+        .body(Body::full(bytes))
+        .inspect_err(|error| report(error))
+        .ok()?;
+    let deadline = Instant::now() + PEER_TIMEOUT;
+    let call = shared.peers.call(address, request, deadline).await;
+    let response = call.inspect_err(|error| report(error)).ok()?;
+    let body = read_all(address, response.into_body(), MAX_FRAME_BYTES, deadline).await;
+    let body = body.inspect_err(|error| report(error)).ok()?;
+    rmp_serde::from_slice(&body)
+        .inspect_err(|error| report(error))
+        .ok()
+}
--- /dev/null
+++ b/crates/comfreyroad_router/src/answer/fault.rs
@@ -0,0 +1,30 @@
+/// How an attempt failed that an upstream may have run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// The connection broke, or what came was not an answer.
+    Broken,
+    /// The answer belongs to another request.
+    Crossed,
+    /// Nothing came in time.
+    Silent,
+    /// The next event did not come in time.
+    Stalled,
+    /// The answer ended before it was whole.
+    Truncated,
+    /// The upstream answered that it failed.
+    Failed,
+}
+
+impl Fault {
+    /// Its name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Broken => "broken",
+            Self::Crossed => "crossed",
+            Self::Silent => "silent",
+            Self::Stalled => "stalled",
+            Self::Truncated => "truncated",
+            Self::Failed => "failed",
+        }
+    }
+}
--- /dev/null
+++ b/crates/comfreyroad_router/src/controller/feeds/feed.rs
@@ -0,0 +1,188 @@
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Instant;
+
+use indexmap::IndexMap;
+
+use super::pace;
+use crate::id::Offset;
+use crate::note::{self, Note};
+use crate::outbox::Outbox;
+use crate::record::{Content, Record, Topic};
+use crate::{Action, Event};
+
+/// Records in one frame at most; a peer that lacks more lists the topic itself.
+const MAX_PASSED: usize = 256;
+/// Keys remembered of a topic at most, removed ones among them.
+const MAX_KEYS: usize = 16 * 1024;
+
+/// One topic, as far as it was read.
+#[derive(Debug)]
+pub(super) struct Feed {
+    topic: Topic,
+    next: Option<Offset>,
+    records: IndexMap<Arc<str>, Kept>,
+    is_busy: bool,
+    started: Option<Instant>,
+    resumes_at: Option<Instant>,
+    failures: u32,
+}
+
+/// The newest record of a key.
+#[derive(Debug)]
+struct Kept {
+    record: Rc<Record>,
+    learned: Instant,
+}
+
+impl Feed {
+    pub(super) fn new(topic: Topic) -> Self {
+        Self {
+            topic,
+            next: None,
+            records: IndexMap::new(),
+            is_busy: false,
+            started: None,
+            resumes_at: None,
+            failures: 0,
+        }
+    }
+
+    pub(super) fn next(&self) -> Option<Offset> {
+        self.next
+    }
+
+    /// Starts a call if one is due.
+    pub(super) fn start_due(&mut self, now: Instant, out: &mut Outbox) {
+        if self.is_busy || self.resumes_at.is_some_and(|at| at > now) {
+            return;
+        }
+        let topic = self.topic;
+        let action = match self.next {
+            None => Action::List(topic),
+            Some(_) if !pace::is_followed(topic) => return,
+            Some(from) => Action::Read {
+                topic,
+                from,
+                wait: pace::wait(topic),
+            },
+        };
+        self.is_busy = true;
+        self.started = Some(now);
+        out.act(action);
+    }
+
+    /// Forgets the call under way, whose answer may be old.
+    pub(super) fn restart(&mut self) {
+        self.is_busy = false;
+        self.resumes_at = None;
+    }
+
+    pub(super) fn listed(
+        &mut self,
+        now: Instant,
+        records: &[Record],
+        next: Offset,
+        out: &mut Outbox,
+    ) {
+        for record in records {
+            self.learn(now, record.clone(), out);
+        }
+        let is_missing = |kept: &Kept| {
+            let record = &kept.record;
+            let is_named = || records.iter().any(|listed| listed.key == record.key);
+            record.offset < next && record.content != Content::Removed && !is_named()
+        };
+        let missing = self.records.values().filter(|kept| is_missing(kept));
+        let missing: Vec<Arc<str>> = missing.map(|kept| kept.record.key.clone()).collect();
+        for key in missing {
+            let record = Record {
+                offset: next.saturating_sub(1),
+                key,
+                content: Content::Removed,
+            };
+            self.learn(now, record, out);
+        }
+        self.succeed(now, next, out);
+    }
+
+    pub(super) fn read(
+        &mut self,
+        now: Instant,
+        records: &[Record],
+        next: Offset,
+        out: &mut Outbox,
+    ) {
+        for record in records {
+            self.learn(now, record.clone(), out);
+        }
+        self.succeed(now, next, out);
+    }
+
+    fn succeed(&mut self, now: Instant, next: Offset, out: &mut Outbox) {
+        self.advance(next);
+        self.failures = 0;
+        self.is_busy = false;
+        self.resumes_at = self.started.map(|at| at + pace::period(self.topic));
+        self.start_due(now, out);
+    }
+
+    /// The records that were to be read are gone: the topic is listed anew.
+    pub(super) fn expire(&mut self, now: Instant, out: &mut Outbox) {
+        out.note(Note::new(&note::EXPIRED).with("topic", self.topic.name()));
+        self.next = None;
+        self.is_busy = false;
+        self.resumes_at = None;
+        self.start_due(now, out);
+    }
+
+    pub(super) fn fail(&mut self, now: Instant) {
+        let backoff = pace::BACKOFF * 2_u32.saturating_pow(self.failures.min(8));
+        self.failures += 1;
+        self.is_busy = false;
+        self.resumes_at = Some(now + backoff.min(pace::MAX_BACKOFF));
+    }
+
+    /// Everything before an offset is known.
+    pub(super) fn advance(&mut self, next: Offset) {
+        self.next = self.next.max(Some(next));
+    }
+
+    /// Takes a record, if it is newer than what is known of its key.
+    pub(super) fn learn(&mut self, now: Instant, record: Record, out: &mut Outbox) {
+        let known = self.records.get(&record.key);
+        if known.is_some_and(|known| known.record.offset >= record.offset) {
+            return;
+        }
+        if record.content == Content::Unreadable {
+            let note = Note::new(&note::UNREADABLE).with("topic", self.topic.name());
+            out.note(note.with("key", &record.key).with("offset", record.offset));
+        }
+        let record = Rc::new(record);
+        let kept = Kept {
+            record: Rc::clone(&record),
+            learned: now,
+        };
+        self.records.insert(record.key.clone(), kept);
+        if self.records.len() > MAX_KEYS {
+            let is_removed = |kept: &Kept| kept.record.content == Content::Removed;
+            let removed = self.records.values().position(is_removed);
+            removed.map(|index| self.records.shift_remove_index(index));
+        }
+        out.raise(Event::Learned(self.topic, record));
+    }
+
+    /// The records from an offset on, and where they end; none where a peer lacks nothing or too much.
+    pub(super) fn since(&self, now: Instant, from: Offset) -> Option<(Vec<Record>, Offset)> {
+        let next = self.next.filter(|next| *next > from)?;
+        let lacked = self.records.values().filter(|it| it.record.offset >= from);
+        let lacked: Vec<&Kept> = lacked.take(MAX_PASSED + 1).collect();
+        // One that knows nothing yet is told at once.
+        let is_new = |it: &&Kept| from > 0 && it.learned + pace::PASS_ON_AFTER > now;
+        if lacked.len() > MAX_PASSED || lacked.iter().any(is_new) {
+            return None;
+        }
+        let records = lacked.iter().map(|it| (*it.record).clone());
+        Some((records.collect(), next))
+    }
+}
--- /dev/null
+++ b/crates/comfreyroad_router/src/controller/feeds/mod.rs
@@ -0,0 +1,162 @@
+//! What was read of the store's topics, by this entry or by its peers.
+//!
+//! Each topic is listed once and then read on. What a peer has read counts as read: records have offsets, and of each key
+//! the one with the greatest counts, so it does not matter by which way or how often they come.
+
+mod feed;
+mod pace;
+
+use std::time::Instant;
+
+use comfreyroad::clock::Now;
+use indexmap::IndexMap;
+
+use self::feed::Feed;
+use super::Controller;
+use crate::frame::{Frame, Peer};
+use crate::id::{Address, Offset};
+use crate::note::{self, Note};
+use crate::outbox::Outbox;
+use crate::record::{Content, Record, Topic};
+use crate::{Action, Event, Settings};
+
+/// Keeps what was read.
+#[derive(Debug)]
+pub struct Feeds {
+    own: Peer,
+    feeds: IndexMap<Topic, Feed>,
+    // The offsets that peers said they lack next.
+    lacks: IndexMap<Address, IndexMap<Topic, Offset>>,
+    is_store_lost: bool,
+    register_at: Option<Instant>,
+}
+
+impl Feeds {
+    pub(super) fn new(settings: &Settings) -> Self {
+        let feeds = Topic::ALL.map(|topic| (topic, Feed::new(topic)));
+        Self {
+            own: settings.own.clone(),
+            feeds: feeds.into_iter().collect(),
+            lacks: IndexMap::new(),
+            is_store_lost: false,
+            register_at: None,
+        }
+    }
+
+    /// Whether the store does not answer this entry.
+    pub fn is_store_lost(&self) -> bool {
+        self.is_store_lost
+    }
+
+    /// The offset at which a topic was known to end.
+    pub fn next(&self, topic: Topic) -> Option<Offset> {
+        self.feeds.get(&topic)?.next()
+    }
+
+    fn answered(&mut self, out: &mut Outbox) {
+        if std::mem::take(&mut self.is_store_lost) {
+            out.note(Note::new(&note::STORE_BACK));
+            out.raise(Event::StoreBack);
+        }
+    }
+
+    fn failed(&mut self, topic: Topic, out: &mut Outbox) {
+        if !std::mem::replace(&mut self.is_store_lost, true) {
+            out.note(Note::new(&note::STORE_LOST).with("topic", topic.name()));
+        }
+    }
+
+    fn start_due(&mut self, now: Now, out: &mut Outbox) {
+        for feed in self.feeds.values_mut() {
+            feed.start_due(now.instant, out);
+        }
+        if self.register_at.is_some_and(|at| at <= now.instant) {
+            self.register_at = None;
+            out.act(Action::Write {
+                topic: Topic::Entries,
+                content: Content::Entry(self.own.clone()),
+                at: None,
+            });
+        }
+    }
+
+    fn on_frame(&mut self, now: Now, frame: &Frame, out: &mut Outbox) {
+        let address = frame.from.address.clone();
+        self.lacks.insert(address, frame.next.clone());
+        for (topic, record) in &frame.records {
+            if let Some(feed) = self.feeds.get_mut(topic) {
+                feed.learn(now.instant, record.clone(), out);
+            }
+        }
+        for (topic, next) in &frame.complete {
+            if let Some(feed) = self.feeds.get_mut(topic) {
+                feed.advance(*next);
+            }
+        }
+    }
+
+    fn on_topic(&mut self, now: Now, topic: Topic, event: &Event, out: &mut Outbox) {
+        let Some(feed) = self.feeds.get_mut(&topic) else {
+            return;
+        };
+        match event {
+            Event::Listed { records, next, .. } => feed.listed(now.instant, records, *next, out),
+            Event::Read { records, next, .. } => feed.read(now.instant, records, *next, out),
+            Event::Expired(_) => feed.expire(now.instant, out),
+            Event::StoreFailed(_) => feed.fail(now.instant),
+            _ => {}
+        }
+    }
+
+    fn publish(&self, content: Content, out: &mut Outbox) {
+        let topic = Topic::Status;
+        // Without knowing what stands there, nothing is written over it.
+        if let Some(next) = self.next(topic) {
+            let at = Some(next);
+            out.act(Action::Write { topic, content, at });
+        }
+    }
+}
+
+impl Controller for Feeds {
+    fn handle(&mut self, now: Now, event: &Event, out: &mut Outbox) {
+        match event {
+            Event::Started => {
+                self.register_at = Some(now.instant);
+                self.start_due(now, out);
+            }
+            Event::Tick => self.start_due(now, out),
+            Event::Paused => self.feeds.values_mut().for_each(Feed::restart),
+            Event::Listed { topic, .. } | Event::Read { topic, .. } | Event::Expired(topic) => {
+                self.on_topic(now, *topic, event, out);
+                self.answered(out);
+            }
+            Event::StoreFailed(topic) => {
+                self.on_topic(now, *topic, event, out);
+                self.failed(*topic, out);
+            }
+            Event::WriteFailed(Topic::Entries) => {
+                self.register_at = Some(now.instant + pace::REGISTER_AGAIN);
+            }
+            Event::Heard(frame) => self.on_frame(now, frame, out),
+            Event::Publish(status) => self.publish(Content::Status(status.clone()), out),
+            _ => {}
+        }
+    }
+
+    fn fill(&mut self, now: Now, to: &Address, frame: &mut Frame) {
+        let lacks = self.lacks.get(to);
+        for (topic, feed) in &self.feeds {
+            frame.next.insert(*topic, feed.next().unwrap_or(0));
+            let Some(from) = lacks.and_then(|lacks| lacks.get(topic)) else {
+                continue;
+            };
+            if let Some((records, next)) = feed.since(now.instant, *from) {
+                let records: Vec<(Topic, Record)> =
+                    records.into_iter().map(|it| (*topic, it)).collect();
+                frame.records.extend(records);
+                frame.complete.insert(*topic, next);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/comfreyroad_router/src/controller/members/mod.rs
@@ -0,0 +1,204 @@
+//! The other entries: who lives, by heartbeats that are gossiped.
+//!
+//! Every entry exchanges frames with a few peers in each period and passes on the newest heartbeat that it has of each.
+//! Whose heartbeat does not rise for a while is lost. Peers are found by the seeds of the settings and by what entries
+//! register in the store when they start.
+
+mod fleet;
+mod known;
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use comfreyroad::clock::Now;
+use fastrand::Rng;
+use indexmap::IndexMap;
+
+use self::known::Known;
+use super::Controller;
+use crate::frame::{Frame, Peer};
+use crate::id::{Address, EntryId};
+use crate::note::{self, Note};
+use crate::outbox::Outbox;
+use crate::record::Content;
+use crate::{Event, Settings};
+
+pub use fleet::Fleet;
+
+/// Time between two rounds of gossip. Three rounds reach a dozen entries, well within the 2 s that news may take.
+const PERIOD: Duration = Duration::from_millis(500);
+/// Live peers that a round of gossip goes to.
+const FANOUT: usize = 2;
+/// Rounds of gossip between two tries to reach an entry that is not live.
+const RETRY_ROUNDS: u64 = 4;
+/// Time without a newer heartbeat after which a peer is lost.
+const TIMEOUT: Duration = Duration::from_secs(3);
+/// Time for which an entry that is not heard may still be serving behind a partition.
+const POSSIBLE: Duration = Duration::from_secs(30);
+/// Entries of each zone that are assumed while none is known.
+const ASSUMED_PER_ZONE: usize = 3;
+
+/// Keeps the entries.
+#[derive(Debug)]
+pub struct Members {
+    own: Peer,
+    seeds: Vec<Address>,
+    assumed: usize,
+    known: IndexMap<EntryId, Known>,
+    fleet: Rc<Fleet>,
+    round: u64,
+    next_round: Option<Instant>,
+    rng: Rng,
+}
+
+impl Members {
+    pub(super) fn new(settings: &Settings) -> Self {
+        let mut members = Self {
+            own: settings.own.clone(),
+            seeds: settings.seeds.clone(),
+            assumed: settings.zones.max(1) * ASSUMED_PER_ZONE,
+            known: IndexMap::new(),
+            fleet: Rc::default(),
+            round: 0,
+            next_round: None,
+            rng: Rng::with_seed(settings.seed),
+        };
+        members.seeds.retain(|seed| *seed != members.own.address);
+        members
+    }
+
+    /// The live entries.
+    pub fn fleet(&self) -> &Rc<Fleet> {
+        &self.fleet
+    }
+
+    /// A frame that names its sender only.
+    pub(super) fn empty_frame(&self) -> Frame {
+        Frame {
+            from: self.own.clone(),
+            peers: Vec::new(),
+            next: IndexMap::new(),
+            records: Vec::new(),
+            complete: IndexMap::new(),
+            rollouts: Vec::new(),
+            tallies: Vec::new(),
+        }
+    }
+
+    fn on_tick(&mut self, now: Instant, out: &mut Outbox) {
+        if self.next_round.is_some_and(|at| at > now) {
+            return;
+        }
+        self.next_round = Some(now + PERIOD);
+        self.round += 1;
+        self.own.heartbeat += 1;
+        self.forget(now, out);
+        for to in self.targets(now) {
+            out.raise(Event::Exchange { to });
+        }
+    }
+
+    /// Live peers chosen at random, and at times one that is not live.
+    fn targets(&mut self, now: Instant) -> Vec<Address> {
+        let live = self.known.values().filter(|known| known.is_live(now));
+        let mut live: Vec<Address> = live.map(|known| known.peer.address.clone()).collect();
+        self.rng.shuffle(&mut live);
+        let mut targets: Vec<Address> = live.iter().take(FANOUT).cloned().collect();
+        if live.is_empty() || self.round.is_multiple_of(RETRY_ROUNDS) {
+            let silent = self.known.values().filter(|known| !known.is_live(now));
+            let silent = silent.map(|known| known.peer.address.clone());
+            let seeds = self
+                .seeds
+                .iter()
+                .filter(|seed| !live.contains(seed))
+                .cloned();
+            let others: Vec<Address> = silent.chain(seeds).collect();
+            targets.extend(self.rng.choice(others));
+        }
+        targets
+    }
+
+    fn forget(&mut self, now: Instant, out: &mut Outbox) {
+        for known in self.known.values_mut() {
+            if known.lose(now) {
+                out.note(Note::new(&note::PEER_LOST).with("peer", &known.peer.entry));
+            }
+        }
+        self.known.retain(|_, known| known.is_possible(now));
+        self.publish(now, out);
+    }
+
+    fn hear(&mut self, now: Instant, peer: &Peer, out: &mut Outbox) {
+        if peer.entry == self.own.entry {
+            return;
+        }
+        let known = self.known.entry(peer.entry.clone());
+        let known = known.or_insert_with(|| Known::new(now, peer.clone()));
+        if known.hear(now, peer) {
+            let note = Note::new(&note::PEER_JOINED).with("peer", &peer.entry);
+            out.note(note.with("zone", &peer.zone));
+            self.publish(now, out);
+        }
+    }
+
+    /// An entry has registered in the store; whether it lives is to be seen.
+    fn list(&mut self, now: Instant, peer: &Peer, out: &mut Outbox) {
+        if peer.entry != self.own.entry && !self.known.contains_key(&peer.entry) {
+            let known = Known::new(now, peer.clone());
+            self.known.insert(peer.entry.clone(), known);
+            self.publish(now, out);
+        }
+    }
+
+    fn publish(&mut self, now: Instant, out: &mut Outbox) {
+        let live = self.known.values().filter(|known| known.is_live(now));
+        let mut entries: Vec<Peer> = live.map(|known| known.peer.clone()).collect();
+        entries.push(self.own.clone());
+        let possible = self.known.len() + 1;
+        let possible = if self.known.is_empty() {
+            possible.max(self.assumed)
+        } else {
+            possible
+        };
+        let fleet = Fleet::new(entries, possible);
+        if !fleet.is_like(&self.fleet) {
+            self.fleet = Rc::new(fleet);
+            out.raise(Event::Fleet(Rc::clone(&self.fleet)));
+        }
+    }
+}
+
+impl Controller for Members {
+    fn handle(&mut self, now: Now, event: &Event, out: &mut Outbox) {
+        match event {
+            Event::Started => self.publish(now.instant, out),
+            Event::Tick => self.on_tick(now.instant, out),
+            Event::Heard(frame) => {
+                for peer in frame.peers.iter().chain([&frame.from]) {
+                    self.hear(now.instant, peer, out);
+                }
+            }
+            Event::Learned(_, record) => {
+                if let Content::Entry(peer) = &record.content {
+                    self.list(now.instant, peer, out);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn fill(&mut self, now: Now, _: &Address, frame: &mut Frame) {
+        let live = self
+            .known
+            .values()
+            .filter(|known| known.is_live(now.instant));
+        frame.peers.extend(live.map(|known| known.peer.clone()));
+    }
+}
+
+impl Members {
+    /// Time for which an entry counts as possibly serving after it was last heard.
+    pub(super) const POSSIBLE: Duration = POSSIBLE;
+    /// Time after its last heartbeat for which an entry counts as live.
+    pub(super) const TIMEOUT: Duration = TIMEOUT;
+}
--- /dev/null
+++ b/crates/comfreyroad_router/src/controller/rollouts/mod.rs
@@ -0,0 +1,217 @@
+//! Rollouts of new versions: a canary, then all requests, unless the new version turns out bad.
+//!
+//! Each entry counts the answers that it sees of either version and gossips its counts; the decisions are functions of
+//! the merged counts and of the rollout's age, so any entry comes to them. The status in the store is written by the
+//! first entry in the order of a rendezvous hash, and by the next ones if it does not appear. A write holds only if
+//! nothing was written since this entry last read, so a late writer cannot undo what another one has decided.
+
+mod phase;
+mod rollout;
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Instant;
+
+use comfreyroad::clock::Now;
+use comfreyroad::rendezvous;
+use indexmap::IndexMap;
+
+use self::rollout::Rollout;
+use super::Controller;
+use super::members::Fleet;
+use super::upstreams::Wanted;
+use crate::frame::{Frame, Peer};
+use crate::id::{Address, Offset, PoolId, VersionId};
+use crate::note::{self, Note};
+use crate::outbox::Outbox;
+use crate::record::{Content, Record, Topic};
+use crate::rollout::{State, Status};
+use crate::{Event, Settings};
+
+/// Keeps the rollouts.
+#[derive(Debug)]
+pub struct Rollouts {
+    own: Peer,
+    exposure_share: f64,
+    fleet: Rc<Fleet>,
+    known: IndexMap<PoolId, Rollout>,
+    // Statuses that were read, which may come before their orders.
+    statuses: IndexMap<PoolId, Status>,
+    // The keys of orders, by which their removal is told.
+    keys: IndexMap<Arc<str>, PoolId>,
+}
+
+impl Rollouts {
+    pub(super) fn new(settings: &Settings) -> Self {
+        Self {
+            own: settings.own.clone(),
+            exposure_share: settings.exposure_share,
+            fleet: Rc::default(),
+            known: IndexMap::new(),
+            statuses: IndexMap::new(),
+            keys: IndexMap::new(),
+        }
+    }
+
+    /// Which versions of a pool a new request goes to; `key` is what requests that belong together have in common.
+    pub fn wanted(&self, now: Instant, pool: &PoolId, key: &str) -> Wanted {
+        let Some(rollout) = self.known.get(pool) else {
+            return Wanted::Any;
+        };
+        let hash = rendezvous::hash(&rollout.order.target, key);
+        let point = hash as f64 / u64::MAX as f64;
+        if point < rollout.share(now) {
+            Wanted::Only(rollout.order.target.clone())
+        } else {
+            Wanted::Not(rollout.order.target.clone())
+        }
+    }
+
+    /// Whether a version of a pool may be fallen back to when no other can answer.
+    pub fn may_fall_back(&self, now: Instant, pool: &PoolId, wanted: &Wanted) -> bool {
+        let rollout = self.known.get(pool);
+        rollout.is_some_and(|rollout| match wanted {
+            Wanted::Only(_) => !rollout.is_completed(),
+            Wanted::Not(_) => rollout.share(now) >= 1.0,
+            Wanted::Any => false,
+        })
+    }
+
+    /// Whether the version that a session has must be left: the old one once all move, a bad one at once.
+    pub fn must_leave(&self, now: Instant, pool: &PoolId, version: &VersionId) -> bool {
+        let Some(rollout) = self.known.get(pool) else {
+            return false;
+        };
+        let is_target = *version == rollout.order.target;
+        let share = rollout.share(now);
+        (is_target && share <= 0.0) || (!is_target && share >= 1.0)
+    }
+
+    /// An answer of a version has ended.
+    pub(crate) fn count(&mut self, pool: &PoolId, version: &VersionId, is_good: bool) {
+        if let Some(rollout) = self.known.get_mut(pool) {
+            rollout.count(version, is_good);
+        }
+    }
+
+    /// A request was sent to a version, or has ended there.
+    pub(crate) fn open(&mut self, pool: &PoolId, version: &VersionId, is_sent: bool) {
+        if let Some(rollout) = self.known.get_mut(pool) {
+            rollout.open(version, is_sent);
+        }
+    }
+
+    /// Time per event of an answer of a version; returns whether it is several times slower than the others'.
+    pub(crate) fn is_slow(
+        &mut self,
+        pool: &PoolId,
+        version: &VersionId,
+        pace: std::time::Duration,
+    ) -> bool {
+        let rollout = self.known.get_mut(pool);
+        rollout.is_some_and(|rollout| rollout.is_slow(version, pace))
+    }
+
+    fn on_order(&mut self, now: Instant, record: &Record, out: &mut Outbox) {
+        let Content::Rollout(order) = &record.content else {
+            // The order is withdrawn; what was decided about it stays until its upstreams are gone.
+            if let Some(pool) = self.keys.swap_remove(&record.key) {
+                self.known.swap_remove(&pool);
+            }
+            return;
+        };
+        let known = self.known.get(&order.pool);
+        if known.is_some_and(|known| known.offset >= record.offset) {
+            return;
+        }
+        let note = Note::new(&note::ROLLOUT).with("pool", &order.pool);
+        let note = note.with("target", &order.target);
+        out.note(note.with("lasts_ms", order.lasts.as_millis()));
+        let rollout = Rollout::new(
+            now,
+            record.offset,
+            order.clone(),
+            self.exposure_share,
+            &self.own,
+        );
+        self.keys.insert(record.key.clone(), order.pool.clone());
+        self.known.insert(order.pool.clone(), rollout);
+        self.settle(&order.pool, out);
+    }
+
+    /// Holds what was read of a status against the rollout that it is about.
+    fn settle(&mut self, pool: &PoolId, out: &mut Outbox) {
+        let (Some(rollout), Some(status)) = (self.known.get_mut(pool), self.statuses.get(pool))
+        else {
+            return;
+        };
+        if rollout.read(status) {
+            let note = Note::new(&note::ROLLOUT_STATUS).with("pool", pool);
+            out.note(note.with("state", status.state.name()));
+        }
+    }
+
+    fn on_status(&mut self, status: &Status, out: &mut Outbox) {
+        let pool = status.pool.clone();
+        self.statuses.insert(pool.clone(), status.clone());
+        self.settle(&pool, out);
+    }
+
+    fn on_tick(&mut self, now: Instant, out: &mut Outbox) {
+        for rollout in self.known.values_mut() {
+            rollout.advance(now, out);
+            let key = rollout.key();
+            let rank = self.fleet.rank(&key, &self.own.entry);
+            if let Some(state) = rollout.due(now, rank) {
+                out.raise(Event::Publish(Status {
+                    pool: rollout.order.pool.clone(),
+                    target: rollout.order.target.clone(),
+                    state,
+                    order: rollout.offset,
+                }));
+            }
+        }
+    }
+
+    fn on_frame(&mut self, now: Instant, frame: &Frame, out: &mut Outbox) {
+        for progress in &frame.rollouts {
+            if let Some(rollout) = self.known.get_mut(&progress.pool) {
+                rollout.hear(now, progress, out);
+            }
+        }
+        for tally in &frame.tallies {
+            if let Some(rollout) = self.known.get_mut(&tally.pool) {
+                rollout.merge(tally);
+            }
+        }
+    }
+
+    /// The offset of a pool's order, and how far the rollout is; for status pages.
+    pub fn states(&self) -> impl Iterator<Item = (&PoolId, Offset, Option<State>)> {
+        let rollouts = self.known.iter();
+        rollouts.map(|(pool, rollout)| (pool, rollout.offset, rollout.written()))
+    }
+}
+
+impl Controller for Rollouts {
+    fn handle(&mut self, now: Now, event: &Event, out: &mut Outbox) {
+        match event {
+            Event::Learned(Topic::Operator, record) => self.on_order(now.instant, record, out),
+            Event::Learned(Topic::Status, record) => {
+                if let Content::Status(status) = &record.content {
+                    self.on_status(status, out);
+                }
+            }
+            Event::Fleet(fleet) => self.fleet = Rc::clone(fleet),
+            Event::Heard(frame) => self.on_frame(now.instant, frame, out),
+            Event::Tick => self.on_tick(now.instant, out),
+            _ => {}
+        }
+    }
+
+    fn fill(&mut self, now: Now, _: &Address, frame: &mut Frame) {
+        for rollout in self.known.values() {
+            rollout.fill(now.instant, frame);
+        }
+    }
+}
--- /dev/null
+++ b/crates/comfreyroad_router/src/controller/upstreams/mod.rs
@@ -0,0 +1,183 @@
+//! The upstreams: what they say of themselves, and what this entry has seen of them.
+
+mod cold;
+mod need;
+mod pick;
+mod seen;
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use comfreyroad::clock::Now;
+use indexmap::IndexMap;
+
+use self::cold::Cold;
+use super::Controller;
+use super::members::Fleet;
+use crate::configuration::Configuration;
+use crate::id::{EntryId, Incarnation, Offset, UpstreamId, ZoneId};
+use crate::note::{self, Note};
+use crate::outbox::Outbox;
+use crate::record::{Content, Record, Topic};
+use crate::upstream::{Registration, Stage, Upstream};
+use crate::{Event, Settings};
+
+pub use need::{Need, Wanted};
+
+/// Time after the store's return in which registrations that lapsed meanwhile come back: about two seconds by the
+/// platform's word, and a margin for this entry's own read.
+const RETURN: Duration = Duration::from_millis(2400);
+
+/// Upstreams that are gone remembered at most; late registrations come within seconds.
+const MAX_GONE: usize = 1024;
+
+/// Keeps the upstreams.
+#[derive(Debug)]
+pub struct Upstreams {
+    entry: EntryId,
+    zone: ZoneId,
+    known: IndexMap<UpstreamId, Upstream>,
+    configuration: Option<Arc<Configuration>>,
+    fleet: Rc<Fleet>,
+    cold: Cold,
+    // The last registrations of upstreams that are gone, so that a late one does not bring them back.
+    gone: IndexMap<UpstreamId, (Incarnation, u64)>,
+    // The store does not answer, or has not done so until a moment ago.
+    is_store_lost: bool,
+    lapses_until: Option<Instant>,
+}
+
+impl Upstreams {
+    pub(super) fn new(settings: &Settings) -> Self {
+        Self {
+            entry: settings.own.entry.clone(),
+            zone: settings.own.zone.clone(),
+            known: IndexMap::new(),
+            configuration: None,
+            fleet: Rc::default(),
+            cold: Cold::new(settings),
+            gone: IndexMap::new(),
+            is_store_lost: false,
+            lapses_until: None,
+        }
+    }
+
+    /// The upstreams that are known.
+    pub fn known(&self) -> impl Iterator<Item = &Upstream> {
+        self.known.values()
+    }
+
+    /// An upstream.
+    pub fn get(&self, id: &UpstreamId) -> Option<&Upstream> {
+        self.known.get(id)
+    }
+
+    fn on_record(&mut self, now: Instant, record: &Record, out: &mut Outbox) {
+        let id: UpstreamId = record.key.clone();
+        match &record.content {
+            Content::Upstream(registration) => {
+                self.register(now, id, record.offset, registration, out);
+            }
+            _ => self.remove(now, &id, out),
+        }
+    }
+
+    fn register(
+        &mut self,
+        now: Instant,
+        id: UpstreamId,
+        offset: Offset,
+        registration: &Registration,
+        out: &mut Outbox,
+    ) {
+        let is_late = |order: &(Incarnation, u64)| *order >= registration.order();
+        if self.gone.get(&id).is_some_and(is_late) {
+            return;
+        }
+        let Some(known) = self.known.get_mut(&id) else {
+            let note = Note::new(&note::UPSTREAM_ADDED).with("upstream", &id);
+            let note = note.with("pool", &registration.pool);
+            out.note(note.with("version", &registration.version));
+            let upstream = Upstream::new(now, id.clone(), offset, registration.clone());
+            self.known.insert(id, upstream);
+            return;
+        };
+        if known.registration.order() > registration.order() {
+            return;
+        }
+        let was_draining = known.registration.stage == Stage::Draining;
+        let was_cold = known.is_cold(now);
+        known.renew(now, offset, registration.clone());
+        if registration.stage == Stage::Draining && !was_draining {
+            out.note(Note::new(&note::UPSTREAM_DRAINING).with("upstream", &id));
+        }
+        if known.is_cold(now) && !was_cold {
+            let note = Note::new(&note::UPSTREAM_COLD).with("upstream", &id);
+            out.note(note.with("cold_ms", registration.cold_for.as_millis()));
+        }
+    }
+
+    /// A registration is gone. Around an outage of the store that may mean nothing, and the upstream is kept a while.
+    fn remove(&mut self, now: Instant, id: &UpstreamId, out: &mut Outbox) {
+        let Some(known) = self.known.get_mut(id) else {
+            return;
+        };
+        let until = self.lapses_until.filter(|until| *until > now);
+        if self.is_store_lost || until.is_some() {
+            known.lapses_at.get_or_insert(until.unwrap_or(now + RETURN));
+            out.note(Note::new(&note::UPSTREAM_LAPSED).with("upstream", id));
+            return;
+        }
+        self.forget(id, out);
+    }
+
+    fn forget(&mut self, id: &UpstreamId, out: &mut Outbox) {
+        if let Some(known) = self.known.swap_remove(id) {
+            self.gone.insert(id.clone(), known.registration.order());
+        }
+        if self.gone.len() > MAX_GONE {
+            self.gone.shift_remove_index(0);
+        }
+        self.cold.forget(id);
+        out.note(Note::new(&note::UPSTREAM_REMOVED).with("upstream", id));
+    }
+
+    fn on_store_back(&mut self, now: Instant) {
+        self.is_store_lost = false;
+        self.lapses_until = Some(now + RETURN);
+        for upstream in self.known.values_mut() {
+            if upstream.lapses_at.is_some() {
+                upstream.lapses_at = self.lapses_until;
+            }
+        }
+    }
+
+    fn on_tick(&mut self, now: Instant, out: &mut Outbox) {
+        if self.is_store_lost {
+            return;
+        }
+        let is_gone = |upstream: &Upstream| upstream.lapses_at.is_some_and(|at| at <= now);
+        let gone = self.known.values().filter(|it| is_gone(it));
+        let gone: Vec<UpstreamId> = gone.map(|it| it.id.clone()).collect();
+        for id in gone {
+            self.forget(&id, out);
+        }
+    }
+}
+
+impl Controller for Upstreams {
+    fn handle(&mut self, now: Now, event: &Event, out: &mut Outbox) {
+        match event {
+            Event::Learned(Topic::Upstreams, record) => self.on_record(now.instant, record, out),
+            Event::StoreFailed(_) => self.is_store_lost = true,
+            Event::StoreBack => self.on_store_back(now.instant),
+            Event::Configured(configuration) => {
+                self.configuration = Some(Arc::clone(configuration));
+            }
+            Event::Fleet(fleet) => self.fleet = Rc::clone(fleet),
+            Event::Tick => self.on_tick(now.instant, out),
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/comfreyroad_router/src/controller/upstreams/need.rs
@@ -0,0 +1,42 @@
+use std::sync::Arc;
+
+use crate::id::{ModelId, PoolId, UpstreamId, VersionId};
+
+/// What an upstream must offer.
+#[derive(Clone, Debug)]
+pub struct Need<'a> {
+    /// The pool.
+    pub pool: &'a PoolId,
+    /// The model; none where any will do.
+    pub model: Option<&'a ModelId>,
+    /// The version.
+    pub version: Wanted,
+    /// What requests that profit from each other's cache have in common.
+    pub affinity: Option<Arc<str>>,
+    /// Upstreams that were tried.
+    pub tried: &'a [UpstreamId],
+    /// A number that spreads requests without affinity.
+    pub salt: u64,
+}
+
+/// Which versions will do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Wanted {
+    /// Any.
+    Any,
+    /// This one alone.
+    Only(VersionId),
+    /// Any but this one.
+    Not(VersionId),
+}
+
+impl Wanted {
+    /// Whether a version will do.
+    pub fn takes(&self, version: &VersionId) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Only(only) => only == version,
+            Self::Not(not) => not != version,
+        }
+    }
+}
--- /dev/null
+++ b/crates/comfreyroad_router/src/controller/upstreams/seen.rs
@@ -0,0 +1,62 @@
+//! What requests show of upstreams.
+
+use std::time::{Duration, Instant};
+
+use super::Upstreams;
+use crate::answer;
+use crate::note::{self, Note};
+use crate::outbox::Outbox;
+use crate::upstream::{Slot, Upstream};
+
+impl Upstreams {
+    /// The upstream of a place, if it is still the same start.
+    fn of(&mut self, slot: &Slot) -> Option<&mut Upstream> {
+        let upstream = self.known.get_mut(&slot.upstream)?;
+        (upstream.registration.incarnation == slot.incarnation).then_some(upstream)
+    }
+
+    /// The head of an answer came.
+    pub(crate) fn on_head(&mut self, slot: &Slot, head: &answer::Head) {
+        let Some(upstream) = self.of(slot) else {
+            return;
+        };
+        let own = upstream.open();
+        if let Some(load) = head.load {
+            upstream.load = Some(crate::upstream::Load { own, ..load });
+        }
+        if head.cold_until.is_some() {
+            upstream.cold_until = head.cold_until;
+        }
+    }
+
+    /// An answer came whole, at a pace: time per event, or the time of a plain answer.
+    pub(crate) fn on_success(&mut self, now: Instant, slot: &Slot, pace: Option<Duration>) {
+        let Some(upstream) = self.of(slot) else {
+            return;
+        };
+        upstream.health.succeed(now);
+        if let Some(pace) = pace {
+            upstream.pace.add(pace);
+        }
+    }
+
+    /// An attempt failed.
+    pub(crate) fn on_failure(&mut self, now: Instant, slot: &Slot, out: &mut Outbox) {
+        let Some(upstream) = self.of(slot) else {
+            return;
+        };
+        if upstream.health.fail(now) {
+            out.note(Note::new(&note::UPSTREAM_EJECTED).with("upstream", &slot.upstream));
+        }
+    }
+
+    /// The upstream takes no connections, or is another one than it was.
+    pub(crate) fn on_unreachable(&mut self, now: Instant, slot: &Slot, out: &mut Outbox) {
+        let Some(upstream) = self.of(slot) else {
+            return;
+        };
+        if upstream.health.eject(now) {
+            out.note(Note::new(&note::UPSTREAM_EJECTED).with("upstream", &slot.upstream));
+        }
+    }
+}
--- /dev/null
+++ b/crates/comfreyroad_router/src/event.rs
@@ -0,0 +1,75 @@
+//! What changes the state.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use crate::configuration::Configuration;
+use crate::controller::members::Fleet;
+use crate::frame::Frame;
+use crate::id::{Address, Offset};
+use crate::record::{Record, Topic};
+use crate::rollout::Status;
+
+/// Something that happened.
+///
+/// The first part comes from outside. The second is raised by one controller for the others, and handled in the same
+/// turn.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// The loop has started.
+    Started,
+    /// Time has passed.
+    Tick,
+    /// The process stood still, and what it believed is old.
+    Paused,
+    /// The operator of the VM asks the process to end.
+    Shutdown,
+    /// The newest record of each key of a topic, and the offset from which to read on.
+    Listed {
+        /// The topic.
+        topic: Topic,
+        /// The records.
+        records: Vec<Record>,
+        /// Where to read on.
+        next: Offset,
+    },
+    /// New records of a topic.
+    Read {
+        /// The topic.
+        topic: Topic,
+        /// The records, in order.
+        records: Vec<Record>,
+        /// Where to read on.
+        next: Offset,
+    },
+    /// The records that were to be read are gone from the store.
+    Expired(Topic),
+    /// The store gave no answer, or refused.
+    StoreFailed(Topic),
+    /// A record was written.
+    Written(Topic),
+    /// A record was not written, as the topic has moved on.
+    Conflict(Topic),
+    /// A record may or may not have been written.
+    WriteFailed(Topic),
+    /// A frame of a peer.
+    Heard(Rc<Frame>),
+    /// A peer did not answer.
+    PeerFailed(Address),
+
+    /// A record that was not known before.
+    Learned(Topic, Rc<Record>),
+    /// A configuration is in force.
+    Configured(Arc<Configuration>),
+    /// The fleet has changed.
+    Fleet(Rc<Fleet>),
+    /// A peer is to get a frame.
+    Exchange {
+        /// The peer.
+        to: Address,
+    },
+    /// The store answers again, after a time in which it did not.
+    StoreBack,
+    /// A rollout's status is to be written.
+    Publish(Status),
+}
--- /dev/null
+++ b/crates/comfreyroad_router/src/filter/find_route.rs
@@ -0,0 +1,33 @@
+//! Which route a request belongs to.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::{Filter, View};
+use crate::Refusal;
+use crate::refusal::Code;
+use crate::request::{Found, Received, Request};
+
+/// Time after which a caller that came before the first configuration may come back.
+const RETRY_AFTER: Duration = Duration::from_millis(300);
+
+/// Finds the route.
+#[derive(Debug)]
+pub struct FindRoute;
+
+impl Filter<Received> for FindRoute {
+    type Next = Found;
+
+    fn apply(request: Request<Received>, view: View<'_>) -> Result<Request<Found>, Refusal> {
+        let Some(configuration) = view.state.configuration.in_force() else {
+            let refusal = Refusal::not_run(&request, Code::NotReady);
+            return Err(refusal.with_retry_after(RETRY_AFTER));
+        };
+        let head = request.head();
+        let Some(route) = configuration.route(&head.host, &head.path) else {
+            return Err(Refusal::not_run(&request, Code::NoRoute));
+        };
+        let route = Arc::clone(route);
+        Ok(request.find(route))
+    }
+}
--- /dev/null
+++ b/crates/comfreyroad_router/src/filter/place.rs
@@ -0,0 +1,101 @@
+//! A place at an upstream, for a request that is sent for the first time or again.
+
+use std::time::{Duration, Instant};
+
+use comfreyroad::rendezvous;
+
+use crate::Refusal;
+use crate::controller::Controllers;
+use crate::controller::upstreams::{Need, Wanted};
+use crate::refusal::Code;
+use crate::request::{Head, Placed, Plan, Request, Unplaced};
+
+/// Part of an objective for which a request may wait for a place before it is refused.
+const WAIT: u32 = 8;
+/// Longest time after which a caller that found no place may come back.
+const RETRY_AFTER: Duration = Duration::from_millis(1000);
+
+/// A request that found no place.
+#[derive(Debug)]
+pub enum Halt<S> {
+    /// It waits for one.
+    Wait(Request<S>, Instant),
+    /// It is refused.
+    Refuse(Refusal),
+}
+
+/// Gives a request a place, has it wait or refuses it.
+pub(crate) fn place<S: Unplaced>(
+    request: Request<S>,
+    now: Instant,
+    state: &mut Controllers,
+) -> Result<Request<Placed>, Halt<S>> {
+    let plan = request.stage().plan();
+    if plan.deadline <= now {
+        return Err(Halt::Refuse(S::refuse(&request, Code::Deadline)));
+    }
+    let is_extra = !plan.tried.is_empty();
+    if is_extra && !(plan.has_attempts() && state.budgets.may_repeat(&plan.pool)) {
+        return Err(Halt::Refuse(overloaded(&request, now)));
+    }
+    if let Some(slot) = pick(request.head(), plan, now, state) {
+        return Ok(request.place(slot));
+    }
+    let until = request.head().received + plan.route.objective / WAIT;
+    if until > now && !is_extra {
+        return Err(Halt::Wait(request, until));
+    }
+    Err(Halt::Refuse(overloaded(&request, now)))
+}
+
+fn overloaded<S: Unplaced>(request: &Request<S>, now: Instant) -> Refusal {
+    let plan = request.stage().plan();
+    let left = plan.deadline.saturating_duration_since(now);
+    let refusal = S::refuse(request, Code::Overloaded);
+    refusal.with_retry_after(RETRY_AFTER.min(left / 4))
+}
+
+fn pick(
+    head: &Head,
+    plan: &Plan,
+    now: Instant,
+    state: &mut Controllers,
+) -> Option<crate::upstream::Slot> {
+    let wanted = wanted(head, plan, now, state);
+    let need = |version: Wanted| Need {
+        pool: &plan.pool,
+        model: plan.model.as_ref(),
+        version,
+        affinity: head.shared_part().map(|part| part.id.clone()),
+        tried: &plan.tried,
+        salt: rendezvous::hash(&head.id, ""),
+    };
+    let evacuations = &state.evacuations;
+    let slot = state
+        .upstreams
+        .pick(now, &need(wanted.clone()), evacuations);
+    if slot.is_some() || !state.rollouts.may_fall_back(now, &plan.pool, &wanted) {
+        return slot;
+    }
+    state.upstreams.pick(now, &need(Wanted::Any), evacuations)
+}
+
+/// Which versions will do: the one that a part of the answer came from, the session's, or the rollout's choice.
+fn wanted(head: &Head, plan: &Plan, now: Instant, state: &Controllers) -> Wanted {
+    if let Some(version) = &plan.version {
+        return Wanted::Only(version.clone());
+    }
+    let rollouts = &state.rollouts;
+    if let Some(session) = head.session_key()
+        && let Some(version) = state.sessions.version(now, &plan.pool, session)
+        && !rollouts.must_leave(now, &plan.pool, version)
+    {
+        // A session's version may have no upstream any more.
+        let mut known = state.upstreams.known();
+        if known.any(|it| it.registration.version == *version && it.is_ready(now)) {
+            return Wanted::Only(version.clone());
+        }
+    }
+    let key: &str = head.session_key().map_or(&head.id, |key| key);
+    rollouts.wanted(now, &plan.pool, key)
+}
--- /dev/null
+++ b/crates/comfreyroad_router/src/filter/plan.rs
@@ -0,0 +1,57 @@
+//! Which pool and model answer, and until when.
+
+use comfreyroad::rendezvous;
+
+use super::{Filter, View};
+use crate::Refusal;
+use crate::id::PoolId;
+use crate::refusal::Code;
+use crate::request::{self, Head, Known, Request, Routed};
+
+/// Model name of callers that leave the choice to the router.
+const ANY_MODEL: &str = "*";
+
+/// Plans what is to be done with a request.
+#[derive(Debug)]
+pub struct Plan;
+
+impl Filter<Known> for Plan {
+    type Next = Routed;
+
+    fn apply(request: Request<Known>, view: View<'_>) -> Result<Request<Routed>, Refusal> {
+        let head = request.head();
+        let route = &request.stage().route;
+        let latest = head.received + route.timeout;
+        let deadline = head
+            .deadline
+            .map_or(latest, |deadline| deadline.min(latest));
+        if deadline <= view.now.instant {
+            return Err(Refusal::not_run(&request, Code::Deadline));
+        }
+        let Some(pool) = pool(head, route) else {
+            return Err(Refusal::not_run(&request, Code::NoUpstream));
+        };
+        // The largest model answers every request well.
+        let is_open = head.model.as_deref().is_none_or(|model| model == ANY_MODEL);
+        let model = route.models.last().filter(|_| is_open).cloned();
+        let last_event = head.last_event;
+        Ok(request.route(|known| request::Plan {
+            route: known.route,
+            customer: known.customer,
+            priority: known.priority,
+            pool,
+            model,
+            deadline,
+            version: None,
+            last_event,
+            tried: Vec::new(),
+            runs: 0,
+        }))
+    }
+}
+
+/// The pool; requests of one session go to the same.
+fn pool(head: &Head, route: &crate::configuration::Route) -> Option<PoolId> {
+    let key: &str = head.session_key().map_or(&head.id, |key| key);
+    route.split.at(rendezvous::hash(&route.id, key)).cloned()
+}
--- /dev/null
+++ b/crates/comfreyroad_router/src/frame/frame.rs
@@ -0,0 +1,26 @@
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use super::{Peer, Progress};
+use crate::id::Offset;
+use crate::record::{Record, Topic};
+use crate::rollout::Tally;
+
+/// One message between two entries.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Frame {
+    /// The sender.
+    pub from: Peer,
+    /// Whom the sender knows.
+    pub peers: Vec<Peer>,
+    /// The offsets that the sender lacks next, by topic.
+    pub next: IndexMap<Topic, Offset>,
+    /// Records that the receiver lacks, by topic.
+    pub records: Vec<(Topic, Record)>,
+    /// The offset up to which `records` is complete, by topic.
+    pub complete: IndexMap<Topic, Offset>,
+    /// Rollouts under way.
+    pub rollouts: Vec<Progress>,
+    /// Counts of rollouts under way.
+    pub tallies: Vec<Tally>,
+}
--- /dev/null
+++ b/crates/comfreyroad_router/src/frame/mod.rs
@@ -0,0 +1,9 @@
+//! What entries tell each other: gossip over the control address.
+
+mod frame;
+mod peer;
+mod progress;
+
+pub use frame::Frame;
+pub use peer::Peer;
+pub use progress::Progress;
--- /dev/null
+++ b/crates/comfreyroad_router/src/note/mod.rs
@@ -0,0 +1,79 @@
+//! Numbered log events of the router. `docs/EVENTS.md` is the catalogue, and a test holds it against [`ALL`].
+
+pub use comfreyroad::note::{Kind, Level, Note};
+
+macro_rules! catalogue {
+    ($($(#[$doc:meta])* $name:ident = $number:literal, $level:ident, $title:literal;)*) => {
+        $($(#[$doc])* pub static $name: Kind = Kind::new($number, Level::$level, $title);)*
+
+        /// Every kind of event, by number.
+        pub static ALL: &[&Kind] = &[$(&$name),*];
+    };
+}
+
+catalogue! {
+    /// The process has started.
+    STARTED = 1001, Info, "router started";
+    /// The process takes requests.
+    SERVING = 1002, Info, "router serving";
+    /// The process was asked to end.
+    DRAINING = 1003, Info, "router draining";
+    /// The process is at its end.
+    STOPPED = 1004, Info, "router stopped";
+    /// The settings file was read again.
+    RELOADED = 1005, Info, "settings read again";
+    /// The process stood still.
+    PAUSED = 1006, Warn, "process was paused";
+    /// A configuration is in force.
+    CONFIGURED = 1101, Info, "configuration in force";
+    /// A zone is evacuated.
+    EVACUATED = 1102, Info, "zone evacuated";
+    /// A zone takes requests again.
+    RESTORED = 1103, Info, "zone restored";
+    /// A record cannot be read.
+    UNREADABLE = 1104, Warn, "record unreadable";
+    /// The store does not answer.
+    STORE_LOST = 1201, Warn, "store lost";
+    /// The store answers again.
+    STORE_BACK = 1202, Info, "store regained";
+    /// Records expired before they were read; the topic is listed anew.
+    EXPIRED = 1203, Info, "records expired unread";
+    /// A peer was heard for the first time.
+    PEER_JOINED = 1301, Info, "peer joined";
+    /// A peer was not heard for too long.
+    PEER_LOST = 1302, Warn, "peer lost";
+    /// An upstream was registered.
+    UPSTREAM_ADDED = 1401, Info, "upstream added";
+    /// An upstream is leaving.
+    UPSTREAM_DRAINING = 1402, Info, "upstream draining";
+    /// An upstream is gone.
+    UPSTREAM_REMOVED = 1403, Info, "upstream removed";
+    /// An upstream's registration lapsed around an outage of the store, so it is kept for a while.
+    UPSTREAM_LAPSED = 1404, Warn, "upstream registration lapsed";
+    /// An upstream is cold.
+    UPSTREAM_COLD = 1405, Info, "upstream cold";
+    /// An upstream failed too often and gets nothing for a while.
+    UPSTREAM_EJECTED = 1406, Warn, "upstream ejected";
+    /// A request was refused.
+    REFUSED = 1501, Info, "request refused";
+    /// An upstream has not run a request, which goes elsewhere.
+    REJECTED = 1502, Info, "request rejected by upstream";
+    /// An attempt failed.
+    FAILED = 1503, Warn, "attempt failed";
+    /// A stream goes on from another upstream.
+    RESUMED = 1504, Info, "stream resumed";
+    /// An answer broke off.
+    BROKEN = 1505, Warn, "answer broken off";
+    /// A request was answered.
+    SERVED = 1506, Debug, "request served";
+    /// The caller left before its answer was whole.
+    CALLER_GONE = 1507, Info, "caller gone";
+    /// A rollout has begun.
+    ROLLOUT = 1601, Info, "rollout begun";
+    /// All requests move to the new version.
+    ROLLOUT_SHIFTS = 1602, Info, "rollout shifts to new version";
+    /// The new version was found bad.
+    ROLLOUT_BAD = 1603, Error, "new version found bad";
+    /// The status of a rollout is known to be written.
+    ROLLOUT_STATUS = 1604, Info, "rollout status written";
+}
--- /dev/null
+++ b/crates/comfreyroad_router/src/record/mod.rs
@@ -0,0 +1,9 @@
+//! Records of the platform's store, decoded.
+
+mod content;
+mod record;
+mod topic;
+
+pub use content::Content;
+pub use record::Record;
+pub use topic::Topic;
--- /dev/null
+++ b/crates/comfreyroad_router/src/request/plan.rs
@@ -0,0 +1,41 @@
+use std::sync::Arc;
+use std::time::Instant;
+
+use crate::configuration::Route;
+use crate::id::{CustomerId, EventId, ModelId, PoolId, UpstreamId, VersionId};
+
+/// What is to be done with a request, and what was done so far.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// The route.
+    pub route: Arc<Route>,
+    /// Who asks; none where no key is needed.
+    pub customer: Option<CustomerId>,
+    /// How urgent it is.
+    pub priority: u8,
+    /// The pool that answers.
+    pub pool: PoolId,
+    /// The model that answers, where it is this program's choice.
+    pub model: Option<ModelId>,
+    /// When the caller must have the end of its answer.
+    pub deadline: Instant,
+    /// The version that must answer, as a part of the answer came from it.
+    pub version: Option<VersionId>,
+    /// The last event that the caller has.
+    pub last_event: Option<EventId>,
+    /// Upstreams to which the request was sent, or that took no connection.
+    pub tried: Vec<UpstreamId>,
+    /// Times that the request was sent and may have begun to run.
+    pub runs: u32,
+}
+
+/// Upstreams that may turn a request away beyond those that may run it.
+const MAX_REJECTIONS: u32 = 2;
+
+impl Plan {
+    /// Whether it may be sent to one more upstream.
+    pub fn has_attempts(&self) -> bool {
+        let most = self.route.max_attempts.max(1);
+        self.runs < most && (self.tried.len() as u32) < most + MAX_REJECTIONS
+    }
+}
--- /dev/null
+++ b/crates/comfreyroad_router/src/request/received.rs
@@ -0,0 +1,27 @@
+use std::rc::Rc;
+use std::sync::Arc;
+
+use super::{Found, Head, Request, Stage};
+use crate::configuration::Route;
+
+/// Just arrived.
+#[derive(Debug)]
+pub struct Received;
+
+impl Stage for Received {
+    const STEP: &'static str = "find route";
+}
+
+impl Request<Received> {
+    /// A request as a front end hands it in.
+    pub fn new(head: Head) -> Self {
+        Self {
+            head: Rc::new(head),
+            stage: Received,
+        }
+    }
+
+    pub(crate) fn find(self, route: Arc<Route>) -> Request<Found> {
+        self.into_stage(|Received| Found { route })
+    }
+}
--- /dev/null
+++ b/crates/comfreyroad_router/src/request/repeating.rs
@@ -0,0 +1,27 @@
+use super::{Origin, Plan, Request, Stage, Unplaced};
+use crate::refusal::{Code, Refusal};
+
+/// Sent before, with an unknown or broken end, and free to be sent again.
+#[derive(Debug)]
+pub struct Repeating {
+    /// What is to be done.
+    pub plan: Plan,
+}
+
+impl Stage for Repeating {
+    const STEP: &'static str = "retry";
+}
+
+impl Unplaced for Repeating {
+    fn plan(&self) -> &Plan {
+        &self.plan
+    }
+
+    fn refuse(request: &Request<Self>, code: Code) -> Refusal {
+        Refusal::unclear(request, code)
+    }
+
+    fn into_origin(self) -> Origin {
+        Origin::Again(self.plan)
+    }
+}
--- /dev/null
+++ b/crates/comfreyroad_router/src/request/routed.rs
@@ -0,0 +1,37 @@
+use super::{Origin, Placed, Plan, Request, Stage, Unplaced};
+use crate::refusal::{Code, Refusal};
+use crate::upstream::Slot;
+
+/// It is known where it may go, and no upstream has run it.
+#[derive(Debug)]
+pub struct Routed {
+    /// What is to be done.
+    pub plan: Plan,
+}
+
+impl Stage for Routed {
+    const STEP: &'static str = "place";
+}
+
+impl Unplaced for Routed {
+    fn plan(&self) -> &Plan {
+        &self.plan
+    }
+
+    fn refuse(request: &Request<Self>, code: Code) -> Refusal {
+        Refusal::not_run(request, code)
+    }
+
+    fn into_origin(self) -> Origin {
+        Origin::First(self.plan)
+    }
+}
+
+impl<S: Unplaced> Request<S> {
+    pub(crate) fn place(self, slot: Slot) -> Request<Placed> {
+        self.into_stage(|stage| Placed {
+            origin: stage.into_origin(),
+            slot,
+        })
+    }
+}
--- /dev/null
+++ b/crates/comfreyroad_router/src/request/sent.rs
@@ -0,0 +1,80 @@
+use std::rc::Rc;
+use std::time::Instant;
+
+use super::{Head, Origin, Plan, Rejection, Repeating, Request, Routed, Stage};
+use crate::id::{EventId, VersionId};
+use crate::upstream::Slot;
+
+/// Handed to an upstream.
+#[derive(Debug)]
+pub struct Sent {
+    /// Where it came from.
+    pub origin: Origin,
+    /// The place at the upstream.
+    pub slot: Slot,
+    /// When it was sent.
+    pub at: Instant,
+}
+
+impl Sent {
+    /// What is to be done.
+    pub fn plan(&self) -> &Plan {
+        self.origin.plan()
+    }
+}
+
+impl Stage for Sent {
+    const STEP: &'static str = "answer";
+}
+
+/// A request that an upstream has certainly not run.
+#[derive(Debug)]
+pub enum Returned {
+    /// No upstream has run it.
+    Unsent(Request<Routed>),
+    /// An upstream before may have run it.
+    Again(Request<Repeating>),
+}
+
+impl Returned {
+    /// The proof is asked for so that nothing else leads here.
+    pub(super) fn new(head: Rc<Head>, origin: Origin, _: Rejection) -> Self {
+        match origin {
+            Origin::First(plan) => {
+                let stage = Routed { plan };
+                Self::Unsent(Request { head, stage })
+            }
+            Origin::Again(plan) => {
+                let stage = Repeating { plan };
+                Self::Again(Request { head, stage })
+            }
+        }
+    }
+}
+
+impl Request<Sent> {
+    /// The caller has an event; only the same version can go on from there.
+    pub(crate) fn deliver(&mut self, event: EventId, version: &VersionId) {
+        let plan = self.stage.origin.plan_mut();
+        plan.last_event = Some(event);
+        plan.version = Some(version.clone());
+    }
+
+    /// Goes back, as the upstream has not run it.
+    pub(crate) fn reject(self, rejection: Rejection) -> Returned {
+        let mut origin = self.stage.origin;
+        let plan = origin.plan_mut();
+        plan.runs = plan.runs.saturating_sub(1);
+        Returned::new(self.head, origin, rejection)
+    }
+
+    /// Goes back with an unknown fate, which only what may be repeated can do.
+    pub(crate) fn repeat(self) -> Result<Request<Repeating>, Self> {
+        if !self.stage.plan().route.repeat.may_repeat() {
+            return Err(self);
+        }
+        Ok(self.into_stage(|sent| Repeating {
+            plan: sent.origin.into_plan(),
+        }))
+    }
+}
--- /dev/null
+++ b/crates/comfreyroad_router/src/rollout/score.rs
@@ -0,0 +1,27 @@
+use comfreyroad::quality::Score;
+use serde::{Deserialize, Serialize};
+
+use crate::id::{EntryId, Incarnation, Offset, PoolId};
+
+/// What one start of one entry has counted during a rollout.
+///
+/// Counts only grow, and only their origin writes them, so of two tallies the one with more answers is the newer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tally {
+    /// The pool.
+    pub pool: PoolId,
+    /// Place of the order.
+    pub order: Offset,
+    /// Who counted.
+    pub entry: EntryId,
+    /// Which start of it.
+    pub incarnation: Incarnation,
+    /// Answers of the new version.
+    pub target: Score,
+    /// Answers of the other versions.
+    pub others: Score,
+    /// Requests under way at the other versions.
+    pub others_open: u32,
+    /// Number of the newest change, by which an old copy is told from a new one.
+    pub revision: u64,
+}
--- /dev/null
+++ b/crates/comfreyroad_router/src/router.rs
@@ -0,0 +1,285 @@
+//! A router: the controllers, and the doors through which requests and events come in.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use comfreyroad::clock::Now;
+
+use crate::answer::{self, Fault, Verdict};
+use crate::controller::Controllers;
+use crate::filter::place::{self, Halt};
+use crate::filter::{View, chain};
+use crate::frame::Frame;
+use crate::id::{EventId, PoolId, RequestId, UpstreamId, VersionId};
+use crate::note::{self, Note};
+use crate::outbox::Outbox;
+use crate::refusal::Code;
+use crate::request::{
+    Placed, Received, Rejection, Repeating, Request, Returned, Routed, Sent, Unplaced,
+};
+use crate::{Action, Event, Refusal, Settings};
+
+/// Part of an objective in which the first event of a stream must come before another upstream is tried.
+const FIRST_EVENT: f64 = 0.6;
+/// Part of an objective in which a plain answer must come before another upstream is tried.
+const PLAIN_ANSWER: f64 = 0.7;
+/// Part of the longest pause in which the next event must come before another upstream goes on.
+const NEXT_EVENT: f64 = 0.6;
+
+/// All decisions of one entry.
+#[derive(Debug)]
+pub struct Router {
+    state: Controllers,
+    out: Outbox,
+}
+
+impl Router {
+    /// A router that knows nothing yet; feed it [`Event::Started`] first.
+    pub fn new(settings: &Settings) -> Self {
+        Self {
+            state: Controllers::new(settings),
+            out: Outbox::default(),
+        }
+    }
+
+    /// The state, to be read.
+    pub fn state(&self) -> &Controllers {
+        &self.state
+    }
+
+    /// Takes an event and says what is to be done.
+    pub fn handle(&mut self, now: Now, event: Event) -> Vec<Action> {
+        self.out.raise(event);
+        while let Some(event) = self.out.next_raised() {
+            self.state.handle(now, &event, &mut self.out);
+            if let Event::Exchange { to } = event {
+                let frame = Box::new(self.state.frame(now, &to));
+                self.out.act(Action::Gossip { to, frame });
+            }
+        }
+        std::mem::take(&mut self.out).into_actions()
+    }
+
+    /// Takes a peer's frame and gives the answer to it.
+    pub fn exchange(&mut self, now: Now, frame: Frame) -> (Frame, Vec<Action>) {
+        let to = frame.from.address.clone();
+        let actions = self.handle(now, Event::Heard(Rc::new(frame)));
+        (self.state.frame(now, &to), actions)
+    }
+
+    /// What requests gave rise to: log events.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.out).into_actions()
+    }
+
+    /// Takes a new request through the chain.
+    pub fn admit(
+        &mut self,
+        now: Now,
+        request: Request<Received>,
+    ) -> Result<Request<Routed>, Refusal> {
+        let state = &self.state;
+        chain::run(request, View { now, state })
+    }
+
+    /// Finds a place for a request.
+    pub fn place<S: Unplaced>(
+        &mut self,
+        now: Now,
+        request: Request<S>,
+    ) -> Result<Request<Placed>, Halt<S>> {
+        place::place(request, now.instant, &mut self.state)
+    }
+
+    /// A placed request is sent now.
+    pub fn send(&mut self, now: Now, request: Request<Placed>) -> Request<Sent> {
+        let is_first = request.stage().origin.plan().tried.is_empty();
+        let request = request.send(now.instant);
+        let (plan, slot) = (request.stage().plan(), &request.stage().slot);
+        if is_first {
+            self.state.budgets.earn(&plan.pool);
+        } else {
+            self.state.budgets.spend(&plan.pool);
+        }
+        self.state.rollouts.open(&plan.pool, &slot.version, true);
+        self.touch(now, &request);
+        request
+    }
+
+    fn touch(&mut self, now: Now, request: &Request<Sent>) {
+        let (plan, slot) = (request.stage().plan(), &request.stage().slot);
+        if let Some(session) = request.head().session_key() {
+            let sessions = &mut self.state.sessions;
+            sessions.touch(now.instant, &plan.pool, session, &slot.version);
+        }
+    }
+
+    /// Judges the head of an answer.
+    pub fn answered(&mut self, request: &Request<Sent>, head: &answer::Head) -> Verdict {
+        let verdict = answer::judge(request, head);
+        if verdict != Verdict::Unusable(Fault::Crossed) {
+            self.state.upstreams.on_head(&request.stage().slot, head);
+        }
+        verdict
+    }
+
+    /// Until when the head and first event of an answer, or a plain answer, are waited for at this upstream.
+    pub fn patience(&self, request: &Request<Sent>) -> Instant {
+        let plan = request.stage().plan();
+        let route = &plan.route;
+        let can_repeat = route.repeat.may_repeat()
+            && plan.has_attempts()
+            && plan.runs == 1
+            && self.state.budgets.may_repeat(&plan.pool);
+        if !can_repeat {
+            return plan.deadline;
+        }
+        let part = if route.is_streaming {
+            FIRST_EVENT
+        } else {
+            PLAIN_ANSWER
+        };
+        plan.deadline
+            .min(request.stage().at + route.objective.mul_f64(part))
+    }
+
+    /// Until when the next event is waited for at this upstream.
+    pub fn pause(&self, now: Now, request: &Request<Sent>) -> Instant {
+        let plan = request.stage().plan();
+        let can_repeat = plan.route.repeat.may_repeat() && plan.has_attempts();
+        match plan.route.pause {
+            Some(pause) if can_repeat => plan.deadline.min(now.instant + pause.mul_f64(NEXT_EVENT)),
+            _ => plan.deadline,
+        }
+    }
+
+    /// An upstream has not run a request.
+    pub fn rejected(&mut self, now: Now, request: Request<Sent>, rejection: Rejection) -> Returned {
+        let slot = &request.stage().slot;
+        let note = Note::new(&note::REJECTED).with("request", &request.head().id);
+        let note = note.with("upstream", &slot.upstream);
+        self.out.note(note.with("why", rejection.name()));
+        let (pool, version) = (slot.pool.clone(), slot.version.clone());
+        self.state.rollouts.open(&pool, &version, false);
+        if rejection != Rejection::Full {
+            let upstreams = &mut self.state.upstreams;
+            upstreams.on_unreachable(now.instant, slot, &mut self.out);
+        }
+        request.reject(rejection)
+    }
+
+    /// An attempt failed that may have run.
+    pub fn failed(
+        &mut self,
+        now: Now,
+        request: Request<Sent>,
+        fault: Fault,
+    ) -> Result<Request<Repeating>, Refusal> {
+        let slot = &request.stage().slot;
+        let note = Note::new(&note::FAILED).with("request", &request.head().id);
+        let note = note
+            .with("upstream", &slot.upstream)
+            .with("why", fault.name());
+        self.out
+            .note(note.with("runs", request.stage().plan().runs));
+        self.state
+            .upstreams
+            .on_failure(now.instant, slot, &mut self.out);
+        self.end(&request, false);
+        let is_late = request.stage().plan().deadline <= now.instant;
+        let code = if is_late {
+            Code::Deadline
+        } else {
+            Code::Failed
+        };
+        let repeated = request.repeat();
+        repeated.map_err(|request| Refusal::unclear(&request, code))
+    }
+
+    /// The caller has an event of the answer.
+    pub fn delivered(&mut self, request: &mut Request<Sent>, event: EventId) {
+        let version = request.stage().slot.version.clone();
+        request.deliver(event, &version);
+    }
+
+    /// An upstream's answer came to its end.
+    pub fn finished(&mut self, now: Now, request: &Request<Sent>, end: End) {
+        self.touch(now, request);
+        let slot = &request.stage().slot;
+        let rollouts = &mut self.state.rollouts;
+        let is_slow = end
+            .pace
+            .is_some_and(|pace| rollouts.is_slow(&slot.pool, &slot.version, pace));
+        let upstreams = &mut self.state.upstreams;
+        upstreams.on_success(now.instant, slot, end.pace);
+        self.end(request, end.is_good && !is_slow);
+        let note = Note::new(&note::SERVED).with("request", &request.head().id);
+        let took = now
+            .instant
+            .saturating_duration_since(request.head().received);
+        let note = note.with("upstream", &slot.upstream);
+        self.out.note(note.with("took_ms", took.as_millis()));
+    }
+
+    fn end(&mut self, request: &Request<Sent>, is_good: bool) {
+        let slot = &request.stage().slot;
+        let rollouts = &mut self.state.rollouts;
+        rollouts.open(&slot.pool, &slot.version, false);
+        rollouts.count(&slot.pool, &slot.version, is_good);
+    }
+
+    /// The caller has left before the end of its answer, which a version of a pool was giving.
+    pub fn abandoned(
+        &mut self,
+        id: &RequestId,
+        upstream: &UpstreamId,
+        (pool, version): (&PoolId, &VersionId),
+    ) {
+        let note = Note::new(&note::CALLER_GONE).with("request", id);
+        self.out.note(note.with("upstream", upstream));
+        self.state.rollouts.open(pool, version, false);
+    }
+
+    /// Whether a failed answer may be asked for again, so that it need not be passed on.
+    pub fn may_repeat(&self, request: &Request<Sent>) -> bool {
+        let plan = request.stage().plan();
+        let can_repeat = plan.route.repeat.may_repeat() && plan.has_attempts();
+        can_repeat && self.state.budgets.may_repeat(&plan.pool)
+    }
+
+    /// A stream goes on from another upstream.
+    pub fn resumed(&mut self, request: &Request<Sent>) {
+        let (plan, slot) = (request.stage().plan(), &request.stage().slot);
+        let note = Note::new(&note::RESUMED).with("request", &request.head().id);
+        let note = note.with("upstream", &slot.upstream);
+        self.out
+            .note(note.with("after", plan.last_event.unwrap_or(0)));
+    }
+
+    /// An answer is broken off, as nothing can go on with it.
+    pub fn broken(&mut self, id: &str, refusal: &Refusal) {
+        let note = Note::new(&note::BROKEN).with("request", id);
+        let note = note
+            .with("why", refusal.code())
+            .with("step", refusal.step());
+        self.out.note(note);
+    }
+
+    /// A request is refused.
+    pub fn refused(&mut self, id: &str, refusal: &Refusal) {
+        let note = Note::new(&note::REFUSED).with("request", id);
+        let note = note
+            .with("why", refusal.code())
+            .with("step", refusal.step());
+        self.out.note(note);
+    }
+}
+
+/// How an answer ended that an upstream gave whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct End {
+    /// Whether it is a success.
+    pub is_good: bool,
+    /// Time per event of a stream, or of the whole of a plain answer.
+    pub pace: Option<Duration>,
+}
--- /dev/null
+++ b/crates/comfreyroad_router/src/settings.rs
@@ -0,0 +1,61 @@
+//! What a router is told at its start.
+
+use std::time::Duration;
+
+use crate::frame::Peer;
+use crate::id::Address;
+
+/// Settings of the decisions.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// This entry.
+    pub own: Peer,
+    /// Control addresses of entries to begin with.
+    pub seeds: Vec<Address>,
+    /// Zones of the deployment.
+    pub zones: usize,
+    /// Time that a shutdown may take.
+    pub grace: Duration,
+    /// Extra sendings that all entries may make for each request of a pool, over `retry_window`.
+    pub retry_ratio: f64,
+    /// Span over which extra sendings are counted.
+    pub retry_window: Duration,
+    /// Extra sendings of a pool that are free in each window, for all entries together.
+    pub retry_slack: f64,
+    /// Part of a pool's requests that a version under trial may get.
+    pub exposure_share: f64,
+    /// What a cold upstream may get beyond what it says that it bears, as a factor.
+    pub cold_multiplier: f64,
+    /// Requests a second that a cold upstream may get beyond that.
+    pub cold_slack: f64,
+    /// Time after its last request for which a session goes on.
+    pub session: Duration,
+    /// Seed of random choices.
+    pub seed: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            own: Peer {
+                entry: "entry".into(),
+                address: "127.0.0.1:7340".into(),
+                zone: "zone".into(),
+                incarnation: 1,
+                heartbeat: 0,
+                is_serving: false,
+            },
+            seeds: Vec::new(),
+            zones: 1,
+            grace: Duration::from_secs(8),
+            retry_ratio: 0.5,
+            retry_window: Duration::from_secs(10),
+            retry_slack: 20.0,
+            exposure_share: 0.1,
+            cold_multiplier: 1.0,
+            cold_slack: 0.0,
+            session: Duration::from_secs(5),
+            seed: 1,
+        }
+    }
+}
