--- a/crates/comfreyroad_proxy/src/front/attempt.rs
+++ b/crates/comfreyroad_proxy/src/front/attempt.rs
@@ -111,8 +111,9 @@
 ) -> Result<Answer, Failed> {
     let (parts, body) = response.into_parts();
     let head = platform::answer::decode(&parts, Instant::now());
-    match shared.ask(|router, _| router.answered(&flight.request, &head)) {
+    match shared.ask(|router, now| router.answered(now, &flight.request, &head)) {
         Verdict::Rejected(rejection) => Err(reject(shared, flight, rejection)),
+        Verdict::Unsure => Err(step_up(shared, flight)),
         Verdict::Unusable(fault) => Err(fail(shared, flight, fault)),
         verdict => Ok(Answer {
             flight,
@@ -129,6 +130,15 @@
     Failed::Again(shared.ask(|router, now| router.rejected(now, request, rejection)))
 }
 
+/// A larger model is to answer. The answer of the small one is dropped with its connection.
+fn step_up(shared: &Rc<Shared>, flight: Flight) -> Failed {
+    let request = flight.end();
+    match shared.ask(|router, _| router.step_up(request)) {
+        Ok(request) => Failed::Again(Returned::Again(request)),
+        Err(refusal) => Failed::Refused(refusal),
+    }
+}
+
 /// The upstream may have run the request.
 pub(super) fn fail(shared: &Rc<Shared>, flight: Flight, fault: Fault) -> Failed {
     let request = flight.end();
--- a/crates/comfreyroad_proxy/src/front/stream.rs
+++ b/crates/comfreyroad_proxy/src/front/stream.rs
@@ -42,13 +42,16 @@
     let patience = shared.router.borrow().patience(&flight.request);
     let mut events = Events::new(reader, after);
     match events.next(patience).await {
-        Ok(first) => Ok(Begun {
-            shared: shared.clone(),
-            flight,
-            parts,
-            events,
-            first,
-        }),
+        Ok(first) => {
+            shared.ask(|router, now| router.began(now, &flight.request));
+            Ok(Begun {
+                shared: shared.clone(),
+                flight,
+                parts,
+                events,
+                first,
+            })
+        }
         Err(fault) => Err(attempt::fail(shared, flight, fault)),
     }
 }
--- a/crates/comfreyroad_router/src/answer/verdict.rs
+++ b/crates/comfreyroad_router/src/answer/verdict.rs
@@ -11,6 +11,8 @@
 pub enum Verdict {
     /// The caller gets it.
     Pass,
+    /// The model is not sure of its answer, and a larger one can be asked.
+    Unsure,
     /// The upstream has not run the request.
     Rejected(Rejection),
     /// The upstream ran the request and says that it failed; the caller may get this where nothing better is to be had.
--- a/crates/comfreyroad_router/src/controller/budgets.rs
+++ b/crates/comfreyroad_router/src/controller/budgets.rs
@@ -45,6 +45,13 @@
         self.levels.get(pool).copied().unwrap_or(self.most()) >= 1.0
     }
 
+    /// Whether a request may be sent once more for a better answer, which leaves half of the burst to failed ones.
+    pub fn may_step_up(&self, pool: &PoolId) -> bool {
+        let most = self.most();
+        let level = self.levels.get(pool).copied().unwrap_or(most);
+        level >= 1.0 + most / 2.0
+    }
+
     /// A request was sent for the first time.
     pub(crate) fn earn(&mut self, pool: &PoolId) {
         let most = self.most();
--- a/crates/comfreyroad_router/src/controller/upstreams/mod.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/mod.rs
@@ -16,14 +16,15 @@
 use super::Controller;
 use super::members::Fleet;
 use crate::configuration::Configuration;
-use crate::id::{EntryId, Incarnation, Offset, UpstreamId, ZoneId};
+use crate::id::{EntryId, Incarnation, ModelId, Offset, PoolId, UpstreamId, ZoneId};
 use crate::note::{self, Note};
 use crate::outbox::Outbox;
 use crate::record::{Content, Record, Topic};
-use crate::upstream::{Registration, Stage, Upstream};
+use crate::upstream::{Reading, Registration, Stage, Upstream};
 use crate::{Event, Settings};
 
 pub use need::{Need, Wanted};
+pub(crate) use seen::First;
 
 /// Time after the store's return in which registrations that lapsed meanwhile come back: about two seconds by the
 /// platform's word, and a margin for this entry's own read.
@@ -41,6 +42,7 @@
     configuration: Option<Arc<Configuration>>,
     fleet: Rc<Fleet>,
     cold: Cold,
+    readings: IndexMap<(PoolId, Option<ModelId>), Reading>,
     // The last registrations of upstreams that are gone, so that a late one does not bring them back.
     gone: IndexMap<UpstreamId, (Incarnation, u64)>,
     // The store does not answer, or has not done so until a moment ago.
@@ -57,6 +59,7 @@
             configuration: None,
             fleet: Rc::default(),
             cold: Cold::new(settings),
+            readings: IndexMap::new(),
             gone: IndexMap::new(),
             is_store_lost: false,
             lapses_until: None,
--- a/crates/comfreyroad_router/src/controller/upstreams/pick.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/pick.rs
@@ -9,11 +9,12 @@
 use crate::controller::evacuations::Evacuations;
 use crate::upstream::{Slot, Upstream};
 
-/// Load of the upstream that a prompt's cache points to, as a factor of the mean, above which the next one is taken
-/// (consistent hashing with bounded loads).
-const BOUND: f64 = 1.25;
-/// Requests above the mean that are always allowed, so that small numbers do not scatter prompts.
-const BOUND_SLACK: f64 = 2.0;
+/// What a prompt read from a cache saves beside its time, as the price of reading it again elsewhere, in time.
+const CACHE_BONUS: Duration = Duration::from_millis(100);
+/// Time that each request under way adds to the others, as steps of a batch take longer.
+const BATCH_COST: Duration = Duration::from_millis(4);
+/// Time by which a prompt is expected to be late that stands behind one which takes longer than expected.
+const OVERDUE_COST: Duration = Duration::from_millis(150);
 /// Pace of an upstream, as a factor of the median, above which it counts as slow.
 const SLOW: f64 = 2.5;
 /// Connections of an upstream that are left for entries which are not yet known.
@@ -40,7 +41,8 @@
     ) -> Option<Slot> {
         let configuration = self.configuration.clone()?;
         let service = configuration.services.get(need.pool)?;
-        let slot = self.choose(now, need, evacuations, service)?.take();
+        let upstream = self.choose(now, need, evacuations, service)?;
+        let slot = upstream.take(now, self.takes(need, need.tokens));
         let upstream = self.known.get(&slot.upstream)?;
         if upstream.is_cold(now) {
             let rate = self.cold_rate(upstream, service);
@@ -76,7 +78,7 @@
         };
         let candidates = Self::candidates(now, &chosen);
         match &need.affinity {
-            Some(affinity) => Self::by_affinity(affinity, &candidates),
+            Some(affinity) => self.by_prompt(now, need, affinity, &candidates),
             None => self.by_load(need.salt, &candidates),
         }
     }
@@ -130,19 +132,38 @@
         upstreams.iter().map(candidate).collect()
     }
 
-    /// The upstream whose cache is most likely to hold a prompt, unless it has too much to do.
-    fn by_affinity<'a>(affinity: &str, candidates: &[Candidate<'a>]) -> Option<&'a Upstream> {
-        let total: f64 = candidates.iter().map(|it| it.requests).sum();
-        let mean = total / candidates.len().max(1) as f64;
-        let bound = mean * BOUND + BOUND_SLACK;
-        let is_fit = |it: &&Candidate<'_>| it.requests < bound && !it.is_slow;
-        let fit = candidates.iter().filter(is_fit);
-        let nearest = fit.max_by_key(|it| rendezvous::hash(affinity, &it.upstream.id));
-        let least = || {
-            let requests = |it: &&Candidate<'_>| (it.requests * 16.0) as u64;
-            candidates.iter().min_by_key(requests)
+    /// Time to read tokens.
+    fn takes(&self, need: &Need<'_>, tokens: u32) -> Duration {
+        let key = (need.pool.clone(), need.model.cloned());
+        let reading = self.readings.get(&key).copied().unwrap_or_default();
+        reading.takes(tokens)
+    }
+
+    /// The upstream that is likely to give the first event first: one has the prompt's shared parts in its cache, others
+    /// have less to read before.
+    fn by_prompt<'a>(
+        &self,
+        now: Instant,
+        need: &Need<'_>,
+        affinity: &str,
+        candidates: &[Candidate<'a>],
+    ) -> Option<&'a Upstream> {
+        let whole = self.takes(need, need.tokens);
+        let own = self.takes(need, need.tokens.saturating_sub(need.shared));
+        let hash = |it: &&Candidate<'_>| rendezvous::hash(affinity, &it.upstream.id);
+        let usual = candidates.iter().max_by_key(hash)?;
+        let cost = |it: &&Candidate<'_>| {
+            let is_usual = it.upstream.id == usual.upstream.id;
+            let read = if is_usual { own } else { whole + CACHE_BONUS };
+            let overdue = OVERDUE_COST * it.upstream.overdue(now) as u32;
+            let batch = BATCH_COST.mul_f64(it.requests);
+            let work = it.upstream.backlog(now) + overdue + read + batch;
+            if it.is_slow { work * 4 } else { work }
         };
-        nearest.or_else(least).map(|it| it.upstream)
+        let best = candidates
+            .iter()
+            .min_by_key(|it| (cost(it), u64::MAX - hash(it)));
+        best.map(|it| it.upstream)
     }
 
     /// The upstream that is likely to answer first.
--- a/crates/comfreyroad_router/src/controller/upstreams/seen.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/seen.rs
@@ -4,10 +4,20 @@
 
 use super::Upstreams;
 use crate::answer;
+use crate::id::ModelId;
 use crate::note::{self, Note};
 use crate::outbox::Outbox;
 use crate::upstream::{Slot, Upstream};
 
+/// The first event of a stream.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct First {
+    /// Tokens that were read before it.
+    pub(crate) tokens: u32,
+    /// Time since the request was sent.
+    pub(crate) took: Duration,
+}
+
 impl Upstreams {
     /// The upstream of a place, if it is still the same start.
     fn of(&mut self, slot: &Slot) -> Option<&mut Upstream> {
@@ -29,6 +39,23 @@
         }
     }
 
+    /// The first event of a stream came.
+    pub(crate) fn on_first(
+        &mut self,
+        now: Instant,
+        slot: &Slot,
+        model: Option<&ModelId>,
+        first: First,
+    ) {
+        slot.start();
+        let key = (slot.pool.clone(), model.cloned());
+        let reading = self.readings.entry(key).or_default();
+        reading.add(first.tokens, first.took);
+        if let Some(upstream) = self.of(slot) {
+            upstream.health.succeed(now);
+        }
+    }
+
     /// An answer came whole, at a pace: time per event, or the time of a plain answer.
     pub(crate) fn on_success(&mut self, now: Instant, slot: &Slot, pace: Option<Duration>) {
         let Some(upstream) = self.of(slot) else {
--- a/crates/comfreyroad_router/src/filter/place.rs
+++ b/crates/comfreyroad_router/src/filter/place.rs
@@ -1,5 +1,6 @@
 //! A place at an upstream, for a request that is sent for the first time or again.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use comfreyroad::rendezvous;
@@ -34,7 +35,7 @@
     if plan.deadline <= now {
         return Err(Halt::Refuse(S::refuse(&request, Code::Deadline)));
     }
-    let is_extra = !plan.tried.is_empty();
+    let is_extra = plan.is_extra();
     if is_extra && !(plan.has_attempts() && state.budgets.may_repeat(&plan.pool)) {
         return Err(Halt::Refuse(overloaded(&request, now)));
     }
@@ -66,7 +67,9 @@
         pool: &plan.pool,
         model: plan.model.as_ref(),
         version,
-        affinity: head.shared_part().map(|part| part.id.clone()),
+        affinity: affinity(head, plan),
+        tokens: head.prompt_tokens(),
+        shared: head.shared_tokens(),
         tried: &plan.tried,
         salt: rendezvous::hash(&head.id, ""),
     };
@@ -80,6 +83,13 @@
     state.upstreams.pick(now, &need(Wanted::Any), evacuations)
 }
 
+/// What requests have in common whose prompts one cache serves: the deepest shared part, and the model that reads it.
+fn affinity(head: &Head, plan: &Plan) -> Option<Arc<str>> {
+    let part = head.shared_part()?;
+    let model = plan.model.as_deref().unwrap_or_default();
+    Some(format!("{}/{model}", part.id).into())
+}
+
 /// Which versions will do: the one that a part of the answer came from, the session's, or the rollout's choice.
 fn wanted(head: &Head, plan: &Plan, now: Instant, state: &Controllers) -> Wanted {
     if let Some(version) = &plan.version {
--- a/crates/comfreyroad_router/src/filter/plan.rs
+++ b/crates/comfreyroad_router/src/filter/plan.rs
@@ -31,9 +31,9 @@
         let Some(pool) = pool(head, route) else {
             return Err(Refusal::not_run(&request, Code::NoUpstream));
         };
-        // The largest model answers every request well.
+        // A small model is cheap and often good enough; its own confidence tells when it is not.
         let is_open = head.model.as_deref().is_none_or(|model| model == ANY_MODEL);
-        let model = route.models.last().filter(|_| is_open).cloned();
+        let model = route.models.first().filter(|_| is_open).cloned();
         let last_event = head.last_event;
         Ok(request.route(|known| request::Plan {
             route: known.route,
--- a/crates/comfreyroad_router/src/request/head.rs
+++ b/crates/comfreyroad_router/src/request/head.rs
@@ -38,6 +38,17 @@
         self.prompt.get(shared)
     }
 
+    /// Tokens of the prompt.
+    pub fn prompt_tokens(&self) -> u32 {
+        self.prompt.iter().map(|part| part.tokens).sum()
+    }
+
+    /// Tokens of the prompt that other requests share.
+    pub fn shared_tokens(&self) -> u32 {
+        let own = self.prompt.last().map_or(0, |part| part.tokens);
+        self.prompt_tokens() - own
+    }
+
     /// What requests of one session have in common.
     pub fn session_key(&self) -> Option<&Arc<str>> {
         self.session
--- a/crates/comfreyroad_router/src/request/plan.rs
+++ b/crates/comfreyroad_router/src/request/plan.rs
@@ -38,4 +38,16 @@
         let most = self.route.max_attempts.max(1);
         self.runs < most && (self.tried.len() as u32) < most + MAX_REJECTIONS
     }
+
+    /// Whether it was handed to an upstream before.
+    pub fn is_extra(&self) -> bool {
+        self.runs > 0 || !self.tried.is_empty()
+    }
+
+    /// The model that answers in place of a smaller one which is not sure of its answer.
+    pub fn larger_model(&self) -> Option<&ModelId> {
+        let largest = self.route.models.last()?;
+        let model = self.model.as_ref()?;
+        (model != largest).then_some(largest)
+    }
 }
--- a/crates/comfreyroad_router/src/request/sent.rs
+++ b/crates/comfreyroad_router/src/request/sent.rs
@@ -68,6 +68,16 @@
         Returned::new(self.head, origin, rejection)
     }
 
+    /// Drops the answer of a model that is not sure of it, for one of a larger model. The caller has none of it.
+    pub(crate) fn step_up(self) -> Result<Request<Repeating>, Self> {
+        let mut request = self.repeat()?;
+        let plan = &mut request.stage.plan;
+        plan.model = plan.larger_model().cloned().or(plan.model.take());
+        // Any upstream will do again.
+        plan.tried.clear();
+        Ok(request)
+    }
+
     /// Goes back with an unknown fate, which only what may be repeated can do.
     pub(crate) fn repeat(self) -> Result<Request<Repeating>, Self> {
         if !self.stage.plan().route.repeat.may_repeat() {
--- a/crates/comfreyroad_router/src/router.rs
+++ b/crates/comfreyroad_router/src/router.rs
@@ -7,6 +7,7 @@
 
 use crate::answer::{self, Fault, Verdict};
 use crate::controller::Controllers;
+use crate::controller::upstreams::First;
 use crate::filter::place::{self, Halt};
 use crate::filter::{View, chain};
 use crate::frame::Frame;
@@ -20,11 +21,16 @@
 use crate::{Action, Event, Refusal, Settings};
 
 /// Part of an objective in which the first event of a stream must come before another upstream is tried.
-const FIRST_EVENT: f64 = 0.6;
+const FIRST_EVENT: f64 = 1.5;
 /// Part of an objective in which a plain answer must come before another upstream is tried.
 const PLAIN_ANSWER: f64 = 0.7;
+/// Confidence, of a hundred, from which a small model's answer is taken. It is about even whether an answer at 50 is good,
+/// and the engines' noise is some 20 around it (docs/DESIGN.md).
+const CONFIDENT: u8 = 62;
+/// Part of an objective after which no larger model is asked any more, as its answer would be late.
+const STEP_UP: f64 = 0.5;
 /// Part of the longest pause in which the next event must come before another upstream goes on.
-const NEXT_EVENT: f64 = 0.6;
+const NEXT_EVENT: f64 = 1.5;
 
 /// All decisions of one entry.
 #[derive(Debug)]
@@ -115,14 +121,41 @@
     }
 
     /// Judges the head of an answer.
-    pub fn answered(&mut self, request: &Request<Sent>, head: &answer::Head) -> Verdict {
+    pub fn answered(&mut self, now: Now, request: &Request<Sent>, head: &answer::Head) -> Verdict {
         let verdict = answer::judge(request, head);
+        let is_unsure = head.confidence.is_some_and(|it| it < CONFIDENT);
+        if verdict == Verdict::Pass && is_unsure && self.may_step_up(now, request) {
+            self.state.upstreams.on_head(&request.stage().slot, head);
+            return Verdict::Unsure;
+        }
         if verdict != Verdict::Unusable(Fault::Crossed) {
             self.state.upstreams.on_head(&request.stage().slot, head);
         }
         verdict
     }
 
+    /// Whether a larger model can be asked, in time and within the budget.
+    fn may_step_up(&self, now: Now, request: &Request<Sent>) -> bool {
+        let plan = request.stage().plan();
+        let route = &plan.route;
+        let latest = request.head().received + route.objective.mul_f64(STEP_UP);
+        plan.larger_model().is_some()
+            && plan.last_event.is_none()
+            && route.repeat.may_repeat()
+            && plan.has_attempts()
+            && now.instant < latest
+            && self.state.budgets.may_step_up(&plan.pool)
+    }
+
+    /// Asks a larger model, in place of one that is not sure of its answer.
+    pub fn step_up(&mut self, request: Request<Sent>) -> Result<Request<Repeating>, Refusal> {
+        let slot = &request.stage().slot;
+        let (pool, version) = (&slot.pool, &slot.version);
+        self.state.rollouts.open(pool, version, false);
+        let repeated = request.step_up();
+        repeated.map_err(|request| Refusal::unclear(&request, Code::Failed))
+    }
+
     /// Until when the head and first event of an answer, or a plain answer, are waited for at this upstream.
     pub fn patience(&self, request: &Request<Sent>) -> Instant {
         let plan = request.stage().plan();
@@ -196,6 +229,18 @@
         repeated.map_err(|request| Refusal::unclear(&request, code))
     }
 
+    /// The first event of a stream has come.
+    pub fn began(&mut self, now: Now, request: &Request<Sent>) {
+        let (stage, head) = (request.stage(), request.head());
+        let first = First {
+            tokens: head.prompt_tokens() - head.shared_tokens(),
+            took: now.instant.saturating_duration_since(stage.at),
+        };
+        let model = stage.plan().model.as_ref();
+        let upstreams = &mut self.state.upstreams;
+        upstreams.on_first(now.instant, &stage.slot, model, first);
+    }
+
     /// The caller has an event of the answer.
     pub fn delivered(&mut self, request: &mut Request<Sent>, event: EventId) {
         let version = request.stage().slot.version.clone();
--- a/crates/comfreyroad_router/src/upstream/slot.rs
+++ b/crates/comfreyroad_router/src/upstream/slot.rs
@@ -1,6 +1,8 @@
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
+use super::{Backlog, JobId};
 use crate::id::{Address, Incarnation, PoolId, UpstreamId, VersionId, ZoneId};
 
 /// One request's place at an upstream, given back on drop.
@@ -18,13 +20,19 @@
     pub pool: PoolId,
     /// The version of its software.
     pub version: VersionId,
+    /// Time that its prompt was expected to take.
+    pub takes: Duration,
     open: Rc<Cell<u32>>,
+    backlog: Rc<RefCell<Backlog>>,
+    job: JobId,
 }
 
 impl Slot {
-    pub(super) fn take(upstream: &super::Upstream) -> Self {
+    pub(super) fn take(upstream: &super::Upstream, now: Instant, takes: Duration) -> Self {
         let open = Rc::clone(&upstream.open);
         open.set(open.get() + 1);
+        let backlog = Rc::clone(&upstream.backlog);
+        let job = backlog.borrow_mut().add(now, takes, true);
         let registration = &upstream.registration;
         Self {
             upstream: upstream.id.clone(),
@@ -33,13 +41,22 @@
             zone: registration.zone.clone(),
             pool: registration.pool.clone(),
             version: registration.version.clone(),
+            takes,
             open,
+            backlog,
+            job,
         }
     }
+
+    /// The prompt was read: the first event came.
+    pub fn start(&self) {
+        self.backlog.borrow_mut().remove(self.job);
+    }
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
+        self.start();
         self.open.set(self.open.get().saturating_sub(1));
     }
 }
--- a/crates/comfreyroad_router/src/upstream/upstream.rs
+++ b/crates/comfreyroad_router/src/upstream/upstream.rs
@@ -1,8 +1,8 @@
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use super::{Health, Load, Pace, Registration, Slot, Stage};
+use super::{Backlog, Health, Load, Pace, Registration, Slot, Stage};
 use crate::id::{Offset, UpstreamId};
 
 /// Age up to which another entry's requests, as a load report shows them, are still counted.
@@ -28,6 +28,7 @@
     /// What was seen of its failures.
     pub health: Health,
     pub(super) open: Rc<Cell<u32>>,
+    pub(super) backlog: Rc<RefCell<Backlog>>,
 }
 
 impl Upstream {
@@ -43,6 +44,7 @@
             pace: Pace::default(),
             health: Health::default(),
             open: Rc::default(),
+            backlog: Rc::default(),
         }
     }
 
@@ -80,9 +82,24 @@
         self.open() + fresh.map_or(0, |load| load.others())
     }
 
-    /// Takes a place there.
-    pub fn take(&self) -> Slot {
-        Slot::take(self)
+    /// Time until it is likely to have read the prompts that are known to wait there.
+    pub fn backlog(&self, now: Instant) -> Duration {
+        self.backlog.borrow().left(now)
+    }
+
+    /// Own prompts there that take longer to read than was expected.
+    pub fn overdue(&self, now: Instant) -> usize {
+        self.backlog.borrow().overdue(now)
+    }
+
+    /// Another entry has sent a prompt there.
+    pub fn add_foreign(&self, now: Instant, takes: Duration) {
+        self.backlog.borrow_mut().add(now, takes, false);
+    }
+
+    /// Takes a place there, for a request whose prompt takes a time to read.
+    pub fn take(&self, now: Instant, takes: Duration) -> Slot {
+        Slot::take(self, now, takes)
     }
 }
 
