Have callers of an entry without a configuration come back after 2 s

Cause: after all entries were killed during an outage of the store nobody knows a configuration for about 3 s; callers were told to come back after 0.3 s, were refused again, and had no retry left. Ruled out: reading faster alone (the store refused until 36.7 s). The store is asked each quarter of a second until the first listing.

--- a/crates/comfreyroad_router/src/controller/feeds/feed.rs
+++ b/crates/comfreyroad_router/src/controller/feeds/feed.rs
@@ -151,7 +151,13 @@
         let backoff = pace::BACKOFF * 2_u32.saturating_pow(self.failures.min(8));
         self.failures += 1;
         self.call = None;
-        self.resumes_at = Some(now + backoff.min(pace::MAX_BACKOFF));
+        // An entry that has not read a topic cannot serve, and asks more often.
+        let most = if self.next.is_none() {
+            pace::MAX_FIRST_BACKOFF
+        } else {
+            pace::MAX_BACKOFF
+        };
+        self.resumes_at = Some(now + backoff.min(most));
     }
 
     /// Everything before an offset is known.
--- a/crates/comfreyroad_router/src/controller/feeds/pace.rs
+++ b/crates/comfreyroad_router/src/controller/feeds/pace.rs
@@ -11,6 +11,8 @@
 pub(super) const BACKOFF: Duration = Duration::from_millis(200);
 /// Longest time between two tries.
 pub(super) const MAX_BACKOFF: Duration = Duration::from_millis(800);
+/// The same, for a topic that was never read.
+pub(super) const MAX_FIRST_BACKOFF: Duration = Duration::from_millis(250);
 /// Age at which a record is passed on to peers, which mostly read it from the store themselves.
 pub(super) const PASS_ON_AFTER: Duration = Duration::from_millis(300);
 
--- a/crates/comfreyroad_router/src/filter/find_route.rs
+++ b/crates/comfreyroad_router/src/filter/find_route.rs
@@ -8,8 +8,9 @@
 use crate::refusal::Code;
 use crate::request::{Found, Received, Request};
 
-/// Time after which a caller that came before the first configuration may come back.
-const RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Time after which a caller that came before the first configuration may come back: outages of the store last seconds, and
+/// callers wait no longer than their deadline allows.
+const RETRY_AFTER: Duration = Duration::from_millis(2000);
 
 /// Finds the route.
 #[derive(Debug)]
