--- a/crates/comfreyroad_router/src/controller/rollouts/rollout.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/rollout.rs
@@ -13,10 +13,10 @@
 
 /// Part of the allowed exposure that a canary gets; the rest is for the time between a fault and its detection.
 const CANARY: f64 = 0.5;
-/// Part of a rollout's time after which all requests begin to move.
-const SHIFT_AT: f64 = 0.55;
+/// Part of a rollout's time after which all requests begin to move: sessions under way keep the old version in the first half.
+const SHIFT_AT: f64 = 0.54;
 /// Part of a rollout's time over which they move.
-const SHIFT_LASTS: f64 = 0.1;
+const SHIFT_LASTS: f64 = 0.25;
 /// Part of a rollout's time after which it is completed, though the old version still works on something.
 const COMPLETE_AT: f64 = 0.88;
 /// Least time between the last request to the old version and its end, so that other entries have moved too.
--- a/crates/comfreyroad_router/src/filter/place.rs
+++ b/crates/comfreyroad_router/src/filter/place.rs
@@ -106,6 +106,8 @@
             return Wanted::Only(version.clone());
         }
     }
-    let key: &str = head.session_key().map_or(&head.id, |key| key);
+    // Requests that share a cache move together, so that it is filled once.
+    let shared = head.shared_part().map(|part| &part.id);
+    let key: &str = shared.or(head.session_key()).unwrap_or(&head.id);
     rollouts.wanted(now, &plan.pool, key)
 }
--- a/crates/comfreyroad_router/tests/decisions/rollouts.rs
+++ b/crates/comfreyroad_router/tests/decisions/rollouts.rs
@@ -40,6 +40,11 @@
     rig.actions.iter().filter_map(state).collect()
 }
 
+/// A prompt with one of 40 shared parts, and a part of its own.
+fn book(number: u64, own: &str) -> Vec<comfreyroad_router::request::Part> {
+    prompt(&[(&format!("book{}", number % 40), 100), (own, 100)])
+}
+
 /// Serves requests for a time, ten a second; answers of `v2` fail by a part of a hundred. Returns the requests of either
 /// version.
 fn serve(rig: &mut Rig, time: Duration, bad: u32) -> (u32, u32) {
@@ -50,7 +55,7 @@
         rig.raise(Event::Tick);
         number += 1;
         let mut head = head(rig.now, "stream", &format!("r{number}"));
-        head.prompt = prompt(&[("shared", 100), (&format!("own{number}"), 100)]);
+        head.prompt = book(number, &format!("own{number}"));
         let Some(sent) = rig.send(head) else { continue };
         let is_new = &*sent.stage().slot.version == "v2";
         *if is_new { &mut new } else { &mut old } += 1;
@@ -166,7 +171,7 @@
         rig.pass(20 * MS);
         rig.raise(Event::Tick);
         let mut head = head(rig.now, "stream", &format!("r{number}"));
-        head.prompt = prompt(&[("shared", 100), (&format!("own{number}"), 100)]);
+        head.prompt = book(number, &format!("own{number}"));
         let Some(sent) = rig.send(head) else { continue };
         let is_new = &*sent.stage().slot.version == "v2";
         let pace = Some(if is_new { 80 * MS } else { 10 * MS });
@@ -229,7 +234,10 @@
     let mut rig = Rig::serving("e1");
     let ask = |rig: &mut Rig, session: &str| {
         let mut head = head(rig.now, "stream", "r");
-        head.prompt = prompt(&[("shared", 100), (session, 100)]);
+        head.prompt = book(
+            session.len() as u64 + u64::from(session.as_bytes()[session.len() - 1]),
+            session,
+        );
         rig.send(head)
             .map(|sent| sent.stage().slot.version.to_string())
     };
