--- a/crates/comfreyroad_router/src/controller/rollouts/mod.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/mod.rs
@@ -20,7 +20,7 @@
 use super::members::Fleet;
 use super::upstreams::Wanted;
 use crate::frame::{Frame, Peer};
-use crate::id::{Address, Offset, PoolId, VersionId};
+use crate::id::{Address, Offset, PoolId, RequestId, VersionId};
 use crate::note::{self, Note};
 use crate::outbox::Outbox;
 use crate::record::{Content, Record, Topic};
@@ -57,19 +57,19 @@
         }
     }
 
-    /// Which versions of a pool a new request goes to; `key` is what requests that move together have in common.
+    /// Which versions of a pool a new request goes to; those of one session go to the same.
     pub fn wanted(
         &self,
         now: Instant,
         pool: &PoolId,
-        key: &str,
         session: Option<&Arc<str>>,
+        request: &RequestId,
     ) -> Wanted {
         let Some(rollout) = self.known.get(pool) else {
             return Wanted::Any;
         };
-        let is_kept = session.is_some_and(|session| rollout.is_kept(now, session));
-        if rollout.point(key) < rollout.share(now) && !is_kept {
+        let key = session.unwrap_or(request);
+        if rollout.point(key) < rollout.share(now) && !rollout.is_kept(now, key) {
             Wanted::Only(rollout.order.target.clone())
         } else {
             Wanted::Not(rollout.order.target.clone())
@@ -82,10 +82,10 @@
         now: Instant,
         pool: &PoolId,
         session: &Arc<str>,
-        (version, key): (&VersionId, &Arc<str>),
+        version: &VersionId,
     ) {
         if let Some(rollout) = self.known.get_mut(pool) {
-            rollout.keep(session, key, version, now + self.session);
+            rollout.keep(session, version, now + self.session);
         }
     }
 
@@ -93,11 +93,11 @@
     pub(crate) fn keep<'a>(
         &mut self,
         pool: &PoolId,
-        sessions: impl Iterator<Item = (&'a Arc<str>, &'a Arc<str>, &'a VersionId, Instant)>,
+        sessions: impl Iterator<Item = (&'a Arc<str>, &'a VersionId, Instant)>,
     ) {
         if let Some(rollout) = self.known.get_mut(pool) {
-            for (session, key, version, ends) in sessions {
-                rollout.keep(session, key, version, ends);
+            for (session, version, ends) in sessions {
+                rollout.keep(session, version, ends);
             }
         }
     }
--- a/crates/comfreyroad_router/src/controller/rollouts/rollout.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/rollout.rs
@@ -13,31 +13,35 @@
 use crate::rollout::{Order, State, Status, Tally};
 use crate::upstream::Pace;
 
-/// Part of the allowed exposure that a canary gets. Some versions are bad in ways that no answer shows, so that what is
-/// allowed must also hold for what moves before the rollout's time is over.
-const CANARY: f64 = 0.3;
+/// Part of the allowed exposure at which a version is tried first.
+const TRIAL: f64 = 0.8;
+/// Requests after which a trial has shown what it can: three failures in ten show in a third of their answers.
+const TRIAL_REQUESTS: f64 = 48.0;
+/// Part of a rollout's time after which the trial is over in any case.
+const TRIAL_LASTS: f64 = 0.45;
+/// Part of the allowed exposure between the trial and the cutover. Some versions are bad in ways that no answer shows, so
+/// what is allowed must also hold for what moves before the rollout's time is over.
+const TRICKLE: f64 = 0.1;
 /// Part of the allowed exposure and slack that is used; the rest covers what other entries have sent since they last told.
 const USED: f64 = 0.85;
 /// Part of a rollout's time before which no session under way moves.
 const FIRST_HALF: f64 = 0.52;
 /// Time before a rollout's end at which its completion is written: two turns of entries, and the store's answer.
 const COMPLETE_BEFORE: Duration = Duration::from_millis(1600);
+/// Time before a rollout's end at which all requests move at the latest.
+const CUT_OVER_BEFORE: Duration = Duration::from_millis(2200);
 /// Least time between the last request to the old version and its end, so that other entries have moved too.
 const SETTLE: Duration = Duration::from_millis(600);
 /// Difference of good answers, as a part of all, that a new version may show.
-const MARGIN: f64 = 0.05;
-/// Logarithm of the evidence at which a version is bad: one false finding in a hundred rollouts.
-const EVIDENCE: f64 = 4.605;
+const MARGIN: f64 = 0.03;
+/// Logarithm of the evidence at which a version is bad: at most one false finding in twenty rollouts, which costs a rollout
+/// and no request.
+const EVIDENCE: f64 = 3.0;
 /// Time per event, as a factor of the other versions' mean, from which an answer counts as slow. Versions that do several
 /// times the work were seen to take twice the time per event, as much of a step does not depend on the work.
 const SLOW: f64 = 1.5;
 /// Difference of slow answers, as a part of all, that a new version may show.
 const SLOW_MARGIN: f64 = 0.25;
-/// Logarithm of the evidence at which a version is too slow: one false finding in twenty rollouts, which costs a rollout and
-/// no request.
-const SLOW_EVIDENCE: f64 = 3.0;
-/// The factor while requests move: the new version then has the greater load, and its caches are empty.
-const SLOW_IN_CUTOVER: f64 = 2.0;
 /// Samples over which the other versions' mean pace goes.
 const PACES: u32 = 64;
 /// Answers of the other versions before paces are compared.
@@ -139,14 +143,23 @@
     pub(super) fn share(&self, now: Instant) -> f64 {
         match self.phase {
             Phase::Canary(_) if self.began + NOTICE > now => 0.0,
-            Phase::Canary(_) => self.canary(),
+            Phase::Canary(_) if self.is_tried(now) => self.exposure.share * TRICKLE,
+            Phase::Canary(_) => self.trial(),
             Phase::Cutover(_) | Phase::Complete(_) => 1.0,
             Phase::Revert(_) => 0.0,
         }
     }
 
-    fn canary(&self) -> f64 {
-        self.exposure.share * CANARY
+    /// The greatest part of new requests that tries the new version.
+    fn trial(&self) -> f64 {
+        self.exposure.share * TRIAL
+    }
+
+    /// Whether the trial has shown what it can.
+    fn is_tried(&self, now: Instant) -> bool {
+        let (target, _) = self.sent();
+        let is_late = now >= self.began + self.order.lasts.mul_f64(TRIAL_LASTS);
+        is_late || target >= TRIAL_REQUESTS
     }
 
     /// Whether all requests may move: also if the new version is bad, it then gets no more than is allowed in the
@@ -157,6 +170,9 @@
         if age < self.order.lasts.mul_f64(FIRST_HALF) {
             return false;
         }
+        if left <= CUT_OVER_BEFORE {
+            return true;
+        }
         let (target, others) = self.sent();
         let all = target + others;
         let coming = all / age.as_secs_f64().max(1.0) * left.as_secs_f64();
@@ -204,22 +220,22 @@
         }
     }
 
-    /// Counts the pace of an answer.
+    /// Counts the pace of an answer. Loads are alike only while few requests try the new version.
     pub(super) fn count_pace(&mut self, version: &VersionId, pace: Duration) {
+        if !matches!(self.phase, Phase::Canary(_)) {
+            return;
+        }
         let is_target = *version == self.order.target;
-        let is_canary = matches!(self.phase, Phase::Canary(_));
-        let factor = if is_canary { SLOW } else { SLOW_IN_CUTOVER };
         let usual = self
             .usual
             .mean()
             .filter(|_| self.usual_count >= LEAST_PACES);
-        // What is usual is known while loads are alike.
-        if is_canary && !is_target {
+        if !is_target {
             self.usual.add(pace);
             self.usual_count += 1;
         }
         let Some(usual) = usual else { return };
-        let is_good = pace <= usual.mul_f64(factor);
+        let is_good = pace <= usual.mul_f64(SLOW);
         self.own.revision += 1;
         if is_target {
             self.own.target_paces.count(is_good);
@@ -241,14 +257,8 @@
     }
 
     /// A session has a request at a version: one that would move, but had the old version, keeps it.
-    pub(super) fn keep(
-        &mut self,
-        session: &Arc<str>,
-        key: &str,
-        version: &VersionId,
-        ends: Instant,
-    ) {
-        let moves = *version != self.order.target && self.point(key) < self.canary();
+    pub(super) fn keep(&mut self, session: &Arc<str>, version: &VersionId, ends: Instant) {
+        let moves = *version != self.order.target && self.point(session) < self.trial();
         if moves && matches!(self.phase, Phase::Canary(_)) {
             let known = self.kept.entry(session.clone()).or_insert(ends);
             *known = ends.max(*known);
@@ -387,7 +397,7 @@
         let (target, others) = self.scores();
         let (target_paces, others_paces) = self.pace_scores();
         worse(target, others, MARGIN) >= EVIDENCE
-            || worse(target_paces, others_paces, SLOW_MARGIN) >= SLOW_EVIDENCE
+            || worse(target_paces, others_paces, SLOW_MARGIN) >= EVIDENCE
     }
 
     /// Answers that were fast enough, of all entries.
--- a/crates/comfreyroad_router/src/controller/sessions.rs
+++ b/crates/comfreyroad_router/src/controller/sessions.rs
@@ -26,8 +26,6 @@
 #[derive(Debug)]
 struct Session {
     version: VersionId,
-    // What requests that share its cache have in common.
-    key: Arc<str>,
     ends: Instant,
 }
 
@@ -45,13 +43,13 @@
         (known.ends > now).then_some(&known.version)
     }
 
-    /// The sessions of a pool that go on: their names, what their caches are shared by, their versions and ends.
+    /// The sessions of a pool that go on: their names, versions and ends.
     pub(crate) fn of_pool<'a>(
         &'a self,
         pool: &'a PoolId,
-    ) -> impl Iterator<Item = (&'a Arc<str>, &'a Arc<str>, &'a VersionId, Instant)> {
+    ) -> impl Iterator<Item = (&'a Arc<str>, &'a VersionId, Instant)> {
         let known = self.known.iter().filter(move |((of, _), _)| of == pool);
-        known.map(|((_, name), it)| (name, &it.key, &it.version, it.ends))
+        known.map(|((_, name), it)| (name, &it.version, it.ends))
     }
 
     /// A request of a session was sent, or its answer has ended.
@@ -60,13 +58,12 @@
         now: Instant,
         pool: &PoolId,
         session: &Arc<str>,
-        (version, key): (&VersionId, &Arc<str>),
+        version: &VersionId,
     ) {
         let place = (pool.clone(), session.clone());
         self.known.shift_remove(&place);
         let session = Session {
             version: version.clone(),
-            key: key.clone(),
             ends: now + self.lasts,
         };
         self.known.insert(place, session);
--- a/crates/comfreyroad_router/src/filter/place.rs
+++ b/crates/comfreyroad_router/src/filter/place.rs
@@ -108,6 +108,5 @@
             return Wanted::Only(version.clone());
         }
     }
-    // Requests that share a cache move together, so that it is filled once.
-    rollouts.wanted(now, &plan.pool, head.cache_key(), head.session_key())
+    rollouts.wanted(now, &plan.pool, head.session_key(), &head.id)
 }
--- a/crates/comfreyroad_router/src/request/head.rs
+++ b/crates/comfreyroad_router/src/request/head.rs
@@ -49,12 +49,6 @@
         self.prompt_tokens() - own
     }
 
-    /// What requests have in common that profit from one cache, or that belong to one session, or the request's own id.
-    pub fn cache_key(&self) -> &Arc<str> {
-        let shared = self.shared_part().map(|part| &part.id);
-        shared.or(self.session_key()).unwrap_or(&self.id)
-    }
-
     /// What requests of one session have in common.
     pub fn session_key(&self) -> Option<&Arc<str>> {
         self.session
--- a/crates/comfreyroad_router/src/router.rs
+++ b/crates/comfreyroad_router/src/router.rs
@@ -121,10 +121,9 @@
         let (plan, slot) = (request.stage().plan(), &request.stage().slot);
         if let Some(session) = request.head().session_key() {
             let sessions = &mut self.state.sessions;
-            let key = request.head().cache_key();
-            sessions.touch(now.instant, &plan.pool, session, (&slot.version, key));
+            sessions.touch(now.instant, &plan.pool, session, &slot.version);
             let rollouts = &mut self.state.rollouts;
-            rollouts.touch(now.instant, &plan.pool, session, (&slot.version, key));
+            rollouts.touch(now.instant, &plan.pool, session, &slot.version);
         }
     }
 
--- a/crates/comfreyroad_router/tests/decisions/rig.rs
+++ b/crates/comfreyroad_router/tests/decisions/rig.rs
@@ -44,6 +44,7 @@
         retry_ratio: 0.9,
         retry_slack: 54.0,
         exposure_share: 0.15,
+        exposure_slack: 30.0,
         cold_multiplier: 1.5,
         cold_slack: 5.0,
         ..Settings::default()
