--- a/crates/comfreyroad_router/src/controller/rollouts/rollout.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/rollout.rs
@@ -11,14 +11,14 @@
 use crate::note::{self, Note};
 use crate::outbox::Outbox;
 use crate::rollout::{Order, State, Status, Tally};
-use crate::upstream::Pace;
+use crate::upstream::Median;
 
 /// Part of the allowed exposure at which a version is tried first.
 const TRIAL: f64 = 0.8;
 /// Requests after which a trial has shown what it can: three failures in ten show in a third of their answers.
 const TRIAL_REQUESTS: f64 = 48.0;
 /// Part of a rollout's time after which the trial is over in any case.
-const TRIAL_LASTS: f64 = 0.45;
+const TRIAL_LASTS: f64 = 0.55;
 /// Part of the allowed exposure between the trial and the cutover. Some versions are bad in ways that no answer shows, so
 /// what is allowed must also hold for what moves before the rollout's time is over.
 const TRICKLE: f64 = 0.1;
@@ -37,15 +37,15 @@
 /// Logarithm of the evidence at which a version is bad: at most one false finding in twenty rollouts, which costs a rollout
 /// and no request.
 const EVIDENCE: f64 = 3.0;
-/// Time per event, as a factor of the other versions' mean, from which an answer counts as slow. Versions that do several
+/// The same, from which a trial goes on for more answers: as likely worse as not.
+const SUSPICION: f64 = 0.0;
+/// Time per event, as a factor of the other versions' median, from which an answer counts as slow. Versions that do several
 /// times the work were seen to take twice the time per event, as much of a step does not depend on the work.
 const SLOW: f64 = 1.5;
 /// Difference of slow answers, as a part of all, that a new version may show.
-const SLOW_MARGIN: f64 = 0.25;
-/// Samples over which the other versions' mean pace goes.
-const PACES: u32 = 64;
+const SLOW_MARGIN: f64 = 0.15;
 /// Answers of the other versions before paces are compared.
-const LEAST_PACES: u32 = 8;
+const LEAST_PACES: u32 = 16;
 /// Time after an order in which entries tell each other of the sessions that keep the old version: three rounds of gossip.
 const NOTICE: Duration = Duration::from_millis(1500);
 /// Sessions that keep the old version in one frame at most.
@@ -79,9 +79,8 @@
     written: Option<State>,
     own: Tally,
     others: IndexMap<(EntryId, Incarnation), Tally>,
-    // The other versions' pace, and how many answers it is known by.
-    usual: Pace,
-    usual_count: u32,
+    // The other versions' pace.
+    usual: Median,
     // Sessions that keep the old version, and when they are over.
     kept: IndexMap<Arc<str>, Instant>,
 }
@@ -119,8 +118,7 @@
             written: None,
             own,
             others: IndexMap::new(),
-            usual: Pace::over(PACES),
-            usual_count: 0,
+            usual: Median::default(),
             kept: IndexMap::new(),
         }
     }
@@ -155,11 +153,11 @@
         self.exposure.share * TRIAL
     }
 
-    /// Whether the trial has shown what it can.
+    /// Whether the trial has shown what it can. One that looks bad goes on until it is known.
     fn is_tried(&self, now: Instant) -> bool {
         let (target, _) = self.sent();
         let is_late = now >= self.began + self.order.lasts.mul_f64(TRIAL_LASTS);
-        is_late || target >= TRIAL_REQUESTS
+        is_late || (target >= TRIAL_REQUESTS && self.evidence() < SUSPICION)
     }
 
     /// Whether all requests may move: also if the new version is bad, it then gets no more than is allowed in the
@@ -226,13 +224,9 @@
             return;
         }
         let is_target = *version == self.order.target;
-        let usual = self
-            .usual
-            .mean()
-            .filter(|_| self.usual_count >= LEAST_PACES);
+        let usual = self.usual.after(LEAST_PACES);
         if !is_target {
             self.usual.add(pace);
-            self.usual_count += 1;
         }
         let Some(usual) = usual else { return };
         let is_good = pace <= usual.mul_f64(SLOW);
@@ -324,7 +318,7 @@
     /// Goes on with time and counts.
     pub(super) fn advance(&mut self, now: Instant, out: &mut Outbox) {
         let is_over = matches!(self.phase, Phase::Revert(_) | Phase::Complete(_));
-        if !is_over && self.is_bad() {
+        if !is_over && self.evidence() >= EVIDENCE {
             self.give_up(out);
         }
         if let Phase::Canary(canary) = self.phase
@@ -393,11 +387,12 @@
         self.phase = self.phase.revert();
     }
 
-    fn is_bad(&self) -> bool {
+    /// Logarithm of the evidence that the new version is worse: that it fails more, or that it is slower.
+    fn evidence(&self) -> f64 {
         let (target, others) = self.scores();
         let (target_paces, others_paces) = self.pace_scores();
-        worse(target, others, MARGIN) >= EVIDENCE
-            || worse(target_paces, others_paces, SLOW_MARGIN) >= EVIDENCE
+        let fails = worse(target, others, MARGIN);
+        fails.max(worse(target_paces, others_paces, SLOW_MARGIN))
     }
 
     /// Answers that were fast enough, of all entries.
--- a/crates/comfreyroad_router/src/rollout/score.rs
+++ b/crates/comfreyroad_router/src/rollout/score.rs
@@ -26,7 +26,7 @@
     pub others: Score,
     /// Answers of the new version that were fast enough beside the others.
     pub target_paces: Score,
-    /// Answers of the other versions that were fast enough beside their own mean.
+    /// Answers of the other versions that were fast enough beside their own median.
     pub others_paces: Score,
     /// Requests under way at the other versions.
     pub others_open: u32,
--- a/crates/comfreyroad_router/src/upstream/mod.rs
+++ b/crates/comfreyroad_router/src/upstream/mod.rs
@@ -3,6 +3,7 @@
 mod backlog;
 mod health;
 mod load;
+mod median;
 mod pace;
 mod reading;
 mod registration;
@@ -12,6 +13,7 @@
 pub use backlog::{Backlog, JobId};
 pub use health::Health;
 pub use load::Load;
+pub use median::Median;
 pub use pace::Pace;
 pub use reading::Reading;
 pub use registration::{Registration, Stage};
--- a/crates/comfreyroad_router/src/upstream/pace.rs
+++ b/crates/comfreyroad_router/src/upstream/pace.rs
@@ -4,31 +4,16 @@
 const SAMPLES: u32 = 8;
 
 /// An exponential mean of times.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Pace {
     mean: Option<Duration>,
-    samples: u32,
-}
-
-impl Default for Pace {
-    fn default() -> Self {
-        Self::over(SAMPLES)
-    }
 }
 
 impl Pace {
-    /// A mean over about so many samples.
-    pub fn over(samples: u32) -> Self {
-        Self {
-            mean: None,
-            samples: samples.max(1),
-        }
-    }
-
     /// Adds a sample.
     pub fn add(&mut self, sample: Duration) {
         self.mean = Some(match self.mean {
-            Some(mean) => (mean * (self.samples - 1) + sample) / self.samples,
+            Some(mean) => (mean * (SAMPLES - 1) + sample) / SAMPLES,
             None => sample,
         });
     }
