--- a/crates/comfreyroad_router/src/controller/evacuations.rs
+++ b/crates/comfreyroad_router/src/controller/evacuations.rs
@@ -32,13 +32,9 @@
         };
         match &record.content {
             Content::Evacuation(zone) => {
-                if self
-                    .zones
-                    .insert(record.key.clone(), zone.clone())
-                    .is_none()
-                {
-                    out.note(Note::new(&note::EVACUATED).with("zone", zone));
-                }
+                let known = self.zones.insert(record.key.clone(), zone.clone());
+                let note = Note::new(&note::EVACUATED).with("zone", zone);
+                known.is_none().then(|| out.note(note));
             }
             Content::Removed => {
                 if let Some(zone) = self.zones.swap_remove(&record.key) {
--- a/crates/comfreyroad_router/tests/decisions/rig.rs
+++ b/crates/comfreyroad_router/tests/decisions/rig.rs
@@ -271,8 +271,18 @@
     /// The refusal of a request that found no place.
     pub(super) fn refusal(&mut self, returned: Returned) -> Option<Refusal> {
         let halt = match returned {
-            Returned::Unsent(request) => self.router.place(self.now, request).err().map(refused),
-            Returned::Again(request) => self.router.place(self.now, request).err().map(refused),
+            Returned::Unsent(request) => self
+                .router
+                .place(self.now, request)
+                .err()
+                .as_ref()
+                .map(refused),
+            Returned::Again(request) => self
+                .router
+                .place(self.now, request)
+                .err()
+                .as_ref()
+                .map(refused),
         };
         halt.flatten()
     }
@@ -282,9 +292,9 @@
     }
 }
 
-fn refused<S>(halt: Halt<S>) -> Option<Refusal> {
+fn refused<S>(halt: &Halt<S>) -> Option<Refusal> {
     match halt {
-        Halt::Refuse(refusal) => Some(refusal),
+        Halt::Refuse(refusal) => Some(*refusal),
         Halt::Wait(..) => None,
     }
 }
