--- a/crates/comfreyroad_router/src/controller/feeds/mod.rs
+++ b/crates/comfreyroad_router/src/controller/feeds/mod.rs
@@ -159,6 +159,12 @@
             Event::WriteFailed(Topic::Entries) => {
                 self.register_at = Some(now.instant + pace::REGISTER_AGAIN);
             }
+            // Something was written since: what it is decides what is written next.
+            Event::Conflict(topic) => {
+                if let Some(feed) = self.feeds.get_mut(topic) {
+                    feed.restart();
+                }
+            }
             Event::Heard(frame) => self.on_frame(now, frame, out),
             Event::Publish(status) => self.publish(Content::Status(status.clone()), out),
             _ => {}
--- a/crates/comfreyroad_router/src/controller/upstreams/mod.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/mod.rs
@@ -71,11 +71,6 @@
         self.known.values()
     }
 
-    /// An upstream.
-    pub fn get(&self, id: &UpstreamId) -> Option<&Upstream> {
-        self.known.get(id)
-    }
-
     fn on_record(&mut self, now: Instant, record: &Record, out: &mut Outbox) {
         let id: UpstreamId = record.key.clone();
         match &record.content {
--- a/crates/comfreyroad_router/src/frame/peer.rs
+++ b/crates/comfreyroad_router/src/frame/peer.rs
@@ -15,8 +15,6 @@
     pub incarnation: Incarnation,
     /// Its heartbeat; rises while it lives.
     pub heartbeat: u64,
-    /// Whether it takes requests.
-    pub is_serving: bool,
 }
 
 impl Peer {
--- a/crates/comfreyroad_router/src/request/head.rs
+++ b/crates/comfreyroad_router/src/request/head.rs
@@ -23,8 +23,6 @@
     pub model: Option<ModelId>,
     /// The parts of the prompt, in order; the last one is the request's or its session's own.
     pub prompt: Vec<Part>,
-    /// Tokens of the prompt and greatest number of tokens of the answer.
-    pub tokens: Option<(u32, u32)>,
     /// The last event that the caller has, where it goes on with a broken stream.
     pub last_event: Option<EventId>,
     /// The session that the caller named.
--- a/crates/comfreyroad_router/src/settings.rs
+++ b/crates/comfreyroad_router/src/settings.rs
@@ -16,11 +16,9 @@
     pub zones: usize,
     /// Time that a shutdown may take.
     pub grace: Duration,
-    /// Extra sendings that all entries may make for each request of a pool, over `retry_window`.
+    /// Extra sendings that all entries may make for each request of a pool.
     pub retry_ratio: f64,
-    /// Span over which extra sendings are counted.
-    pub retry_window: Duration,
-    /// Extra sendings of a pool that are free in each window, for all entries together.
+    /// Extra sendings of a pool that are free beyond that, for all entries together.
     pub retry_slack: f64,
     /// Part of a pool's requests that a version under trial may get.
     pub exposure_share: f64,
@@ -45,13 +43,11 @@
                 zone: "zone".into(),
                 incarnation: 1,
                 heartbeat: 0,
-                is_serving: false,
             },
             seeds: Vec::new(),
             zones: 1,
             grace: Duration::from_secs(8),
             retry_ratio: 0.5,
-            retry_window: Duration::from_secs(10),
             retry_slack: 20.0,
             exposure_share: 0.1,
             exposure_slack: 0.0,
--- a/crates/comfreyroad_router/src/upstream/health.rs
+++ b/crates/comfreyroad_router/src/upstream/health.rs
@@ -52,9 +52,4 @@
     pub fn is_ejected(&self, now: Instant) -> bool {
         self.ejected_until.is_some_and(|until| until > now)
     }
-
-    /// Whether it failed within a time.
-    pub fn failed_within(&self, now: Instant, span: Duration) -> bool {
-        self.failed_at.is_some_and(|at| at + span > now)
-    }
 }
--- a/crates/comfreyroad_router/src/upstream/slot.rs
+++ b/crates/comfreyroad_router/src/upstream/slot.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::{Backlog, JobId};
-use crate::id::{Address, Incarnation, PoolId, UpstreamId, VersionId, ZoneId};
+use crate::id::{Address, Incarnation, PoolId, UpstreamId, VersionId};
 
 /// One request's place at an upstream, given back on drop.
 #[derive(Debug)]
@@ -14,14 +14,10 @@
     pub incarnation: Incarnation,
     /// IP number and port.
     pub address: Address,
-    /// Its zone.
-    pub zone: ZoneId,
     /// Its pool.
     pub pool: PoolId,
     /// The version of its software.
     pub version: VersionId,
-    /// Time that its prompt was expected to take.
-    pub takes: Duration,
     open: Rc<Cell<u32>>,
     backlog: Rc<RefCell<Backlog>>,
     job: JobId,
@@ -38,10 +34,8 @@
             upstream: upstream.id.clone(),
             incarnation: registration.incarnation,
             address: registration.address.clone(),
-            zone: registration.zone.clone(),
             pool: registration.pool.clone(),
             version: registration.version.clone(),
-            takes,
             open,
             backlog,
             job,
--- a/crates/comfreyroad_router/tests/decisions/rig.rs
+++ b/crates/comfreyroad_router/tests/decisions/rig.rs
@@ -33,7 +33,6 @@
         zone: zone.into(),
         incarnation: 1,
         heartbeat: 1,
-        is_serving: true,
     }
 }
 
@@ -73,13 +72,8 @@
 pub(super) fn configuration(generation: u64) -> Configuration {
     let service = Service {
         id: "pool".into(),
-        health_path: "/health".into(),
         max_connections: 360,
-        cold: Cold {
-            lasts: 3 * SECOND,
-            per_second: 16.0,
-        },
-        is_engine: true,
+        cold: Cold { per_second: 16.0 },
     };
     let mut stream = route("stream", Repeat::Resumable);
     stream.models = vec!["small".into(), "large".into()];
@@ -125,7 +119,6 @@
         deadline: Some(now.instant + 10 * SECOND),
         model: (route == "stream").then(|| "*".into()),
         prompt: Vec::new(),
-        tokens: None,
         last_event: None,
         session: None,
     }
