Split the rollout by its matters; one outbox and one splitter of events for both cores

No change of behaviour: counts, exposure and kept sessions are types of their own, the chat front end's parser of events goes by the splitter, and the outbox is generic over its actions and events.

--- a/crates/comfreyroad/src/action.rs
+++ b/crates/comfreyroad/src/action.rs
@@ -123,6 +123,12 @@
     Exit,
 }
 
+impl From<Note> for Action {
+    fn from(note: Note) -> Self {
+        Self::Note(note)
+    }
+}
+
 /// One sending of a request.
 #[derive(Debug)]
 pub struct Send {
--- a/crates/comfreyroad_router/src/action.rs
+++ b/crates/comfreyroad_router/src/action.rs
@@ -47,3 +47,9 @@
     /// Stop taking connections, and end the process once the last request is answered.
     Close,
 }
+
+impl From<Note> for Action {
+    fn from(note: Note) -> Self {
+        Self::Note(note)
+    }
+}
--- a/crates/comfreyroad_router/src/controller/rollouts/mod.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/mod.rs
@@ -5,6 +5,9 @@
 //! first entry in the order of a rendezvous hash, and by the next ones if it does not appear. A write holds only if
 //! nothing was written since this entry last read, so a late writer cannot undo what another one has decided.
 
+mod counts;
+mod exposure;
+mod keep;
 mod phase;
 mod rollout;
 
@@ -15,7 +18,8 @@
 use comfreyroad::clock::Now;
 use indexmap::IndexMap;
 
-use self::rollout::{Exposure, Rollout};
+use self::exposure::Exposure;
+use self::rollout::Rollout;
 use super::Controller;
 use super::members::Fleet;
 use super::upstreams::Wanted;
--- a/crates/comfreyroad_router/src/router.rs
+++ b/crates/comfreyroad_router/src/router.rs
@@ -5,7 +5,7 @@
 
 use comfreyroad::clock::Now;
 
-use crate::answer::{self, Fault, Verdict};
+use crate::answer::{self, End, Fault, Verdict};
 use crate::controller::Controllers;
 use crate::controller::upstreams::First;
 use crate::filter::place::{self, Halt};
@@ -340,14 +340,3 @@
             .note(note.with("ran", ran).with("generation", generation));
     }
 }
-
-/// How an answer ended that an upstream gave whole.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct End {
-    /// Whether it is a success.
-    pub is_good: bool,
-    /// Time from its sending to the first event of a stream.
-    pub first: Option<Duration>,
-    /// Time per event of a stream, or of the whole of a plain answer.
-    pub pace: Option<Duration>,
-}
--- a/crates/comfreyroad_router/tests/decisions/rollouts.rs
+++ b/crates/comfreyroad_router/tests/decisions/rollouts.rs
@@ -1,9 +1,9 @@
 use std::time::Duration;
 
+use comfreyroad_router::answer::End;
 use comfreyroad_router::answer::Fault;
 use comfreyroad_router::record::{Content, Topic};
 use comfreyroad_router::rollout::{Order, State, Status};
-use comfreyroad_router::router::End;
 use comfreyroad_router::{Action, Event};
 use quickcheck::quickcheck;
 
--- a/crates/comfreyroad_router/tests/decisions/upstreams.rs
+++ b/crates/comfreyroad_router/tests/decisions/upstreams.rs
@@ -1,7 +1,8 @@
+use comfreyroad_router::Event;
+use comfreyroad_router::answer::End;
 use comfreyroad_router::answer::Fault;
 use comfreyroad_router::record::{Content, Topic};
 use comfreyroad_router::upstream::Stage;
-use comfreyroad_router::{Event, router::End};
 
 use super::rig::{MS, Rig, SECOND, good, head, prompt, registration};
 
--- a/crates/comfreyroad_wire/src/sse.rs
+++ b/crates/comfreyroad_wire/src/sse.rs
@@ -1,6 +1,6 @@
 //! Server-sent events, read from chunks that may break anywhere.
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Bytes, BytesMut};
 
 /// Longest event in bytes.
 pub const MAX_EVENT_BYTES: usize = 1024 * 1024;
@@ -19,54 +19,30 @@
 /// Collects chunks and gives out the data of whole events.
 #[derive(Debug, Default)]
 pub struct Parser {
-    buffer: BytesMut,
-    // Bytes that were searched for the end of an event already.
-    searched: usize,
+    splitter: Splitter,
 }
 
 impl Parser {
     /// Takes a chunk.
     pub fn feed(&mut self, chunk: &[u8]) {
-        self.buffer.extend_from_slice(chunk);
+        self.splitter.feed(chunk);
     }
 
     /// The data of the next whole event, if there is one.
     pub fn next_event(&mut self) -> Result<Option<String>, Error> {
-        loop {
-            let Some(end) = self.find_end() else {
-                return match self.buffer.len() {
-                    ..=MAX_EVENT_BYTES => Ok(None),
-                    _ => Err(Error::TooLong),
-                };
-            };
-            let event = self.buffer.split_to(end);
-            while matches!(self.buffer.first(), Some(b'\n' | b'\r')) {
-                self.buffer.advance(1);
-            }
-            let text = std::str::from_utf8(&event).map_err(|_| Error::NotText)?;
+        while let Some(event) = self.splitter.next_event()? {
+            let text = std::str::from_utf8(&event.bytes).map_err(|_| Error::NotText)?;
             let data: Vec<&str> = text.lines().filter_map(data_of).collect();
             if !data.is_empty() {
                 return Ok(Some(data.join("\n")));
             }
         }
+        Ok(None)
     }
 
     /// Whether a part of an event is left over.
     pub fn has_rest(&self) -> bool {
-        !self.buffer.is_empty()
-    }
-
-    /// Where the first event ends: before an empty line.
-    fn find_end(&mut self) -> Option<usize> {
-        let ends = |window: &[u8]| window == b"\n\n" || window == b"\n\r";
-        let found = self.buffer[self.searched..].windows(2).position(ends);
-        // The last byte may be the first of an end.
-        let searched = self.buffer.len().saturating_sub(1);
-        let from = std::mem::replace(&mut self.searched, searched);
-        if found.is_some() {
-            self.searched = 0;
-        }
-        found.map(|at| from + at)
+        self.splitter.has_rest()
     }
 }
 
