--- a/crates/comfreyroad_router/src/controller/feeds/feed.rs
+++ b/crates/comfreyroad_router/src/controller/feeds/feed.rs
@@ -2,10 +2,10 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use super::pace;
-use crate::id::{CallId, Offset};
+use crate::id::{CallId, Incarnation, Offset};
 use crate::note::{self, Note};
 use crate::outbox::Outbox;
 use crate::record::{Content, Record, Topic};
@@ -34,7 +34,24 @@
 #[derive(Debug)]
 struct Kept {
     record: Rc<Record>,
+    // The first offset of what it says; mere renewals are not passed on.
+    changed: Offset,
     learned: Instant,
+    // The newest registration of an upstream, also of one that is gone.
+    order: Option<(Incarnation, u64)>,
+}
+
+impl Kept {
+    /// Whether a record was overtaken by what is known: a registration that was written before the newest one, or before
+    /// its upstream was removed.
+    fn has_overtaken(&self, record: &Record) -> bool {
+        let Content::Upstream(registration) = &record.content else {
+            return false;
+        };
+        let order = Some(registration.order());
+        let is_removed = self.record.content == Content::Removed;
+        order < self.order || (is_removed && order == self.order)
+    }
 }
 
 impl Feed {
@@ -55,8 +72,8 @@
         self.next
     }
 
-    /// Starts a call if one is due.
-    pub(super) fn start_due(&mut self, now: Instant, out: &mut Outbox) {
+    /// Starts a call if one is due: a listing where nothing is known yet, or a read if the topic is to be followed.
+    pub(super) fn start_due(&mut self, now: Instant, is_followed: bool, out: &mut Outbox) {
         if self.call.is_some() || self.resumes_at.is_some_and(|at| at > now) {
             return;
         }
@@ -64,7 +81,7 @@
         let call = self.last_call + 1;
         let action = match self.next {
             None => Action::List(topic, call),
-            Some(_) if !pace::is_followed(topic) => return,
+            Some(_) if !is_followed => return,
             Some(from) => Action::Read {
                 topic,
                 call,
@@ -96,13 +113,12 @@
         next: Offset,
         out: &mut Outbox,
     ) {
-        for record in records {
-            self.learn(now, record.clone(), out);
-        }
+        self.learn_all(now, records, out);
+        let named: IndexSet<&str> = records.iter().map(|listed| &*listed.key).collect();
         let is_missing = |kept: &Kept| {
             let record = &kept.record;
-            let is_named = || records.iter().any(|listed| listed.key == record.key);
-            record.offset < next && record.content != Content::Removed && !is_named()
+            let is_named = named.contains(&*record.key);
+            record.offset < next && record.content != Content::Removed && !is_named
         };
         let missing = self.records.values().filter(|kept| is_missing(kept));
         let missing: Vec<Arc<str>> = missing.map(|kept| kept.record.key.clone()).collect();
@@ -114,7 +130,7 @@
             };
             self.learn(now, record, out);
         }
-        self.succeed(now, next, out);
+        self.succeed(next);
     }
 
     pub(super) fn read(
@@ -124,27 +140,29 @@
         next: Offset,
         out: &mut Outbox,
     ) {
+        self.learn_all(now, records, out);
+        self.succeed(next);
+    }
+
+    fn learn_all(&mut self, now: Instant, records: &[Record], out: &mut Outbox) {
         for record in records {
             self.learn(now, record.clone(), out);
         }
-        self.succeed(now, next, out);
     }
 
-    fn succeed(&mut self, now: Instant, next: Offset, out: &mut Outbox) {
+    fn succeed(&mut self, next: Offset) {
         self.advance(next);
         self.failures = 0;
         self.call = None;
         self.resumes_at = self.started.map(|at| at + pace::period(self.topic));
-        self.start_due(now, out);
     }
 
     /// The records that were to be read are gone: the topic is listed anew.
-    pub(super) fn expire(&mut self, now: Instant, out: &mut Outbox) {
+    pub(super) fn expire(&mut self, out: &mut Outbox) {
         out.note(Note::new(&note::EXPIRED).with("topic", self.topic.name()));
         self.next = None;
         self.call = None;
         self.resumes_at = None;
-        self.start_due(now, out);
     }
 
     pub(super) fn fail(&mut self, now: Instant) {
@@ -168,17 +186,27 @@
     /// Takes a record, if it is newer than what is known of its key.
     pub(super) fn learn(&mut self, now: Instant, record: Record, out: &mut Outbox) {
         let known = self.records.get(&record.key);
-        if known.is_some_and(|known| known.record.offset >= record.offset) {
+        let is_late =
+            |known: &Kept| known.record.offset >= record.offset || known.has_overtaken(&record);
+        if known.is_some_and(is_late) {
             return;
         }
+        let order = match &record.content {
+            Content::Upstream(registration) => Some(registration.order()),
+            _ => known.and_then(|known| known.order),
+        };
         if record.content == Content::Unreadable {
             let note = Note::new(&note::UNREADABLE).with("topic", self.topic.name());
             out.note(note.with("key", &record.key).with("offset", record.offset));
         }
+        let renewed = known.filter(|known| record.content.is_renewal_of(&known.record.content));
+        let changed = renewed.map_or(record.offset, |known| known.changed);
         let record = Rc::new(record);
         let kept = Kept {
             record: Rc::clone(&record),
-            learned: now,
+            changed,
+            learned: renewed.map_or(now, |known| known.learned),
+            order,
         };
         self.records.insert(record.key.clone(), kept);
         if self.records.len() > MAX_KEYS {
@@ -189,13 +217,20 @@
         out.raise(Event::Learned(self.topic, record));
     }
 
-    /// The records from an offset on, and where they end; none where a peer lacks nothing or too much.
-    pub(super) fn since(&self, now: Instant, from: Offset) -> Option<(Vec<Record>, Offset)> {
+    /// What has changed from an offset on, and where that ends; none where a peer lacks nothing or too much, or lacks
+    /// something too new that it reads itself.
+    pub(super) fn since(
+        &self,
+        now: Instant,
+        from: Offset,
+        reads_itself: bool,
+    ) -> Option<(Vec<Record>, Offset)> {
         let next = self.next.filter(|next| *next > from)?;
-        let lacked = self.records.values().filter(|it| it.record.offset >= from);
+        let lacked = self.records.values().filter(|it| it.changed >= from);
         let lacked: Vec<&Kept> = lacked.take(MAX_PASSED + 1).collect();
         // One that knows nothing yet is told at once.
-        let is_new = |it: &&Kept| from > 0 && it.learned + pace::PASS_ON_AFTER > now;
+        let is_new =
+            |it: &&Kept| reads_itself && from > 0 && it.learned + pace::PASS_ON_AFTER > now;
         if lacked.len() > MAX_PASSED || lacked.iter().any(is_new) {
             return None;
         }
--- a/crates/comfreyroad_router/src/controller/feeds/mod.rs
+++ b/crates/comfreyroad_router/src/controller/feeds/mod.rs
@@ -1,11 +1,13 @@
 //! What was read of the store's topics, by this entry or by its peers.
 //!
-//! Each topic is listed once and then read on. What a peer has read counts as read: records have offsets, and of each key
-//! the one with the greatest counts, so it does not matter by which way or how often they come.
+//! Each topic is listed once. The relays of a zone then read it on, and the other entries have what is new from them, or read
+//! it themselves while no relay tells them. What a peer has read counts as read: records have offsets, and of each key the
+//! one with the greatest counts, so it does not matter by which way or how often they come.
 
 mod feed;
 mod pace;
 
+use std::rc::Rc;
 use std::time::Instant;
 
 use comfreyroad::clock::Now;
@@ -13,6 +15,7 @@
 
 use self::feed::Feed;
 use super::Controller;
+use super::members::Fleet;
 use crate::frame::{Frame, Peer};
 use crate::id::{Address, CallId, Offset};
 use crate::note::{self, Note};
@@ -27,7 +30,12 @@
     feeds: IndexMap<Topic, Feed>,
     // The offsets that peers said they lack next.
     lacks: IndexMap<Address, IndexMap<Topic, Offset>>,
+    fleet: Rc<Fleet>,
     is_store_lost: bool,
+    // When the store last answered.
+    answered_at: Option<Instant>,
+    // Until when a relay counts as telling what is new.
+    relayed_until: Option<Instant>,
     register_at: Option<Instant>,
 }
 
@@ -38,7 +46,10 @@
             own: settings.own.clone(),
             feeds: feeds.into_iter().collect(),
             lacks: IndexMap::new(),
+            fleet: Rc::default(),
             is_store_lost: false,
+            answered_at: None,
+            relayed_until: None,
             register_at: None,
         }
     }
@@ -53,7 +64,14 @@
         self.feeds.get(&topic)?.next()
     }
 
-    fn answered(&mut self, out: &mut Outbox) {
+    /// Whether this entry reads topics on, as a relay or for want of one.
+    fn reads_itself(&self, now: Instant) -> bool {
+        let is_relay = self.fleet.is_relay(&self.own.entry);
+        is_relay || self.relayed_until.is_none_or(|until| until <= now)
+    }
+
+    fn answered(&mut self, now: Instant, out: &mut Outbox) {
+        self.answered_at = Some(now);
         if std::mem::take(&mut self.is_store_lost) {
             out.note(Note::new(&note::STORE_BACK));
             out.raise(Event::StoreBack);
@@ -80,8 +98,10 @@
     }
 
     fn start_due(&mut self, now: Now, out: &mut Outbox) {
-        for feed in self.feeds.values_mut() {
-            feed.start_due(now.instant, out);
+        let reads_itself = self.reads_itself(now.instant);
+        for (topic, feed) in &mut self.feeds {
+            let is_followed = reads_itself && pace::is_followed(*topic);
+            feed.start_due(now.instant, is_followed, out);
         }
         if self.register_at.is_some_and(|at| at <= now.instant) {
             self.register_at = None;
@@ -95,6 +115,10 @@
 
     fn on_frame(&mut self, now: Now, frame: &Frame, out: &mut Outbox) {
         let address = frame.from.address.clone();
+        let is_near = frame.from.zone == self.own.zone;
+        if frame.is_store_read && is_near && self.fleet.is_relay(&frame.from.entry) {
+            self.relayed_until = Some(now.instant + pace::RELAYED);
+        }
         self.lacks.insert(address, frame.next.clone());
         for (topic, record) in &frame.records {
             if let Some(feed) = self.feeds.get_mut(topic) {
@@ -110,16 +134,20 @@
 
     /// Takes an answer of the store.
     fn on_answer(&mut self, now: Now, topic: Topic, event: &Event, out: &mut Outbox) {
+        let is_followed = self.reads_itself(now.instant) && pace::is_followed(topic);
         let Some(feed) = self.feeds.get_mut(&topic) else {
             return;
         };
         match event {
             Event::Listed { records, next, .. } => feed.listed(now.instant, records, *next, out),
             Event::Read { records, next, .. } => feed.read(now.instant, records, *next, out),
-            Event::Expired(..) => feed.expire(now.instant, out),
+            Event::Expired(..) => feed.expire(out),
             _ => {}
         }
-        self.answered(out);
+        self.answered(now.instant, out);
+        if let Some(feed) = self.feeds.get_mut(&topic) {
+            feed.start_due(now.instant, is_followed, out);
+        }
     }
 
     fn is_current(&self, topic: Topic, call: CallId) -> bool {
@@ -145,6 +173,7 @@
                 self.start_due(now, out);
             }
             Event::Tick => self.start_due(now, out),
+            Event::Fleet(fleet) => self.fleet = Rc::clone(fleet),
             Event::Paused => self.restart(out),
             Event::Listed { topic, call, .. }
             | Event::Read { topic, call, .. }
@@ -172,13 +201,16 @@
     }
 
     fn fill(&mut self, now: Now, to: &Address, frame: &mut Frame) {
+        let is_answered = |at: Instant| at + pace::ANSWERED > now.instant;
+        frame.is_store_read = !self.is_store_lost && self.answered_at.is_some_and(is_answered);
+        let reads_itself = self.fleet.relays().any(|relay| relay.address == *to);
         let lacks = self.lacks.get(to);
         for (topic, feed) in &self.feeds {
             frame.next.insert(*topic, feed.next().unwrap_or(0));
             let Some(from) = lacks.and_then(|lacks| lacks.get(topic)) else {
                 continue;
             };
-            if let Some((records, next)) = feed.since(now.instant, *from) {
+            if let Some((records, next)) = feed.since(now.instant, *from, reads_itself) {
                 let records: Vec<(Topic, Record)> =
                     records.into_iter().map(|it| (*topic, it)).collect();
                 frame.records.extend(records);
--- a/crates/comfreyroad_router/src/controller/feeds/pace.rs
+++ b/crates/comfreyroad_router/src/controller/feeds/pace.rs
@@ -13,9 +13,14 @@
 pub(super) const MAX_BACKOFF: Duration = Duration::from_millis(800);
 /// The same, for a topic that was never read.
 pub(super) const MAX_FIRST_BACKOFF: Duration = Duration::from_millis(250);
-/// Age at which a record is passed on to peers, which mostly read it from the store themselves.
+/// Age at which a record is passed on to relays, which mostly read it from the store themselves.
 pub(super) const PASS_ON_AFTER: Duration = Duration::from_millis(300);
 
+/// Age of a relay's last frame up to which its news counts: its turn comes each second.
+pub(super) const RELAYED: Duration = Duration::from_millis(1300);
+/// Age of the store's last answer up to which an entry counts as reading it: one read of upstreams and its wait, and a margin.
+pub(super) const ANSWERED: Duration = Duration::from_millis(2300);
+
 /// How long the store may hold a read back while there is nothing new.
 pub(super) fn wait(topic: Topic) -> Duration {
     match topic {
--- a/crates/comfreyroad_router/src/controller/members/fleet.rs
+++ b/crates/comfreyroad_router/src/controller/members/fleet.rs
@@ -1,7 +1,13 @@
 use comfreyroad::rendezvous;
+use indexmap::IndexMap;
 
 use crate::frame::Peer;
 
+/// Entries of a zone for each of its relays: one relay then answers some 32 exchanges a second.
+const ENTRIES_PER_RELAY: usize = 16;
+/// Relays of a zone at least, so that the end of one cuts nobody off.
+const LEAST_RELAYS: usize = 2;
+
 /// The live entries, this one among them.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
@@ -9,12 +15,17 @@
     pub entries: Vec<Peer>,
     /// Entries that may be serving, those that are not heard among them.
     pub possible: usize,
+    relays: Vec<Peer>,
 }
 
 impl Fleet {
     pub(super) fn new(entries: Vec<Peer>, possible: usize) -> Self {
         let possible = possible.max(entries.len());
-        Self { entries, possible }
+        Self {
+            relays: relays(&entries),
+            entries,
+            possible,
+        }
     }
 
     /// Whether decisions by either are the same.
@@ -27,14 +38,50 @@
         self.possible == other.possible && names(self) == names(other)
     }
 
+    /// The entries that read the store's topics and tell the others of their zone what they say. A zone of few entries has
+    /// no others.
+    pub fn relays(&self) -> impl Iterator<Item = &Peer> {
+        self.relays.iter()
+    }
+
+    /// Whether an entry is a relay.
+    pub fn is_relay(&self, entry: &str) -> bool {
+        self.relays.iter().any(|relay| *relay.entry == *entry)
+    }
+
     /// How many live entries stand before one of them for a key; all entries agree on the order.
     pub fn rank(&self, key: &str, entry: &str) -> usize {
         let entries = self.entries.iter().map(|peer| &*peer.entry);
         rendezvous::rank(key, entry, entries)
     }
 
+    /// The same, with the relays before all others.
+    pub fn rank_relays_first(&self, key: &str, entry: &str) -> usize {
+        if self.is_relay(entry) {
+            let relays = self.relays.iter().map(|peer| &*peer.entry);
+            rendezvous::rank(key, entry, relays)
+        } else {
+            self.relays.len() + self.rank(key, entry)
+        }
+    }
+
     /// Part of the entries that may be serving which are live.
     pub fn live_share(&self) -> f64 {
         self.entries.len() as f64 / self.possible.max(1) as f64
     }
 }
+
+/// The relays of all zones, found by rendezvous hash.
+fn relays(entries: &[Peer]) -> Vec<Peer> {
+    let mut zones: IndexMap<&str, Vec<&Peer>> = IndexMap::new();
+    for peer in entries {
+        zones.entry(&peer.zone).or_default().push(peer);
+    }
+    let mut relays = Vec::new();
+    for (zone, mut peers) in zones {
+        let count = peers.len().div_ceil(ENTRIES_PER_RELAY).max(LEAST_RELAYS);
+        peers.sort_by_key(|peer| std::cmp::Reverse(rendezvous::hash(zone, &peer.entry)));
+        relays.extend(peers.into_iter().take(count).cloned());
+    }
+    relays
+}
--- a/crates/comfreyroad_router/src/controller/members/mod.rs
+++ b/crates/comfreyroad_router/src/controller/members/mod.rs
@@ -1,7 +1,7 @@
 //! The other entries: who lives, by heartbeats that are gossiped.
 //!
-//! Every entry exchanges frames with a few peers in each period and passes on the newest heartbeat that it has of each.
-//! Whose heartbeat does not rise for a while is lost. Peers are found by the seeds of the settings and by what entries
+//! In each period the relays exchange frames with a few others and pass on the newest heartbeat that they have of each
+//! entry; every other entry exchanges with the relays of its zone in turn. Whose heartbeat does not rise for a while is lost. Peers are found by the seeds of the settings and by what entries
 //! register in the store when they start.
 
 mod fleet;
@@ -25,14 +25,14 @@
 
 pub use fleet::Fleet;
 
-/// Time between two rounds of gossip. Three rounds reach a dozen entries, well within the 2 s that news may take.
+/// Time between two rounds of gossip. News takes a round to a relay, two among relays, and two back to all entries.
 const PERIOD: Duration = Duration::from_millis(500);
-/// Live peers that a round of gossip goes to.
+/// Relays that a relay's round of gossip goes to.
 const FANOUT: usize = 2;
 /// Rounds of gossip between two tries to reach an entry that is not live.
 const RETRY_ROUNDS: u64 = 4;
-/// Time without a newer heartbeat after which a peer is lost.
-const TIMEOUT: Duration = Duration::from_secs(3);
+/// Time without a newer heartbeat after which a peer is lost: the five rounds that it may take, and three that fail.
+const TIMEOUT: Duration = Duration::from_secs(4);
 /// Time for which an entry that is not heard may still be serving behind a partition.
 const POSSIBLE: Duration = Duration::from_secs(30);
 /// Entries of each zone that are assumed while none is known.
@@ -76,6 +76,7 @@
     pub(super) fn empty_frame(&self) -> Frame {
         Frame {
             from: self.own.clone(),
+            is_store_read: false,
             peers: Vec::new(),
             next: IndexMap::new(),
             records: Vec::new(),
@@ -99,12 +100,22 @@
         }
     }
 
-    /// Live peers chosen at random, and at times one that is not live.
+    /// For a relay, other relays chosen at random; for others, a relay of the zone. At times also one that is not live.
     fn targets(&mut self, now: Instant) -> Vec<Address> {
+        let own = self.own.clone();
+        let is_relay = self.fleet.is_relay(&own.entry);
+        let others = self.fleet.relays().filter(|it| it.entry != own.entry);
+        let near = others.filter(|it| is_relay || it.zone == own.zone);
+        let mut near: Vec<Address> = near.map(|it| it.address.clone()).collect();
+        let mut targets: Vec<Address> = if is_relay {
+            self.rng.shuffle(&mut near);
+            near.into_iter().take(FANOUT).collect()
+        } else {
+            let turn = self.round as usize % near.len().max(1);
+            near.into_iter().skip(turn).take(1).collect()
+        };
         let live = self.known.values().filter(|known| known.is_live(now));
-        let mut live: Vec<Address> = live.map(|known| known.peer.address.clone()).collect();
-        self.rng.shuffle(&mut live);
-        let mut targets: Vec<Address> = live.iter().take(FANOUT).cloned().collect();
+        let live: Vec<Address> = live.map(|known| known.peer.address.clone()).collect();
         if live.is_empty() || self.round.is_multiple_of(RETRY_ROUNDS) {
             let silent = self.known.values().filter(|known| !known.is_live(now));
             let silent = silent.map(|known| known.peer.address.clone());
@@ -189,6 +200,10 @@
     }
 
     fn fill(&mut self, now: Now, _: &Address, frame: &mut Frame) {
+        // Relays hear of the others by themselves.
+        if !self.fleet.is_relay(&self.own.entry) {
+            return;
+        }
         let live = self
             .known
             .values()
--- a/crates/comfreyroad_router/src/controller/rollouts/counts.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/counts.rs
@@ -54,7 +54,17 @@
         }
     }
 
-    /// The counts of all entries, as peers are told them.
+    /// This entry's counts.
+    pub(super) fn own(&self) -> &Tally {
+        &self.own
+    }
+
+    /// Entries whose counts are known, this one among them.
+    pub(super) fn entries(&self) -> usize {
+        self.others.len() + 1
+    }
+
+    /// The counts of all entries, as relays are told them.
     pub(super) fn tallies(&self) -> impl Iterator<Item = &Tally> {
         self.others.values().chain([&self.own])
     }
--- a/crates/comfreyroad_router/src/controller/rollouts/exposure.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/exposure.rs
@@ -32,6 +32,11 @@
         self.share * TRICKLE
     }
 
+    /// Whether all requests have to move at an age of the rollout, for it to be over in time.
+    pub(super) fn must_cut_over(age: Duration, lasts: Duration) -> bool {
+        age >= lasts.mul_f64(FIRST_HALF) && lasts.saturating_sub(age) <= CUT_OVER_BEFORE
+    }
+
     /// Whether all requests may move at an age of the rollout, with so many sent to the new version and to the others: also
     /// if the new version is bad, it then gets no more than is allowed in the rollout's time, as far as requests come as
     /// they have come so far.
@@ -45,9 +50,6 @@
         if age < lasts.mul_f64(FIRST_HALF) {
             return false;
         }
-        if left <= CUT_OVER_BEFORE {
-            return true;
-        }
         let all = target + others;
         let coming = all / age.as_secs_f64().max(1.0) * left.as_secs_f64();
         let allowed = self.share * (all + coming) + self.slack;
--- a/crates/comfreyroad_router/src/controller/rollouts/mod.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/mod.rs
@@ -73,7 +73,7 @@
             return Wanted::Any;
         };
         let key = session.unwrap_or(request);
-        if rollout.point(key) < rollout.share(now) && !rollout.is_kept(now, key) {
+        if rollout.moves(now, key) {
             Wanted::Only(rollout.order.target.clone())
         } else {
             Wanted::Not(rollout.order.target.clone())
@@ -89,41 +89,41 @@
         version: &VersionId,
     ) {
         if let Some(rollout) = self.known.get_mut(pool) {
-            rollout.keep(session, version, now + self.session);
+            rollout.keep(now, session, version, now + self.session);
         }
     }
 
     /// Sessions of a pool that are under way when a rollout is ordered.
     pub(crate) fn keep<'a>(
         &mut self,
+        now: Instant,
         pool: &PoolId,
         sessions: impl Iterator<Item = (&'a Arc<str>, &'a VersionId, Instant)>,
     ) {
         if let Some(rollout) = self.known.get_mut(pool) {
             for (session, version, ends) in sessions {
-                rollout.keep(session, version, ends);
+                rollout.keep(now, session, version, ends);
             }
         }
     }
 
     /// Whether a version of a pool may be fallen back to when no other can answer.
-    pub fn may_fall_back(&self, now: Instant, pool: &PoolId, wanted: &Wanted) -> bool {
+    pub fn may_fall_back(&self, pool: &PoolId, wanted: &Wanted) -> bool {
         let rollout = self.known.get(pool);
         rollout.is_some_and(|rollout| match wanted {
             Wanted::Only(_) => !rollout.is_completed(),
-            Wanted::Not(_) => rollout.share(now) >= 1.0,
+            Wanted::Not(_) => rollout.has_shifted(),
             Wanted::Any => false,
         })
     }
 
     /// Whether the version that a session has must be left: the old one once all move, a bad one at once.
-    pub fn must_leave(&self, now: Instant, pool: &PoolId, version: &VersionId) -> bool {
+    pub fn must_leave(&self, pool: &PoolId, version: &VersionId) -> bool {
         let Some(rollout) = self.known.get(pool) else {
             return false;
         };
         let is_target = *version == rollout.order.target;
-        let share = rollout.share(now);
-        (is_target && share <= 0.0) || (!is_target && share >= 1.0)
+        (is_target && rollout.is_reverted()) || (!is_target && rollout.has_shifted())
     }
 
     /// An answer of a version has ended.
@@ -202,9 +202,9 @@
 
     fn on_tick(&mut self, now: Instant, out: &mut Outbox) {
         for rollout in self.known.values_mut() {
-            rollout.advance(now, out);
+            rollout.advance(now, &self.fleet, out);
             let key = rollout.key();
-            let rank = self.fleet.rank(&key, &self.own.entry);
+            let rank = self.fleet.rank_relays_first(&key, &self.own.entry);
             if let Some(state) = rollout.due(now, rank) {
                 out.raise(Event::Publish(Status {
                     pool: rollout.order.pool.clone(),
@@ -257,9 +257,11 @@
         }
     }
 
-    fn fill(&mut self, now: Now, _: &Address, frame: &mut Frame) {
+    fn fill(&mut self, now: Now, to: &Address, frame: &mut Frame) {
+        let is_own = self.fleet.is_relay(&self.own.entry);
+        let is_target = self.fleet.relays().any(|relay| relay.address == *to);
         for rollout in self.known.values() {
-            rollout.fill(now.instant, frame);
+            rollout.fill(now.instant, frame, (is_own, is_target));
         }
     }
 }
--- a/crates/comfreyroad_router/src/controller/rollouts/rollout.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/rollout.rs
@@ -5,8 +5,9 @@
 
 use super::counts::Counts;
 use super::exposure::Exposure;
-use super::keep::Keep;
+use super::keep::{Keep, Session};
 use super::phase::{Canary, Complete, Cutover, Phase, Revert};
+use crate::controller::members::Fleet;
 use crate::frame::{Frame, Kept, Peer, Progress};
 use crate::id::{Offset, RouteId, VersionId};
 use crate::note::{self, Note};
@@ -15,6 +16,11 @@
 
 /// Requests after which a trial has shown what it can: three failures in ten show in a third of their answers.
 const TRIAL_REQUESTS: f64 = 48.0;
+/// Time in which a trial's requests are to be sent where that takes less than the share which is allowed. The fewer sessions
+/// a trial moves, the fewer come to an entry that has not heard of their move.
+const TRIAL_TIME: Duration = Duration::from_secs(4);
+/// Part of the live entries whose counts are known to one that decides by counts.
+const INFORMED: f64 = 0.75;
 /// Part of a rollout's time after which the trial is over in any case.
 const TRIAL_LASTS: f64 = 0.55;
 /// Time before a rollout's end at which its completion is written: two turns of entries, and the store's answer.
@@ -26,8 +32,8 @@
 const EVIDENCE: f64 = 3.0;
 /// The same, from which a trial goes on for more answers: as likely worse as not.
 const SUSPICION: f64 = 0.0;
-/// Time after an order in which entries tell each other of the sessions that keep the old version: three rounds of gossip.
-const NOTICE: Duration = Duration::from_millis(1500);
+/// Time after an order in which entries tell each other of the sessions that keep the old version: four rounds of gossip.
+const NOTICE: Duration = Duration::from_millis(2000);
 /// Time that each entry leaves to the ones before it to write a status.
 const TURN: Duration = Duration::from_millis(700);
 /// Time between two tries of one entry to write a status.
@@ -48,6 +54,12 @@
     written: Option<State>,
     counts: Counts,
     keep: Keep,
+    // Part of new requests that a trial sends to the new version.
+    trial: Option<f64>,
+    // Part of new requests that go to the new version now, by this entry's counts or as others tell.
+    share: f64,
+    told: Option<f64>,
+    is_informed: bool,
 }
 
 impl Rollout {
@@ -69,6 +81,10 @@
             write_at: None,
             written: None,
             keep: Keep::default(),
+            trial: None,
+            share: 0.0,
+            told: None,
+            is_informed: false,
         }
     }
 
@@ -86,28 +102,67 @@
         matches!(self.phase, Phase::Complete(_))
     }
 
-    /// Part of new requests that go to the new version.
-    pub(super) fn share(&self, now: Instant) -> f64 {
+    pub(super) fn is_reverted(&self) -> bool {
+        matches!(self.phase, Phase::Revert(_))
+    }
+
+    /// Whether every request moves to the new version.
+    pub(super) fn has_shifted(&self) -> bool {
+        matches!(self.phase, Phase::Cutover(_) | Phase::Complete(_))
+    }
+
+    /// Whether a request with a key goes to the new version. A session under way stays where it is while few move.
+    pub(super) fn moves(&self, now: Instant, key: &str) -> bool {
+        let kept = self.keep.has_moved(now, key).filter(|_| self.is_canary());
+        kept.unwrap_or_else(|| self.point(key) < self.share)
+    }
+
+    /// Part of new requests that go to the new version in this phase.
+    fn wanted_share(&self, now: Instant, evidence: f64) -> f64 {
         match self.phase {
             Phase::Canary(_) if self.began + NOTICE > now => 0.0,
-            Phase::Canary(_) if self.is_tried(now) => self.exposure.trickle(),
-            Phase::Canary(_) => self.exposure.trial(),
+            Phase::Canary(_) if !self.is_informed => self.told.unwrap_or(self.trial_share()),
+            Phase::Canary(_) if self.is_tried(now, evidence) => {
+                self.exposure.trickle().min(self.trial_share())
+            }
+            Phase::Canary(_) => self.trial_share(),
             Phase::Cutover(_) | Phase::Complete(_) => 1.0,
             Phase::Revert(_) => 0.0,
         }
     }
 
     /// Whether the trial has shown what it can. One that looks bad goes on until it is known.
-    fn is_tried(&self, now: Instant) -> bool {
+    fn is_tried(&self, now: Instant, evidence: f64) -> bool {
         let (target, _) = self.counts.sent();
         let is_late = now >= self.began + self.order.lasts.mul_f64(TRIAL_LASTS);
-        is_late || (target >= TRIAL_REQUESTS && self.counts.evidence() < SUSPICION)
+        is_late || (target >= TRIAL_REQUESTS && evidence < SUSPICION)
+    }
+
+    /// Part of new requests that a trial sends to the new version.
+    fn trial_share(&self) -> f64 {
+        self.trial.unwrap_or(self.exposure.trial())
     }
 
+    /// Sets the part of a trial, by the requests that have come while entries told each other of sessions.
+    fn plan_trial(&mut self, now: Instant) {
+        let age = now.saturating_duration_since(self.began);
+        if self.trial.is_some() || !self.is_informed || age < NOTICE {
+            return;
+        }
+        let (target, others) = self.counts.sent();
+        let coming = (target + others) / age.as_secs_f64() * TRIAL_TIME.as_secs_f64();
+        self.trial = Some(self.exposure.trial().min(TRIAL_REQUESTS / coming.max(1.0)));
+    }
+
+    /// Whether all requests may move: by counts, or at the last moment.
     fn may_cut_over(&self, now: Instant) -> bool {
         let age = now.saturating_duration_since(self.began);
-        self.exposure
-            .may_cut_over(age, self.order.lasts, self.counts.sent())
+        let lasts = self.order.lasts;
+        let by_counts = || self.exposure.may_cut_over(age, lasts, self.counts.sent());
+        let is_told = self.told.is_some_and(|share| share >= 1.0);
+        Exposure::must_cut_over(age, lasts)
+            || (self.is_informed && by_counts())
+            || (!self.is_informed && is_told)
     }
 
     fn is_canary(&self) -> bool {
@@ -136,28 +191,34 @@
         self.counts.merge(tally);
     }
 
-    /// Whether a session keeps the old version for now.
-    pub(super) fn is_kept(&self, now: Instant, session: &str) -> bool {
-        self.is_canary() && self.keep.has(now, session)
-    }
-
-    /// A session has a request at a version: one that would move, but had the old version, keeps it.
-    pub(super) fn keep(&mut self, session: &Arc<str>, version: &VersionId, ends: Instant) {
-        let moves = *version != self.order.target && self.point(session) < self.exposure.trial();
-        if moves && self.is_canary() {
-            self.keep.add(session, ends);
+    /// A session has a request at a version, and stays there while few move.
+    pub(super) fn keep(
+        &mut self,
+        now: Instant,
+        name: &Arc<str>,
+        version: &VersionId,
+        ends: Instant,
+    ) {
+        let may_move = self.point(name) < self.trial_share();
+        if may_move && self.is_canary() {
+            let has_moved = *version == self.order.target;
+            self.keep.add(now, name, Session { has_moved, ends });
         }
     }
 
-    /// Another entry tells of a session that keeps the old version.
+    /// Another entry tells of a session that keeps its version.
     pub(super) fn hear_kept(&mut self, now: Instant, kept: &Kept) {
         if kept.order == self.offset {
-            self.keep.add(&kept.session, now + kept.left);
+            let session = Session {
+                has_moved: kept.has_moved,
+                ends: now + kept.left,
+            };
+            self.keep.add(now, &kept.session, session);
         }
     }
 
     /// Where a key stands between 0 and 1; it moves when the share of the new version passes it.
-    pub(super) fn point(&self, key: &str) -> f64 {
+    fn point(&self, key: &str) -> f64 {
         let hash = rendezvous::hash(&self.order.target, key);
         hash as f64 / u64::MAX as f64
     }
@@ -170,6 +231,10 @@
         if let Some(began) = now.checked_sub(progress.age) {
             self.began = self.began.min(began);
         }
+        if let Some(trial) = progress.trial {
+            self.trial = Some(self.trial.map_or(trial, |known| known.min(trial)));
+        }
+        self.told = progress.share.or(self.told);
         if progress.is_bad {
             self.give_up(out);
         }
@@ -191,11 +256,15 @@
     }
 
     /// Goes on with time and counts.
-    pub(super) fn advance(&mut self, now: Instant, out: &mut Outbox) {
+    pub(super) fn advance(&mut self, now: Instant, fleet: &Fleet, out: &mut Outbox) {
         let is_over = matches!(self.phase, Phase::Revert(_) | Phase::Complete(_));
-        if !is_over && self.counts.evidence() >= EVIDENCE {
+        let evidence = if is_over { 0.0 } else { self.counts.evidence() };
+        if evidence >= EVIDENCE {
             self.give_up(out);
         }
+        let heard = self.counts.entries() as f64;
+        self.is_informed = heard >= fleet.entries.len() as f64 * INFORMED;
+        self.plan_trial(now);
         if let Phase::Canary(canary) = self.phase
             && self.may_cut_over(now)
         {
@@ -206,6 +275,7 @@
                 self.phase = Phase::Cutover(canary.cut_over(now));
             }
         }
+        self.share = self.wanted_share(now, evidence);
         self.want(now);
     }
 
@@ -254,25 +324,31 @@
         out.note(self.counts.note(note.with("target", &self.order.target)));
     }
 
-    pub(super) fn fill(&self, now: Instant, frame: &mut Frame) {
+    /// Adds to a frame what the receiver may lack: of the counts, a relay lacks all, and others decide as relays tell them.
+    pub(super) fn fill(&self, now: Instant, frame: &mut Frame, (from, to): (bool, bool)) {
         frame.rollouts.push(Progress {
             pool: self.order.pool.clone(),
             order: self.offset,
             age: now.saturating_duration_since(self.began),
-            is_bad: matches!(self.phase, Phase::Revert(_)),
+            is_bad: self.is_reverted(),
+            trial: self.trial,
+            share: self.is_informed.then_some(self.share),
         });
         if self.is_canary() {
-            frame
-                .kept
-                .extend(self.keep.left(now).map(|(session, left)| Kept {
-                    pool: self.order.pool.clone(),
-                    order: self.offset,
-                    session: session.clone(),
-                    left,
-                }));
+            let kept = self.keep.iter(now).map(|(name, session, left)| Kept {
+                pool: self.order.pool.clone(),
+                order: self.offset,
+                session: name.clone(),
+                has_moved: session.has_moved,
+                left,
+            });
+            frame.kept.extend(kept);
         }
-        if self.wants_since.is_some() || !self.is_completed() {
+        let is_open = self.wants_since.is_some() || !self.is_completed();
+        if is_open && from && to {
             frame.tallies.extend(self.counts.tallies().cloned());
+        } else if is_open && to {
+            frame.tallies.push(self.counts.own().clone());
         }
     }
 }
--- a/crates/comfreyroad_router/src/controller/upstreams/mod.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/mod.rs
@@ -16,7 +16,7 @@
 use super::Controller;
 use super::members::Fleet;
 use crate::configuration::Configuration;
-use crate::id::{EntryId, Incarnation, ModelId, Offset, PoolId, UpstreamId, ZoneId};
+use crate::id::{EntryId, ModelId, Offset, PoolId, UpstreamId, ZoneId};
 use crate::note::{self, Note};
 use crate::outbox::Outbox;
 use crate::record::{Content, Record, Topic};
@@ -30,9 +30,6 @@
 /// platform's word, and a margin for this entry's own read.
 const RETURN: Duration = Duration::from_millis(2400);
 
-/// Upstreams that are gone remembered at most; late registrations come within seconds.
-const MAX_GONE: usize = 1024;
-
 /// Keeps the upstreams.
 #[derive(Debug)]
 pub struct Upstreams {
@@ -43,8 +40,6 @@
     fleet: Rc<Fleet>,
     cold: Cold,
     readings: IndexMap<(PoolId, Option<ModelId>), Reading>,
-    // The last registrations of upstreams that are gone, so that a late one does not bring them back.
-    gone: IndexMap<UpstreamId, (Incarnation, u64)>,
     // The store does not answer, or has not done so until a moment ago.
     is_store_lost: bool,
     lapses_until: Option<Instant>,
@@ -60,7 +55,6 @@
             fleet: Rc::default(),
             cold: Cold::new(settings),
             readings: IndexMap::new(),
-            gone: IndexMap::new(),
             is_store_lost: false,
             lapses_until: None,
         }
@@ -89,10 +83,6 @@
         registration: &Registration,
         out: &mut Outbox,
     ) {
-        let is_late = |order: &(Incarnation, u64)| *order >= registration.order();
-        if self.gone.get(&id).is_some_and(is_late) {
-            return;
-        }
         let Some(known) = self.known.get_mut(&id) else {
             let note = Note::new(&note::UPSTREAM_ADDED).with("upstream", &id);
             let note = note.with("pool", &registration.pool);
@@ -101,9 +91,6 @@
             self.known.insert(id, upstream);
             return;
         };
-        if known.registration.order() > registration.order() {
-            return;
-        }
         let was_draining = known.registration.stage == Stage::Draining;
         let was_cold = known.is_cold(now);
         known.renew(now, offset, registration.clone());
@@ -131,12 +118,7 @@
     }
 
     fn forget(&mut self, id: &UpstreamId, out: &mut Outbox) {
-        if let Some(known) = self.known.swap_remove(id) {
-            self.gone.insert(id.clone(), known.registration.order());
-        }
-        if self.gone.len() > MAX_GONE {
-            self.gone.shift_remove_index(0);
-        }
+        self.known.swap_remove(id);
         self.cold.forget(id);
         out.note(Note::new(&note::UPSTREAM_REMOVED).with("upstream", id));
     }
--- a/crates/comfreyroad_router/src/filter/place.rs
+++ b/crates/comfreyroad_router/src/filter/place.rs
@@ -77,7 +77,7 @@
     let slot = state
         .upstreams
         .pick(now, &need(wanted.clone()), evacuations);
-    if slot.is_some() || !state.rollouts.may_fall_back(now, &plan.pool, &wanted) {
+    if slot.is_some() || !state.rollouts.may_fall_back(&plan.pool, &wanted) {
         return slot;
     }
     state.upstreams.pick(now, &need(Wanted::Any), evacuations)
@@ -100,7 +100,7 @@
     }
     if let Some(session) = head.session_key()
         && let Some(version) = state.sessions.version(now, &plan.pool, session)
-        && !rollouts.must_leave(now, &plan.pool, version)
+        && !rollouts.must_leave(&plan.pool, version)
     {
         // A session's version may have no upstream any more.
         let mut known = state.upstreams.known();
--- a/crates/comfreyroad_router/src/frame/frame.rs
+++ b/crates/comfreyroad_router/src/frame/frame.rs
@@ -11,6 +11,8 @@
 pub struct Frame {
     /// The sender.
     pub from: Peer,
+    /// Whether the store answers the sender, which reads its topics.
+    pub is_store_read: bool,
     /// Whom the sender knows.
     pub peers: Vec<Peer>,
     /// The offsets that the sender lacks next, by topic.
@@ -21,7 +23,7 @@
     pub complete: IndexMap<Topic, Offset>,
     /// Rollouts under way.
     pub rollouts: Vec<Progress>,
-    /// Sessions that keep the old version in rollouts under way.
+    /// Sessions that keep their version in rollouts under way.
     pub kept: Vec<Kept>,
     /// Counts of rollouts under way.
     pub tallies: Vec<Tally>,
--- a/crates/comfreyroad_router/src/frame/kept.rs
+++ b/crates/comfreyroad_router/src/frame/kept.rs
@@ -5,7 +5,7 @@
 
 use crate::id::{Offset, PoolId};
 
-/// A session that had the old version when a rollout began, and keeps it while few try the new one.
+/// A session that keeps its version in a rollout while few try the new one.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Kept {
     /// The pool.
@@ -14,6 +14,8 @@
     pub order: Offset,
     /// The session.
     pub session: Arc<str>,
+    /// Whether it has the new version.
+    pub has_moved: bool,
     /// Time until the session is over if no request of it comes.
     pub left: Duration,
 }
--- a/crates/comfreyroad_router/src/frame/progress.rs
+++ b/crates/comfreyroad_router/src/frame/progress.rs
@@ -4,8 +4,8 @@
 
 use crate::id::{Offset, PoolId};
 
-/// How long ago an entry first heard of a rollout. Ages are told, as clocks differ.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// How far an entry sees a rollout. Ages are told, as clocks differ.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Progress {
     /// The pool.
     pub pool: PoolId,
@@ -15,4 +15,8 @@
     pub age: Duration,
     /// Whether the new version was found bad.
     pub is_bad: bool,
+    /// Part of new requests that a trial sends to the new version, once it is known.
+    pub trial: Option<f64>,
+    /// Part of new requests that go to the new version; none from an entry that has not heard the counts of most others.
+    pub share: Option<f64>,
 }
--- a/crates/comfreyroad_router/src/record/content.rs
+++ b/crates/comfreyroad_router/src/record/content.rs
@@ -28,3 +28,14 @@
     /// Something that this program cannot read; it names nothing to use.
     Unreadable,
 }
+
+impl Content {
+    /// Whether this only says once more what another one said.
+    pub fn is_renewal_of(&self, other: &Self) -> bool {
+        match (self, other) {
+            (Self::Upstream(own), Self::Upstream(other)) => own.is_renewal_of(other),
+            (Self::Unreadable, Self::Unreadable) => true,
+            _ => false,
+        }
+    }
+}
--- a/crates/comfreyroad_router/src/router.rs
+++ b/crates/comfreyroad_router/src/router.rs
@@ -61,7 +61,7 @@
             if let Event::Ordered(pool) = &event {
                 // Sessions under way are the rollouts' to keep where they are.
                 let sessions = self.state.sessions.of_pool(pool);
-                self.state.rollouts.keep(pool, sessions);
+                self.state.rollouts.keep(now.instant, pool, sessions);
             }
             if let Event::Exchange { to } = event {
                 let frame = Box::new(self.state.frame(now, &to));
--- a/crates/comfreyroad_router/src/upstream/registration.rs
+++ b/crates/comfreyroad_router/src/upstream/registration.rs
@@ -30,6 +30,15 @@
 }
 
 impl Registration {
+    /// Whether this says the same as another one of the same start.
+    pub fn is_renewal_of(&self, other: &Self) -> bool {
+        let renewed = Self {
+            sequence: self.sequence,
+            ..other.clone()
+        };
+        *self == renewed
+    }
+
     /// Place in the order in which an upstream's registrations were made.
     pub fn order(&self) -> (Incarnation, u64) {
         (self.incarnation, self.sequence)
--- a/crates/comfreyroad_router/tests/decisions/main.rs
+++ b/crates/comfreyroad_router/tests/decisions/main.rs
@@ -8,6 +8,7 @@
 mod life;
 mod members;
 mod models;
+mod relays;
 mod rig;
 mod rollouts;
 mod upstreams;
--- /dev/null
+++ b/crates/comfreyroad_router/tests/decisions/relays.rs
@@ -0,0 +1,283 @@
+//! Zones of many entries: a few relays read the store and carry the gossip, the others hear from them.
+
+use std::time::Duration;
+
+use comfreyroad_router::controller::members::Fleet;
+use comfreyroad_router::frame::{Frame, Progress};
+use comfreyroad_router::record::{Content, Record, Topic};
+use comfreyroad_router::rollout::{Order, State};
+use comfreyroad_router::upstream::{Registration, Stage};
+use comfreyroad_router::{Action, Event};
+
+use super::rig::{MS, Rig, SECOND, config, frame, head, peer, registration};
+
+/// Entries of the zone in these tests.
+const ENTRIES: usize = 12;
+
+fn name(number: usize) -> String {
+    format!("near{number}")
+}
+
+/// A frame of one entry of the zone that names all of them, with heartbeats that rise.
+fn gossip(from: &str, beat: u64) -> Frame {
+    let mut told = frame(from);
+    told.from = peer(from, "a");
+    told.from.heartbeat = beat;
+    let peers = (0..ENTRIES).map(name).map(|it| peer(&it, "a"));
+    told.peers = peers.collect();
+    for peer in &mut told.peers {
+        peer.heartbeat = beat;
+    }
+    told
+}
+
+/// Has an entry know a whole zone. The first entry that is no relay, and the first that is.
+fn zone(is_relay: bool) -> (Rig, Vec<String>) {
+    for number in 0..ENTRIES {
+        let own = name(number);
+        let mut rig = Rig::serving(&own);
+        rig.hear(gossip(&name((number + 1) % ENTRIES), 2));
+        let fleet: Fleet = rig.router.state().members.fleet().as_ref().clone();
+        assert_eq!(fleet.entries.len(), ENTRIES);
+        if fleet.is_relay(&own) == is_relay {
+            let relays = fleet.relays().map(|it| it.entry.to_string());
+            return (rig, relays.filter(|it| *it != own).collect());
+        }
+    }
+    panic!("no such entry");
+}
+
+/// Lets time pass while the relays tell, in turn and twice a second, that they read the store.
+fn told(rig: &mut Rig, relays: &[String], time: Duration) {
+    for round in 0..time.as_millis() / 500 {
+        rig.run(500 * MS);
+        let from = &relays[round as usize % relays.len()];
+        let mut frame = gossip(
+            from,
+            10 + rig.now.instant.elapsed().as_millis() as u64 + round as u64,
+        );
+        frame.is_store_read = true;
+        rig.hear(frame);
+    }
+}
+
+fn reads(rig: &Rig) -> usize {
+    let is_read = |it: &&Action| matches!(it, Action::Read { .. } | Action::List(..));
+    rig.actions.iter().filter(is_read).count()
+}
+
+/// Ends the reads that were under way before the entry knew its zone.
+fn end_reads(rig: &mut Rig) {
+    for topic in [Topic::Operator, Topic::Upstreams, Topic::Status] {
+        let Some(call) = rig.call(topic) else {
+            continue;
+        };
+        let next = rig.offset + 1;
+        let records = Vec::new();
+        rig.raise(Event::Read {
+            topic,
+            call,
+            records,
+            next,
+        });
+    }
+}
+
+#[test]
+fn each_zone_has_relays_that_all_entries_agree_on() {
+    let (first, mut relays) = zone(false);
+    relays.sort();
+    assert_eq!(relays.len(), 2);
+    let (second, other) = zone(true);
+    let second = second.router.state().members.fleet();
+    assert_eq!(other.len(), 1);
+    assert!(relays.iter().all(|relay| second.is_relay(relay)));
+    // Far zones have their own.
+    let mut rig = first;
+    let mut far = gossip("near1", 3);
+    far.peers
+        .extend((0..3).map(|it| peer(&format!("far{it}"), "z")));
+    rig.hear(far);
+    let fleet = rig.router.state().members.fleet();
+    assert_eq!(fleet.relays().filter(|it| &*it.zone == "z").count(), 2);
+}
+
+/// Found by the first day with 66 entries: each of them read each topic, which cost a ninth of the day's worth.
+#[test]
+fn an_entry_reads_the_store_only_while_no_relay_tells_it() {
+    let (mut rig, relays) = zone(false);
+    told(&mut rig, &relays, SECOND);
+    end_reads(&mut rig);
+    rig.actions.clear();
+    told(&mut rig, &relays, 10 * SECOND);
+    assert_eq!(reads(&rig), 0);
+    rig.run(2 * SECOND);
+    assert!(reads(&rig) > 0, "the relays have fallen silent");
+}
+
+#[test]
+fn a_relay_that_the_store_does_not_answer_is_not_relied_on() {
+    let (mut rig, relays) = zone(false);
+    told(&mut rig, &relays, SECOND);
+    end_reads(&mut rig);
+    rig.actions.clear();
+    for beat in 0..6 {
+        rig.run(500 * MS);
+        rig.hear(gossip(&relays[beat % 2], 100 + beat as u64));
+    }
+    assert!(reads(&rig) > 0);
+}
+
+#[test]
+fn entries_ask_the_relays_of_their_zone_in_turn_and_tell_only_of_themselves() {
+    let (mut rig, relays) = zone(false);
+    rig.actions.clear();
+    told(&mut rig, &relays, 4 * SECOND);
+    let mut asked: Vec<String> = Vec::new();
+    for action in &rig.actions {
+        let Action::Gossip { to, frame } = action else {
+            continue;
+        };
+        assert!(frame.peers.is_empty());
+        asked.push(to.to_string());
+    }
+    for relay in &relays {
+        let count = asked
+            .iter()
+            .filter(|it| **it == format!("{relay}:7340"))
+            .count();
+        assert!(
+            (3..=5).contains(&count),
+            "{relay} asked {count} times in 4 s"
+        );
+    }
+}
+
+#[test]
+fn a_relay_passes_news_on_at_once_and_no_renewals() {
+    let (mut rig, _) = zone(true);
+    let mut asks = gossip("near1", 5);
+    asks.from.entry = "far1".into();
+    asks.from.address = "far1:7340".into();
+    let renewed = Registration {
+        sequence: 2,
+        ..registration("v1")
+    };
+    asks.next.insert(Topic::Upstreams, rig.offset + 1);
+    rig.read(Topic::Upstreams, "u1", Content::Upstream(Box::new(renewed)));
+    let (answer, _) = rig.router.exchange(rig.now, asks.clone());
+    assert!(answer.records.is_empty(), "{:?}", answer.records);
+    assert_eq!(
+        answer.complete.get(&Topic::Upstreams),
+        Some(&(rig.offset + 1))
+    );
+    let leaving = Registration {
+        sequence: 3,
+        stage: Stage::Draining,
+        ..registration("v1")
+    };
+    rig.read(Topic::Upstreams, "u1", Content::Upstream(Box::new(leaving)));
+    let (answer, _) = rig.router.exchange(rig.now, asks);
+    assert_eq!(answer.records.len(), 1);
+}
+
+/// Renewals are not passed on, so what comes late is held against the newest by whoever reads it.
+#[test]
+fn a_late_registration_of_an_upstream_that_is_gone_is_not_passed_on() {
+    let (mut rig, _) = zone(true);
+    for sequence in 2..5 {
+        let renewed = Registration {
+            sequence,
+            ..registration("v1")
+        };
+        rig.read(Topic::Upstreams, "u1", Content::Upstream(Box::new(renewed)));
+    }
+    rig.read(Topic::Upstreams, "u1", Content::Removed);
+    let late = Registration {
+        sequence: 3,
+        ..registration("v1")
+    };
+    rig.read(Topic::Upstreams, "u1", Content::Upstream(Box::new(late)));
+    let mut asks = frame("far1");
+    asks.next.insert(Topic::Upstreams, 1);
+    let (answer, _) = rig.router.exchange(rig.now, asks);
+    let told = answer.records.iter().filter(|(_, it)| &*it.key == "u1");
+    let told: Vec<&Content> = told.map(|(_, it)| &it.content).collect();
+    assert_eq!(told, [&Content::Removed]);
+}
+
+fn order() -> Order {
+    Order {
+        pool: "pool".into(),
+        target: "v2".into(),
+        lasts: 20 * SECOND,
+    }
+}
+
+/// An entry that is no relay, with a rollout just ordered.
+fn ordered() -> (Rig, Vec<String>) {
+    let (mut rig, relays) = zone(false);
+    let upstream = Content::Upstream(Box::new(registration("v2")));
+    rig.read(Topic::Upstreams, "n1", upstream);
+    rig.read(Topic::Operator, "rollout/pool", Content::Rollout(order()));
+    (rig, relays)
+}
+
+/// Part of a hundred new requests that go to the new version.
+fn share(rig: &mut Rig, from: u64) -> usize {
+    let mut new = 0;
+    for number in from..from + 100 {
+        let sent = rig.send(head(rig.now, "again", &format!("r{number}")));
+        new += usize::from(sent.is_some_and(|it| &*it.stage().slot.version == "v2"));
+    }
+    new
+}
+
+#[test]
+fn an_entry_without_the_counts_of_others_goes_by_what_relays_tell() {
+    let (mut rig, relays) = ordered();
+    let progress = |rig: &Rig, share: f64| Progress {
+        pool: "pool".into(),
+        order: rig.offset,
+        age: 5 * SECOND,
+        is_bad: false,
+        trial: Some(0.02),
+        share: Some(share),
+    };
+    told(&mut rig, &relays, 12 * SECOND);
+    // Over half of the time is gone. Its own counts alone would let it shift, as the slack is the whole fleet's.
+    let new = share(&mut rig, 0);
+    assert!(new < 30, "{new} of 100 before a relay tells");
+    let mut frame = gossip(&relays[0], 100_000);
+    frame.rollouts.push(progress(&rig, 1.0));
+    rig.hear(frame);
+    rig.run(200 * MS);
+    assert_eq!(share(&mut rig, 1000), 100);
+}
+
+#[test]
+fn an_entry_without_the_counts_of_others_shifts_at_the_last_moment() {
+    let (mut rig, relays) = ordered();
+    told(&mut rig, &relays, 18 * SECOND);
+    assert_eq!(share(&mut rig, 0), 100);
+    let state = rig.router.state().rollouts.states().next();
+    assert_ne!(state.and_then(|(.., state)| state), Some(State::RolledBack));
+}
+
+#[test]
+fn a_configuration_reaches_an_entry_through_a_relay() {
+    let (mut rig, relays) = zone(false);
+    told(&mut rig, &relays, 2 * SECOND);
+    let mut frame = gossip(&relays[0], 100_000);
+    frame.is_store_read = true;
+    let record = Record {
+        offset: rig.offset + 1,
+        key: "config".into(),
+        content: config(9),
+    };
+    frame.records.push((Topic::Operator, record));
+    frame.complete.insert(Topic::Operator, rig.offset + 2);
+    rig.hear(frame);
+    let in_force = rig.router.state().configuration.in_force();
+    assert_eq!(in_force.map(|it| it.generation), Some(9));
+}
--- a/crates/comfreyroad_router/tests/decisions/rig.rs
+++ b/crates/comfreyroad_router/tests/decisions/rig.rs
@@ -300,6 +300,7 @@
 pub(super) fn frame(name: &str) -> Frame {
     Frame {
         from: peer(name, "b"),
+        is_store_read: false,
         peers: Vec::new(),
         next: indexmap::IndexMap::new(),
         records: Vec::new(),
--- a/crates/comfreyroad_router/tests/decisions/rollouts.rs
+++ b/crates/comfreyroad_router/tests/decisions/rollouts.rs
@@ -364,3 +364,49 @@
     assert!(news >= 6, "{news} requests tried the new version");
     assert_eq!(state(&rig), Some(State::RolledBack));
 }
+
+/// Found by the first day with 67 entries: once the trial was over, sessions that had tried the new version came to entries
+/// that had not served them, and went back to the old one.
+#[test]
+fn a_session_that_tried_the_new_version_elsewhere_keeps_it_after_the_trial() {
+    let ask = |rig: &mut Rig, number: u64, session: &str| {
+        let mut head = head(rig.now, "stream", "r");
+        head.prompt = book(number, session);
+        head.session = Some(session.into());
+        let sent = rig.send(head)?;
+        let end = End {
+            is_good: true,
+            first: None,
+            pace: Some(10 * MS),
+        };
+        rig.router.finished(rig.now, &sent, end);
+        Some(sent.stage().slot.version.to_string())
+    };
+    let (mut first, mut second) = (ordered(), ordered());
+    first.run(3 * SECOND);
+    second.run(3 * SECOND);
+    let mut moved = Vec::new();
+    for number in 0..900 {
+        let session = format!("s{number}");
+        if ask(&mut first, number, &session).as_deref() == Some("v2") {
+            moved.push((number, session));
+        }
+    }
+    assert!(moved.len() > 48, "{} sessions try it", moved.len());
+    let (mut told, _) = first.router.exchange(first.now, super::rig::frame("e2"));
+    told.from.entry = "e0".into();
+    told.peers.clear();
+    for tally in &mut told.tallies {
+        tally.entry = "e0".into();
+    }
+    second.hear(told);
+    second.run(200 * MS);
+    let fresh = (1000..1300_u64).filter(|number| {
+        ask(&mut second, *number, &format!("new{number}")).as_deref() == Some("v2")
+    });
+    assert!(fresh.count() < 15, "the trial is over");
+    for (number, session) in moved {
+        let version = ask(&mut second, number, &session);
+        assert_eq!(version.as_deref(), Some("v2"), "session {session}");
+    }
+}
