Count extra sendings in a sliding window, so that a large fleet's entries can save them

Cause: the budget of an entry was a bucket as large as its part of the slack, two sendings with 66 entries. Ruled out: the deadline of larger models (the small sites step up more often under the same one) and the reserve for failures. The bound in any window is tested against the rule's own words.

--- a/crates/comfreyroad_proxy/src/front/attempt.rs
+++ b/crates/comfreyroad_proxy/src/front/attempt.rs
@@ -79,7 +79,7 @@
     placed: Request<Placed>,
 ) -> Result<Answer, Failed> {
     let sent = shared.ask(|router, now| router.send(now, placed));
-    let patience = shared.router.borrow().patience(&sent);
+    let patience = shared.ask(|router, now| router.patience(now, &sent));
     let flight = Flight::new(shared, sent);
     let address = match flight.request.stage().slot.address.parse() {
         Ok(address) => address,
--- a/crates/comfreyroad_proxy/src/front/front.rs
+++ b/crates/comfreyroad_proxy/src/front/front.rs
@@ -201,7 +201,7 @@
             }
         };
         let response = platform::answer::forward(&parts, Body::full(body));
-        let can_repeat = || shared.router.borrow().may_repeat(&flight.request);
+        let can_repeat = || shared.ask(|router, now| router.may_repeat(now, &flight.request));
         if verdict == Verdict::Failed && can_repeat() {
             return Err((attempt::fail(shared, flight, Fault::Failed), Some(response)));
         }
--- a/crates/comfreyroad_proxy/src/front/stream.rs
+++ b/crates/comfreyroad_proxy/src/front/stream.rs
@@ -39,7 +39,7 @@
         ..
     } = answer;
     let after = flight.request.stage().plan().last_event;
-    let patience = shared.router.borrow().patience(&flight.request);
+    let patience = shared.ask(|router, now| router.patience(now, &flight.request));
     let mut events = Events::new(reader, after);
     match events.next(patience).await {
         Ok(first) => {
--- a/crates/comfreyroad_router/src/filter/place.rs
+++ b/crates/comfreyroad_router/src/filter/place.rs
@@ -36,7 +36,7 @@
         return Err(Halt::Refuse(S::refuse(&request, Code::Deadline)));
     }
     let is_extra = plan.is_extra();
-    if is_extra && !(plan.has_attempts() && state.budgets.may_repeat(&plan.pool)) {
+    if is_extra && !(plan.has_attempts() && state.budgets.may_repeat(now, &plan.pool)) {
         return Err(Halt::Refuse(overloaded(&request, now)));
     }
     if let Some(slot) = pick(request.head(), plan, now, state) {
--- a/crates/comfreyroad_router/src/router.rs
+++ b/crates/comfreyroad_router/src/router.rs
@@ -108,9 +108,9 @@
         let request = request.send(now.instant);
         let (plan, slot) = (request.stage().plan(), &request.stage().slot);
         if is_first {
-            self.state.budgets.earn(&plan.pool);
+            self.state.budgets.earn(now.instant, &plan.pool);
         } else {
-            self.state.budgets.spend(&plan.pool);
+            self.state.budgets.spend(now.instant, &plan.pool);
         }
         self.state.rollouts.open(&plan.pool, &slot.version);
         self.touch(now, &request);
@@ -154,7 +154,7 @@
             && route.repeat.may_repeat()
             && plan.has_attempts()
             && now.instant < latest
-            && self.state.budgets.may_step_up(&plan.pool)
+            && self.state.budgets.may_step_up(now.instant, &plan.pool)
     }
 
     /// Asks a larger model, in place of one that is not sure of its answer.
@@ -164,13 +164,13 @@
     }
 
     /// Until when the head and first event of an answer, or a plain answer, are waited for at this upstream.
-    pub fn patience(&self, request: &Request<Sent>) -> Instant {
+    pub fn patience(&self, now: Now, request: &Request<Sent>) -> Instant {
         let plan = request.stage().plan();
         let route = &plan.route;
         let can_repeat = route.repeat.may_repeat()
             && plan.has_attempts()
             && plan.runs == 1
-            && self.state.budgets.may_repeat(&plan.pool);
+            && self.state.budgets.may_repeat(now.instant, &plan.pool);
         if !can_repeat {
             return plan.deadline;
         }
@@ -300,10 +300,10 @@
     }
 
     /// Whether a failed answer may be asked for again, so that it need not be passed on.
-    pub fn may_repeat(&self, request: &Request<Sent>) -> bool {
+    pub fn may_repeat(&self, now: Now, request: &Request<Sent>) -> bool {
         let plan = request.stage().plan();
         let can_repeat = plan.route.repeat.may_repeat() && plan.has_attempts();
-        can_repeat && self.state.budgets.may_repeat(&plan.pool)
+        can_repeat && self.state.budgets.may_repeat(now.instant, &plan.pool)
     }
 
     /// A stream goes on from another upstream.
--- a/crates/comfreyroad_router/src/settings.rs
+++ b/crates/comfreyroad_router/src/settings.rs
@@ -20,6 +20,8 @@
     pub retry_ratio: f64,
     /// Extra sendings of a pool that are free beyond that, for all entries together.
     pub retry_slack: f64,
+    /// The window of time in which both are counted.
+    pub retry_window: Duration,
     /// Part of a pool's requests that a version under trial may get.
     pub exposure_share: f64,
     /// Requests that it may get beyond that.
@@ -49,6 +51,7 @@
             grace: Duration::from_secs(8),
             retry_ratio: 0.5,
             retry_slack: 20.0,
+            retry_window: Duration::from_secs(10),
             exposure_share: 0.1,
             exposure_slack: 0.0,
             cold_multiplier: 1.0,
--- a/crates/comfreyroad_router/tests/decisions/budgets.rs
+++ b/crates/comfreyroad_router/tests/decisions/budgets.rs
@@ -1,7 +1,13 @@
-use comfreyroad_router::answer::Fault;
+use comfreyroad_router::answer::{End, Fault};
 use quickcheck::{TestResult, quickcheck};
 
-use super::rig::{Rig, head};
+use super::rig::{MS, Rig, frame, head, peer};
+
+const GOOD: End = End {
+    is_good: true,
+    first: None,
+    pace: None,
+};
 
 quickcheck! {
     /// The bound of the deployment: 0.9 extra sendings a request, and 54 for all entries together.
@@ -28,3 +34,70 @@
         TestResult::from_bool(f64::from(extra) <= bound)
     }
 }
+
+/// The bound holds in any window, also where requests and failures come in bursts.
+#[test]
+fn no_window_has_more_extra_sendings_than_the_bound() {
+    let mut rig = Rig::serving("e1");
+    let mut sendings: Vec<(u64, bool)> = Vec::new();
+    for step in 0..600_u64 {
+        rig.run(100 * MS);
+        // Five quiet seconds, then five in which whatever is sent fails.
+        let (count, fails) = if step / 50 % 2 == 0 {
+            (2, false)
+        } else {
+            (8, true)
+        };
+        for number in 0..count {
+            let id = format!("r{step}-{number}");
+            let Some(sent) = rig.send(head(rig.now, "again", &id)) else {
+                continue;
+            };
+            sendings.push((step, false));
+            if !fails {
+                continue;
+            }
+            let Ok(request) = rig.router.failed(rig.now, sent, Fault::Failed) else {
+                continue;
+            };
+            if rig.resend(request).is_some() {
+                sendings.push((step, true));
+            }
+        }
+    }
+    let count = |from: u64, is_extra: bool| {
+        let within = sendings
+            .iter()
+            .filter(|(at, _)| (from..from + 100).contains(at));
+        within.filter(|(_, extra)| *extra == is_extra).count() as f64
+    };
+    for from in 0..500_u64 {
+        // The rule takes the greatest of this window, the one before and the one between them.
+        let before = [0, 50, 100].map(|back: u64| count(from.saturating_sub(back), false));
+        let requests = before.into_iter().fold(0.0, f64::max);
+        let (extra, most) = (count(from, true), 0.9 * requests + 54.0 / 3.0);
+        assert!(extra <= most, "{extra} of {most} in the window from {from}");
+    }
+}
+
+/// Found by the first days with 66 entries: each had a bucket of two extra sendings, and what it had not used was lost
+/// when the next few requests needed a larger model at once.
+#[test]
+fn an_entry_of_a_large_fleet_saves_its_budget_over_the_window() {
+    let mut rig = Rig::serving("e1");
+    let mut told = frame("e2");
+    told.peers = (0..65).map(|it| peer(&format!("far{it}"), "z")).collect();
+    rig.hear(told);
+    for number in 0..30 {
+        rig.run(100 * MS);
+        let sent = rig.send(head(rig.now, "again", &format!("r{number}")));
+        rig.router.finished(rig.now, &sent.unwrap(), GOOD);
+    }
+    let mut again = 0;
+    for number in 0..10 {
+        let sent = rig.send(head(rig.now, "again", &format!("f{number}")));
+        let failed = rig.router.failed(rig.now, sent.unwrap(), Fault::Failed);
+        again += u32::from(failed.is_ok_and(|it| rig.resend(it).is_some()));
+    }
+    assert_eq!(again, 10);
+}
--- a/crates/comfreyroad_router/tests/decisions/models.rs
+++ b/crates/comfreyroad_router/tests/decisions/models.rs
@@ -69,7 +69,12 @@
         .filter(|_| ask(&mut rig, 0).0 == Verdict::Unsure)
         .count();
     assert!(steps < 300, "the budget has an end");
-    assert!(rig.router.state().budgets.may_repeat(&"pool".into()));
+    assert!(
+        rig.router
+            .state()
+            .budgets
+            .may_repeat(rig.now.instant, &"pool".into())
+    );
     rig.run(SECOND);
 }
 
