Tell an entry of the proofs that a peer which is dead or paused did not answer

Cause of the known red config_cells_hold: the harness handed a frame to a dead entry and told the sender nothing, so that nobody ever suspected it and the others stayed stale after the VM list had dropped it. A real connection is refused, or times out where the process is paused. Not mended: the paused cell holds also without AskedAge and PauseVoid together, so that is not the cause.

--- a/crates/comfreyroad/tests/proof/bench/node.rs
+++ b/crates/comfreyroad/tests/proof/bench/node.rs
@@ -179,6 +179,11 @@
         }
     }
 
+    /// Whether an entry is paused.
+    pub(crate) fn is_paused(&self, node: usize) -> bool {
+        self.nodes[node].held.is_some()
+    }
+
     /// Lets a paused entry go on.
     pub(crate) fn resume(&mut self, node: usize) {
         let post = self.post(node);
--- a/crates/comfreyroad/tests/proof/bench/wire.rs
+++ b/crates/comfreyroad/tests/proof/bench/wire.rs
@@ -123,11 +123,27 @@
     }
 
     fn on_frame(&mut self, peer: usize, exchange: u64, frame: Frame) {
+        if self.nodes[peer].entry.is_none() {
+            return self.fail_exchange(peer, exchange);
+        }
+        if self.is_paused(peer) {
+            // What waits is answered too late, unless the entry goes on before.
+            self.after(TIMEOUT, move |bench| bench.fail_exchange(peer, exchange));
+        }
         let (peer, address) = (self.post(peer), frame.address.clone());
         self.deliver(peer, Event::Peer(Box::new(frame)));
         self.deliver(peer, Event::PeerAsks { exchange, address });
     }
 
+    /// An entry that is dead or paused has not answered.
+    fn fail_exchange(&mut self, peer: usize, exchange: u64) {
+        if let Some(asker) = self.wire.exchanges.swap_remove(&exchange) {
+            let address = self.nodes[peer].settings.address.clone();
+            let wait = self.latency();
+            self.answer(asker, wait, Event::PeerFailed(address));
+        }
+    }
+
     fn reply(&mut self, post: Post, exchange: u64, frame: Box<Frame>) {
         self.reached(Step::PeerReply, post.node, None, None);
         let Some(asker) = self.wire.exchanges.swap_remove(&exchange) else {
