Pass news on frame by frame, and read the store where relays leave an entry behind

A relay passed nothing on to an entry that lacked more than 256 records, and such an entry counted itself as told all the same; with a rollout and 62 replaced engines that many keys change. After: what is lacked comes in order over several frames, and an entry counts as told only while it lacks nothing that the relay has read.

--- a/crates/comfreyroad_router/src/controller/feeds/feed.rs
+++ b/crates/comfreyroad_router/src/controller/feeds/feed.rs
@@ -11,7 +11,7 @@
 use crate::record::{Content, Record, Topic};
 use crate::{Action, Event};
 
-/// Records in one frame at most; a peer that lacks more lists the topic itself.
+/// Records of a topic in one frame at most; the next frame has more.
 const MAX_PASSED: usize = 256;
 /// Keys remembered of a topic at most, removed ones among them.
 const MAX_KEYS: usize = 16 * 1024;
@@ -217,8 +217,8 @@
         out.raise(Event::Learned(self.topic, record));
     }
 
-    /// What has changed from an offset on, and where that ends; none where a peer lacks nothing or too much, or lacks
-    /// something too new that it reads itself.
+    /// What has changed from an offset on, in order, and up to where that is all; none where a peer lacks nothing, or lacks
+    /// something so new that it reads it itself.
     pub(super) fn since(
         &self,
         now: Instant,
@@ -227,14 +227,17 @@
     ) -> Option<(Vec<Record>, Offset)> {
         let next = self.next.filter(|next| *next > from)?;
         let lacked = self.records.values().filter(|it| it.changed >= from);
-        let lacked: Vec<&Kept> = lacked.take(MAX_PASSED + 1).collect();
+        let mut lacked: Vec<&Kept> = lacked.collect();
         // One that knows nothing yet is told at once.
         let is_new =
             |it: &&Kept| reads_itself && from > 0 && it.learned + pace::PASS_ON_AFTER > now;
-        if lacked.len() > MAX_PASSED || lacked.iter().any(is_new) {
+        if lacked.iter().any(is_new) {
             return None;
         }
-        let records = lacked.iter().map(|it| (*it.record).clone());
-        Some((records.collect(), next))
+        lacked.sort_unstable_by_key(|it| it.changed);
+        let complete = lacked.get(MAX_PASSED).map_or(next, |it| it.changed);
+        let passed = lacked.into_iter().take(MAX_PASSED);
+        let records = passed.map(|it| (*it.record).clone());
+        Some((records.collect(), complete))
     }
 }
--- a/crates/comfreyroad_router/src/controller/feeds/mod.rs
+++ b/crates/comfreyroad_router/src/controller/feeds/mod.rs
@@ -115,10 +115,6 @@
 
     fn on_frame(&mut self, now: Now, frame: &Frame, out: &mut Outbox) {
         let address = frame.from.address.clone();
-        let is_near = frame.from.zone == self.own.zone;
-        if frame.is_store_read && is_near && self.fleet.is_relay(&frame.from.entry) {
-            self.relayed_until = Some(now.instant + pace::RELAYED);
-        }
         self.lacks.insert(address, frame.next.clone());
         for (topic, record) in &frame.records {
             if let Some(feed) = self.feeds.get_mut(topic) {
@@ -130,6 +126,17 @@
                 feed.advance(*next);
             }
         }
+        let is_near = frame.from.zone == self.own.zone;
+        let is_relayed = frame.is_store_read && is_near && self.fleet.is_relay(&frame.from.entry);
+        if is_relayed && self.has_all_of(frame) {
+            self.relayed_until = Some(now.instant + pace::RELAYED);
+        }
+    }
+
+    /// Whether this entry lacks nothing that a frame's sender has read.
+    fn has_all_of(&self, frame: &Frame) -> bool {
+        let mut read = frame.next.iter();
+        read.all(|(topic, next)| self.next(*topic).unwrap_or(0) >= *next)
     }
 
     /// Takes an answer of the store.
--- a/crates/comfreyroad_router/tests/decisions/relays.rs
+++ b/crates/comfreyroad_router/tests/decisions/relays.rs
@@ -281,3 +281,56 @@
     let in_force = rig.router.state().configuration.in_force();
     assert_eq!(in_force.map(|it| it.generation), Some(9));
 }
+
+/// Found by a standard day (Inkwell grown, scale-1): with 90 engines, a rollout of 90 more and 62 that were replaced, more
+/// had changed than a frame holds. Nothing was passed on then, and an entry sent to an engine 3.2 s after it had left.
+#[test]
+fn an_entry_that_lacks_more_than_a_frame_holds_catches_up_frame_by_frame() {
+    let (mut rig, _) = zone(true);
+    rig.run(SECOND);
+    let from = rig.offset + 1;
+    let call = rig.call(Topic::Upstreams).expect("a read is under way");
+    let record = |number: u64| Record {
+        offset: from + number,
+        key: format!("many{number}").into(),
+        content: Content::Upstream(Box::new(registration("v1"))),
+    };
+    rig.raise(Event::Read {
+        topic: Topic::Upstreams,
+        call,
+        records: (0..600).map(record).collect(),
+        next: from + 600,
+    });
+    let fleet = rig.router.state().members.fleet();
+    let other = (0..ENTRIES).map(name).find(|it| !fleet.is_relay(it));
+    let mut asks = gossip(&other.expect("most are no relays"), 5);
+    let (mut next, mut learned, mut frames) = (from, 0, 0);
+    while next < from + 600 && frames < 10 {
+        asks.next.insert(Topic::Upstreams, next);
+        let (answer, _) = rig.router.exchange(rig.now, asks.clone());
+        let records = answer.records.iter();
+        let records: Vec<u64> = records.map(|(_, record)| record.offset).collect();
+        assert!(records.len() <= 256);
+        learned += records.len();
+        next = answer.complete[&Topic::Upstreams];
+        assert!(records.iter().all(|offset| *offset < next));
+        frames += 1;
+    }
+    assert_eq!((next, learned, frames), (from + 600, 600, 3));
+}
+
+#[test]
+fn an_entry_that_stays_behind_its_relays_reads_the_store_itself() {
+    let (mut rig, relays) = zone(false);
+    told(&mut rig, &relays, SECOND);
+    end_reads(&mut rig);
+    rig.actions.clear();
+    for beat in 0..8 {
+        rig.run(500 * MS);
+        let mut frame = gossip(&relays[beat % 2], 100_000 + beat as u64);
+        frame.is_store_read = true;
+        frame.next.insert(Topic::Upstreams, rig.offset + 1000);
+        rig.hear(frame);
+    }
+    assert!(reads(&rig) > 0);
+}
