--- a/crates/comfreyroad_proxy/tests/soak/link.rs
+++ b/crates/comfreyroad_proxy/tests/soak/link.rs
@@ -43,7 +43,7 @@
         let own = link.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                own.connect(stream, target);
+                own.connect(&stream, target);
             }
         });
         link
@@ -62,7 +62,7 @@
         *self.mode.lock().unwrap()
     }
 
-    fn connect(&self, near: TcpStream, target: SocketAddr) {
+    fn connect(&self, near: &TcpStream, target: SocketAddr) {
         if self.mode() == Mode::Reset {
             return;
         }
@@ -70,7 +70,7 @@
             return;
         };
         let opened = self.silenced.load(Ordering::Relaxed);
-        let ways = [(&near, &far, false), (&far, &near, true)];
+        let ways = [(near, &far, false), (&far, near, true)];
         for (from, to, is_back) in ways {
             let (Ok(from), Ok(to)) = (from.try_clone(), to.try_clone()) else {
                 return;
