Believe a removal that a peer reads while the store turns this entry away

Change: frames tell how long ago the store answered the sender, and for how long what is gone may come back after an outage that the sender saw. An entry without the store goes by that; only an outage for all opens the time of return.

Besides, without change of behaviour: the trial of a rollout and the choice of a larger model have files of their own; foreign prompts in a backlog and an event that nobody took are gone. The next relay is asked soon where one fails. A run of the soak could wait for ever where a step took longer than planned.

--- a/crates/comfreyroad_proxy/src/outside.rs
+++ b/crates/comfreyroad_proxy/src/outside.rs
@@ -100,7 +100,8 @@
     let written = shared.store.write(topic, &content, at, deadline).await;
     shared.metrics.store_call("write", started, written.is_ok());
     shared.raise(match written {
-        Ok(()) => Event::Written(topic),
+        // What was written is read back like any other record.
+        Ok(()) => return,
         Err(Error {
             cause: Cause::Conflict,
             ..
--- a/crates/comfreyroad_proxy/tests/soak/world.rs
+++ b/crates/comfreyroad_proxy/tests/soak/world.rs
@@ -142,13 +142,17 @@
 
     /// Lets time pass, and does what is due.
     fn pass(&mut self, until: Instant) {
-        while Instant::now() < until {
+        // What was due is done also where a step before took longer than planned.
+        loop {
             std::thread::sleep(STEP);
             let now = Instant::now();
             let (due, later) = self.later.drain(..).partition(|(at, _)| *at <= now);
             self.later = later;
             let due: Vec<(Instant, Later)> = due;
             due.into_iter().for_each(|(_, it)| self.finish(it));
+            if now >= until {
+                return;
+            }
         }
     }
 
--- a/crates/comfreyroad_router/src/controller/feeds/mod.rs
+++ b/crates/comfreyroad_router/src/controller/feeds/mod.rs
@@ -130,7 +130,7 @@
         let address = frame.from.address.clone();
         let told = Told {
             next: frame.next.clone(),
-            is_store_read: frame.is_store_read,
+            is_store_read: frame.store_answered.is_some(),
         };
         self.told.insert(address, told);
         for (topic, record) in &frame.records {
@@ -144,7 +144,8 @@
             }
         }
         let is_near = frame.from.zone == self.own.zone;
-        let is_relayed = frame.is_store_read && is_near && self.fleet.is_relay(&frame.from.entry);
+        let is_relayed =
+            frame.store_answered.is_some() && is_near && self.fleet.is_relay(&frame.from.entry);
         if is_relayed && self.has_all_of(frame) {
             self.relayed_until = Some(now.instant + pace::RELAYED);
         }
@@ -226,8 +227,9 @@
     }
 
     fn fill(&mut self, now: Now, to: &Address, frame: &mut Frame) {
-        let is_answered = |at: Instant| at + pace::ANSWERED > now.instant;
-        frame.is_store_read = !self.is_store_lost && self.answered_at.is_some_and(is_answered);
+        let answered = self.answered_at.filter(|_| !self.is_store_lost);
+        let age = answered.map(|at| now.instant.saturating_duration_since(at));
+        frame.store_answered = age.filter(|age| *age < pace::ANSWERED);
         let told = self.told.get(to);
         let is_relay = self.fleet.relays().any(|relay| relay.address == *to);
         let reads_itself = is_relay && told.is_some_and(|told| told.is_store_read);
--- a/crates/comfreyroad_router/src/controller/members/mod.rs
+++ b/crates/comfreyroad_router/src/controller/members/mod.rs
@@ -28,7 +28,7 @@
 
 /// Time between two rounds of gossip. News takes a round to a relay, two among relays, and two back to all entries.
 const PERIOD: Duration = Duration::from_millis(500);
-/// Least time between two rounds of a relay that has urgent news.
+/// Least time between two rounds, where a relay has urgent news or a peer did not answer.
 const URGENT_PERIOD: Duration = Duration::from_millis(200);
 /// Relays that a relay's round of gossip goes to.
 const FANOUT: usize = 2;
@@ -51,7 +51,7 @@
     fleet: Rc<Fleet>,
     round: u64,
     next_round: Option<Instant>,
-    // When urgent news may bring the next round forward.
+    // When the next round may be brought forward to.
     urgent_from: Option<Instant>,
     rng: Rng,
 }
@@ -82,7 +82,8 @@
     pub(super) fn empty_frame(&self) -> Frame {
         Frame {
             from: self.own.clone(),
-            is_store_read: false,
+            store_answered: None,
+            returns_for: Duration::ZERO,
             peers: Vec::new(),
             next: IndexMap::new(),
             records: Vec::new(),
@@ -170,17 +171,21 @@
     }
 
     /// A relay passes on early what bounds the time in which all entries must know it.
-    fn hasten(&mut self, record: &Record) {
+    fn pass_on(&mut self, record: &Record) {
         let is_urgent = match &record.content {
             Content::Configuration(_) | Content::Evacuation(_) | Content::Removed => true,
             Content::Upstream(registration) => registration.stage == Stage::Draining,
             _ => false,
         };
         if is_urgent && self.fleet.is_relay(&self.own.entry) {
-            self.next_round = self.next_round.min(self.urgent_from);
+            self.hasten();
         }
     }
 
+    fn hasten(&mut self) {
+        self.next_round = self.next_round.min(self.urgent_from);
+    }
+
     fn publish(&mut self, now: Instant, out: &mut Outbox) {
         let live = self.known.values().filter(|known| known.is_live(now));
         let mut entries: Vec<Peer> = live.map(|known| known.peer.clone()).collect();
@@ -204,13 +209,15 @@
         match event {
             Event::Started => self.publish(now.instant, out),
             Event::Tick => self.on_tick(now.instant, out),
+            // The next one in turn is asked soon.
+            Event::PeerFailed(_) => self.hasten(),
             Event::Heard(frame) => {
                 for peer in frame.peers.iter().chain([&frame.from]) {
                     self.hear(now.instant, peer, out);
                 }
             }
             Event::Learned(_, record) => {
-                self.hasten(record);
+                self.pass_on(record);
                 if let Content::Entry(peer) = &record.content {
                     self.list(now.instant, peer, out);
                 }
--- a/crates/comfreyroad_router/src/controller/rollouts/mod.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/mod.rs
@@ -10,6 +10,7 @@
 mod keep;
 mod phase;
 mod rollout;
+mod trial;
 
 use std::rc::Rc;
 use std::sync::Arc;
--- a/crates/comfreyroad_router/src/controller/rollouts/rollout.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/rollout.rs
@@ -7,6 +7,7 @@
 use super::exposure::Exposure;
 use super::keep::{Keep, Session};
 use super::phase::{Canary, Complete, Cutover, Phase, Revert};
+use super::trial::{Moment, Trial};
 use crate::controller::members::Fleet;
 use crate::frame::{Frame, Kept, Peer, Progress};
 use crate::id::{Offset, RouteId, VersionId};
@@ -14,15 +15,6 @@
 use crate::outbox::Outbox;
 use crate::rollout::{Order, State, Status, Tally};
 
-/// Requests after which a trial has shown what it can: three failures in ten show in a third of their answers.
-const TRIAL_REQUESTS: f64 = 48.0;
-/// Time in which a trial's requests are to be sent where that takes less than the share which is allowed. The fewer sessions
-/// a trial moves, the fewer come to an entry that has not heard of their move.
-const TRIAL_TIME: Duration = Duration::from_secs(4);
-/// Part of the live entries whose counts are known to one that decides by counts.
-const INFORMED: f64 = 0.75;
-/// Part of a rollout's time after which the trial is over in any case.
-const TRIAL_LASTS: f64 = 0.55;
 /// Time before a rollout's end at which its completion is written: two turns of entries, and the store's answer.
 const COMPLETE_BEFORE: Duration = Duration::from_millis(1600);
 /// Least time between the last request to the old version and its end, so that other entries have moved too.
@@ -30,10 +22,6 @@
 /// Logarithm of the evidence at which a version is bad: at most one false finding in twenty rollouts, which costs a rollout
 /// and no request.
 const EVIDENCE: f64 = 3.0;
-/// The same, from which a trial goes on for more answers: as likely worse as not.
-const SUSPICION: f64 = 0.0;
-/// Time after an order in which entries tell each other of the sessions that keep the old version: four rounds of gossip.
-const NOTICE: Duration = Duration::from_millis(2000);
 /// Time that each entry leaves to the ones before it to write a status.
 const TURN: Duration = Duration::from_millis(700);
 /// Time between two tries of one entry to write a status.
@@ -46,7 +34,6 @@
     /// Place of the order.
     pub(super) offset: Offset,
     began: Instant,
-    exposure: Exposure,
     phase: Phase,
     // When the phase came to want a status that is not written yet.
     wants_since: Option<(State, Instant)>,
@@ -54,12 +41,9 @@
     written: Option<State>,
     counts: Counts,
     keep: Keep,
-    // Part of new requests that a trial sends to the new version.
-    trial: Option<f64>,
-    // Part of new requests that go to the new version now, by this entry's counts or as others tell.
+    trial: Trial,
+    // Part of new requests that go to the new version now.
     share: f64,
-    told: Option<f64>,
-    is_informed: bool,
 }
 
 impl Rollout {
@@ -75,16 +59,13 @@
             order,
             offset,
             began: now,
-            exposure,
             phase: Phase::Canary(Canary),
             wants_since: None,
             write_at: None,
             written: None,
             keep: Keep::default(),
-            trial: None,
+            trial: Trial::new(exposure),
             share: 0.0,
-            told: None,
-            is_informed: false,
         }
     }
 
@@ -118,51 +99,23 @@
     }
 
     /// Part of new requests that go to the new version in this phase.
-    fn wanted_share(&self, now: Instant, evidence: f64) -> f64 {
+    fn wanted_share(&self, moment: Moment) -> f64 {
         match self.phase {
-            Phase::Canary(_) if self.began + NOTICE > now => 0.0,
-            Phase::Canary(_) if !self.is_informed => self.told.unwrap_or(self.trial_share()),
-            Phase::Canary(_) if self.is_tried(now, evidence) => {
-                self.exposure.trickle().min(self.trial_share())
-            }
-            Phase::Canary(_) => self.trial_share(),
+            Phase::Canary(_) => self.trial.share(moment),
             Phase::Cutover(_) | Phase::Complete(_) => 1.0,
             Phase::Revert(_) => 0.0,
         }
     }
 
-    /// Whether the trial has shown what it can. One that looks bad goes on until it is known.
-    fn is_tried(&self, now: Instant, evidence: f64) -> bool {
-        let (target, _) = self.counts.sent();
-        let is_late = now >= self.began + self.order.lasts.mul_f64(TRIAL_LASTS);
-        is_late || (target >= TRIAL_REQUESTS && evidence < SUSPICION)
-    }
-
-    /// Part of new requests that a trial sends to the new version.
-    fn trial_share(&self) -> f64 {
-        self.trial.unwrap_or(self.exposure.trial())
-    }
-
-    /// Sets the part of a trial, by the requests that have come while entries told each other of sessions.
-    fn plan_trial(&mut self, now: Instant) {
-        let age = now.saturating_duration_since(self.began);
-        if self.trial.is_some() || !self.is_informed || age < NOTICE {
-            return;
+    /// Where the rollout stands.
+    fn moment(&self, now: Instant) -> Moment {
+        let is_over = matches!(self.phase, Phase::Revert(_) | Phase::Complete(_));
+        Moment {
+            age: now.saturating_duration_since(self.began),
+            lasts: self.order.lasts,
+            sent: self.counts.sent(),
+            evidence: if is_over { 0.0 } else { self.counts.evidence() },
         }
-        let (target, others) = self.counts.sent();
-        let coming = (target + others) / age.as_secs_f64() * TRIAL_TIME.as_secs_f64();
-        self.trial = Some(self.exposure.trial().min(TRIAL_REQUESTS / coming.max(1.0)));
-    }
-
-    /// Whether all requests may move: by counts, or at the last moment.
-    fn may_cut_over(&self, now: Instant) -> bool {
-        let age = now.saturating_duration_since(self.began);
-        let lasts = self.order.lasts;
-        let by_counts = || self.exposure.may_cut_over(age, lasts, self.counts.sent());
-        let is_told = self.told.is_some_and(|share| share >= 1.0);
-        Exposure::must_cut_over(age, lasts)
-            || (self.is_informed && by_counts())
-            || (!self.is_informed && is_told)
     }
 
     fn is_canary(&self) -> bool {
@@ -199,7 +152,7 @@
         version: &VersionId,
         ends: Instant,
     ) {
-        let may_move = self.point(name) < self.trial_share();
+        let may_move = self.point(name) < self.trial.widest();
         if may_move && self.is_canary() {
             let has_moved = *version == self.order.target;
             self.keep.add(now, name, Session { has_moved, ends });
@@ -231,10 +184,7 @@
         if let Some(began) = now.checked_sub(progress.age) {
             self.began = self.began.min(began);
         }
-        if let Some(trial) = progress.trial {
-            self.trial = Some(self.trial.map_or(trial, |known| known.min(trial)));
-        }
-        self.told = progress.share.or(self.told);
+        self.trial.hear(progress);
         if progress.is_bad {
             self.give_up(out);
         }
@@ -257,16 +207,14 @@
 
     /// Goes on with time and counts.
     pub(super) fn advance(&mut self, now: Instant, fleet: &Fleet, out: &mut Outbox) {
-        let is_over = matches!(self.phase, Phase::Revert(_) | Phase::Complete(_));
-        let evidence = if is_over { 0.0 } else { self.counts.evidence() };
-        if evidence >= EVIDENCE {
+        let moment = self.moment(now);
+        if moment.evidence >= EVIDENCE {
             self.give_up(out);
         }
-        let heard = self.counts.entries() as f64;
-        self.is_informed = heard >= fleet.entries.len() as f64 * INFORMED;
-        self.plan_trial(now);
+        let (counted, live) = (self.counts.entries(), fleet.entries.len());
+        self.trial.advance(moment, counted, live);
         if let Phase::Canary(canary) = self.phase
-            && self.may_cut_over(now)
+            && self.trial.may_cut_over(moment)
         {
             if self.counts.looks_worse() {
                 self.give_up(out);
@@ -275,7 +223,7 @@
                 self.phase = Phase::Cutover(canary.cut_over(now));
             }
         }
-        self.share = self.wanted_share(now, evidence);
+        self.share = self.wanted_share(moment);
         self.want(now);
     }
 
@@ -331,8 +279,8 @@
             order: self.offset,
             age: now.saturating_duration_since(self.began),
             is_bad: self.is_reverted(),
-            trial: self.trial,
-            share: self.is_informed.then_some(self.share),
+            trial: self.trial.planned(),
+            share: self.trial.is_informed().then_some(self.share),
         });
         if self.is_canary() {
             let kept = self.keep.iter(now).map(|(name, session, left)| Kept {
--- a/crates/comfreyroad_router/src/controller/upstreams/mod.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/mod.rs
@@ -16,7 +16,8 @@
 use super::Controller;
 use super::members::Fleet;
 use crate::configuration::Configuration;
-use crate::id::{EntryId, ModelId, Offset, PoolId, UpstreamId, ZoneId};
+use crate::frame::Frame;
+use crate::id::{Address, EntryId, ModelId, Offset, PoolId, UpstreamId, ZoneId};
 use crate::note::{self, Note};
 use crate::outbox::Outbox;
 use crate::record::{Content, Record, Topic};
@@ -30,6 +31,9 @@
 /// platform's word, and a margin for this entry's own read.
 const RETURN: Duration = Duration::from_millis(2400);
 
+/// Time for which a peer's word counts that the store answers it: some turns of gossip.
+const ANSWERS: Duration = Duration::from_secs(3);
+
 /// Keeps the upstreams.
 #[derive(Debug)]
 pub struct Upstreams {
@@ -40,9 +44,11 @@
     fleet: Rc<Fleet>,
     cold: Cold,
     readings: IndexMap<(PoolId, Option<ModelId>), Reading>,
-    // The store does not answer, or has not done so until a moment ago.
-    is_store_lost: bool,
+    // Since when the store does not answer this entry.
+    store_lost: Option<Instant>,
     lapses_until: Option<Instant>,
+    // Until when the store counts as answering others.
+    answers_others_until: Option<Instant>,
 }
 
 impl Upstreams {
@@ -55,8 +61,9 @@
             fleet: Rc::default(),
             cold: Cold::new(settings),
             readings: IndexMap::new(),
-            is_store_lost: false,
+            store_lost: None,
             lapses_until: None,
+            answers_others_until: None,
         }
     }
 
@@ -105,11 +112,12 @@
 
     /// A registration is gone. Around an outage of the store that may mean nothing, and the upstream is kept a while.
     fn remove(&mut self, now: Instant, id: &UpstreamId, out: &mut Outbox) {
+        let until = self.lapses_until.filter(|until| *until > now);
+        let may_lapse = self.is_store_away(now) || until.is_some();
         let Some(known) = self.known.get_mut(id) else {
             return;
         };
-        let until = self.lapses_until.filter(|until| *until > now);
-        if self.is_store_lost || until.is_some() {
+        if may_lapse {
             known.lapses_at.get_or_insert(until.unwrap_or(now + RETURN));
             out.note(Note::new(&note::UPSTREAM_LAPSED).with("upstream", id));
             return;
@@ -123,9 +131,28 @@
         out.note(Note::new(&note::UPSTREAM_REMOVED).with("upstream", id));
     }
 
-    fn on_store_back(&mut self, now: Instant) {
-        self.is_store_lost = false;
-        self.lapses_until = Some(now + RETURN);
+    /// Whether the store answers nobody, as far as is known.
+    fn is_store_away(&self, now: Instant) -> bool {
+        let answers_others = self.answers_others_until.is_some_and(|until| until > now);
+        self.store_lost.is_some() && !answers_others
+    }
+
+    /// A peer tells whether the store answers it. A store that turns only this entry away has not lost what it holds.
+    fn on_frame(&mut self, now: Instant, frame: &Frame) {
+        let Some((lost, age)) = self.store_lost.zip(frame.store_answered) else {
+            return;
+        };
+        let answered = now.checked_sub(age).filter(|at| *at > lost);
+        let until = answered.map(|at| at + ANSWERS);
+        self.answers_others_until = self.answers_others_until.max(until);
+        if !frame.returns_for.is_zero() {
+            self.lapse_until(now + frame.returns_for);
+        }
+    }
+
+    /// What is gone may come back until a moment.
+    fn lapse_until(&mut self, until: Instant) {
+        self.lapses_until = self.lapses_until.max(Some(until));
         for upstream in self.known.values_mut() {
             if upstream.lapses_at.is_some() {
                 upstream.lapses_at = self.lapses_until;
@@ -134,7 +161,7 @@
     }
 
     fn on_tick(&mut self, now: Instant, out: &mut Outbox) {
-        if self.is_store_lost {
+        if self.is_store_away(now) {
             return;
         }
         let is_gone = |upstream: &Upstream| upstream.lapses_at.is_some_and(|at| at <= now);
@@ -150,8 +177,14 @@
     fn handle(&mut self, now: Now, event: &Event, out: &mut Outbox) {
         match event {
             Event::Learned(Topic::Upstreams, record) => self.on_record(now.instant, record, out),
-            Event::StoreLost => self.is_store_lost = true,
-            Event::StoreBack => self.on_store_back(now.instant),
+            Event::StoreLost => self.store_lost = Some(now.instant),
+            Event::StoreBack => {
+                if self.is_store_away(now.instant) {
+                    self.lapse_until(now.instant + RETURN);
+                }
+                self.store_lost = None;
+            }
+            Event::Heard(frame) => self.on_frame(now.instant, frame),
             Event::Configured(configuration) => {
                 self.configuration = Some(Arc::clone(configuration));
             }
@@ -160,4 +193,11 @@
             _ => {}
         }
     }
+
+    fn fill(&mut self, now: Now, _: &Address, frame: &mut Frame) {
+        let left = self
+            .lapses_until
+            .map(|until| until.saturating_duration_since(now.instant));
+        frame.returns_for = left.unwrap_or_default();
+    }
 }
--- a/crates/comfreyroad_router/src/event.rs
+++ b/crates/comfreyroad_router/src/event.rs
@@ -50,8 +50,6 @@
     Expired(Topic, CallId),
     /// The store gave no answer to a listing or a read, or refused.
     StoreFailed(Topic, CallId),
-    /// A record was written.
-    Written(Topic),
     /// A record was not written, as the topic has moved on.
     Conflict(Topic),
     /// A record may or may not have been written.
--- a/crates/comfreyroad_router/src/filter/mod.rs
+++ b/crates/comfreyroad_router/src/filter/mod.rs
@@ -5,6 +5,7 @@
 pub mod find_route;
 pub mod place;
 pub mod plan;
+pub(crate) mod step_up;
 
 use comfreyroad::clock::Now;
 
--- /dev/null
+++ b/crates/comfreyroad_router/src/filter/step_up.rs
@@ -0,0 +1,40 @@
+//! Whether a larger model is asked in place of one that is not sure of its answer.
+
+use super::View;
+use crate::answer;
+use crate::request::{Request, Sent};
+
+/// Confidence, of a hundred, from which a small model's answer is taken. It is about even whether an answer at 50 is good,
+/// and the engines' noise is some 20 around it (docs/DESIGN.md).
+const CONFIDENT: u8 = 62;
+/// Part of an objective within which a larger model's first event must be likely to come; the rest is for the error of the
+/// prediction.
+const IN_TIME: f64 = 0.9;
+/// Part of a prompt's shared tokens that a larger model is expected to read again, as its cache is filled less often.
+const SHARED_READ: f64 = 0.5;
+
+/// Whether an answer is to be dropped for one of a larger model.
+pub(crate) fn is_wanted(request: &Request<Sent>, head: &answer::Head, view: View<'_>) -> bool {
+    let plan = request.stage().plan();
+    let is_unsure = head.confidence.is_some_and(|it| it < CONFIDENT);
+    is_unsure
+        && plan.last_event.is_none()
+        && plan.route.repeat.may_repeat()
+        && plan.has_attempts()
+        && is_in_time(request, view)
+        && view.state.budgets.may_step_up(view.now.instant, &plan.pool)
+}
+
+/// Whether a larger model's answer is likely to begin in time.
+fn is_in_time(request: &Request<Sent>, view: View<'_>) -> bool {
+    let (head, plan) = (request.head(), request.stage().plan());
+    let Some(larger) = plan.larger_model() else {
+        return false;
+    };
+    let kept = f64::from(head.shared_tokens()) * (1.0 - SHARED_READ);
+    let tokens = head.prompt_tokens().saturating_sub(kept as u32);
+    let now = view.now.instant;
+    let reading = view.state.upstreams.reading(&plan.pool, Some(larger));
+    let latest = head.received + plan.route.objective.mul_f64(IN_TIME);
+    now + reading.first_event(now, tokens) <= latest
+}
--- a/crates/comfreyroad_router/src/frame/frame.rs
+++ b/crates/comfreyroad_router/src/frame/frame.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
@@ -11,8 +13,10 @@
 pub struct Frame {
     /// The sender.
     pub from: Peer,
-    /// Whether the store answers the sender, which reads its topics.
-    pub is_store_read: bool,
+    /// Time since the store last answered the sender; none if it doesn't.
+    pub store_answered: Option<Duration>,
+    /// Time for which registrations that are gone may come back, as the store was away from the sender a moment ago.
+    pub returns_for: Duration,
     /// Whom the sender knows.
     pub peers: Vec<Peer>,
     /// The offsets that the sender lacks next, by topic.
--- a/crates/comfreyroad_router/src/router.rs
+++ b/crates/comfreyroad_router/src/router.rs
@@ -9,7 +9,7 @@
 use crate::controller::Controllers;
 use crate::controller::upstreams::First;
 use crate::filter::place::{self, Halt};
-use crate::filter::{View, chain};
+use crate::filter::{View, chain, step_up};
 use crate::frame::Frame;
 use crate::id::{EventId, RequestId, UpstreamId};
 use crate::note::{self, Note};
@@ -24,14 +24,6 @@
 const FIRST_EVENT: f64 = 1.5;
 /// Part of an objective in which a plain answer must come before another upstream is tried.
 const PLAIN_ANSWER: f64 = 0.7;
-/// Confidence, of a hundred, from which a small model's answer is taken. It is about even whether an answer at 50 is good,
-/// and the engines' noise is some 20 around it (docs/DESIGN.md).
-const CONFIDENT: u8 = 62;
-/// Part of an objective within which a larger model's first event must be likely to come for it to be asked; the rest is for
-/// the error of the prediction.
-const STEP_UP: f64 = 0.9;
-/// Part of a prompt's shared tokens that a larger model is expected to read again, as its cache is filled less often.
-const SHARED_READ: f64 = 0.5;
 /// Part of the longest pause in which the next event must come before another upstream goes on.
 const NEXT_EVENT: f64 = 1.5;
 
@@ -133,8 +125,8 @@
     /// Judges the head of an answer.
     pub fn answered(&mut self, now: Now, request: &Request<Sent>, head: &answer::Head) -> Verdict {
         let verdict = answer::judge(request, head);
-        let is_unsure = head.confidence.is_some_and(|it| it < CONFIDENT);
-        if verdict == Verdict::Pass && is_unsure && self.may_step_up(now, request) {
+        let state = &self.state;
+        if verdict == Verdict::Pass && step_up::is_wanted(request, head, View { now, state }) {
             self.state.upstreams.on_head(&request.stage().slot, head);
             let note = Note::new(&note::STEPPED_UP).with("request", &request.head().id);
             self.out
@@ -147,25 +139,6 @@
         verdict
     }
 
-    /// Whether a larger model can be asked, in time and within the budget.
-    fn may_step_up(&self, now: Now, request: &Request<Sent>) -> bool {
-        let plan = request.stage().plan();
-        let route = &plan.route;
-        let Some(larger) = plan.larger_model() else {
-            return false;
-        };
-        let head = request.head();
-        let kept = f64::from(head.shared_tokens()) * (1.0 - SHARED_READ);
-        let tokens = head.prompt_tokens().saturating_sub(kept as u32);
-        let reading = self.state.upstreams.reading(&plan.pool, Some(larger));
-        let first_event = now.instant + reading.first_event(now.instant, tokens);
-        first_event <= head.received + route.objective.mul_f64(STEP_UP)
-            && plan.last_event.is_none()
-            && route.repeat.may_repeat()
-            && plan.has_attempts()
-            && self.state.budgets.may_step_up(now.instant, &plan.pool)
-    }
-
     /// Asks a larger model, in place of one that is not sure of its answer.
     pub fn step_up(&mut self, request: Request<Sent>) -> Result<Request<Repeating>, Refusal> {
         let repeated = request.step_up();
--- a/crates/comfreyroad_router/src/upstream/backlog.rs
+++ b/crates/comfreyroad_router/src/upstream/backlog.rs
@@ -3,7 +3,7 @@
 /// Names one job of a backlog.
 pub type JobId = u64;
 
-/// Prompts that an upstream is known to have before it and has not read yet.
+/// Prompts of this entry that an upstream has before it and has not read yet.
 #[derive(Debug, Default)]
 pub struct Backlog {
     last: JobId,
@@ -14,8 +14,6 @@
 struct Job {
     id: JobId,
     ends: Instant,
-    // Other entries' jobs are over when their time is; they do not tell.
-    is_own: bool,
 }
 
 impl Backlog {
@@ -25,19 +23,17 @@
         ends.map_or(Duration::ZERO, |ends| ends.saturating_duration_since(now))
     }
 
-    /// Own prompts that take longer than was expected.
+    /// Prompts that take longer than was expected.
     pub fn overdue(&self, now: Instant) -> usize {
-        let is_overdue = |job: &&Job| job.is_own && job.ends < now;
-        self.jobs.iter().filter(is_overdue).count()
+        self.jobs.iter().filter(|job| job.ends < now).count()
     }
 
     /// Adds a prompt that takes a time to read, after what is there already.
-    pub fn add(&mut self, now: Instant, takes: Duration, is_own: bool) -> JobId {
-        self.jobs.retain(|job| job.is_own || job.ends > now);
+    pub fn add(&mut self, now: Instant, takes: Duration) -> JobId {
         self.last += 1;
         let ends = now + self.left(now) + takes;
         let id = self.last;
-        self.jobs.push(Job { id, ends, is_own });
+        self.jobs.push(Job { id, ends });
         id
     }
 
--- a/crates/comfreyroad_router/src/upstream/slot.rs
+++ b/crates/comfreyroad_router/src/upstream/slot.rs
@@ -28,7 +28,7 @@
         let open = Rc::clone(&upstream.open);
         open.set(open.get() + 1);
         let backlog = Rc::clone(&upstream.backlog);
-        let job = backlog.borrow_mut().add(now, takes, true);
+        let job = backlog.borrow_mut().add(now, takes);
         let registration = &upstream.registration;
         Self {
             upstream: upstream.id.clone(),
--- a/crates/comfreyroad_router/src/upstream/upstream.rs
+++ b/crates/comfreyroad_router/src/upstream/upstream.rs
@@ -87,16 +87,11 @@
         self.backlog.borrow().left(now)
     }
 
-    /// Own prompts there that take longer to read than was expected.
+    /// Prompts there that take longer to read than was expected.
     pub fn overdue(&self, now: Instant) -> usize {
         self.backlog.borrow().overdue(now)
     }
 
-    /// Another entry has sent a prompt there.
-    pub fn add_foreign(&self, now: Instant, takes: Duration) {
-        self.backlog.borrow_mut().add(now, takes, false);
-    }
-
     /// Takes a place there, for a request whose prompt takes a time to read.
     pub fn take(&self, now: Instant, takes: Duration) -> Slot {
         Slot::take(self, now, takes)
--- a/crates/comfreyroad_router/tests/decisions/relays.rs
+++ b/crates/comfreyroad_router/tests/decisions/relays.rs
@@ -56,7 +56,7 @@
             from,
             10 + rig.now.instant.elapsed().as_millis() as u64 + round as u64,
         );
-        frame.is_store_read = true;
+        frame.store_answered = Some(Duration::ZERO);
         rig.hear(frame);
     }
 }
@@ -287,7 +287,7 @@
     let (mut rig, relays) = zone(false);
     told(&mut rig, &relays, 2 * SECOND);
     let mut frame = gossip(&relays[0], 100_000);
-    frame.is_store_read = true;
+    frame.store_answered = Some(Duration::ZERO);
     let record = Record {
         offset: rig.offset + 1,
         key: "config".into(),
@@ -346,7 +346,7 @@
     for beat in 0..8 {
         rig.run(500 * MS);
         let mut frame = gossip(&relays[beat % 2], 100_000 + beat as u64);
-        frame.is_store_read = true;
+        frame.store_answered = Some(Duration::ZERO);
         frame.next.insert(Topic::Upstreams, rig.offset + 1000);
         rig.hear(frame);
     }
@@ -356,7 +356,7 @@
 /// What a relay tells another one that asks from an offset, as it is told that the other reads the store or doesn't.
 fn tell(rig: &mut Rig, from: u64, is_store_read: bool) -> (Vec<u64>, Option<u64>) {
     let mut asks = frame("far1");
-    asks.is_store_read = is_store_read;
+    asks.store_answered = is_store_read.then_some(Duration::ZERO);
     asks.next.insert(Topic::Upstreams, from);
     let (answer, _) = rig.router.exchange(rig.now, asks);
     let records = answer.records.iter().map(|(_, record)| record.offset);
@@ -449,3 +449,21 @@
     assert!(urgent > usual, "{urgent} with news, {usual} without");
     assert!(urgent <= 30, "{urgent} in two seconds");
 }
+
+#[test]
+fn the_next_relay_is_asked_soon_where_one_does_not_answer() {
+    let (mut rig, relays) = zone(false);
+    told(&mut rig, &relays, 2 * SECOND);
+    rig.run(500 * MS);
+    let asked = |rig: &Rig| {
+        let last = rig.actions.iter().rev().find_map(|it| match it {
+            Action::Gossip { to, .. } => Some(to.clone()),
+            _ => None,
+        });
+        last.expect("a relay is asked")
+    };
+    let first = asked(&rig);
+    rig.raise(Event::PeerFailed(first.clone()));
+    rig.run(200 * MS);
+    assert_ne!(asked(&rig), first);
+}
--- a/crates/comfreyroad_router/tests/decisions/rig.rs
+++ b/crates/comfreyroad_router/tests/decisions/rig.rs
@@ -301,7 +301,8 @@
 pub(super) fn frame(name: &str) -> Frame {
     Frame {
         from: peer(name, "b"),
-        is_store_read: false,
+        store_answered: None,
+        returns_for: Duration::ZERO,
         peers: Vec::new(),
         next: indexmap::IndexMap::new(),
         records: Vec::new(),
--- a/crates/comfreyroad_router/tests/decisions/upstreams.rs
+++ b/crates/comfreyroad_router/tests/decisions/upstreams.rs
@@ -1,10 +1,12 @@
 use comfreyroad_router::Event;
 use comfreyroad_router::answer::End;
 use comfreyroad_router::answer::Fault;
-use comfreyroad_router::record::{Content, Topic};
+use comfreyroad_router::frame::Frame;
+use comfreyroad_router::record::{Content, Record, Topic};
 use comfreyroad_router::upstream::Stage;
+use std::time::Duration;
 
-use super::rig::{MS, Rig, SECOND, good, head, prompt, registration};
+use super::rig::{MS, Rig, SECOND, frame, good, head, prompt, registration};
 
 fn upstream(change: impl Fn(&mut comfreyroad_router::upstream::Registration)) -> Content {
     let mut registration = registration("v1");
@@ -204,3 +206,50 @@
     drop(held);
     assert!(rig.place(head(rig.now, "again", "last")).is_some());
 }
+
+/// A peer's frame with the removal of an upstream.
+fn removal(rig: &Rig, answered: Duration, returns_for: Duration) -> Frame {
+    let mut told = frame("e2");
+    told.store_answered = Some(answered);
+    told.returns_for = returns_for;
+    let record = Record {
+        offset: rig.offset + 1,
+        key: "u1".into(),
+        content: Content::Removed,
+    };
+    told.records.push((Topic::Upstreams, record));
+    told.complete.insert(Topic::Upstreams, rig.offset + 2);
+    told
+}
+
+/// Found by a standard day (Tahtiaskel grown, scale-2): the store turned a third of the entries away and served the others. An
+/// engine left, and an entry without the store took its removal for one that an outage had brought about: it sent there 3.2 s
+/// after the engine had left.
+#[test]
+fn a_removal_that_a_peer_reads_while_the_store_turns_this_entry_away_counts() {
+    let mut rig = Rig::serving("e1");
+    lose_store(&mut rig);
+    rig.run(SECOND);
+    rig.hear(removal(&rig, 100 * MS, Duration::ZERO));
+    assert!(!used(&mut rig).contains(&"u1".to_owned()));
+}
+
+#[test]
+fn a_removal_that_was_read_before_the_store_was_lost_proves_nothing_about_it() {
+    let mut rig = Rig::serving("e1");
+    lose_store(&mut rig);
+    rig.run(500 * MS);
+    rig.hear(removal(&rig, 2 * SECOND, Duration::ZERO));
+    assert!(used(&mut rig).contains(&"u1".to_owned()));
+}
+
+#[test]
+fn a_removal_that_a_peer_reads_just_after_an_outage_may_be_a_lapse() {
+    let mut rig = Rig::serving("e1");
+    lose_store(&mut rig);
+    rig.run(4 * SECOND);
+    rig.hear(removal(&rig, Duration::ZERO, 2 * SECOND));
+    assert!(used(&mut rig).contains(&"u1".to_owned()));
+    rig.run(3 * SECOND);
+    assert!(!used(&mut rig).contains(&"u1".to_owned()));
+}
