Have requests wait for the first configuration of an entry that has just started

Ruled out: the readiness check (the balancer sends to a zone without a ready entry all the same). Change: in the first second after its start an entry lets a request wait up to 0.4 s for the first configuration; later, or without one by then, 503 at once.

--- a/crates/comfreyroad_proxy/src/front/front.rs
+++ b/crates/comfreyroad_proxy/src/front/front.rs
@@ -21,6 +21,8 @@
 
 /// Longest plain answer that is read whole before its caller gets it, so that a broken one can be asked for again.
 const HELD_BYTES: usize = 1024 * 1024;
+/// Time between two looks for the first configuration.
+const CONFIGURED_PERIOD: Duration = Duration::from_millis(10);
 /// Time for a request's body to arrive where the caller names no deadline.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -136,6 +138,17 @@
         configuration.map_or_else(Limits::default, |it| it.limits)
     }
 
+    /// Waits for the first configuration of an entry that has just started.
+    async fn configured(&self, received: Instant) {
+        let until = || {
+            let router = self.shared.router.borrow();
+            router.state().life.waits_until(received)
+        };
+        while until().is_some_and(|until| until > Instant::now()) {
+            compio::time::sleep(CONFIGURED_PERIOD).await;
+        }
+    }
+
     async fn serve(
         &self,
         request: Request<Received>,
@@ -143,6 +156,7 @@
         open: Open,
     ) -> Result<Response<Body>, Refusal> {
         let shared = &self.shared;
+        self.configured(request.head().received).await;
         let routed = shared.ask(|router, now| router.admit(now, request))?;
         let mut returned = Returned::Unsent(routed);
         // The last answer by which an upstream said that it failed.
--- a/crates/comfreyroad_router/src/controller/life.rs
+++ b/crates/comfreyroad_router/src/controller/life.rs
@@ -14,12 +14,17 @@
 const NOTICE: Duration = Duration::from_millis(2800);
 /// Part of the grace period that is left for the process to end.
 const MARGIN: Duration = Duration::from_millis(300);
+/// Time after the start within which the first configuration is likely to come, as the store answers in milliseconds.
+const FIRST_CONFIGURATION: Duration = Duration::from_millis(1000);
+/// Time for which a request waits for it.
+const WAIT: Duration = Duration::from_millis(400);
 /// Time after the start at which an entry serves without having read every topic.
 const PATIENCE: Duration = Duration::from_secs(4);
 
 /// The process has started and gathers what it needs.
 #[derive(Debug)]
 pub struct Starting {
+    configured_by: Option<Instant>,
     patient_until: Option<Instant>,
     has_configuration: bool,
     missing: Vec<Topic>,
@@ -79,6 +84,7 @@
         Self {
             grace: settings.grace,
             phase: Phase::Starting(Starting {
+                configured_by: None,
                 patient_until: None,
                 has_configuration: false,
                 missing: vec![Topic::Operator, Topic::Upstreams, Topic::Status],
@@ -96,6 +102,17 @@
         matches!(self.phase, Phase::Serving(_))
     }
 
+    /// Until when a request waits for the first configuration, rather than being refused.
+    pub fn waits_until(&self, received: Instant) -> Option<Instant> {
+        let Phase::Starting(starting) = &self.phase else {
+            return None;
+        };
+        let by = starting
+            .configured_by
+            .filter(|_| !starting.has_configuration)?;
+        Some(by.min(received + WAIT))
+    }
+
     /// Whether connections are to end with their next answer.
     pub fn is_draining(&self) -> bool {
         matches!(self.phase, Phase::Draining(_))
@@ -114,7 +131,10 @@
             return;
         };
         match event {
-            Event::Started => starting.patient_until = Some(now.instant + PATIENCE),
+            Event::Started => {
+                starting.configured_by = Some(now.instant + FIRST_CONFIGURATION);
+                starting.patient_until = Some(now.instant + PATIENCE);
+            }
             Event::Configured(_) => starting.has_configuration = true,
             Event::Listed { topic, .. } => starting.missing.retain(|it| it != topic),
             Event::Heard(frame) => {
--- a/crates/comfreyroad_router/tests/decisions/life.rs
+++ b/crates/comfreyroad_router/tests/decisions/life.rs
@@ -3,7 +3,7 @@
 use comfreyroad_router::record::Topic;
 use comfreyroad_router::{Action, Event};
 
-use super::rig::{Rig, SECOND, config};
+use super::rig::{MS, Rig, SECOND, config};
 
 #[test]
 fn an_entry_is_ready_once_it_has_read_every_topic() {
@@ -59,3 +59,21 @@
     rig.run(2 * SECOND);
     assert_eq!(closes(&rig), 1);
 }
+
+/// Found by an incident (Tahtiaskel grown): after a power failure, requests that came in the tenth of a second before the
+/// first configuration were refused, and some of their callers had no time left to come back.
+#[test]
+fn a_request_waits_for_the_first_configuration_in_the_first_second_only() {
+    let mut rig = Rig::empty("e1");
+    let waits = |rig: &Rig| {
+        let until = rig.router.state().life.waits_until(rig.now.instant)?;
+        Some(until.saturating_duration_since(rig.now.instant))
+    };
+    assert_eq!(waits(&rig), Some(400 * MS));
+    rig.run(900 * MS);
+    assert_eq!(waits(&rig), Some(100 * MS));
+    rig.run(SECOND);
+    assert_eq!(waits(&rig), Some(0 * MS));
+    rig.list(Topic::Operator, vec![("config", config(1))]);
+    assert_eq!(waits(&rig), None);
+}
