Tell entries that hear from relays of the time after an outage

Cause, found by reading the change: an entry that reads nothing itself may not notice a short outage of the store, and would have taken registrations that lapsed in it for engines that are gone, until they were back two seconds later. Change: whoever is no relay goes by the time of return that its relays tell. On sites where every entry is a relay nothing changes.

--- a/crates/comfreyroad_router/src/controller/upstreams/mod.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/mod.rs
@@ -139,13 +139,14 @@
 
     /// A peer tells whether the store answers it. A store that turns only this entry away has not lost what it holds.
     fn on_frame(&mut self, now: Instant, frame: &Frame) {
-        let Some((lost, age)) = self.store_lost.zip(frame.store_answered) else {
-            return;
-        };
-        let answered = now.checked_sub(age).filter(|at| *at > lost);
-        let until = answered.map(|at| at + ANSWERS);
-        self.answers_others_until = self.answers_others_until.max(until);
-        if !frame.returns_for.is_zero() {
+        if let Some((lost, age)) = self.store_lost.zip(frame.store_answered) {
+            let answered = now.checked_sub(age).filter(|at| *at > lost);
+            let until = answered.map(|at| at + ANSWERS);
+            self.answers_others_until = self.answers_others_until.max(until);
+        }
+        // Who doesn't read the store may not have noticed an outage.
+        let is_reader = self.store_lost.is_none() && self.fleet.is_relay(&self.entry);
+        if !is_reader && !frame.returns_for.is_zero() {
             self.lapse_until(now + frame.returns_for);
         }
     }
--- a/crates/comfreyroad_router/tests/decisions/life.rs
+++ b/crates/comfreyroad_router/tests/decisions/life.rs
@@ -73,7 +73,7 @@
     rig.run(900 * MS);
     assert_eq!(waits(&rig), Some(100 * MS));
     rig.run(SECOND);
-    assert_eq!(waits(&rig), Some(0 * MS));
+    assert_eq!(waits(&rig), Some(Duration::ZERO));
     rig.list(Topic::Operator, vec![("config", config(1))]);
     assert_eq!(waits(&rig), None);
 }
--- a/crates/comfreyroad_router/tests/decisions/relays.rs
+++ b/crates/comfreyroad_router/tests/decisions/relays.rs
@@ -467,3 +467,27 @@
     rig.run(200 * MS);
     assert_ne!(asked(&rig), first);
 }
+
+/// An entry that hears from relays doesn't notice a short outage of the store, in which registrations lapse.
+#[test]
+fn what_a_relay_reads_just_after_an_outage_may_be_a_lapse_for_others_too() {
+    let (mut rig, relays) = zone(false);
+    told(&mut rig, &relays, 2 * SECOND);
+    let mut frame = gossip(&relays[0], 100_000);
+    frame.store_answered = Some(Duration::ZERO);
+    frame.returns_for = 2 * SECOND;
+    let record = Record {
+        offset: rig.offset + 1,
+        key: "u1".into(),
+        content: Content::Removed,
+    };
+    frame.records.push((Topic::Upstreams, record));
+    rig.hear(frame);
+    let has = |rig: &Rig| {
+        let mut known = rig.router.state().upstreams.known();
+        known.any(|it| &*it.id == "u1")
+    };
+    assert!(has(&rig));
+    rig.run(3 * SECOND);
+    assert!(!has(&rig));
+}
