Tests lease the ports of the processes they start

Cause: free_address of the process tests bound port 0, let the port go, and the daemon bound it later. The soak's harness had its own mend (ports below the ephemeral range, offset by process id), which two runs at once can still collide on.

Ruled out: handing a bound listener over, since the daemon binds the addresses of its settings file, also after restarts.

Change: one port::Lease in the stand-ins for all three harnesses: a port below the ephemeral range under an exclusive file lock, held until the environment is dropped.

After: leases of eight threads are distinct, 2,000 listeners on port 0 get none of them.

--- a/crates/comfreyroad_entry/tests/process/site.rs
+++ b/crates/comfreyroad_entry/tests/process/site.rs
@@ -10,7 +10,7 @@
 use comfreyroad_fakes::engine;
 use comfreyroad_fakes::server::Server;
 use comfreyroad_fakes::slots::Capacity;
-use comfreyroad_fakes::{log, service, vms};
+use comfreyroad_fakes::{log, port, service, vms};
 use comfreyroad_net::body::Body;
 use comfreyroad_net::client::{Client, Error, read_all};
 use comfreyroad_net::platform::Log;
@@ -30,6 +30,7 @@
     pub(crate) entry: SocketAddr,
     pub(crate) log: Log,
     child: Child,
+    _port: port::Lease,
     _servers: Vec<Server>,
 }
 
@@ -86,7 +87,8 @@
         let log = Server::start(any, Rc::new(log), Duration::ZERO).expect("a log");
         let vms = vms::List::new(list, Duration::ZERO);
         let vms = Server::start(any, Rc::new(vms), Duration::ZERO).expect("a VM list");
-        let entry = free_address();
+        let port = port::Lease::acquire().expect("a port");
+        let entry = port.address;
         let child = spawn(entry, log.address, vms.address);
         let client = Client::default();
         let site = Self {
@@ -94,6 +96,7 @@
             client,
             entry,
             child,
+            _port: port,
             _servers: servers.into_iter().chain([log, vms]).collect(),
         };
         site.publish().await;
@@ -223,12 +226,6 @@
     }
 }
 
-/// Returns an address that was free when it was tried. Another process may take it before the entry listens there.
-fn free_address() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
-    listener.local_addr().expect("an address")
-}
-
 fn spawn(entry: SocketAddr, log: SocketAddr, vms: SocketAddr) -> Child {
     let key = "01".repeat(32);
     let mut command = Command::new(env!("CARGO_BIN_EXE_comfreyroad-entry"));
--- a/crates/comfreyroad_fakes/src/lib.rs
+++ b/crates/comfreyroad_fakes/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod load;
 pub mod log;
 pub mod options;
+pub mod port;
 pub mod ratings;
 pub mod reply;
 pub mod server;
--- a/crates/comfreyroad_fakes/tests/contracts/main.rs
+++ b/crates/comfreyroad_fakes/tests/contracts/main.rs
@@ -6,4 +6,5 @@
 mod log;
 mod options;
 mod platform;
+mod port;
 mod service;
--- a/crates/comfreyroad_proxy/tests/process/environment.rs
+++ b/crates/comfreyroad_proxy/tests/process/environment.rs
@@ -1,10 +1,11 @@
 //! Test environment: a daemon process with a fake store and a fake engine.
 
 use std::io::{PipeReader, PipeWriter, Write};
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::process::{Child, Command};
 use std::time::{Duration, Instant};
 
+use comfreyroad_fakes::port;
 use rustix::fs::{OFlags, fcntl_getfl, fcntl_setfl};
 
 use super::engine::Engine;
@@ -22,18 +23,12 @@
     pub(super) front: SocketAddr,
     ready: SocketAddr,
     child: Child,
+    _ports: [port::Lease; 3],
     // The read end of the daemon's standard output, which is never read.
     _log: PipeReader,
     folder: std::path::PathBuf,
 }
 
-fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0")
-        .unwrap()
-        .local_addr()
-        .unwrap()
-}
-
 /// Creates a pipe without room for another byte: a writer that waits for its reader would block forever.
 fn full_pipe() -> (PipeReader, PipeWriter) {
     let (reader, mut writer) = std::io::pipe().unwrap();
@@ -83,7 +78,8 @@
             );
             store.put("keyed.servers", name, &registration);
         }
-        let (front, ready, control) = (free_address(), free_address(), free_address());
+        let ports = [(); 3].map(|()| port::Lease::acquire().unwrap());
+        let [front, ready, control] = ports.each_ref().map(|port| port.address);
         let settings = format!(
             "node_name = \"e1\"\nzone = \"a\"\n[listen]\nfront = \"{front}\"\nready = \"{ready}\"\n\
              control = \"{control}\"\n[bounds]\ngrace_s = 6\nretry_slack = 200\n[platform]\naddress = \"{address}\"\n"
@@ -105,6 +101,7 @@
             front,
             ready,
             child,
+            _ports: ports,
             _log: reader,
             folder,
         }
--- a/crates/comfreyroad_proxy/tests/soak/cluster.rs
+++ b/crates/comfreyroad_proxy/tests/soak/cluster.rs
@@ -10,7 +10,7 @@
 use super::caller::{self, Callers, Kind};
 use super::disturbances::{Disturbances, Scope};
 use super::engine::{Engine, Runs};
-use super::entry::{Addresses, Entry, GRACE_S};
+use super::entry::{Entry, GRACE_S, Ports};
 use super::fault::{DRAIN_DURATION, Fault};
 use super::invariants::{CONFIGURATION_TIMEOUT, Observations};
 use super::link::{Link, Mode};
@@ -66,13 +66,12 @@
         let runs = Runs::default();
         let engine = |number| Engine::start(number, store.clone(), runs.clone(), rng.u64(..));
         let engines: Vec<Engine> = (0..ENGINES).map(engine).collect();
-        let addresses: Vec<Addresses> = (0..ENTRIES).map(|_| Addresses::allocate()).collect();
-        let seeds: Vec<_> = addresses.iter().take(3).map(|it| it.control).collect();
-        let entry = |(number, addresses): (usize, &Addresses)| {
-            Entry::start(number, *addresses, &seeds, Link::to(address), &folder)
-        };
-        let entries: Vec<Entry> = addresses.iter().enumerate().map(entry).collect();
-        let callers = Callers::new(entries.iter().map(|it| it.front).collect());
+        let ports: Vec<Ports> = (0..ENTRIES).map(|_| Ports::acquire()).collect();
+        let seeds: Vec<_> = ports.iter().take(3).map(|it| it.control.address).collect();
+        let entry =
+            |(number, ports)| Entry::start(number, ports, &seeds, Link::to(address), &folder);
+        let entries: Vec<Entry> = ports.into_iter().enumerate().map(entry).collect();
+        let callers = Callers::new(entries.iter().map(|it| it.ports.front.address).collect());
         let mut cluster = Self {
             rng,
             store,
@@ -258,7 +257,7 @@
             return;
         }
         for (number, entry) in self.entries.iter().enumerate() {
-            let status = caller::status(entry.front, &format!("/v{version}/x"));
+            let status = caller::status(entry.ports.front.address, &format!("/v{version}/x"));
             let is_undisturbed =
                 self.disturbances
                     .is_undisturbed(number, published, Instant::now());
--- a/crates/comfreyroad_proxy/tests/soak/entry.rs
+++ b/crates/comfreyroad_proxy/tests/soak/entry.rs
@@ -1,12 +1,13 @@
 //! A daemon process, which can be paused, killed and restarted.
 
 use std::fs::{File, OpenOptions};
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command};
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
+use comfreyroad_fakes::port;
+
 use super::caller;
 use super::link::Link;
 
@@ -16,29 +17,24 @@
 /// An entry, which keeps its addresses across restarts.
 #[derive(Debug)]
 pub(super) struct Entry {
-    pub(super) front: SocketAddr,
-    ready: SocketAddr,
+    pub(super) ports: Ports,
     pub(super) store: Link,
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
 }
 
-/// Listen addresses of an entry.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Addresses {
-    pub(super) front: SocketAddr,
-    pub(super) ready: SocketAddr,
-    pub(super) control: SocketAddr,
+/// Ports that an entry listens on.
+#[derive(Debug)]
+pub(super) struct Ports {
+    pub(super) front: port::Lease,
+    pub(super) ready: port::Lease,
+    pub(super) control: port::Lease,
 }
 
-/// Ports for entries. They lie below the ephemeral port range, so that no outgoing connection takes the port of an
-/// entry while it is down.
-const PORTS: std::ops::Range<u32> = 10_000..30_000;
-
-impl Addresses {
-    pub(super) fn allocate() -> Self {
-        let [front, ready, control] = [(); 3].map(|()| free_address());
+impl Ports {
+    pub(super) fn acquire() -> Self {
+        let [front, ready, control] = [(); 3].map(|()| port::Lease::acquire().unwrap());
         Self {
             front,
             ready,
@@ -47,34 +43,17 @@
     }
 }
 
-/// Returns an address that nobody listens on. The process id offsets the first port, so that concurrent runs use
-/// different ports.
-fn free_address() -> SocketAddr {
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-    loop {
-        let number = NEXT.fetch_add(1, Ordering::Relaxed);
-        let start = std::process::id().wrapping_mul(97);
-        let port = PORTS.start + start.wrapping_add(number) % PORTS.len() as u32;
-        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port as u16)) {
-            return listener.local_addr().unwrap();
-        }
-    }
-}
-
 impl Entry {
     pub(super) fn start(
         number: usize,
-        addresses: Addresses,
+        ports: Ports,
         seeds: &[SocketAddr],
         store: Link,
         folder: &Path,
     ) -> Self {
         let zone = ["a", "b"][number % 2];
-        let Addresses {
-            front,
-            ready,
-            control,
-        } = addresses;
+        let [front, ready, control] =
+            [&ports.front, &ports.ready, &ports.control].map(|port| port.address);
         let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
         let text = format!(
             "node_name = \"e{number}\"\nzone = \"{zone}\"\nseeds = [{}]\n[zones]\na = \"r\"\nb = \"r\"\n[listen]\n\
@@ -86,8 +65,7 @@
         let settings = folder.join(format!("e{number}.toml"));
         std::fs::write(&settings, text).unwrap();
         let mut entry = Self {
-            front,
-            ready,
+            ports,
             store,
             settings,
             log: folder.join(format!("e{number}.log")),
@@ -147,7 +125,7 @@
     }
 
     pub(super) fn is_ready(&self) -> bool {
-        caller::status(self.ready, "/-/ready") == Some(200)
+        caller::status(self.ports.ready.address, "/-/ready") == Some(200)
     }
 }
 
