Entries exchange the load reports of engines

Cause: an entry of the large deployment receives some four answers a second from 53 engines, so it hears of each engine only once in many seconds, and its count of other entries' requests (valid for 2 s) is nearly always missing.

Change: frames carry the load that engines have reported; relays pass reports on. Plain services are left out, as their load changes within milliseconds. A prompt chooses among the four engines that come first in its key's hash order, so that entries with the same reports do not all choose the same idle engine, and pays for requests beyond an engine's slots.

--- a/crates/comfreyroad_router/src/controller/members/mod.rs
+++ b/crates/comfreyroad_router/src/controller/members/mod.rs
@@ -93,6 +93,7 @@
             rollouts: Vec::new(),
             session_pins: Vec::new(),
             tallies: Vec::new(),
+            loads: Vec::new(),
         }
     }
 
--- /dev/null
+++ b/crates/comfreyroad_router/src/controller/upstreams/load_exchange.rs
@@ -0,0 +1,67 @@
+//! Exchange of load reports between entries.
+//!
+//! Answers the load pattern in which many entries share many engines: an entry that receives a few answers per second hears of
+//! each engine only once in many seconds, and cannot see which ones are full.
+
+use std::time::{Duration, Instant};
+
+use super::Upstreams;
+use crate::frame::LoadReport;
+use crate::upstream::{Load, Upstream};
+
+/// Age up to which a report is passed on. It takes up to five gossip rounds to arrive.
+const MAX_FORWARD_AGE: Duration = Duration::from_millis(1500);
+/// Maximum number of reports in a frame. The newest are sent.
+const MAX_REPORTS_PER_FRAME: usize = 128;
+
+impl Upstreams {
+    /// The reports for a frame. Relays pass on the reports of other entries; the others send what they have received
+    /// themselves.
+    pub(super) fn load_reports(&self, now: Instant) -> Vec<LoadReport> {
+        let is_relay = self.fleet.is_relay(&self.entry);
+        let report = |upstream: &Upstream| {
+            let load = upstream.load.filter(|load| is_relay || !load.is_relayed)?;
+            let age = now.saturating_duration_since(load.reported_at);
+            // A plain service answers within milliseconds, so its load has changed when the report arrives.
+            let is_engine = !upstream.registration.models.is_empty();
+            (is_engine && age <= MAX_FORWARD_AGE).then(|| LoadReport {
+                upstream: upstream.id.clone(),
+                incarnation: upstream.registration.incarnation,
+                running: load.running,
+                waiting: load.waiting,
+                slots: load.slots,
+                age,
+            })
+        };
+        let mut reports: Vec<LoadReport> = self.upstreams.values().filter_map(report).collect();
+        reports.sort_by_key(|report| report.age);
+        reports.truncate(MAX_REPORTS_PER_FRAME);
+        reports
+    }
+
+    /// Takes the reports of a peer that are newer than this entry's own.
+    pub(super) fn on_load_reports(&mut self, now: Instant, reports: &[LoadReport]) {
+        for report in reports {
+            let Some(upstream) = self.upstreams.get_mut(&report.upstream) else {
+                continue;
+            };
+            let Some(reported_at) = now.checked_sub(report.age) else {
+                continue;
+            };
+            let is_older = upstream
+                .load
+                .is_some_and(|load| load.reported_at >= reported_at);
+            if is_older || upstream.registration.incarnation != report.incarnation {
+                continue;
+            }
+            upstream.load = Some(Load {
+                running: report.running,
+                waiting: report.waiting,
+                slots: report.slots,
+                reported_at,
+                own_requests: upstream.open_requests(),
+                is_relayed: true,
+            });
+        }
+    }
+}
--- a/crates/comfreyroad_router/src/controller/upstreams/mod.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/mod.rs
@@ -1,6 +1,7 @@
 //! The upstreams: their registrations, and their health and load as this entry observes them.
 
 mod limiter;
+mod load_exchange;
 mod outcomes;
 mod requirements;
 mod selection;
@@ -194,7 +195,10 @@
                 }
                 self.store_lost_at = None;
             }
-            Event::FrameReceived(frame) => self.on_frame(now.instant, frame),
+            Event::FrameReceived(frame) => {
+                self.on_frame(now.instant, frame);
+                self.on_load_reports(now.instant, &frame.loads);
+            }
             Event::ConfigurationApplied(configuration) => {
                 self.configuration = Some(Arc::clone(configuration));
             }
@@ -209,5 +213,6 @@
             .registration_grace_until
             .map(|until| until.saturating_duration_since(now.instant));
         frame.registration_grace = left.unwrap_or_default();
+        frame.loads = self.load_reports(now.instant);
     }
 }
--- a/crates/comfreyroad_router/src/controller/upstreams/selection.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/selection.rs
@@ -1,5 +1,6 @@
 //! Load balancing: selects the upstream for a request.
 
+use std::cmp::Reverse;
 use std::time::{Duration, Instant};
 
 use comfreyroad::rendezvous;
@@ -16,6 +17,11 @@
 const BATCH_COST_PER_REQUEST: Duration = Duration::from_millis(4);
 /// Expected delay of a prompt behind each one whose prefill takes longer than predicted.
 const OVERDUE_PROMPT_COST: Duration = Duration::from_millis(150);
+/// Expected delay by each request that waits at an engine without a free slot.
+const QUEUE_COST_PER_REQUEST: Duration = Duration::from_millis(50);
+/// Number of engines in the order of a key's hash among which a request chooses. Entries that read the same load reports
+/// would otherwise all choose the same idle engine.
+const CHOICES: usize = 4;
 /// Service time of an upstream, as a factor of the median, above which it counts as slow.
 const SLOW_FACTOR: f64 = 2.5;
 /// Number of entries not yet known for which a share of an upstream's connections is reserved.
@@ -169,7 +175,10 @@
                 .saturating_sub(requirements.cacheable_tokens),
         );
         let hash = |it: &&Candidate<'_>| rendezvous::hash(affinity, &it.upstream.id);
-        let preferred = candidates.iter().max_by_key(hash)?;
+        let mut choices: Vec<&Candidate<'_>> = candidates.iter().collect();
+        choices.sort_by_cached_key(|it| Reverse(hash(it)));
+        choices.truncate(CHOICES);
+        let preferred = *choices.first()?;
         let cost = |it: &&Candidate<'_>| {
             let is_preferred = it.upstream.id == preferred.upstream.id;
             let prefill = if is_preferred {
@@ -179,12 +188,13 @@
             };
             let overdue = OVERDUE_PROMPT_COST * it.upstream.overdue_prefills(now) as u32;
             let batch = BATCH_COST_PER_REQUEST.mul_f64(it.open_requests);
-            let time = it.upstream.prefill_backlog(now) + overdue + prefill + batch;
+            let slots = f64::from(it.upstream.registration.slots.max(1));
+            let queue = QUEUE_COST_PER_REQUEST.mul_f64((it.open_requests + 1.0 - slots).max(0.0));
+            let time = it.upstream.prefill_backlog(now) + overdue + prefill + batch + queue;
             if it.is_slow { time * 4 } else { time }
         };
-        let best = candidates
-            .iter()
-            .min_by_key(|it| (cost(it), u64::MAX - hash(it)));
+        // Among equal costs, the first in the order of the hash.
+        let best = choices.iter().min_by_key(|it| cost(it));
         best.map(|it| it.upstream)
     }
 
--- a/crates/comfreyroad_router/src/frame/frame.rs
+++ b/crates/comfreyroad_router/src/frame/frame.rs
@@ -3,7 +3,7 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use super::{Peer, Progress, SessionPin};
+use super::{LoadReport, Peer, Progress, SessionPin};
 use crate::id::Offset;
 use crate::record::{Record, Topic};
 use crate::rollout::Tally;
@@ -38,4 +38,7 @@
     pub session_pins: Vec<SessionPin>,
     /// Answer counts of active rollouts.
     pub tallies: Vec<Tally>,
+    /// Load of upstreams. Absent in frames of versions that do not exchange it.
+    #[serde(default)]
+    pub loads: Vec<LoadReport>,
 }
--- /dev/null
+++ b/crates/comfreyroad_router/src/frame/load_report.rs
@@ -0,0 +1,22 @@
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::id::{Incarnation, UpstreamId};
+
+/// The load that an upstream has reported to some entry.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// The incarnation of the upstream.
+    pub incarnation: Incarnation,
+    /// Requests being processed.
+    pub running: u32,
+    /// Requests queued at the upstream.
+    pub waiting: u32,
+    /// Requests that the upstream can process concurrently.
+    pub slots: u32,
+    /// Time since the upstream reported it. It is sent as an age, because the clocks of entries differ.
+    pub age: Duration,
+}
--- a/crates/comfreyroad_router/src/upstream/load.rs
+++ b/crates/comfreyroad_router/src/upstream/load.rs
@@ -13,6 +13,8 @@
     pub reported_at: Instant,
     /// Open requests of this entry at that time.
     pub own_requests: u32,
+    /// Whether another entry has received the report and passed it on.
+    pub is_relayed: bool,
 }
 
 impl Load {
--- a/crates/comfreyroad_router/tests/decisions/rig.rs
+++ b/crates/comfreyroad_router/tests/decisions/rig.rs
@@ -312,5 +312,6 @@
         rollouts: Vec::new(),
         session_pins: Vec::new(),
         tallies: Vec::new(),
+        loads: Vec::new(),
     }
 }
--- a/crates/comfreyroad_router/tests/decisions/upstreams.rs
+++ b/crates/comfreyroad_router/tests/decisions/upstreams.rs
@@ -1,7 +1,7 @@
 use comfreyroad_router::Event;
 use comfreyroad_router::answer::Completion;
 use comfreyroad_router::answer::Fault;
-use comfreyroad_router::frame::Frame;
+use comfreyroad_router::frame::{Frame, LoadReport};
 use comfreyroad_router::record::{Content, Record, Topic};
 use comfreyroad_router::upstream::Stage;
 use std::time::Duration;
@@ -250,3 +250,50 @@
     rig.run_for(3 * SECOND);
     assert!(!used(&mut rig).contains(&"u1".to_owned()));
 }
+
+/// A peer's frame that reports an upstream as full, with requests waiting.
+fn full(upstream: &str, age: Duration) -> Frame {
+    let mut incoming = frame("e2");
+    incoming.loads.push(LoadReport {
+        upstream: upstream.into(),
+        incarnation: 1,
+        running: 64,
+        waiting: 30,
+        slots: 64,
+        age,
+    });
+    incoming
+}
+
+/// The upstream that serves a prompt with a shared prefix.
+fn place_prompt(rig: &mut Rig) -> String {
+    let mut head = head(rig.now, "stream", "r");
+    head.prompt = prompt(&[("all", 500), ("book", 4000), ("own", 300)]);
+    let placed = rig.place(head).unwrap();
+    placed.stage().slot.upstream.to_string()
+}
+
+#[test]
+fn a_prompt_avoids_an_engine_that_peers_report_as_full() {
+    let mut rig = Rig::serving("e1");
+    let preferred = place_prompt(&mut rig);
+    rig.receive(full(&preferred, 500 * MS));
+    assert_ne!(place_prompt(&mut rig), preferred);
+    // The report expires.
+    rig.run_for(2 * SECOND);
+    assert_eq!(place_prompt(&mut rig), preferred);
+}
+
+#[test]
+fn a_load_report_of_an_earlier_incarnation_or_an_older_one_is_ignored() {
+    let mut rig = Rig::serving("e1");
+    let preferred = place_prompt(&mut rig);
+    let mut earlier = full(&preferred, 500 * MS);
+    earlier.loads[0].incarnation = 0;
+    rig.receive(earlier);
+    let mut idle = full(&preferred, 100 * MS);
+    (idle.loads[0].running, idle.loads[0].waiting) = (0, 0);
+    rig.receive(idle);
+    rig.receive(full(&preferred, 500 * MS));
+    assert_eq!(place_prompt(&mut rig), preferred);
+}
