Larger models are asked less the more of a pool's slots are taken

Change: the minimum confidence falls from half of the pool's slots taken to all of them, by the load reports that entries exchange. A pool without reports counts as idle, as before.

--- a/crates/comfreyroad_router/src/controller/upstreams/load_exchange.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/load_exchange.rs
@@ -7,6 +7,7 @@
 
 use super::Upstreams;
 use crate::frame::LoadReport;
+use crate::id::PoolId;
 use crate::upstream::{Load, Upstream};
 
 /// Age up to which a report is passed on. It takes up to five gossip rounds to arrive.
@@ -39,6 +40,17 @@
         reports
     }
 
+    /// Requests at the engines of a pool, running and waiting, as a fraction of their slots; `None` without recent reports.
+    pub(crate) fn utilization(&self, now: Instant, pool: &PoolId) -> Option<f64> {
+        let in_pool = |it: &&Upstream| it.registration.pool == *pool && it.is_ready(now);
+        let upstreams = self.upstreams.values().filter(in_pool);
+        let loads = upstreams.filter_map(|it| it.recent_load(now));
+        let (requests, slots) = loads.fold((0, 0), |(requests, slots), load| {
+            (requests + load.running + load.waiting, slots + load.slots)
+        });
+        (slots > 0).then(|| f64::from(requests) / f64::from(slots))
+    }
+
     /// Takes the reports of a peer that are newer than this entry's own.
     pub(super) fn on_load_reports(&mut self, now: Instant, reports: &[LoadReport]) {
         for report in reports {
--- a/crates/comfreyroad_router/src/filter/escalate.rs
+++ b/crates/comfreyroad_router/src/filter/escalate.rs
@@ -1,4 +1,7 @@
 //! Escalation to a larger model when a smaller one has low confidence in its answer.
+//!
+//! Answers the load pattern in which all traffic jumps: a larger model takes several times as long, so that engines that have
+//! room for some of its answers run out of slots when they get all of them, and then every answer is late.
 
 use super::Context;
 use crate::answer;
@@ -6,7 +9,11 @@
 
 /// Minimum confidence in percent at which the answer of a small model is accepted. About half of the answers at 50 are good,
 /// and the reported values carry noise of about 20 (docs/DESIGN.md).
-const MIN_CONFIDENCE: u8 = 62;
+const MIN_CONFIDENCE: f64 = 62.0;
+/// Utilization of the pool's slots up to which that minimum holds. Above it the minimum falls.
+const IDLE_UTILIZATION: f64 = 0.5;
+/// Utilization of the pool's slots from which every answer is accepted.
+const FULL_UTILIZATION: f64 = 1.0;
 /// Fraction of the latency objective within which the first event of the larger model must be expected. The rest covers the
 /// error of the prediction.
 const OBJECTIVE_SHARE: f64 = 0.9;
@@ -20,16 +27,25 @@
     context: Context<'_>,
 ) -> bool {
     let plan = request.stage().plan();
-    let is_low = head.confidence.is_some_and(|it| it < MIN_CONFIDENCE);
+    let now = context.now.instant;
+    let utilization = context.state.upstreams.utilization(now, &plan.pool);
+    let min_confidence = min_confidence(utilization);
+    let is_low = head
+        .confidence
+        .is_some_and(|it| f64::from(it) < min_confidence);
     is_low
         && plan.last_event_id.is_none()
         && plan.route.idempotency.may_retry()
         && plan.has_attempts_left()
         && is_in_time(request, context)
-        && context
-            .state
-            .retry_budgets
-            .may_step_up(context.now.instant, &plan.pool)
+        && context.state.retry_budgets.may_step_up(now, &plan.pool)
+}
+
+/// The confidence in percent below which an answer is escalated. A pool whose utilization is unknown counts as idle.
+fn min_confidence(utilization: Option<f64>) -> f64 {
+    let room = FULL_UTILIZATION - utilization.unwrap_or_default();
+    let share = room / (FULL_UTILIZATION - IDLE_UTILIZATION);
+    MIN_CONFIDENCE * share.clamp(0.0, 1.0)
 }
 
 /// Whether the first event of the larger model is expected in time.
--- a/crates/comfreyroad_router/src/upstream/upstream.rs
+++ b/crates/comfreyroad_router/src/upstream/upstream.rs
@@ -78,10 +78,14 @@
 
     /// Estimated number of requests at the upstream: this entry's own, and those of other entries by the last load report.
     pub fn estimated_requests(&self, now: Instant) -> u32 {
-        let fresh = self
-            .load
-            .filter(|load| load.reported_at + MAX_REPORT_AGE > now);
-        self.open_requests() + fresh.map_or(0, |load| load.other_requests())
+        let load = self.recent_load(now);
+        self.open_requests() + load.map_or(0, |load| load.other_requests())
+    }
+
+    /// The last load report, unless it is out of date.
+    pub fn recent_load(&self, now: Instant) -> Option<Load> {
+        self.load
+            .filter(|load| load.reported_at + MAX_REPORT_AGE > now)
     }
 
     /// Expected time until all prefills of this entry are finished.
--- /dev/null
+++ b/crates/comfreyroad_router/tests/decisions/load/fleet.rs
@@ -0,0 +1,341 @@
+use std::time::{Duration, Instant};
+
+use comfreyroad_router::answer::{Completion, Fault, Verdict};
+use comfreyroad_router::filter::place::Backpressure;
+use comfreyroad_router::record::{Content, Topic};
+use comfreyroad_router::request::{Returned, Sent, Unplaced};
+use comfreyroad_router::{Action, Event, Request};
+use fastrand::Rng;
+
+use super::engine::{Engine, Output, SLOTS, Work};
+use crate::rig::{
+    Rig, configuration_content, frame, good_answer, head, peer, prompt, registration,
+};
+
+/// Time that one step simulates.
+const STEP: Duration = Duration::from_millis(2);
+/// Number of steps between two ticks of the entries.
+const STEPS_PER_TICK: u64 = 50;
+/// Latency objective of the test configuration's routes.
+const OBJECTIVE: Duration = Duration::from_secs(1);
+
+/// Sizes of the requests of one kind.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Kind {
+    pub(super) shared_tokens: u32,
+    pub(super) own_tokens: u32,
+    pub(super) events: u32,
+    /// Number of different shared prefixes.
+    pub(super) prefixes: u32,
+}
+
+/// What callers got.
+#[derive(Debug, Default)]
+pub(super) struct Summary {
+    pub(super) in_time: usize,
+    pub(super) late: usize,
+    /// Requests that were refused or failed.
+    pub(super) failed: usize,
+    /// Answers of the large model.
+    pub(super) large: usize,
+    /// Requests without an answer, neither refused nor failed.
+    pub(super) open: usize,
+}
+
+impl Summary {
+    fn total(&self) -> usize {
+        self.in_time + self.late + self.failed + self.open
+    }
+
+    /// Fraction of the requests whose first event came within the latency objective.
+    pub(super) fn share_in_time(&self) -> f64 {
+        self.in_time as f64 / self.total().max(1) as f64
+    }
+}
+
+#[derive(Debug)]
+struct Call {
+    entry: usize,
+    kind: Kind,
+    prefix: String,
+    confidence: u8,
+    arrived_at: Instant,
+    state: State,
+    is_answered: bool,
+}
+
+#[derive(Debug)]
+enum State {
+    Waiting(Returned),
+    Sent(Request<Sent>, usize),
+    Over,
+}
+
+/// Entries and engines with a common simulated clock.
+pub(super) struct Fleet {
+    entries: Vec<Rig>,
+    pub(super) engines: Vec<Engine>,
+    calls: Vec<Call>,
+    rng: Rng,
+    steps: u64,
+    pub(super) summary: Summary,
+    owed: f64,
+}
+
+fn entry_name(number: usize) -> String {
+    format!("e{number}")
+}
+
+fn engine_name(number: usize) -> String {
+    format!("u{number}")
+}
+
+impl Fleet {
+    pub(super) fn new(entries: usize, engines: usize, seed: u64) -> Self {
+        let start = |number: usize| {
+            let mut rig = Rig::empty(&entry_name(number));
+            rig.list(Topic::Operator, vec![("config", configuration_content(1))]);
+            let names: Vec<String> = (0..engines).map(engine_name).collect();
+            let content = || {
+                let mut registration = registration("v1");
+                registration.slots = SLOTS as u32;
+                registration.models = vec!["small".into(), "large".into()];
+                Content::Upstream(Box::new(registration))
+            };
+            rig.list(
+                Topic::Upstreams,
+                names.iter().map(|name| (&**name, content())).collect(),
+            );
+            rig.list(Topic::Status, Vec::new());
+            rig.list(Topic::Entries, Vec::new());
+            rig
+        };
+        let mut fleet = Self {
+            entries: (0..entries).map(start).collect(),
+            engines: (0..engines).map(|_| Engine::default()).collect(),
+            calls: Vec::new(),
+            rng: Rng::with_seed(seed),
+            steps: 0,
+            summary: Summary::default(),
+            owed: 0.0,
+        };
+        fleet.introduce_entries();
+        fleet
+    }
+
+    /// Lets all entries know each other.
+    fn introduce_entries(&mut self) {
+        let now = self.entries[0].now;
+        self.entries.iter_mut().for_each(|entry| entry.now = now);
+        let introduce = |number| {
+            let mut frame = frame("other");
+            frame.sender = peer(&entry_name(number), "a");
+            frame
+        };
+        let frames: Vec<_> = (0..self.entries.len()).map(introduce).collect();
+        for entry in &mut self.entries {
+            frames.iter().for_each(|frame| entry.receive(frame.clone()));
+        }
+    }
+
+    /// Runs for a time with arrivals at a rate per second, spread over all entries.
+    pub(super) fn run(&mut self, time: Duration, per_second: f64, kinds: &[Kind]) {
+        let steps = time.as_millis() / STEP.as_millis();
+        for _ in 0..steps {
+            self.owed += per_second * STEP.as_secs_f64() * 2.0 * self.rng.f64();
+            while self.owed >= 1.0 {
+                self.owed -= 1.0;
+                let kind = kinds[self.rng.usize(..kinds.len())];
+                self.arrive(kind);
+            }
+            self.step();
+        }
+    }
+
+    /// Counts calls that are not over.
+    pub(super) fn finish(mut self) -> Summary {
+        let is_open = |call: &&Call| !matches!(call.state, State::Over) && !call.is_answered;
+        self.summary.open = self.calls.iter().filter(is_open).count();
+        self.summary
+    }
+
+    fn arrive(&mut self, kind: Kind) {
+        let entry = self.rng.usize(..self.entries.len());
+        let rig = &mut self.entries[entry];
+        let number = self.calls.len();
+        let prefix = format!("{}-{}", kind.shared_tokens, self.rng.u32(..kind.prefixes));
+        let mut head = head(rig.now, "stream", &format!("r{number}"));
+        let own_tokens = 1 + self.rng.u32(..kind.own_tokens * 2);
+        head.prompt = prompt(&[
+            ("all", 1),
+            (&prefix, kind.shared_tokens),
+            (&format!("own{number}"), own_tokens),
+        ]);
+        let arrived_at = rig.now.instant;
+        let planned = rig.admit(head).expect("the route exists");
+        self.calls.push(Call {
+            entry,
+            kind: Kind { own_tokens, ..kind },
+            prefix,
+            confidence: self.rng.u8(0..=100),
+            arrived_at,
+            state: State::Waiting(Returned::Planned(planned)),
+            is_answered: false,
+        });
+        self.place(number);
+    }
+
+    fn place(&mut self, number: usize) {
+        let state = std::mem::replace(&mut self.calls[number].state, State::Over);
+        let State::Waiting(returned) = state else {
+            self.calls[number].state = state;
+            return;
+        };
+        match returned {
+            Returned::Planned(request) => self.place_stage(number, request, Returned::Planned),
+            Returned::Retrying(request) => self.place_stage(number, request, Returned::Retrying),
+        }
+    }
+
+    fn place_stage<S: Unplaced>(
+        &mut self,
+        number: usize,
+        request: Request<S>,
+        returned: fn(Request<S>) -> Returned,
+    ) {
+        let call = &mut self.calls[number];
+        let rig = &mut self.entries[call.entry];
+        match rig.router.place(rig.now, request) {
+            Ok(placed) => {
+                let sent = rig.router.send(rig.now, placed);
+                let stage = sent.stage();
+                let engine: usize = stage.slot.upstream[1..].parse().expect("an engine's name");
+                let work = Work {
+                    prefix: &call.prefix,
+                    shared_tokens: call.kind.shared_tokens,
+                    own_tokens: call.kind.own_tokens,
+                    events: call.kind.events,
+                    is_large: stage.plan().model.as_deref() == Some("large"),
+                };
+                self.engines[engine].accept(number, stage.plan().priority, &work);
+                call.state = State::Sent(sent, engine);
+            }
+            Err(Backpressure::Wait(request, _)) => call.state = State::Waiting(returned(request)),
+            Err(Backpressure::Refuse(_)) => {
+                self.summary.failed += 1;
+            }
+        }
+    }
+
+    fn step(&mut self) {
+        self.steps += 1;
+        for entry in &mut self.entries {
+            entry.advance(STEP);
+        }
+        if self.steps.is_multiple_of(STEPS_PER_TICK) {
+            self.tick();
+        }
+        let outputs: Vec<Vec<Output>> = self.engines.iter_mut().map(|it| it.step(STEP)).collect();
+        for output in outputs.into_iter().flatten() {
+            match output {
+                Output::First(call) => self.on_first_event(call),
+                Output::Finished(call) => self.on_finished(call),
+            }
+        }
+        for number in 0..self.calls.len() {
+            match &self.calls[number].state {
+                State::Waiting(_) => self.place(number),
+                State::Sent(..) if !self.calls[number].is_answered => self.check_deadline(number),
+                _ => {}
+            }
+        }
+    }
+
+    /// Ticks all entries and carries their gossip.
+    fn tick(&mut self) {
+        for index in 0..self.entries.len() {
+            let entry = &mut self.entries[index];
+            entry.raise(Event::Tick);
+            let actions = std::mem::take(&mut entry.actions);
+            for action in actions {
+                let Action::Gossip { to, frame } = action else {
+                    continue;
+                };
+                let mut names = (0..self.entries.len()).map(entry_name);
+                if let Some(target) = names.position(|name| peer(&name, "a").address == to) {
+                    let now = self.entries[target].now;
+                    let (reply, _) = self.entries[target].router.exchange(now, *frame);
+                    self.entries[index].receive(reply);
+                }
+            }
+        }
+    }
+
+    fn on_first_event(&mut self, number: usize) {
+        let call = &mut self.calls[number];
+        let State::Sent(sent, engine) = &call.state else {
+            return;
+        };
+        let rig = &mut self.entries[call.entry];
+        let mut answer = good_answer(sent);
+        answer.load = Some(self.engines[*engine].load(rig.now.instant));
+        let is_large = sent.stage().plan().model.as_deref() == Some("large");
+        answer.confidence = (!is_large).then_some(call.confidence);
+        let verdict = rig.router.judge_answer(rig.now, sent, &answer);
+        if verdict == Verdict::LowConfidence {
+            let State::Sent(sent, engine) = std::mem::replace(&mut call.state, State::Over) else {
+                return;
+            };
+            self.engines[engine].cancel(number);
+            let request = rig.router.escalate(sent).expect("the route may retry");
+            call.state = State::Waiting(Returned::Retrying(request));
+            self.place(number);
+            return;
+        }
+        rig.router.on_first_event(rig.now, sent);
+        call.is_answered = true;
+        self.summary.large += usize::from(is_large);
+        if rig.now.instant - call.arrived_at <= OBJECTIVE {
+            self.summary.in_time += 1;
+        } else {
+            self.summary.late += 1;
+        }
+    }
+
+    fn on_finished(&mut self, number: usize) {
+        let call = &mut self.calls[number];
+        let State::Sent(sent, _) = std::mem::replace(&mut call.state, State::Over) else {
+            return;
+        };
+        let rig = &mut self.entries[call.entry];
+        let completion = Completion {
+            is_success: true,
+            first_event_after: None,
+            service_time: Some(Duration::from_millis(10)),
+        };
+        rig.router.on_finished(rig.now, &sent, completion);
+    }
+
+    /// Ends an attempt without a first event within the time that the router grants.
+    fn check_deadline(&mut self, number: usize) {
+        let call = &mut self.calls[number];
+        let rig = &mut self.entries[call.entry];
+        let State::Sent(sent, _) = &call.state else {
+            return;
+        };
+        if rig.router.response_deadline(rig.now, sent) > rig.now.instant {
+            return;
+        }
+        let State::Sent(sent, engine) = std::mem::replace(&mut call.state, State::Over) else {
+            return;
+        };
+        self.engines[engine].cancel(number);
+        match rig.router.on_failed(rig.now, sent, Fault::TimedOut) {
+            Ok(request) => {
+                call.state = State::Waiting(Returned::Retrying(request));
+                self.place(number);
+            }
+            Err(_) => self.summary.failed += 1,
+        }
+    }
+}
--- /dev/null
+++ b/crates/comfreyroad_router/tests/decisions/load/mod.rs
@@ -0,0 +1,64 @@
+//! Replays of load patterns: entries decide, and engines of a simple model serve. Each test states what callers get.
+
+mod engine;
+mod fleet;
+
+use std::time::Duration;
+
+use fleet::{Fleet, Kind};
+
+const SECOND: Duration = Duration::from_secs(1);
+const SEED: u64 = 20_261_204;
+const ENTRIES: usize = 24;
+const ENGINES: usize = 12;
+/// Requests per second that keep about half of the slots busy.
+const USUAL_RATE: f64 = 100.0;
+/// The users' target for the worth of a day with trouble.
+const TARGET: f64 = 0.70;
+
+/// Long prompts with a large shared prefix.
+const LONG: Kind = Kind {
+    shared_tokens: 5_000,
+    own_tokens: 6_000,
+    events: 70,
+    prefixes: 60,
+};
+/// Short prompts with long answers.
+const CHAT: Kind = Kind {
+    shared_tokens: 200,
+    own_tokens: 600,
+    events: 60,
+    prefixes: 60,
+};
+/// Short answers.
+const TAG: Kind = Kind {
+    shared_tokens: 600,
+    own_tokens: 1_800,
+    events: 4,
+    prefixes: 60,
+};
+const MIX: [Kind; 4] = [LONG, CHAT, TAG, TAG];
+
+#[test]
+fn callers_are_answered_in_time_when_all_traffic_jumps_to_three_times_the_usual() {
+    let mut fleet = Fleet::new(ENTRIES, ENGINES, SEED);
+    fleet.run(3 * SECOND, USUAL_RATE, &MIX);
+    fleet.run(8 * SECOND, 3.0 * USUAL_RATE, &MIX);
+    fleet.run(4 * SECOND, USUAL_RATE, &MIX);
+    let summary = fleet.finish();
+    assert!(summary.share_in_time() >= TARGET, "{summary:?}");
+    assert_eq!(summary.failed, 0, "{summary:?}");
+}
+
+#[test]
+fn larger_models_answer_at_the_usual_load() {
+    let mut fleet = Fleet::new(ENTRIES, ENGINES, SEED);
+    fleet.run(15 * SECOND, USUAL_RATE, &MIX);
+    let summary = fleet.finish();
+    assert!(summary.share_in_time() >= TARGET, "{summary:?}");
+    // 62 in 100 of the answers have low confidence. Larger models that would be late are not asked.
+    assert!(
+        summary.large as f64 > 0.4 * summary.in_time as f64,
+        "{summary:?}"
+    );
+}
--- a/crates/comfreyroad_router/tests/decisions/main.rs
+++ b/crates/comfreyroad_router/tests/decisions/main.rs
@@ -4,6 +4,7 @@
 mod chain;
 mod cold;
 mod lifecycle;
+mod load;
 mod members;
 mod models;
 mod relays;
