A later attempt at a mute engine is given up while another can answer

Cause: only the first attempt had a deadline of its own.

Change: every attempt of a route that may be retried has a deadline; from the second on it is at least half of the time left, as an answer that is being computed late is worth more than a new start.

--- a/crates/comfreyroad_router/src/router.rs
+++ b/crates/comfreyroad_router/src/router.rs
@@ -24,6 +24,9 @@
 const FIRST_EVENT_FACTOR: f64 = 1.5;
 /// Time for a plain answer before another upstream is tried, as a factor of the latency objective.
 const PLAIN_ANSWER_FACTOR: f64 = 0.7;
+/// A later attempt, or one of a larger model, gets at least this fraction (1/2) of the time left: the request is late already,
+/// and an answer that is being computed is worth more than a new start.
+const LATER_ATTEMPT_DIVISOR: u32 = 2;
 /// Time for the next event of a stream before another upstream resumes it, as a factor of the maximum event gap.
 const NEXT_EVENT_FACTOR: f64 = 1.5;
 
@@ -164,7 +167,6 @@
         let route = &plan.route;
         let can_retry = route.idempotency.may_retry()
             && plan.has_attempts_left()
-            && plan.runs == 1
             && self.state.retry_budgets.may_retry(now.instant, &plan.pool);
         if !can_retry {
             return plan.deadline;
@@ -174,8 +176,13 @@
         } else {
             PLAIN_ANSWER_FACTOR
         };
-        plan.deadline
-            .min(request.stage().sent_at + route.latency_objective.mul_f64(factor))
+        let sent_at = request.stage().sent_at;
+        let mut patience = route.latency_objective.mul_f64(factor);
+        if plan.runs > 1 {
+            let left = plan.deadline.saturating_duration_since(sent_at);
+            patience = patience.max(left / LATER_ATTEMPT_DIVISOR);
+        }
+        plan.deadline.min(sent_at + patience)
     }
 
     /// Deadline at this upstream for the next event of a stream.
--- a/crates/comfreyroad_router/tests/decisions/load/mod.rs
+++ b/crates/comfreyroad_router/tests/decisions/load/mod.rs
@@ -62,3 +62,16 @@
         "{summary:?}"
     );
 }
+
+/// An engine that accepts requests and answers none must not use up the time of a caller whose route allows another attempt,
+/// whether it gets the first attempt or that of a larger model.
+#[test]
+fn no_caller_waits_for_a_mute_engine_until_its_deadline() {
+    let mut fleet = Fleet::new(ENTRIES, ENGINES, SEED);
+    fleet.run(3 * SECOND, USUAL_RATE, &MIX);
+    fleet.engines[0].is_mute = true;
+    fleet.run(12 * SECOND, USUAL_RATE, &MIX);
+    let summary = fleet.finish();
+    assert_eq!(summary.failed, 0, "{summary:?}");
+    assert!(summary.share_in_time() >= TARGET, "{summary:?}");
+}
