Fewer calls to a store that rejects entries, and fewer reads at rest

Change: - In an outage one probe at a time, which asks for no wait, for all topics in turn; entries that are no relays probe every 3.2 s, as they learn from relays that the store is back. - A relay that the store rejects passes on the age of another relay's answer once it has all its records, so that its zone does not read the store. - The interval of reads of the upstreams and the time until an entry takes its role follow from the time in which a drain must be known (0.45 of it: 0.9 s where it is 2 s, as before; 1.8 s where it is 4 s).

Ruled out: one reader a zone (another hop; too slow where a drain must be known in 2 or 3 s).

--- a/crates/comfreyroad_router/src/controller/subscriptions/intervals.rs
+++ b/crates/comfreyroad_router/src/controller/subscriptions/intervals.rs
@@ -1,5 +1,5 @@
-//! How often topics are read. The intervals follow from two bounds of the deployment: a configuration is active within
-//! 2 s of its publication, and a draining upstream receives no requests after 2 s.
+//! How often topics are read. The intervals follow from a bound of the deployment: the time after which a draining upstream
+//! receives no more requests.
 
 use std::time::Duration;
 
@@ -9,8 +9,10 @@
 pub(super) const REGISTRATION_RETRY_INTERVAL: Duration = Duration::from_secs(2);
 /// Delay of the first retry of a failed call; doubles with each failure.
 pub(super) const INITIAL_BACKOFF: Duration = Duration::from_millis(200);
-/// Maximum delay of a retry.
-pub(super) const MAX_BACKOFF: Duration = Duration::from_millis(800);
+/// Maximum delay of a retry by a relay, on which the others depend.
+pub(super) const MAX_RELAY_BACKOFF: Duration = Duration::from_millis(800);
+/// Maximum delay of a retry by another entry, which learns from the relays that the store has recovered.
+pub(super) const MAX_BACKOFF: Duration = Duration::from_millis(3200);
 /// Maximum delay of a retry for a topic that was never listed.
 pub(super) const MAX_LISTING_BACKOFF: Duration = Duration::from_millis(250);
 /// Age at which a record is forwarded to relays, which have usually read it from the store by then.
@@ -18,11 +20,8 @@
 
 /// Time for which a relay's last frame counts as current. Each relay is asked once a second.
 pub(super) const RELAY_FRAME_VALIDITY: Duration = Duration::from_millis(1300);
-/// Time after the start in which an entry learns of its peers, before it may take itself for a relay: two gossip rounds.
-pub(super) const ROLE_SETTLE_TIME: Duration = Duration::from_millis(900);
-/// Age of the store's last answer up to which an entry counts as reading the store: one long poll of the upstreams topic,
-/// and a margin.
-pub(super) const STORE_ANSWER_VALIDITY: Duration = Duration::from_millis(2300);
+/// Time beyond an interval and a long poll of the upstreams topic up to which an entry counts as reading the store.
+const STORE_ANSWER_MARGIN: Duration = Duration::from_millis(400);
 
 /// Timeout of a long poll: how long the store may hold a read while there is no new record.
 pub(super) fn poll_timeout(topic: Topic) -> Duration {
@@ -33,14 +32,35 @@
     }
 }
 
+/// Part of the time for a drain to propagate that may pass before the store is read. The rest is for gossip and for requests
+/// that are under way.
+const READ_SHARE: f64 = 0.45;
+
 /// Minimum time between the starts of two reads. Upstreams write several records a second; other records are rare.
-pub(super) fn min_poll_interval(topic: Topic) -> Duration {
+pub(super) fn min_poll_interval(topic: Topic, drain_propagation: Duration) -> Duration {
     match topic {
-        Topic::Upstreams => Duration::from_millis(900),
+        Topic::Upstreams => drain_propagation.mul_f64(READ_SHARE),
         Topic::Operator | Topic::Status | Topic::Entries => Duration::from_millis(50),
     }
 }
 
+/// Age of the store's last answer up to which an entry counts as reading the store.
+pub(super) fn store_answer_validity(drain_propagation: Duration) -> Duration {
+    let topic = Topic::Upstreams;
+    min_poll_interval(topic, drain_propagation) + poll_timeout(topic) + STORE_ANSWER_MARGIN
+}
+
+/// Age of another entry's answer from the store up to which a relay that has all its records counts as reading the store.
+pub(super) fn relayed_answer_validity(drain_propagation: Duration) -> Duration {
+    min_poll_interval(Topic::Upstreams, drain_propagation)
+}
+
+/// Time after the start in which an entry learns of its peers, before it may take itself for a relay. It has listed the topics
+/// and needs no read before the next one would be due.
+pub(super) fn role_settle_time(drain_propagation: Duration) -> Duration {
+    min_poll_interval(Topic::Upstreams, drain_propagation)
+}
+
 /// Whether a topic is polled after it was listed. New entries become known by gossip instead.
 pub(super) fn is_polled(topic: Topic) -> bool {
     topic != Topic::Entries
--- a/crates/comfreyroad_router/src/controller/subscriptions/mod.rs
+++ b/crates/comfreyroad_router/src/controller/subscriptions/mod.rs
@@ -6,14 +6,16 @@
 //! not matter.
 
 mod intervals;
+mod outage;
 mod subscription;
 
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use comfreyroad::clock::Now;
 use indexmap::IndexMap;
 
+use self::outage::Outage;
 use self::subscription::Subscription;
 use super::Controller;
 use super::members::Fleet;
@@ -29,12 +31,19 @@
 pub struct Subscriptions {
     own: Peer,
     subscriptions: IndexMap<Topic, Subscription>,
+    // Ages up to which answers of the store to this entry, and to other relays, count.
+    store_answer_validity: Duration,
+    relayed_answer_validity: Duration,
+    role_settle_time: Duration,
     // The last report of each peer.
     reports: IndexMap<Address, Report>,
     fleet: Rc<Fleet>,
-    is_store_lost: bool,
-    // When the store last answered.
+    // Set while the store does not answer this entry.
+    outage: Option<Outage>,
+    // When the store last answered this entry.
     answered_at: Option<Instant>,
+    // When the store gave a relay its last answer of which this entry has all records.
+    relayed_answer_at: Option<Instant>,
     // Until when a relay keeps this entry up to date.
     relayed_until: Option<Instant>,
     // When the entry knows its peers well enough to tell whether it is a relay.
@@ -53,14 +62,23 @@
 
 impl Subscriptions {
     pub(super) fn new(settings: &Settings) -> Self {
-        let subscriptions = Topic::ALL.map(|topic| (topic, Subscription::new(topic)));
+        let drain_propagation = settings.drain_propagation;
+        let subscription = |topic| {
+            let interval = intervals::min_poll_interval(topic, drain_propagation);
+            (topic, Subscription::new(topic, interval))
+        };
+        let subscriptions = Topic::ALL.map(subscription);
         Self {
             own: settings.own.clone(),
             subscriptions: subscriptions.into_iter().collect(),
+            store_answer_validity: intervals::store_answer_validity(drain_propagation),
+            role_settle_time: intervals::role_settle_time(drain_propagation),
+            relayed_answer_validity: intervals::relayed_answer_validity(drain_propagation),
             reports: IndexMap::new(),
             fleet: Rc::default(),
-            is_store_lost: false,
+            outage: None,
             answered_at: None,
+            relayed_answer_at: None,
             relayed_until: None,
             role_settles_at: None,
             register_at: None,
@@ -69,7 +87,7 @@
 
     /// Whether the store does not answer this entry.
     pub fn is_store_lost(&self) -> bool {
-        self.is_store_lost
+        self.outage.is_some()
     }
 
     /// The offset up to which a topic is known.
@@ -86,7 +104,7 @@
 
     fn on_store_answer(&mut self, now: Instant, out: &mut Outbox) {
         self.answered_at = Some(now);
-        if std::mem::take(&mut self.is_store_lost) {
+        if self.outage.take().is_some() {
             out.note(Note::new(&note::STORE_RECOVERED));
             out.raise(Event::StoreRecovered);
             // Calls made before may wait on connections that have gone silent.
@@ -102,25 +120,38 @@
         out.act(Action::Reconnect);
     }
 
-    /// Handles a failed call. The connections of the other calls may have gone silent too, so the first failure restarts
+    /// Handles a failed call. The connections of the other calls may have gone silent too, so the first failure abandons
     /// all of them.
     fn on_call_failed(&mut self, now: Now, topic: Topic, out: &mut Outbox) {
-        if !std::mem::replace(&mut self.is_store_lost, true) {
-            out.note(Note::new(&note::STORE_LOST).with("topic", topic.name()));
-            out.raise(Event::StoreLost);
-            self.restart(out);
-        }
-        if let Some(subscription) = self.subscriptions.get_mut(&topic) {
-            subscription.on_failed(now.instant);
+        let max_backoff = if self.next_offset(topic).is_none() {
+            // An entry cannot serve before it has listed a topic.
+            intervals::MAX_LISTING_BACKOFF
+        } else if self.fleet.is_relay(&self.own.entry) {
+            intervals::MAX_RELAY_BACKOFF
+        } else {
+            intervals::MAX_BACKOFF
+        };
+        match &mut self.outage {
+            Some(outage) => outage.on_failure(now.instant, topic, max_backoff),
+            None => {
+                self.outage = Some(Outage::new(now.instant, topic, max_backoff));
+                out.note(Note::new(&note::STORE_LOST).with("topic", topic.name()));
+                out.raise(Event::StoreLost);
+            }
         }
+        self.restart(out);
     }
 
     /// Starts the calls that are due, and registers this entry if that is due.
     fn start_due_calls(&mut self, now: Now, out: &mut Outbox) {
         let polls_store = self.polls_store(now.instant);
-        for (topic, subscription) in &mut self.subscriptions {
-            let is_polled = polls_store && intervals::is_polled(*topic);
-            subscription.start_due_call(now.instant, is_polled, out);
+        if self.outage.is_some() {
+            self.start_due_probe(now.instant, polls_store, out);
+        } else {
+            for (topic, subscription) in &mut self.subscriptions {
+                let is_polled = polls_store && intervals::is_polled(*topic);
+                subscription.start_due_call(now.instant, is_polled, out);
+            }
         }
         if self.register_at.is_some_and(|at| at <= now.instant) {
             self.register_at = None;
@@ -132,6 +163,30 @@
         }
     }
 
+    /// Probes the store during an outage, unless a call is active or this entry needs nothing from the store.
+    fn start_due_probe(&mut self, now: Instant, polls_store: bool, out: &mut Outbox) {
+        let mut subscriptions = self.subscriptions.values();
+        let (Some(outage), false) = (&self.outage, subscriptions.any(Subscription::has_call))
+        else {
+            return;
+        };
+        let is_unlisted = |topic: &Topic| self.next_offset(*topic).is_none();
+        let is_needed =
+            |topic: &Topic| is_unlisted(topic) || (polls_store && intervals::is_polled(*topic));
+        let topics: Vec<Topic> = if is_unlisted(&Topic::Operator) {
+            // Without a configuration nothing can be served.
+            vec![Topic::Operator]
+        } else {
+            Topic::ALL.into_iter().filter(is_needed).collect()
+        };
+        let Some(topic) = outage.due_probe(now, &topics) else {
+            return;
+        };
+        if let Some(subscription) = self.subscriptions.get_mut(&topic) {
+            subscription.start_call(now, Duration::ZERO, out);
+        }
+    }
+
     fn on_frame(&mut self, now: Now, frame: &Frame, out: &mut Outbox) {
         let address = frame.sender.address.clone();
         let report = Report {
@@ -149,15 +204,32 @@
                 subscription.advance(*next);
             }
         }
-        let is_same_zone = frame.sender.zone == self.own.zone;
-        let is_relayed = frame.store_answer_age.is_some()
-            && is_same_zone
-            && self.fleet.is_relay(&frame.sender.entry);
-        if is_relayed && self.is_caught_up_with(frame) {
-            self.relayed_until = Some(now.instant + intervals::RELAY_FRAME_VALIDITY);
+        let from_relay = self.fleet.is_relay(&frame.sender.entry);
+        if let Some(age) = frame.store_answer_age
+            && from_relay
+            && self.is_caught_up_with(frame)
+        {
+            let answer_at = now.instant.checked_sub(age);
+            self.relayed_answer_at = self.relayed_answer_at.max(answer_at);
+            if frame.sender.zone == self.own.zone {
+                self.relayed_until = Some(now.instant + intervals::RELAY_FRAME_VALIDITY);
+            }
         }
     }
 
+    /// Age of the newest answer of the store whose records this entry has, unless it is out of date. A relay that the store
+    /// rejects still keeps its zone up to date with the records of other relays.
+    fn store_answer_age(&self, now: Instant) -> Option<Duration> {
+        let age = |at: Option<Instant>, validity: Duration| {
+            let age = at.map(|at| now.saturating_duration_since(at));
+            age.filter(|age| *age < validity)
+        };
+        let own = self.answered_at.filter(|_| self.outage.is_none());
+        let own = age(own, self.store_answer_validity);
+        let relayed = age(self.relayed_answer_at, self.relayed_answer_validity);
+        own.into_iter().chain(relayed).min()
+    }
+
     /// Whether this entry knows all records that the sender of a frame knows.
     fn is_caught_up_with(&self, frame: &Frame) -> bool {
         let mut offsets = frame.next_offsets.iter();
@@ -211,7 +283,7 @@
         match event {
             Event::Started => {
                 self.register_at = Some(now.instant);
-                self.role_settles_at = Some(now.instant + intervals::ROLE_SETTLE_TIME);
+                self.role_settles_at = Some(now.instant + self.role_settle_time);
                 self.start_due_calls(now, out);
             }
             Event::Tick => self.start_due_calls(now, out),
@@ -243,9 +315,7 @@
     }
 
     fn fill_frame(&mut self, now: Now, to: &Address, frame: &mut Frame) {
-        let answered = self.answered_at.filter(|_| !self.is_store_lost);
-        let age = answered.map(|at| now.instant.saturating_duration_since(at));
-        frame.store_answer_age = age.filter(|age| *age < intervals::STORE_ANSWER_VALIDITY);
+        frame.store_answer_age = self.store_answer_age(now.instant);
         let report = self.reports.get(to);
         let is_relay = self.fleet.relays().any(|relay| relay.address == *to);
         let reads_store = is_relay && report.is_some_and(|report| report.reads_store);
--- a/crates/comfreyroad_router/src/controller/subscriptions/subscription.rs
+++ b/crates/comfreyroad_router/src/controller/subscriptions/subscription.rs
@@ -1,6 +1,6 @@
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use indexmap::{IndexMap, IndexSet};
 
@@ -20,6 +20,7 @@
 #[derive(Debug)]
 pub(super) struct Subscription {
     topic: Topic,
+    min_poll_interval: Duration,
     // The offset up to which the topic is known; `None` before the first listing.
     next_offset: Option<Offset>,
     records: IndexMap<Arc<str>, Cached>,
@@ -28,7 +29,6 @@
     last_call: CallId,
     call_started_at: Option<Instant>,
     next_call_at: Option<Instant>,
-    failures: u32,
 }
 
 /// The newest record of a key.
@@ -57,16 +57,16 @@
 }
 
 impl Subscription {
-    pub(super) fn new(topic: Topic) -> Self {
+    pub(super) fn new(topic: Topic, min_poll_interval: Duration) -> Self {
         Self {
             topic,
+            min_poll_interval,
             next_offset: None,
             records: IndexMap::new(),
             call: None,
             last_call: 0,
             call_started_at: None,
             next_call_at: None,
-            failures: 0,
         }
     }
 
@@ -80,16 +80,22 @@
         if self.call.is_some() || self.next_call_at.is_some_and(|at| at > now) {
             return;
         }
+        if self.next_offset.is_none() || is_polled {
+            self.start_call(now, intervals::poll_timeout(self.topic), out);
+        }
+    }
+
+    /// Starts a listing, or a read that the store may hold for a time while there is no new record.
+    pub(super) fn start_call(&mut self, now: Instant, wait: Duration, out: &mut Outbox) {
         let topic = self.topic;
         let call = self.last_call + 1;
         let action = match self.next_offset {
             None => Action::List(topic, call),
-            Some(_) if !is_polled => return,
             Some(from) => Action::Read {
                 topic,
                 call,
                 from,
-                wait: intervals::poll_timeout(topic),
+                wait,
             },
         };
         self.last_call = call;
@@ -98,6 +104,11 @@
         out.act(action);
     }
 
+    /// Whether a call is active.
+    pub(super) fn has_call(&self) -> bool {
+        self.call.is_some()
+    }
+
     /// Whether a call is the active one.
     pub(super) fn is_current(&self, call: CallId) -> bool {
         self.call == Some(call)
@@ -157,11 +168,8 @@
 
     fn finish_call(&mut self, next: Offset) {
         self.advance(next);
-        self.failures = 0;
         self.call = None;
-        self.next_call_at = self
-            .call_started_at
-            .map(|at| at + intervals::min_poll_interval(self.topic));
+        self.next_call_at = self.call_started_at.map(|at| at + self.min_poll_interval);
     }
 
     /// Discards the position in the topic, as the records to be read have expired. The topic is listed again.
@@ -172,20 +180,6 @@
         self.next_call_at = None;
     }
 
-    /// Schedules the retry of a failed call with exponential backoff.
-    pub(super) fn on_failed(&mut self, now: Instant) {
-        let backoff = intervals::INITIAL_BACKOFF * 2_u32.saturating_pow(self.failures.min(8));
-        self.failures += 1;
-        self.call = None;
-        // An entry cannot serve before it has listed a topic, so it retries more often until then.
-        let max_backoff = if self.next_offset.is_none() {
-            intervals::MAX_LISTING_BACKOFF
-        } else {
-            intervals::MAX_BACKOFF
-        };
-        self.next_call_at = Some(now + backoff.min(max_backoff));
-    }
-
     /// Marks everything before an offset as known.
     pub(super) fn advance(&mut self, next: Offset) {
         self.next_offset = self.next_offset.max(Some(next));
--- a/crates/comfreyroad_router/src/settings.rs
+++ b/crates/comfreyroad_router/src/settings.rs
@@ -16,6 +16,8 @@
     pub zone_count: usize,
     /// Maximum duration of a shutdown.
     pub drain_timeout: Duration,
+    /// Time within which all entries must stop sending requests to an upstream that drains.
+    pub drain_propagation: Duration,
     /// Retry budget of a pool over all entries, as a ratio of its requests.
     pub retry_ratio: f64,
     /// Retries of a pool that are allowed in addition, over all entries together.
@@ -50,6 +52,7 @@
             seeds: Vec::new(),
             zone_count: 1,
             drain_timeout: Duration::from_secs(8),
+            drain_propagation: Duration::from_secs(2),
             retry_ratio: 0.5,
             retry_slack: 20.0,
             retry_window: Duration::from_secs(10),
--- a/crates/comfreyroad_router/tests/decisions/subscriptions.rs
+++ b/crates/comfreyroad_router/tests/decisions/subscriptions.rs
@@ -171,6 +171,65 @@
     assert_eq!(writes(&rig), 2);
 }
 
+/// Calls to the store started within a time in which each fails at once.
+fn calls_during_rejection(rig: &mut Rig, seconds: u32) -> Vec<Topic> {
+    let mut calls = Vec::new();
+    for _ in 0..seconds * 10 {
+        let actions = std::mem::take(&mut rig.actions);
+        for action in actions {
+            if let Action::List(topic, call) | Action::Read { topic, call, .. } = action {
+                calls.push(topic);
+                rig.raise(Event::StoreFailed(topic, call));
+            }
+        }
+        rig.run_for(100 * MS);
+    }
+    calls
+}
+
+/// Load pattern: the store rejects a third of the entries for seconds. Each of them repeated the calls for three topics.
+#[test]
+fn a_store_that_rejects_calls_gets_one_probe_at_a_time_for_all_topics() {
+    let mut rig = Rig::serving("e1");
+    rig.run_for(SECOND);
+    let calls = calls_during_rejection(&mut rig, 10);
+    // The calls that were active, and at most two probes per second.
+    assert!(calls.len() <= 3 + 20, "{} calls in 10 s", calls.len());
+    for topic in [Topic::Operator, Topic::Upstreams, Topic::Status] {
+        let probes = calls.iter().filter(|it| **it == topic).count();
+        assert!(probes >= 3, "{probes} of {topic:?}");
+    }
+}
+
+/// One partition of the store is lost and the others answer: their topics are read again within a few seconds.
+#[test]
+fn the_loss_of_one_topic_does_not_stop_the_others_from_being_read() {
+    let mut rig = Rig::serving("e1");
+    rig.run_for(SECOND);
+    for _ in 0..40 {
+        let actions = std::mem::take(&mut rig.actions);
+        for action in actions {
+            match action {
+                Action::Read {
+                    topic: Topic::Upstreams,
+                    call,
+                    ..
+                } => rig.raise(Event::StoreFailed(Topic::Upstreams, call)),
+                Action::Read {
+                    topic: Topic::Operator,
+                    ..
+                } => {
+                    rig.actions.push(action);
+                    rig.read(Topic::Operator, "config", configuration_content(7));
+                }
+                _ => {}
+            }
+        }
+        rig.run_for(100 * MS);
+    }
+    assert_eq!(generation(&rig), Some(7));
+}
+
 #[test]
 fn a_first_listing_is_retried_with_a_short_backoff() {
     let mut rig = Rig::empty("e1");
