Entries exchange failures of engines, and a missing load report means neither idle nor dead

Cause: an entry ejects an engine after three failures of its own. In the large deployment it sends each engine a request in some 13 s, so a mute engine is met by each of 95 entries again and again, and each meeting costs a caller 1.5 objectives. An engine without a recent report counted as idle, which drew requests to the mute ones.

Change: an engine that has failed is suspected for 3 s, by the entry itself and, through frames, by all others, unless it reports its load to some entry after the failure. So an engine that fails part of its requests, or an entry with a broken link, is cleared within a gossip round; only new requests are kept away. If more than half of the engines are suspected, that is ignored, as for ejections. An engine without a recent report counts as loaded as the mean of the others.

Ruled out: fewer failures until an ejection (one lost answer in forty is common, and would eject most engines).

--- a/crates/comfreyroad_router/src/controller/members/mod.rs
+++ b/crates/comfreyroad_router/src/controller/members/mod.rs
@@ -94,6 +94,7 @@
             session_pins: Vec::new(),
             tallies: Vec::new(),
             loads: Vec::new(),
+            suspicions: Vec::new(),
         }
     }
 
--- a/crates/comfreyroad_router/src/controller/upstreams/load_exchange.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/load_exchange.rs
@@ -24,8 +24,7 @@
             let load = upstream.load.filter(|load| is_relay || !load.is_relayed)?;
             let age = now.saturating_duration_since(load.reported_at);
             // A plain service answers within milliseconds, so its load has changed when the report arrives.
-            let is_engine = !upstream.registration.models.is_empty();
-            (is_engine && age <= MAX_FORWARD_AGE).then(|| LoadReport {
+            (upstream.is_engine() && age <= MAX_FORWARD_AGE).then(|| LoadReport {
                 upstream: upstream.id.clone(),
                 incarnation: upstream.registration.incarnation,
                 running: load.running,
--- a/crates/comfreyroad_router/src/controller/upstreams/mod.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/mod.rs
@@ -5,6 +5,7 @@
 mod outcomes;
 mod requirements;
 mod selection;
+mod suspicions;
 
 use std::rc::Rc;
 use std::sync::Arc;
@@ -198,6 +199,7 @@
             Event::FrameReceived(frame) => {
                 self.on_frame(now.instant, frame);
                 self.on_load_reports(now.instant, &frame.loads);
+                self.on_suspicions(now.instant, &frame.suspicions);
             }
             Event::ConfigurationApplied(configuration) => {
                 self.configuration = Some(Arc::clone(configuration));
@@ -214,5 +216,6 @@
             .map(|until| until.saturating_duration_since(now.instant));
         frame.registration_grace = left.unwrap_or_default();
         frame.loads = self.load_reports(now.instant);
+        frame.suspicions = self.suspicions(now.instant);
     }
 }
--- a/crates/comfreyroad_router/src/controller/upstreams/outcomes.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/outcomes.rs
@@ -75,6 +75,7 @@
         let Some(upstream) = self.upstream_of(slot) else {
             return;
         };
+        upstream.suspect(now);
         if upstream.health.record_failure(now) {
             out.note(Note::new(&note::UPSTREAM_EJECTED).with("upstream", &slot.upstream));
         }
@@ -85,6 +86,7 @@
         let Some(upstream) = self.upstream_of(slot) else {
             return;
         };
+        upstream.suspect(now);
         if upstream.health.eject(now) {
             out.note(Note::new(&note::UPSTREAM_EJECTED).with("upstream", &slot.upstream));
         }
--- a/crates/comfreyroad_router/src/controller/upstreams/selection.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/selection.rs
@@ -78,9 +78,10 @@
                 && self.has_capacity(now, upstream, service)
         };
         let usable: Vec<&Upstream> = self.upstreams.values().filter(usable).collect();
-        // If more than half of the usable upstreams are ejected, the fault is more likely elsewhere, and ejections are
+        // If more than half of the usable upstreams are ejected or suspected, the fault is more likely elsewhere, and that is
         // ignored.
-        let healthy = usable.iter().filter(|it| !it.health.is_ejected(now));
+        let is_healthy = |it: &&&Upstream| !it.health.is_ejected(now) && !it.is_suspected(now);
+        let healthy = usable.iter().filter(is_healthy);
         let healthy: Vec<&Upstream> = healthy.copied().collect();
         let eligible = if healthy.len() * 2 >= usable.len() {
             healthy
@@ -138,9 +139,21 @@
             let service_time = upstream.service_time.mean().zip(median);
             service_time.is_some_and(|(own, median)| own > median.mul_f64(SLOW_FACTOR))
         };
+        // An engine without a recent report is not idle: it counts as loaded as the others.
+        let others: Vec<u32> = upstreams
+            .iter()
+            .filter(|it| it.is_engine())
+            .filter_map(|it| it.other_requests(now))
+            .collect();
+        let mean_others = f64::from(others.iter().sum::<u32>()) / others.len().max(1) as f64;
+        let other_requests = |upstream: &Upstream| match upstream.other_requests(now) {
+            Some(others) => f64::from(others),
+            None if upstream.is_engine() => mean_others,
+            None => 0.0,
+        };
         let candidate = |upstream: &&'a Upstream| Candidate {
             upstream,
-            open_requests: f64::from(upstream.estimated_requests(now)),
+            open_requests: f64::from(upstream.open_requests()) + other_requests(upstream),
             is_slow: is_slow(upstream),
         };
         upstreams.iter().map(candidate).collect()
--- a/crates/comfreyroad_router/src/frame/frame.rs
+++ b/crates/comfreyroad_router/src/frame/frame.rs
@@ -3,7 +3,7 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use super::{LoadReport, Peer, Progress, SessionPin};
+use super::{LoadReport, Peer, Progress, SessionPin, Suspicion};
 use crate::id::Offset;
 use crate::record::{Record, Topic};
 use crate::rollout::Tally;
@@ -41,4 +41,7 @@
     /// Load of upstreams. Absent in frames of versions that do not exchange it.
     #[serde(default)]
     pub loads: Vec<LoadReport>,
+    /// Upstreams that have failed recently. Absent in frames of versions that do not exchange them.
+    #[serde(default)]
+    pub suspicions: Vec<Suspicion>,
 }
--- a/crates/comfreyroad_router/src/upstream/upstream.rs
+++ b/crates/comfreyroad_router/src/upstream/upstream.rs
@@ -8,6 +8,9 @@
 /// Maximum age of a load report for its count of requests from other entries to be used.
 const MAX_REPORT_AGE: Duration = Duration::from_secs(2);
 
+/// Time for which an upstream that has failed is avoided, unless it answers some entry. After that it is tried again.
+const SUSPICION_TIME: Duration = Duration::from_secs(3);
+
 /// The state of an upstream as seen by this entry.
 #[derive(Debug)]
 pub struct Upstream {
@@ -25,8 +28,10 @@
     pub load: Option<Load>,
     /// Service time: the time per event of a stream, or of a whole plain answer.
     pub service_time: Average,
-    /// Passive health check.
+    /// Passive health check by this entry alone.
     pub health: Health,
+    /// When it last failed to answer this entry or another one.
+    pub failed_at: Option<Instant>,
     pub(super) open_requests: Rc<Cell<u32>>,
     pub(super) prefill_backlog: Rc<RefCell<Backlog>>,
 }
@@ -43,6 +48,7 @@
             load: None,
             service_time: Average::default(),
             health: Health::default(),
+            failed_at: None,
             open_requests: Rc::default(),
             prefill_backlog: Rc::default(),
         }
@@ -66,6 +72,26 @@
         is_registered && self.registration.stage == Stage::Ready
     }
 
+    /// Whether it is a model engine, not a plain service.
+    pub fn is_engine(&self) -> bool {
+        !self.registration.models.is_empty()
+    }
+
+    /// Suspects an engine that has failed. Plain services answer each entry often enough for its own health check.
+    pub fn suspect(&mut self, now: Instant) {
+        if self.is_engine() {
+            self.failed_at = Some(now);
+        }
+    }
+
+    /// Whether the upstream has failed recently and reported its load to no entry since.
+    pub fn is_suspected(&self, now: Instant) -> bool {
+        self.failed_at.is_some_and(|failed_at| {
+            let has_answered = self.load.is_some_and(|load| load.reported_at > failed_at);
+            !has_answered && failed_at + SUSPICION_TIME > now
+        })
+    }
+
     /// Whether the upstream is warming up and takes only a limited request rate.
     pub fn is_cold(&self, now: Instant) -> bool {
         self.cold_until.is_some_and(|until| until > now)
@@ -76,10 +102,9 @@
         self.open_requests.get()
     }
 
-    /// Estimated number of requests at the upstream: this entry's own, and those of other entries by the last load report.
-    pub fn estimated_requests(&self, now: Instant) -> u32 {
-        let load = self.recent_load(now);
-        self.open_requests() + load.map_or(0, |load| load.other_requests())
+    /// Requests of other entries by the last load report; `None` without a recent one.
+    pub fn other_requests(&self, now: Instant) -> Option<u32> {
+        self.recent_load(now).map(|load| load.other_requests())
     }
 
     /// The last load report, unless it is out of date.
--- a/crates/comfreyroad_router/tests/decisions/load/mod.rs
+++ b/crates/comfreyroad_router/tests/decisions/load/mod.rs
@@ -75,3 +75,17 @@
     assert_eq!(summary.failed, 0, "{summary:?}");
     assert!(summary.share_in_time() >= TARGET, "{summary:?}");
 }
+
+/// A quarter of the engines fall silent at once. An entry that has not met them learns from the others.
+#[test]
+fn no_caller_fails_when_a_quarter_of_the_engines_fall_silent() {
+    let mut fleet = Fleet::new(ENTRIES, ENGINES, SEED);
+    fleet.run(3 * SECOND, USUAL_RATE, &MIX);
+    for engine in &mut fleet.engines[..ENGINES / 4] {
+        engine.is_mute = true;
+    }
+    fleet.run(12 * SECOND, USUAL_RATE, &MIX);
+    let summary = fleet.finish();
+    assert_eq!(summary.failed, 0, "{summary:?}");
+    assert!(summary.share_in_time() >= TARGET, "{summary:?}");
+}
--- a/crates/comfreyroad_router/tests/decisions/rig.rs
+++ b/crates/comfreyroad_router/tests/decisions/rig.rs
@@ -313,5 +313,6 @@
         session_pins: Vec::new(),
         tallies: Vec::new(),
         loads: Vec::new(),
+        suspicions: Vec::new(),
     }
 }
--- a/crates/comfreyroad_router/tests/decisions/upstreams.rs
+++ b/crates/comfreyroad_router/tests/decisions/upstreams.rs
@@ -1,7 +1,7 @@
 use comfreyroad_router::Event;
 use comfreyroad_router::answer::Completion;
 use comfreyroad_router::answer::Fault;
-use comfreyroad_router::frame::{Frame, LoadReport};
+use comfreyroad_router::frame::{Frame, LoadReport, Suspicion};
 use comfreyroad_router::record::{Content, Record, Topic};
 use comfreyroad_router::upstream::Stage;
 use std::time::Duration;
@@ -297,3 +297,62 @@
     rig.receive(full(&preferred, 500 * MS));
     assert_eq!(place_prompt(&mut rig), preferred);
 }
+
+/// Lets an entry with two engines learn from a peer that the engine that serves a prompt has failed.
+fn suspect_preferred(rig: &mut Rig, age: Duration) -> String {
+    for name in ["u1", "u2"] {
+        let engine = upstream(|it| {
+            it.models = vec!["small".into(), "large".into()];
+            it.sequence = 2;
+        });
+        rig.read(Topic::Upstreams, name, engine);
+    }
+    let preferred = place_prompt(rig);
+    let mut incoming = frame("e2");
+    incoming.suspicions.push(Suspicion {
+        upstream: preferred.as_str().into(),
+        incarnation: 1,
+        age,
+    });
+    rig.receive(incoming);
+    preferred
+}
+
+#[test]
+fn an_engine_that_failed_a_peer_is_avoided_until_it_answers_some_entry() {
+    let mut rig = Rig::serving("e1");
+    let preferred = suspect_preferred(&mut rig, 500 * MS);
+    assert_ne!(place_prompt(&mut rig), preferred);
+    // A report from before the failure proves nothing.
+    let mut idle = full(&preferred, 600 * MS);
+    (idle.loads[0].running, idle.loads[0].waiting) = (0, 0);
+    rig.receive(idle.clone());
+    assert_ne!(place_prompt(&mut rig), preferred);
+    idle.loads[0].age = 400 * MS;
+    rig.receive(idle);
+    assert_eq!(place_prompt(&mut rig), preferred);
+}
+
+#[test]
+fn a_suspected_engine_is_tried_again_after_some_seconds() {
+    let mut rig = Rig::serving("e1");
+    let preferred = suspect_preferred(&mut rig, Duration::ZERO);
+    rig.run_for(2 * SECOND);
+    assert_ne!(place_prompt(&mut rig), preferred);
+    rig.run_for(2 * SECOND);
+    assert_eq!(place_prompt(&mut rig), preferred);
+}
+
+#[test]
+fn suspicions_are_passed_on_with_their_age() {
+    let mut rig = Rig::serving("e1");
+    let preferred = suspect_preferred(&mut rig, 500 * MS);
+    rig.advance(SECOND);
+    let (answer, _) = rig.router.exchange(rig.now, frame("e3"));
+    let expected = Suspicion {
+        upstream: preferred.as_str().into(),
+        incarnation: 1,
+        age: 1_500 * MS,
+    };
+    assert_eq!(answer.suspicions, [expected]);
+}
