Answers without end and streams without progress are ended by limits

Found by tests with an engine that sends bytes without end (tests/process/endless.rs), fifty requests at once. Six of nine failed before: - Informational heads (1xx) without end: hyper parses them in a loop without yielding, so that one engine held the loop. - Bodies without end took 47 MB and chunked ones 68 MB beyond the usual, on VMs of 110 MB: each body may take 1 MiB, and hyper reads 400 KB ahead on each connection. - Comments (`:`) and repeated old events counted as progress. A stream that sends one now and then was never resumed, old events reached the caller twice, and a flood of comments ended the answer. Heads and header lines without end, and an event without end, held already.

Change: bytes read before a head are limited to the longest head and one read. The bodies of requests and answers share a part of the VM's memory beyond 64 KiB each, released by a guard; a request without room is refused as not run. hyper's buffer is as long as the longest head. Comments are passed on with the next event, bytes without a new event are limited, events that the caller has are dropped, and none of them extends the deadline of the next event.

--- a/crates/comfreyroad_net/src/client/connection.rs
+++ b/crates/comfreyroad_net/src/client/connection.rs
@@ -10,13 +10,14 @@
 use super::{error::Cause, limits::Limits};
 use crate::{
     body::Body,
-    stream::{Handle, Stream},
+    stream::{Handle, READ_BYTES, Stream},
 };
 
 /// A connection that handles one request at a time. Dropping it closes the connection.
 pub(super) struct Connection {
     sender: http1::SendRequest<Body>,
     handle: Handle,
+    max_header_bytes: usize,
     // Dropping the handle cancels the task, which closes the stream.
     _task: JoinHandle<()>,
 }
@@ -27,6 +28,8 @@
         let handle = stream.handle();
         let mut builder = http1::Builder::new();
         builder.max_header_size(limits.max_header_bytes);
+        // hyper would read several times as much ahead of the caller.
+        builder.max_buf_size(limits.max_header_bytes.max(READ_BYTES));
         let (sender, connection) = builder.handshake(stream).await?;
         let task = compio::runtime::spawn(async move {
             if let Err(error) = pin!(connection).await {
@@ -36,17 +39,25 @@
         Ok(Self {
             sender,
             handle,
+            max_header_bytes: limits.max_header_bytes,
             _task: task,
         })
     }
 
     /// Sends a request and waits for the head of the response. The error returns the request if none of it was sent.
+    ///
+    /// Heads of informational responses count towards the limit, so that a peer cannot send them without end.
     pub(super) async fn send(
         &mut self,
         request: Request<Body>,
     ) -> Result<Response<Incoming>, TrySendError<Request<Body>>> {
         request.body().bind(&self.handle);
-        self.sender.try_send_request(request).await
+        // A part of the body may arrive with the head.
+        let limit = self.max_header_bytes + READ_BYTES;
+        self.handle.set_readable(Some(limit));
+        let response = self.sender.try_send_request(request).await;
+        self.handle.set_readable(None);
+        response
     }
 
     /// Waits until the response has been read to its end. Fails when the connection cannot be reused.
--- a/crates/comfreyroad_net/src/client/error.rs
+++ b/crates/comfreyroad_net/src/client/error.rs
@@ -118,6 +118,9 @@
     /// The response body is longer than the limit in bytes.
     #[error("more than {0} bytes")]
     TooLong(usize),
+    /// The bodies that are being read take too much memory together.
+    #[error("no memory left for the body")]
+    Memory,
     /// The JSON of the request or the response is invalid.
     #[error(transparent)]
     Json(#[from] serde_json::Error),
--- a/crates/comfreyroad_net/src/client/reader.rs
+++ b/crates/comfreyroad_net/src/client/reader.rs
@@ -38,7 +38,18 @@
     }
 
     /// Reads the rest of the body, of at most `limit` bytes, until `deadline`.
-    pub async fn read_to_end(mut self, limit: usize, deadline: Instant) -> Result<Bytes, Error> {
+    pub async fn read_to_end(self, limit: usize, deadline: Instant) -> Result<Bytes, Error> {
+        self.read_admitted(limit, deadline, |_| true).await
+    }
+
+    /// Reads the rest of the body like [`Reader::read_to_end`]. Fails if `admit` refuses the length read so far, for example
+    /// because all bodies together take too much memory.
+    pub async fn read_admitted(
+        mut self,
+        limit: usize,
+        deadline: Instant,
+        mut admit: impl FnMut(usize) -> bool,
+    ) -> Result<Bytes, Error> {
         let Some(first) = self.next_chunk(deadline).await? else {
             return Ok(Bytes::new());
         };
@@ -47,6 +58,9 @@
             if all.len() > limit {
                 return Err(Error::body(self.peer, Cause::TooLong(limit)));
             }
+            if !admit(all.len()) {
+                return Err(Error::body(self.peer, Cause::Memory));
+            }
             let Some(chunk) = self.next_chunk(deadline).await? else {
                 return Ok(all.freeze());
             };
--- a/crates/comfreyroad_net/src/stream.rs
+++ b/crates/comfreyroad_net/src/stream.rs
@@ -15,7 +15,7 @@
 use socket2::{Domain, Protocol, SockAddr, Socket, Type};
 
 /// Maximum number of bytes per read.
-const READ_BYTES: usize = 64 * 1024;
+pub(crate) const READ_BYTES: usize = 64 * 1024;
 
 /// Linux error number of a connect that is in progress; the standard library has no stable name for it.
 const EINPROGRESS: i32 = 115;
@@ -123,6 +123,7 @@
                 socket.read(buffer)
             });
             let count = ready!(read)?;
+            self.shared.count_read(count)?;
             cursor.put_slice(&buffer[..count]);
             Poll::Ready(Ok(()))
         })
@@ -176,11 +177,30 @@
 #[derive(Debug, Default)]
 struct Shared {
     written: Cell<u64>,
+    // Bytes that may still be read before reads fail, if there is a limit.
+    readable: Cell<Option<usize>>,
     is_reset: Cell<bool>,
     // Wakes the task that waits for the stream.
     waker: RefCell<Option<Waker>>,
 }
 
+impl Shared {
+    /// Counts bytes that were read. Fails if they exceed the limit.
+    fn count_read(&self, bytes: usize) -> io::Result<()> {
+        let Some(readable) = self.readable.get() else {
+            return Ok(());
+        };
+        if bytes > readable {
+            return Err(io::Error::new(
+                io::ErrorKind::InvalidData,
+                "the head of the response is too long",
+            ));
+        }
+        self.readable.set(Some(readable - bytes));
+        Ok(())
+    }
+}
+
 /// Inspects or resets a [`Stream`] that hyper owns, without keeping it open.
 #[derive(Clone, Debug)]
 pub struct Handle {
@@ -194,6 +214,11 @@
         self.shared.written.get()
     }
 
+    /// Limits the bytes that can be read from now on, or lifts the limit.
+    pub(crate) fn set_readable(&self, limit: Option<usize>) {
+        self.shared.readable.set(limit);
+    }
+
     /// Whether this side reset the connection.
     pub fn is_reset(&self) -> bool {
         self.shared.is_reset.get()
--- a/crates/comfreyroad_proxy/src/front/attempt.rs
+++ b/crates/comfreyroad_proxy/src/front/attempt.rs
@@ -15,6 +15,7 @@
 use hyper::body::Incoming;
 
 use super::call::Call;
+use super::memory::Share;
 use crate::shared::Shared;
 
 /// Interval at which placement is retried while no upstream has a free slot.
@@ -25,6 +26,8 @@
 pub(super) struct Message {
     pub(super) parts: Parts,
     pub(super) body: Bytes,
+    // Of the body.
+    pub(super) _memory: Share,
 }
 
 /// An upstream's response whose status and headers have arrived.
--- a/crates/comfreyroad_proxy/src/front/events.rs
+++ b/crates/comfreyroad_proxy/src/front/events.rs
@@ -1,16 +1,25 @@
 use std::time::{Duration, Instant};
 
+use bytes::BytesMut;
 use comfreyroad_net::client::{Error, Reader};
 use comfreyroad_router::answer::Fault;
 use comfreyroad_wire::sse::{Event, Splitter};
 
+/// Maximum number of bytes between two events that belong to neither: comments, and events that the caller already has. A
+/// stream that is resumed from its start may repeat as much.
+const MAX_IDLE_BYTES: usize = 1024 * 1024;
+
 /// Reads the event stream of an upstream's response.
 #[derive(Debug)]
 pub(super) struct Events {
     reader: Reader,
     splitter: Splitter,
-    // Last event that the caller already has; events up to this one are skipped.
+    // Last event that was returned or that the caller already has; events up to this one are skipped.
     after: Option<u64>,
+    // Comments that have arrived since the last event, which precede the next one.
+    comments: BytesMut,
+    // Bytes that have arrived since the last event and belong to none.
+    idle_bytes: usize,
     first: Option<Instant>,
     last: Option<Instant>,
     count: u32,
@@ -22,35 +31,73 @@
             reader,
             splitter: Splitter::default(),
             after,
+            comments: BytesMut::new(),
+            idle_bytes: 0,
             first: None,
             last: None,
             count: 0,
         }
     }
 
-    /// Waits for the next event until `deadline`; `None` at the regular end of the stream.
+    /// Waits for the next event until `deadline`; `None` at the regular end of the stream. Comments and events that the caller
+    /// already has are no progress and do not extend the deadline.
     pub(super) async fn next(&mut self, deadline: Instant) -> Result<Option<Event>, Fault> {
         loop {
-            let event = self.splitter.next_event().map_err(|error| {
-                log::debug!("reading an event stream failed: {error}");
-                Fault::Broken
-            })?;
-            if let Some(event) = event {
-                if self.is_delivered(&event) {
-                    continue;
-                }
-                self.record_arrival();
+            if let Some(event) = self.next_buffered()? {
                 return Ok(Some(event));
             }
             match self.reader.next_chunk(deadline).await {
                 Ok(Some(chunk)) => self.splitter.feed(&chunk),
                 Ok(None) if self.splitter.has_partial_event() => return Err(Fault::Truncated),
-                Ok(None) => return Ok(None),
+                Ok(None) => return Ok(self.take_comments()),
                 Err(error) => return Err(read_fault(&error, self.count > 0)),
             }
         }
     }
 
+    /// The next event that has arrived completely and that the caller does not have.
+    fn next_buffered(&mut self) -> Result<Option<Event>, Fault> {
+        let broken = |error: &dyn std::fmt::Display| {
+            log::debug!("reading an event stream failed: {error}");
+            Fault::Broken
+        };
+        while let Some(event) = self.splitter.next_event().map_err(|error| broken(&error))? {
+            if !event.is_comment() && !self.is_delivered(&event) {
+                return Ok(Some(self.accept(event)));
+            }
+            self.idle_bytes += event.bytes.len();
+            if self.idle_bytes > MAX_IDLE_BYTES {
+                return Err(broken(&"too many bytes without a new event"));
+            }
+            if event.is_comment() {
+                self.comments.extend_from_slice(&event.bytes);
+            }
+        }
+        Ok(None)
+    }
+
+    /// Takes a new event, with the comments before it.
+    fn accept(&mut self, event: Event) -> Event {
+        self.record_arrival();
+        self.after = event.id.or(self.after);
+        self.idle_bytes = 0;
+        if self.comments.is_empty() {
+            return event;
+        }
+        let mut bytes = self.comments.split();
+        bytes.extend_from_slice(&event.bytes);
+        Event {
+            bytes: bytes.freeze(),
+            id: event.id,
+        }
+    }
+
+    /// The comments after the last event of a stream.
+    fn take_comments(&mut self) -> Option<Event> {
+        let bytes = self.comments.split().freeze();
+        (!bytes.is_empty()).then_some(Event { bytes, id: None })
+    }
+
     /// Whether the caller already has the event.
     fn is_delivered(&self, event: &Event) -> bool {
         event
--- a/crates/comfreyroad_proxy/src/front/front.rs
+++ b/crates/comfreyroad_proxy/src/front/front.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use comfreyroad_net::body::Body;
-use comfreyroad_net::client::{Cause, Error, read_all};
+use comfreyroad_net::client::{Cause, Error, Reader};
 use comfreyroad_platform as platform;
 use comfreyroad_router::answer::Completion;
 use comfreyroad_router::answer::{Fault, Verdict};
@@ -16,6 +16,7 @@
 use hyper::body::{Body as _, Incoming};
 
 use super::attempt::{self, Failure, Message};
+use super::memory::Share;
 use super::stream;
 use crate::shared::Shared;
 
@@ -97,7 +98,14 @@
         let id = request.head().id.clone();
         let received = request.head().received_at;
         let served = match self.read_body(&request, body, peer).await {
-            Ok(body) => self.serve(request, Message { parts, body }, guard).await,
+            Ok((body, memory)) => {
+                let message = Message {
+                    parts,
+                    body,
+                    _memory: memory,
+                };
+                self.serve(request, message, guard).await
+            }
             Err(refusal) => Err(refusal),
         };
         served.unwrap_or_else(|refusal| {
@@ -117,9 +125,10 @@
         request: &Request<Received>,
         body: Incoming,
         peer: SocketAddr,
-    ) -> Result<Bytes, Refusal> {
+    ) -> Result<(Bytes, Share), Refusal> {
+        let mut memory = self.shared.memory.share();
         if body.is_end_stream() {
-            return Ok(Bytes::new());
+            return Ok((Bytes::new(), memory));
         }
         let head = request.head();
         let deadline = head.deadline.unwrap_or(head.received_at + BODY_TIMEOUT);
@@ -129,6 +138,7 @@
             let code = match error.cause {
                 Cause::TooLong(_) => Code::BodyTooLarge,
                 Cause::Deadline => Code::BodyTimeout,
+                Cause::Memory => Code::Overloaded,
                 _ => Code::BadRequest,
             };
             Refusal::not_run(request, code)
@@ -136,7 +146,10 @@
         if body.size_hint().lower() > limit as u64 {
             return Err(Refusal::not_run(request, Code::BodyTooLarge));
         }
-        read_all(peer, body, limit, deadline).await.map_err(refusal)
+        let reader = Reader::new(peer, body);
+        let admit = |length| memory.extend_to(length);
+        let body = reader.read_admitted(limit, deadline, admit).await;
+        Ok((body.map_err(refusal)?, memory))
     }
 
     fn limits(&self) -> Limits {
@@ -211,7 +224,12 @@
             verdict,
         } = response;
         let deadline = call.request.stage().plan().deadline;
-        let body = match reader.read_to_end(MAX_BUFFERED_BYTES, deadline).await {
+        let mut memory = shared.memory.share();
+        let admit = |length| memory.extend_to(length);
+        let body = match reader
+            .read_admitted(MAX_BUFFERED_BYTES, deadline, admit)
+            .await
+        {
             Ok(body) => body,
             Err(error) => {
                 log::debug!("cannot read response body: {error}");
--- a/crates/comfreyroad_proxy/src/front/mod.rs
+++ b/crates/comfreyroad_proxy/src/front/mod.rs
@@ -4,6 +4,8 @@
 mod call;
 mod events;
 mod front;
+mod memory;
 mod stream;
 
 pub use front::Front;
+pub use memory::Memory;
--- a/crates/comfreyroad_proxy/src/shared.rs
+++ b/crates/comfreyroad_proxy/src/shared.rs
@@ -13,6 +13,7 @@
 
 use crate::actions;
 use crate::clock;
+use crate::front::Memory;
 use crate::metrics::Metrics;
 
 /// Timeout for connecting to an upstream, a peer or the store, all of which are milliseconds away.
@@ -35,6 +36,8 @@
     pub store: Store,
     /// Metrics of the process.
     pub metrics: Metrics,
+    /// Memory of the bodies that are being forwarded.
+    pub memory: Memory,
     /// Number of requests in progress.
     pub open_requests: Cell<usize>,
     /// Stops the server for callers.
@@ -51,6 +54,8 @@
             ..client::Limits::default()
         };
         let router_settings = settings.router_settings(clock::incarnation(), fastrand::u64(..));
+        let vm_memory = settings.limits.memory_mb.saturating_mul(1024 * 1024);
+        let vm_memory = usize::try_from(vm_memory).unwrap_or(usize::MAX);
         let store = Store::new(settings.platform.address, Client::new(limits));
         Self {
             router: RefCell::new(Router::new(&router_settings)),
@@ -58,6 +63,7 @@
             peers: Client::new(limits),
             store,
             metrics: Metrics::default(),
+            memory: Memory::of_vm(vm_memory),
             open_requests: Cell::new(0),
             stop,
         }
--- a/crates/comfreyroad_proxy/tests/process/engine.rs
+++ b/crates/comfreyroad_proxy/tests/process/engine.rs
@@ -103,6 +103,21 @@
                 }
                 return false;
             }
+            "endless-head" => {
+                return send_endlessly(stream, &head("200 OK", ""), "X-More: and more\r\n");
+            }
+            "endless-line" => {
+                return send_endlessly(stream, &head("200 OK", "X-More: "), "and more ");
+            }
+            "endless-1xx" => return send_endlessly(stream, "", "HTTP/1.1 103 Early Hints\r\n\r\n"),
+            "endless-body" => {
+                let head = head("200 OK", "Connection: close\r\n\r\n");
+                return send_endlessly(stream, &head, &"x".repeat(4096));
+            }
+            "endless-chunks" => {
+                let head = head("200 OK", "Transfer-Encoding: chunked\r\n\r\n");
+                return send_endlessly(stream, &head, &format!("1000\r\n{}\r\n", "x".repeat(4096)));
+            }
             "stream" => return self.stream(stream, request, &head("200 OK", ""), attempt),
             _ => "HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n".into(),
         };
@@ -119,6 +134,11 @@
         attempt: usize,
     ) -> bool {
         let from: u64 = request.header("last-event-id").parse().unwrap_or(0);
+        let stalls = request
+            .path()
+            .split('/')
+            .find_map(stall)
+            .filter(|_| attempt == 1);
         let breaks =
             request.path().contains("breaks") && attempt == 1 || request.path().contains("always");
         let socket = stream.get_mut();
@@ -142,8 +162,36 @@
             if breaks && number == 5 {
                 return false;
             }
+            if let Some((text, pause)) = stalls.filter(|_| number == 3) {
+                let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+                while socket.write_all(chunk.as_bytes()).is_ok() {
+                    std::thread::sleep(pause);
+                }
+                self.state.lock().unwrap().cancelled += 1;
+                return false;
+            }
             std::thread::sleep(Duration::from_millis(20));
         }
         socket.write_all(b"0\r\n\r\n").is_ok()
     }
 }
+
+/// Sends a head and then the same text until the peer closes the connection.
+fn send_endlessly(stream: &mut BufReader<TcpStream>, head: &str, text: &str) -> bool {
+    let socket = stream.get_mut();
+    if socket.write_all(head.as_bytes()).is_ok() {
+        while socket.write_all(text.as_bytes()).is_ok() {}
+    }
+    false
+}
+
+/// What a stream that stalls after its third event sends instead of events, and how often.
+fn stall(name: &str) -> Option<(&'static str, Duration)> {
+    match name {
+        "comments" => Some((":\n\n", Duration::from_millis(100))),
+        "repeats" => Some(("id: 2\ndata: event 2\n\n", Duration::from_millis(100))),
+        "drip" => Some(("d", Duration::from_millis(100))),
+        "flood" => Some((": more\n\n: and more\n\n", Duration::ZERO)),
+        _ => None,
+    }
+}
--- a/crates/comfreyroad_proxy/tests/process/environment.rs
+++ b/crates/comfreyroad_proxy/tests/process/environment.rs
@@ -129,6 +129,14 @@
         http::send_request(self.front, &request_text(method, path, headers)).expect("a response")
     }
 
+    /// Largest resident memory of the daemon so far, in KiB.
+    pub(super) fn peak_memory_kib(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find_map(|it| it.strip_prefix("VmHWM:"));
+        let number = line.and_then(|it| it.split_whitespace().next());
+        number.unwrap().parse().unwrap()
+    }
+
     pub(super) fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
         let status = Command::new("kill").args([name, &id]).status().unwrap();
--- a/crates/comfreyroad_proxy/tests/process/main.rs
+++ b/crates/comfreyroad_proxy/tests/process/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the daemon as a separate process, with a fake store, a fake engine and callers on loopback.
 
+mod endless;
 mod engine;
 mod environment;
 mod http;
--- a/crates/comfreyroad_wire/src/sse.rs
+++ b/crates/comfreyroad_wire/src/sse.rs
@@ -61,6 +61,14 @@
     pub id: Option<u64>,
 }
 
+impl Event {
+    /// Whether it consists of comments and empty lines only, which are no event.
+    pub fn is_comment(&self) -> bool {
+        let mut lines = self.bytes.split(|byte| *byte == b'\n');
+        lines.all(|line| matches!(line, [] | [b'\r'] | [b':', ..]))
+    }
+}
+
 /// Splits a stream into complete events and leaves their bytes unchanged.
 #[derive(Debug, Default)]
 pub struct Splitter {
