--- a/crates/comfreyroad_proxy/tests/process/engine.rs
+++ b/crates/comfreyroad_proxy/tests/process/engine.rs
@@ -74,7 +74,11 @@
         };
         let ok = head("200 OK", "Content-Length: 2\r\n\r\nok");
         let path = request.path().split('?').next().unwrap_or_default();
-        let response = match path.rsplit('/').next().unwrap_or_default() {
+        let name = path.rsplit('/').next().unwrap_or_default();
+        if let Some((start, text)) = endless(name, head) {
+            return send_endlessly(stream, &start, &text);
+        }
+        let response = match name {
             "ok" => ok,
             "slow" => {
                 std::thread::sleep(Duration::from_millis(700));
@@ -90,6 +94,17 @@
             "failed" => head("500 X", "Content-Length: 4\r\n\r\noops"),
             "closed" => return false,
             "extra" => format!("{ok}{ok}"),
+            "copied" => {
+                let length = id.len();
+                let own = head("200 OK", &format!("Content-Length: {length}\r\n\r\n{id}"));
+                if stream.get_mut().write_all(own.as_bytes()).is_err() {
+                    return false;
+                }
+                std::thread::sleep(Duration::from_millis(
+                    3 * (attempt as u64 + length as u64 % 2),
+                ));
+                own
+            }
             "unframed" => {
                 let _ = stream
                     .get_mut()
@@ -103,21 +118,6 @@
                 }
                 return false;
             }
-            "endless-head" => {
-                return send_endlessly(stream, &head("200 OK", ""), "X-More: and more\r\n");
-            }
-            "endless-line" => {
-                return send_endlessly(stream, &head("200 OK", "X-More: "), "and more ");
-            }
-            "endless-1xx" => return send_endlessly(stream, "", "HTTP/1.1 103 Early Hints\r\n\r\n"),
-            "endless-body" => {
-                let head = head("200 OK", "Connection: close\r\n\r\n");
-                return send_endlessly(stream, &head, &"x".repeat(4096));
-            }
-            "endless-chunks" => {
-                let head = head("200 OK", "Transfer-Encoding: chunked\r\n\r\n");
-                return send_endlessly(stream, &head, &format!("1000\r\n{}\r\n", "x".repeat(4096)));
-            }
             "stream" => return self.stream(stream, request, &head("200 OK", ""), attempt),
             _ => "HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n".into(),
         };
@@ -176,6 +176,22 @@
     }
 }
 
+/// The start of a response without end, and the text that follows again and again.
+fn endless(name: &str, head: impl Fn(&str, &str) -> String) -> Option<(String, String)> {
+    let block = "x".repeat(4096);
+    Some(match name {
+        "endless-head" => (head("200 OK", ""), "X-More: and more\r\n".into()),
+        "endless-line" => (head("200 OK", "X-More: "), "and more ".into()),
+        "endless-1xx" => (String::new(), "HTTP/1.1 103 Early Hints\r\n\r\n".into()),
+        "endless-body" => (head("200 OK", "Connection: close\r\n\r\n"), block),
+        "endless-chunks" => {
+            let head = head("200 OK", "Transfer-Encoding: chunked\r\n\r\n");
+            (head, format!("1000\r\n{block}\r\n"))
+        }
+        _ => return None,
+    })
+}
+
 /// Sends a head and then the same text until the peer closes the connection.
 fn send_endlessly(stream: &mut BufReader<TcpStream>, head: &str, text: &str) -> bool {
     let socket = stream.get_mut();
--- a/crates/comfreyroad_proxy/tests/process/responses.rs
+++ b/crates/comfreyroad_proxy/tests/process/responses.rs
@@ -86,6 +86,25 @@
     }
 }
 
+/// An engine sends a second copy of each answer some milliseconds late, on a connection that may be in use again.
+#[test]
+fn a_late_copy_of_an_answer_reaches_no_other_caller() {
+    let env = Environment::start_configured();
+    for round in 0..60 {
+        let text = request_text("GET", "/again/copied", "");
+        let id = text
+            .lines()
+            .find_map(|it| it.strip_prefix("X-Comfreyroad-Request-Id: "));
+        let response = http::send_request(env.front, &text).unwrap();
+        if response.status() == 200 {
+            assert_eq!(Some(&*response.text()), id);
+        } else {
+            assert_eq!(response.status(), 502);
+        }
+        std::thread::sleep(std::time::Duration::from_millis(round % 6));
+    }
+}
+
 #[test]
 fn response_without_length_ends_with_the_connection() {
     let env = Environment::start_configured();
--- a/crates/comfreyroad_proxy/tests/soak/cluster.rs
+++ b/crates/comfreyroad_proxy/tests/soak/cluster.rs
@@ -209,10 +209,8 @@
             }
             Fault::Shutdown(number) => {
                 let duration = Duration::from_secs(GRACE_S);
-                // Taken before the disturbance is recorded, so that the disturbance starts at the same instant or
-                // later.
-                self.shutdowns.push((number, Instant::now()));
-                self.disturbances.add(entry(number), duration);
+                let started = self.disturbances.add(entry(number), duration);
+                self.shutdowns.push((number, started));
                 self.entries[number].signal("-TERM");
                 self.schedule(duration, Action::StartEntry(number));
             }
--- a/crates/comfreyroad_proxy/tests/soak/disturbances.rs
+++ b/crates/comfreyroad_proxy/tests/soak/disturbances.rs
@@ -22,12 +22,14 @@
 }
 
 impl Disturbances {
-    pub(super) fn add(&self, scope: Scope, duration: Duration) {
+    /// Records a disturbance that starts now, and returns its start.
+    pub(super) fn add(&self, scope: Scope, duration: Duration) -> Instant {
         let now = Instant::now();
         self.intervals
             .lock()
             .unwrap()
             .push((scope, now, now + duration));
+        now
     }
 
     /// Whether an entry was undisturbed between two instants, and for [`SETTLE_TIME`] before the first.
--- a/crates/comfreyroad_router/src/controller/upstreams/mod.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/mod.rs
@@ -199,7 +199,7 @@
             Event::FrameReceived(frame) => {
                 self.on_frame(now.instant, frame);
                 self.on_load_reports(now.instant, &frame.loads);
-                self.on_suspicions(now.instant, &frame.suspicions);
+                self.on_suspicions(now.instant, &frame.suspicions, out);
             }
             Event::ConfigurationApplied(configuration) => {
                 self.configuration = Some(Arc::clone(configuration));
--- a/crates/comfreyroad_router/src/controller/upstreams/outcomes.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/outcomes.rs
@@ -7,7 +7,7 @@
 use crate::id::ModelId;
 use crate::note::{self, Note};
 use crate::outbox::Outbox;
-use crate::upstream::{Slot, Upstream};
+use crate::upstream::{Health, Slot, Upstream};
 
 /// Measured prefill of a prompt, up to the first event of the answer.
 #[derive(Clone, Copy, Debug)]
@@ -72,22 +72,30 @@
 
     /// Records a failed attempt, which may eject the upstream.
     pub(crate) fn on_failure(&mut self, now: Instant, slot: &Slot, out: &mut Outbox) {
-        let Some(upstream) = self.upstream_of(slot) else {
-            return;
-        };
-        upstream.suspect(now);
-        if upstream.health.record_failure(now) {
-            out.note(Note::new(&note::UPSTREAM_EJECTED).with("upstream", &slot.upstream));
-        }
+        self.record_failure(now, slot, Health::record_failure, out);
     }
 
     /// Ejects an upstream that accepts no connections or whose address now belongs to another upstream.
     pub(crate) fn on_unreachable(&mut self, now: Instant, slot: &Slot, out: &mut Outbox) {
+        self.record_failure(now, slot, Health::eject, out);
+    }
+
+    /// Suspects an upstream and records the failure in its health, which tells whether the upstream is ejected.
+    fn record_failure(
+        &mut self,
+        now: Instant,
+        slot: &Slot,
+        record: fn(&mut Health, Instant) -> bool,
+        out: &mut Outbox,
+    ) {
         let Some(upstream) = self.upstream_of(slot) else {
             return;
         };
-        upstream.suspect(now);
-        if upstream.health.eject(now) {
+        if upstream.suspect(now, now) {
+            let note = Note::new(&note::UPSTREAM_SUSPECTED).with("upstream", &slot.upstream);
+            out.note(note.with("failed_ms_ago", 0));
+        }
+        if record(&mut upstream.health, now) {
             out.note(Note::new(&note::UPSTREAM_EJECTED).with("upstream", &slot.upstream));
         }
     }
--- a/crates/comfreyroad_router/src/controller/upstreams/suspicions.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/suspicions.rs
@@ -8,6 +8,8 @@
 
 use super::Upstreams;
 use crate::frame::Suspicion;
+use crate::note::{self, Note};
+use crate::outbox::Outbox;
 use crate::upstream::Upstream;
 
 /// Maximum number of suspicions in a frame. More failures than that have a common cause.
@@ -31,12 +33,24 @@
     }
 
     /// Takes the suspicions of a peer.
-    pub(super) fn on_suspicions(&mut self, now: Instant, suspicions: &[Suspicion]) {
+    pub(super) fn on_suspicions(
+        &mut self,
+        now: Instant,
+        suspicions: &[Suspicion],
+        out: &mut Outbox,
+    ) {
         for suspicion in suspicions {
-            if let Some(upstream) = self.upstreams.get_mut(&suspicion.upstream)
-                && upstream.registration.incarnation == suspicion.incarnation
+            let Some(upstream) = self.upstreams.get_mut(&suspicion.upstream) else {
+                continue;
+            };
+            let Some(failed_at) = now.checked_sub(suspicion.age) else {
+                continue;
+            };
+            if upstream.registration.incarnation == suspicion.incarnation
+                && upstream.suspect(now, failed_at)
             {
-                upstream.failed_at = upstream.failed_at.max(now.checked_sub(suspicion.age));
+                let note = Note::new(&note::UPSTREAM_SUSPECTED).with("upstream", &upstream.id);
+                out.note(note.with("failed_ms_ago", suspicion.age.as_millis()));
             }
         }
     }
--- a/crates/comfreyroad_router/src/note/mod.rs
+++ b/crates/comfreyroad_router/src/note/mod.rs
@@ -54,6 +54,8 @@
     UPSTREAM_COLD = 1405, Info, "upstream cold";
     /// An upstream was ejected after consecutive failures and gets no requests for some time.
     UPSTREAM_EJECTED = 1406, Warn, "upstream ejected";
+    /// An engine has failed to answer this entry or a peer and gets no new requests until it answers some entry.
+    UPSTREAM_SUSPECTED = 1407, Info, "upstream suspected";
     /// A request was refused.
     REQUEST_REFUSED = 1501, Info, "request refused";
     /// An upstream rejected a request without running it; the request is placed again.
--- a/crates/comfreyroad_router/src/upstream/upstream.rs
+++ b/crates/comfreyroad_router/src/upstream/upstream.rs
@@ -77,11 +77,15 @@
         !self.registration.models.is_empty()
     }
 
-    /// Suspects an engine that has failed. Plain services answer each entry often enough for its own health check.
-    pub fn suspect(&mut self, now: Instant) {
-        if self.is_engine() {
-            self.failed_at = Some(now);
+    /// Suspects an engine that has failed. Plain services answer each entry often enough for its own health check. Returns
+    /// whether it was not suspected before.
+    pub fn suspect(&mut self, now: Instant, failed_at: Instant) -> bool {
+        if !self.is_engine() {
+            return false;
         }
+        let was_suspected = self.is_suspected(now);
+        self.failed_at = self.failed_at.max(Some(failed_at));
+        !was_suspected && self.is_suspected(now)
     }
 
     /// Whether the upstream has failed recently and reported its load to no entry since.
