Times without end in records and frames no longer panic

Cause: a registration may come from any writer. One with `cold_left_ms` of 1e22 decodes to a duration that no instant can be added to, and the sum panics on every entry that reads it; so do an order's duration, a configuration's timeouts, and a frame's grace period and pins. The runtime contains the panic in its task, but the controllers that come after the one that panicked miss the record, and a rollout's duration would panic at each tick. Sums of two reported loads could overflow.

In the router, times of peers are added by clock::after, which saturates, and loads are summed in wider numbers.

Before: the daemon panics in the new process test, the router in the new decision test.

--- a/crates/comfreyroad_proxy/tests/process/environment.rs
+++ b/crates/comfreyroad_proxy/tests/process/environment.rs
@@ -15,6 +15,9 @@
 /// Timeout of waits; the daemon needs less than a second on an idle machine.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// File with the daemon's standard error, which has nothing but panics.
+const ERRORS: &str = "errors.txt";
+
 /// A daemon process, a fake store and a fake engine.
 #[derive(Debug)]
 pub(super) struct Environment {
@@ -42,7 +45,7 @@
 }
 
 /// Routes `/once/`, `/again/`, `/events/` and `/public/` of one host.
-const CONFIG: &str = r#"{"version":1,"routes":[
+pub(super) const CONFIG: &str = r#"{"version":1,"routes":[
  {"name":"once","host":"h","path_prefix":"/once/","kind":"non_idempotent","timeout_ms":5000,"target_latency_ms":1000,
   "service":"pool","max_attempts":1},
  {"name":"again","host":"h","path_prefix":"/again/","kind":"idempotent","timeout_ms":5000,"target_latency_ms":1000,
@@ -93,6 +96,7 @@
             .arg("--settings")
             .arg(&path)
             .stdout(log)
+            .stderr(std::fs::File::create(folder.join(ERRORS)).unwrap())
             .spawn()
             .unwrap();
         Self {
@@ -143,6 +147,15 @@
         assert!(status.success());
     }
 
+    /// What the daemon has written to its standard error.
+    pub(super) fn errors(&self) -> String {
+        std::fs::read_to_string(self.folder.join(ERRORS)).unwrap()
+    }
+
+    pub(super) fn is_running(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+
     /// Waits for the process to exit.
     pub(super) fn wait_for_exit(&mut self) -> std::process::ExitStatus {
         let deadline = Instant::now() + WAIT_TIMEOUT;
--- a/crates/comfreyroad_proxy/tests/process/lifecycle.rs
+++ b/crates/comfreyroad_proxy/tests/process/lifecycle.rs
@@ -1,7 +1,7 @@
 use std::io::Write;
 use std::time::{Duration, Instant};
 
-use super::environment::{Environment, request_text};
+use super::environment::{CONFIG, Environment, request_text};
 use super::http;
 
 #[test]
@@ -87,3 +87,29 @@
         "{status}"
     );
 }
+
+/// Any writer may leave records with times that no clock can add to.
+#[test]
+fn times_without_end_in_records_do_not_stop_the_process() {
+    let mut env = Environment::start_configured();
+    let registration = r#"{"service":"other","address":"127.0.0.1:9","zone":"a","version":"v1","slots":8,"state":"ready",
+        "cold_left_ms":1e22,"seq":1,"born":1}"#;
+    env.store.put("keyed.servers", "i-9", registration);
+    let order = r#"{"service":"pool","target":"v2","duration_s":1.8e19}"#;
+    env.store.put("keyed.op", "rollout/pool", order);
+    std::thread::sleep(std::time::Duration::from_millis(1500));
+    assert!(env.is_running());
+    assert_eq!(env.request("GET", "/public/ok", "").status(), 200);
+    // Both topics are still read.
+    let changed = CONFIG
+        .replace("\"version\":1", "\"version\":2")
+        .replace("/public/", "/changed/");
+    env.store.put("keyed.op", "config", &changed);
+    let is_changed = |env: &Environment| env.request("GET", "/changed/ok", "").status() == 200;
+    env.wait_for("new configuration", is_changed);
+    env.store.put("keyed.servers", "i-1", "");
+    env.store.put("keyed.servers", "i-2", "");
+    let is_gone = |env: &Environment| env.request("GET", "/changed/ok", "").status() == 503;
+    env.wait_for("removal of the engines", is_gone);
+    assert_eq!(env.errors(), "");
+}
--- a/crates/comfreyroad_router/src/controller/rollouts/rollout.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/rollout.rs
@@ -1,7 +1,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use comfreyroad::rendezvous;
+use comfreyroad::{clock, rendezvous};
 
 use super::counts::Counts;
 use super::exposure::Exposure;
@@ -180,7 +180,7 @@
         if pin.order_offset == self.offset {
             let pinned = Pin {
                 is_on_target: pin.is_on_target,
-                expires_at: now + pin.expires_in,
+                expires_at: clock::after(now, pin.expires_in),
             };
             self.pins.add(now, &pin.session, pinned);
         }
--- a/crates/comfreyroad_router/src/controller/upstreams/load_exchange.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/load_exchange.rs
@@ -44,10 +44,11 @@
         let in_pool = |it: &&Upstream| it.registration.pool == *pool && it.is_ready(now);
         let upstreams = self.upstreams.values().filter(in_pool);
         let loads = upstreams.filter_map(|it| it.recent_load(now));
-        let (requests, slots) = loads.fold((0, 0), |(requests, slots), load| {
-            (requests + load.running + load.waiting, slots + load.slots)
+        let (requests, slots) = loads.fold((0.0, 0.0), |(requests, slots), load| {
+            let reported = f64::from(load.requests());
+            (requests + reported, slots + f64::from(load.slots))
         });
-        (slots > 0).then(|| f64::from(requests) / f64::from(slots))
+        (slots > 0.0).then(|| requests / slots)
     }
 
     /// Takes the reports of a peer that are newer than this entry's own.
--- a/crates/comfreyroad_router/src/controller/upstreams/mod.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/mod.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use comfreyroad::clock::Now;
+use comfreyroad::clock::{self, Now};
 use indexmap::IndexMap;
 
 use self::limiter::Limiter;
@@ -156,7 +156,7 @@
         // Entries that do not read the store may not notice an outage and take the grace period from their peers.
         let is_reader = self.store_lost_at.is_none() && self.fleet.is_relay(&self.entry);
         if !is_reader && !frame.registration_grace.is_zero() {
-            self.extend_registration_grace(now + frame.registration_grace);
+            self.extend_registration_grace(clock::after(now, frame.registration_grace));
         }
     }
 
--- a/crates/comfreyroad_router/src/controller/upstreams/selection.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/selection.rs
@@ -140,12 +140,13 @@
             service_time.is_some_and(|(own, median)| own > median.mul_f64(SLOW_FACTOR))
         };
         // An engine without a recent report is not idle: it counts as loaded as the others.
-        let others: Vec<u32> = upstreams
+        let others: Vec<f64> = upstreams
             .iter()
             .filter(|it| it.is_engine())
             .filter_map(|it| it.other_requests(now))
+            .map(f64::from)
             .collect();
-        let mean_others = f64::from(others.iter().sum::<u32>()) / others.len().max(1) as f64;
+        let mean_others = others.iter().sum::<f64>() / others.len().max(1) as f64;
         let other_requests = |upstream: &Upstream| match upstream.other_requests(now) {
             Some(others) => f64::from(others),
             None if upstream.is_engine() => mean_others,
--- a/crates/comfreyroad_router/src/upstream/load.rs
+++ b/crates/comfreyroad_router/src/upstream/load.rs
@@ -18,8 +18,13 @@
 }
 
 impl Load {
+    /// Requests running and waiting.
+    pub fn requests(&self) -> u32 {
+        self.running.saturating_add(self.waiting)
+    }
+
     /// Requests of other entries at the time of the report.
     pub fn other_requests(&self) -> u32 {
-        (self.running + self.waiting).saturating_sub(self.own_requests)
+        self.requests().saturating_sub(self.own_requests)
     }
 }
--- a/crates/comfreyroad_router/src/upstream/upstream.rs
+++ b/crates/comfreyroad_router/src/upstream/upstream.rs
@@ -2,6 +2,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use comfreyroad::clock;
+
 use super::{Average, Backlog, Health, Load, Registration, Slot, Stage};
 use crate::id::{Offset, UpstreamId};
 
@@ -135,5 +137,5 @@
 
 fn cold_until(now: Instant, registration: &Registration) -> Option<Instant> {
     let cold_for = registration.cold_for;
-    (!cold_for.is_zero()).then(|| now + cold_for)
+    (!cold_for.is_zero()).then(|| clock::after(now, cold_for))
 }
--- a/crates/comfreyroad_router/tests/decisions/upstreams.rs
+++ b/crates/comfreyroad_router/tests/decisions/upstreams.rs
@@ -356,3 +356,31 @@
     };
     assert_eq!(answer.suspicions, [expected]);
 }
+
+/// A frame of a peer may hold any values.
+#[test]
+fn extreme_values_in_a_frame_do_not_panic() {
+    let mut rig = Rig::serving("e1");
+    let preferred = suspect_preferred(&mut rig, Duration::MAX);
+    lose_store(&mut rig);
+    let mut incoming = removal(&rig, Duration::MAX, Duration::MAX);
+    let report = |age| LoadReport {
+        upstream: preferred.as_str().into(),
+        incarnation: 1,
+        running: u32::MAX,
+        waiting: u32::MAX,
+        slots: u32::MAX,
+        age,
+    };
+    incoming.loads = vec![report(Duration::MAX), report(Duration::ZERO)];
+    let forever = upstream(|it| it.cold_for = Duration::MAX);
+    let record = Record {
+        offset: rig.offset + 2,
+        key: "u9".into(),
+        content: forever,
+    };
+    incoming.records.push((Topic::Upstreams, record));
+    rig.receive(incoming);
+    place_prompt(&mut rig);
+    rig.run_for(SECOND);
+}
