--- a/crates/comfreyroad_router/tests/decisions/main.rs
+++ b/crates/comfreyroad_router/tests/decisions/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod chain;
 mod cold;
+mod exchange;
 mod lifecycle;
 mod load;
 mod members;
