A removal is final once a peer shows that the store has not gone down

Cause, still there: a removal that a peer has read just before the loss, and that arrives just after it, is held for the whole grace period, whatever peers report meanwhile. Change: once the store is known to have answered a peer after the loss, removals that were taken for lapses become final at once; the answers known of are kept in a type of their own in place of the end of a validity. Ruled out: records withheld between relays.

--- a/crates/comfreyroad_router/src/controller/upstreams/mod.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/mod.rs
@@ -5,6 +5,7 @@
 mod outcomes;
 mod requirements;
 mod selection;
+mod store_answers;
 mod suspicions;
 
 use std::rc::Rc;
@@ -15,6 +16,7 @@
 use indexmap::IndexMap;
 
 use self::limiter::Limiter;
+use self::store_answers::StoreAnswers;
 use super::Controller;
 use super::members::Fleet;
 use crate::configuration::Configuration;
@@ -33,7 +35,7 @@
 /// as the platform states, and a margin for this entry's own read.
 const REREGISTRATION_WINDOW: Duration = Duration::from_millis(2400);
 
-/// Time for which a peer's report that the store answers it is valid: several gossip rounds.
+/// Time for which an answer of the store to a peer shows that the store is not down: several gossip rounds.
 const PEER_REPORT_VALIDITY: Duration = Duration::from_secs(3);
 
 /// Controller of the upstreams.
@@ -50,8 +52,7 @@
     store_lost_at: Option<Instant>,
     // Until when removed registrations may be renewed after an outage of the store.
     registration_grace_until: Option<Instant>,
-    // Until when the store is known to answer some peer.
-    peer_reaches_store_until: Option<Instant>,
+    store_answers: StoreAnswers,
 }
 
 impl Upstreams {
@@ -66,7 +67,7 @@
             prefill_speeds: IndexMap::new(),
             store_lost_at: None,
             registration_grace_until: None,
-            peer_reaches_store_until: None,
+            store_answers: StoreAnswers::default(),
         }
     }
 
@@ -117,11 +118,11 @@
     /// registration may only have lapsed, and the upstream is kept for a grace period.
     fn remove(&mut self, now: Instant, id: &UpstreamId, out: &mut Outbox) {
         let until = self.registration_grace_until.filter(|until| *until > now);
-        let may_lapse = self.is_store_down(now) || until.is_some();
+        let may_have_lapsed = self.may_have_lapsed(now);
         let Some(known) = self.upstreams.get_mut(id) else {
             return;
         };
-        if may_lapse {
+        if may_have_lapsed {
             known
                 .removal_due_at
                 .get_or_insert(until.unwrap_or(now + REREGISTRATION_WINDOW));
@@ -139,25 +140,41 @@
 
     /// Whether the store answers neither this entry nor, as far as is known, any other.
     fn is_store_down(&self, now: Instant) -> bool {
-        let peer_reaches_store = self
-            .peer_reaches_store_until
-            .is_some_and(|until| until > now);
-        self.store_lost_at.is_some() && !peer_reaches_store
+        self.store_lost_at.is_some_and(|lost| {
+            let recent = now.checked_sub(PEER_REPORT_VALIDITY).unwrap_or(lost);
+            !self.store_answers.any_after(lost.max(recent))
+        })
     }
 
     /// Takes a peer's report on the store. A store that answers some peer is not down and has not lost registrations, even
     /// if it rejects this entry.
     fn on_frame(&mut self, now: Instant, frame: &Frame) {
-        if let Some((lost, age)) = self.store_lost_at.zip(frame.store_answer_age) {
-            let answered = now.checked_sub(age).filter(|at| *at > lost);
-            let until = answered.map(|at| at + PEER_REPORT_VALIDITY);
-            self.peer_reaches_store_until = self.peer_reaches_store_until.max(until);
-        }
         // Entries that do not read the store may not notice an outage and take the grace period from their peers.
         let is_reader = self.store_lost_at.is_none() && self.fleet.is_relay(&self.entry);
         if !is_reader && !frame.registration_grace.is_zero() {
             self.extend_registration_grace(clock::after(now, frame.registration_grace));
         }
+        let answered_at = frame.store_answer_age.and_then(|age| now.checked_sub(age));
+        if let Some(answered_at) = answered_at {
+            self.store_answers.record(answered_at);
+        }
+        self.finish_removals(now);
+    }
+
+    /// Whether a missing registration may have lapsed because of an outage of the store.
+    fn may_have_lapsed(&self, now: Instant) -> bool {
+        let is_grace = self.registration_grace_until.is_some_and(|it| it > now);
+        is_grace || self.is_store_down(now)
+    }
+
+    /// Makes removals final that were taken for lapses, if there was no outage of the store after all.
+    fn finish_removals(&mut self, now: Instant) {
+        if self.may_have_lapsed(now) {
+            return;
+        }
+        for upstream in self.upstreams.values_mut() {
+            upstream.removal_due_at = upstream.removal_due_at.map(|at| at.min(now));
+        }
     }
 
     /// Extends the grace period, also for upstreams whose registrations have lapsed already.
--- a/crates/comfreyroad_router/tests/decisions/upstreams.rs
+++ b/crates/comfreyroad_router/tests/decisions/upstreams.rs
@@ -256,3 +256,18 @@
     rig.run_for(3 * SECOND);
     assert!(!used(&mut rig).contains(&"u1".to_owned()));
 }
+
+/// A removal was read by a peer just before the store started to reject this entry, and arrived just after: it was taken for a
+/// lapse and held for the whole grace period, though the store went on to answer the peer.
+#[test]
+fn a_removal_is_final_once_a_peer_shows_that_the_store_has_not_gone_down() {
+    let mut rig = Rig::serving("e1");
+    lose_store(&mut rig);
+    rig.run_for(100 * MS);
+    rig.receive(removal(&rig, 500 * MS, Duration::ZERO));
+    rig.run_for(400 * MS);
+    let mut later = frame("e2");
+    later.store_answer_age = Some(100 * MS);
+    rig.receive(later);
+    assert!(!used(&mut rig).contains(&"u1".to_owned()));
+}
