An entry back from a partition no longer holds removals back for its zone

Cause: an entry that gets the store back after it was cut off, frozen or rejected cannot tell that from an outage for all, opens the grace period for lapsed registrations, and its frames spread it to all entries of its zone that do not read the store. Each then keeps engines that have left for up to 2.4 s more, on top of up to 2.4 s until it hears of them. Change: a grace period is opened, or taken over, only if no entry is known to have been answered in the last two seconds of the outage; it takes longer than that for a registration to lapse. Answers count if they concern the upstreams, as the partitions of the store can fail one by one. Test: relays::a_relay_back_from_a_partition_does_not_hold_removals_back_for_its_zone fails without the change. relays::a_removal_read_by_a_relay_just_after_an_outage_may_be_a_lapse_* reported answers of the store every 500 ms during the outage that it played; its relays now report none for 2.5 s before, and its assertions are as they were.

--- a/crates/comfreyroad_router/src/controller/subscriptions/mod.rs
+++ b/crates/comfreyroad_router/src/controller/subscriptions/mod.rs
@@ -40,7 +40,7 @@
     fleet: Rc<Fleet>,
     // Set while the store does not answer this entry.
     outage: Option<Outage>,
-    // When the store last answered this entry.
+    // When the store last answered this entry on the upstreams, whose registrations lapse in an outage.
     answered_at: Option<Instant>,
     // When the store gave a relay its last answer of which this entry has all records.
     relayed_answer_at: Option<Instant>,
@@ -102,8 +102,10 @@
         is_over(self.role_settles_at) && (is_relay || is_over(self.relayed_until))
     }
 
-    fn on_store_answer(&mut self, now: Instant, out: &mut Outbox) {
-        self.answered_at = Some(now);
+    fn on_store_answer(&mut self, now: Instant, topic: Topic, out: &mut Outbox) {
+        if topic == Topic::Upstreams {
+            self.answered_at = Some(now);
+        }
         if self.outage.take().is_some() {
             out.note(Note::new(&note::STORE_RECOVERED));
             out.raise(Event::StoreRecovered);
@@ -252,7 +254,7 @@
             Event::RecordsExpired(..) => subscription.on_expired(out),
             _ => {}
         }
-        self.on_store_answer(now.instant, out);
+        self.on_store_answer(now.instant, topic, out);
         if let Some(subscription) = self.subscriptions.get_mut(&topic) {
             subscription.start_due_call(now.instant, is_polled, out);
         }
--- a/crates/comfreyroad_router/src/controller/upstreams/mod.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/mod.rs
@@ -38,6 +38,12 @@
 /// Time for which an answer of the store to a peer shows that the store is not down: several gossip rounds.
 const PEER_REPORT_VALIDITY: Duration = Duration::from_secs(3);
 
+/// Shortest outage of the store in which registrations lapse. Upstreams renew them about once a second, and a registration
+/// lapses after three missed renewals.
+const MIN_OUTAGE: Duration = Duration::from_secs(2);
+/// Error of the times of answers that peers report.
+const REPORT_TOLERANCE: Duration = Duration::from_millis(100);
+
 /// Controller of the upstreams.
 #[derive(Debug)]
 pub struct Upstreams {
@@ -152,7 +158,7 @@
         // Entries that do not read the store may not notice an outage and take the grace period from their peers.
         let is_reader = self.store_lost_at.is_none() && self.fleet.is_relay(&self.entry);
         if !is_reader && !frame.registration_grace.is_zero() {
-            self.extend_registration_grace(clock::after(now, frame.registration_grace));
+            self.open_registration_grace(clock::after(now, frame.registration_grace));
         }
         let answered_at = frame.store_answer_age.and_then(|age| now.checked_sub(age));
         if let Some(answered_at) = answered_at {
@@ -177,8 +183,17 @@
         }
     }
 
-    /// Extends the grace period, also for upstreams whose registrations have lapsed already.
-    fn extend_registration_grace(&mut self, until: Instant) {
+    /// Opens the grace period after an outage, also for upstreams whose registrations have lapsed already. A time in which the
+    /// store answered any entry was no outage: whoever reports it was cut off from the store alone.
+    fn open_registration_grace(&mut self, until: Instant) {
+        let Some(ended_at) = until.checked_sub(REREGISTRATION_WINDOW) else {
+            return;
+        };
+        let started_at = ended_at.checked_sub(MIN_OUTAGE).unwrap_or(ended_at);
+        let before_end = ended_at.checked_sub(REPORT_TOLERANCE).unwrap_or(ended_at);
+        if self.store_answers.any_between(started_at, before_end) {
+            return;
+        }
         self.registration_grace_until = self.registration_grace_until.max(Some(until));
         for upstream in self.upstreams.values_mut() {
             if upstream.removal_due_at.is_some() {
@@ -209,9 +224,15 @@
             Event::StoreLost => self.store_lost_at = Some(now.instant),
             Event::StoreRecovered => {
                 if self.is_store_down(now.instant) {
-                    self.extend_registration_grace(now.instant + REREGISTRATION_WINDOW);
+                    self.open_registration_grace(now.instant + REREGISTRATION_WINDOW);
                 }
                 self.store_lost_at = None;
+                self.finish_removals(now.instant);
+            }
+            Event::TopicListed { topic, .. } | Event::TopicRead { topic, .. }
+                if *topic == Topic::Upstreams && self.store_lost_at.is_none() =>
+            {
+                self.store_answers.record(now.instant);
             }
             Event::FrameReceived(frame) => {
                 self.on_frame(now.instant, frame);
--- a/crates/comfreyroad_router/src/controller/upstreams/store_answers.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/store_answers.rs
@@ -28,6 +28,11 @@
         self.answered_at.retain(|it| *it + HISTORY > newest);
     }
 
+    /// Whether an answer is known from after `from` and before `to`.
+    pub(super) fn any_between(&self, from: Instant, to: Instant) -> bool {
+        self.answered_at.iter().any(|it| *it > from && *it < to)
+    }
+
     /// Whether an answer is known from after an instant.
     pub(super) fn any_after(&self, from: Instant) -> bool {
         self.answered_at.iter().any(|it| *it > from)
--- a/crates/comfreyroad_router/tests/decisions/relays.rs
+++ b/crates/comfreyroad_router/tests/decisions/relays.rs
@@ -490,6 +490,11 @@
 fn a_removal_read_by_a_relay_just_after_an_outage_may_be_a_lapse_for_other_entries_too() {
     let (mut rig, relays) = zone(false);
     run_with_relays(&mut rig, &relays, 2 * SECOND);
+    // The store answers no relay.
+    for heartbeat in 50_000..50_005 {
+        rig.run_for(500 * MS);
+        rig.receive(gossip(&relays[0], heartbeat));
+    }
     let mut frame = gossip(&relays[0], 100_000);
     frame.store_answer_age = Some(Duration::ZERO);
     frame.registration_grace = 2 * SECOND;
@@ -508,3 +513,24 @@
     rig.run_for(3 * SECOND);
     assert!(!has(&rig));
 }
+
+/// A relay that comes back from a partition cannot tell it from an outage of the store. Its zone took over its grace period and
+/// kept on using engines that had left, though another relay had read the store all the while.
+#[test]
+fn a_relay_back_from_a_partition_does_not_hold_removals_back_for_its_zone() {
+    let (mut rig, relays) = zone(false);
+    run_with_relays(&mut rig, &relays, 4 * SECOND);
+    rig.run_for(500 * MS);
+    let mut frame = gossip(&relays[0], 100_000);
+    frame.store_answer_age = Some(Duration::ZERO);
+    frame.registration_grace = 2_400 * MS;
+    let record = Record {
+        offset: rig.offset + 1,
+        key: "u1".into(),
+        content: Content::Removed,
+    };
+    frame.records.push((Topic::Upstreams, record));
+    rig.receive(frame);
+    let mut known = rig.router.state().upstreams.all();
+    assert!(!known.any(|it| &*it.id == "u1"));
+}
