--- a/crates/comfreyroad_proxy/src/front/stream.rs
+++ b/crates/comfreyroad_proxy/src/front/stream.rs
@@ -36,7 +36,7 @@
     response: attempt::Response,
 ) -> Result<Stream, Failure> {
     let attempt::Response {
-        call,
+        mut call,
         parts,
         reader,
         ..
@@ -46,7 +46,7 @@
     let mut events = Events::new(reader, after);
     match events.next(deadline).await {
         Ok(first) => {
-            shared.with_router(|router, now| router.on_first_event(now, &call.request));
+            shared.with_router(|router, now| router.on_first_event(now, &mut call.request));
             Ok(Stream {
                 shared: shared.clone(),
                 call,
--- a/crates/comfreyroad_router/src/request/head.rs
+++ b/crates/comfreyroad_router/src/request/head.rs
@@ -33,8 +33,13 @@
     /// The last shared part of the prompt, which identifies the longest prefix that a cache may hold. All parts but the last are
     /// shared.
     pub fn shared_prefix(&self) -> Option<&Part> {
-        let shared = self.prompt.len().checked_sub(2)?;
-        self.prompt.get(shared)
+        self.shared_parts().last()
+    }
+
+    /// The parts of the prompt that other requests may share: all but the last.
+    pub fn shared_parts(&self) -> &[Part] {
+        let shared = self.prompt.len().saturating_sub(1);
+        &self.prompt[..shared]
     }
 
     /// Length of the prompt in tokens.
--- a/crates/comfreyroad_router/src/request/placed.rs
+++ b/crates/comfreyroad_router/src/request/placed.rs
@@ -57,6 +57,7 @@
                 origin,
                 slot: placed.slot,
                 sent_at: now,
+                has_started: false,
             }
         })
     }
--- a/crates/comfreyroad_router/src/request/sent.rs
+++ b/crates/comfreyroad_router/src/request/sent.rs
@@ -14,6 +14,8 @@
     pub slot: Slot,
     /// When it was sent.
     pub sent_at: Instant,
+    /// Whether the first event of the answer has arrived from this upstream.
+    pub has_started: bool,
 }
 
 impl Sent {
@@ -53,6 +55,11 @@
 }
 
 impl Request<Sent> {
+    /// Records that the first event of the answer has arrived.
+    pub(crate) fn record_start(&mut self) {
+        self.stage.has_started = true;
+    }
+
     /// Records an event that the caller has received. Only an upstream of the same version can resume after it.
     pub(crate) fn record_delivery(&mut self, event: EventId, version: &VersionId) {
         let plan = self.stage.origin.plan_mut();
--- a/crates/comfreyroad_router/src/router.rs
+++ b/crates/comfreyroad_router/src/router.rs
@@ -18,7 +18,7 @@
 use crate::outbox::Outbox;
 use crate::refusal::{Code, Ran};
 use crate::request::{
-    Placed, Planned, Received, Rejection, Request, Retrying, Returned, Sent, Unplaced,
+    Head, Placed, Planned, Received, Rejection, Request, Retrying, Returned, Sent, Unplaced,
 };
 use crate::{Action, Event, Refusal, Settings};
 
@@ -182,7 +182,9 @@
         let note = Note::new(&note::ATTEMPT_FAILED).with("request", &request.head().id);
         let note = note
             .with("upstream", &slot.upstream)
-            .with("why", fault.name());
+            .with("why", fault.name())
+            .with("started", request.stage().has_started)
+            .with("parts", shared_part_ids(request.head()));
         self.out
             .note(note.with("runs", request.stage().plan().runs));
         self.state
@@ -200,7 +202,8 @@
     }
 
     /// Records the arrival of the first event of a stream.
-    pub fn on_first_event(&mut self, now: Now, request: &Request<Sent>) {
+    pub fn on_first_event(&mut self, now: Now, request: &mut Request<Sent>) {
+        request.record_start();
         let (stage, head) = (request.stage(), request.head());
         let prefill = Prefill {
             tokens: head.prompt_tokens() - head.shared_tokens(),
@@ -311,3 +314,12 @@
             .note(note.with("ran", ran).with("generation", generation));
     }
 }
+
+/// The ids of the shared parts of a prompt for a log event.
+fn shared_part_ids(head: &Head) -> String {
+    let ids: Vec<&str> = head.shared_parts().iter().map(|part| &*part.id).collect();
+    if ids.is_empty() {
+        return "-".into();
+    }
+    ids.join(",")
+}
--- a/crates/comfreyroad_router/tests/decisions/load/fleet.rs
+++ b/crates/comfreyroad_router/tests/decisions/load/fleet.rs
@@ -273,7 +273,7 @@
 
     fn on_first_event(&mut self, number: usize) {
         let call = &mut self.calls[number];
-        let State::Sent(sent, engine) = &call.state else {
+        let State::Sent(sent, engine) = &mut call.state else {
             return;
         };
         let rig = &mut self.entries[call.entry];
--- a/crates/comfreyroad_router/tests/decisions/models.rs
+++ b/crates/comfreyroad_router/tests/decisions/models.rs
@@ -78,7 +78,7 @@
         }
         rig.advance(wait * MS);
         again
-            .iter()
+            .iter_mut()
             .for_each(|it| rig.router.on_first_event(rig.now, it));
         again.len()
     };
--- a/crates/comfreyroad_router/tests/decisions/upstreams.rs
+++ b/crates/comfreyroad_router/tests/decisions/upstreams.rs
@@ -167,10 +167,10 @@
     for number in 0..20 {
         let mut head = head(rig.now, "stream", &format!("r{number}"));
         head.prompt = prompt(&[("all", 500), ("book", 4000), (&format!("own{number}"), 300)]);
-        let sent = rig.send(head).unwrap();
+        let mut sent = rig.send(head).unwrap();
         let answer = good_answer(&sent);
         rig.router.judge_answer(rig.now, &sent, &answer);
-        rig.router.on_first_event(rig.now, &sent);
+        rig.router.on_first_event(rig.now, &mut sent);
         names.push(sent.stage().slot.upstream.clone());
     }
     names.dedup();
