A stream that ends before its first event is no complete answer

Cause: only an incomplete event marked a stream as broken off. Change: a stream from its start that ends without an event is truncated, and is tried again or refused. A resumed one may be empty, as the caller may have all events. Test: streams::stream_that_ends_before_its_first_event_is_tried_again failed before (200 and an empty body); streams::stream_without_length_or_chunks_ends_with_the_connection held.

--- a/crates/comfreyroad_proxy/src/front/events.rs
+++ b/crates/comfreyroad_proxy/src/front/events.rs
@@ -48,13 +48,20 @@
             }
             match self.reader.next_chunk(deadline).await {
                 Ok(Some(chunk)) => self.splitter.feed(&chunk),
-                Ok(None) if self.splitter.has_partial_event() => return Err(Fault::Truncated),
+                Ok(None) if self.splitter.has_partial_event() || self.is_empty() => {
+                    return Err(Fault::Truncated);
+                }
                 Ok(None) => return Ok(self.take_comments()),
                 Err(error) => return Err(read_fault(&error, self.count > 0)),
             }
         }
     }
 
+    /// Whether a stream that starts from its first event has none yet.
+    fn is_empty(&self) -> bool {
+        self.count == 0 && self.after.is_none()
+    }
+
     /// The next event that has arrived completely and that the caller does not have.
     fn next_buffered(&mut self) -> Result<Option<Event>, Fault> {
         let broken = |error: &dyn std::fmt::Display| {
--- a/crates/comfreyroad_proxy/tests/process/engine.rs
+++ b/crates/comfreyroad_proxy/tests/process/engine.rs
@@ -125,7 +125,8 @@
     }
 
     /// Sends ten events. Breaks off inside the fifth event on the first attempt if the path contains `breaks`, on every
-    /// attempt if it contains `always`.
+    /// attempt if it contains `always`. If the path contains `unframed`, the stream has neither a length nor chunks and ends with
+    /// the connection; if it contains `empty`, the first attempt ends after the head.
     fn stream(
         &self,
         stream: &mut BufReader<TcpStream>,
@@ -142,11 +143,19 @@
         let breaks =
             request.path().contains("breaks") && attempt == 1 || request.path().contains("always");
         let socket = stream.get_mut();
-        let head =
-            format!("{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+        let is_unframed = request.path().contains("unframed");
+        let framing = if is_unframed {
+            "Connection: close"
+        } else {
+            "Transfer-Encoding: chunked"
+        };
+        let head = format!("{head}Content-Type: text/event-stream\r\n{framing}\r\n\r\n");
         if socket.write_all(head.as_bytes()).is_err() {
             return false;
         }
+        if request.path().contains("empty") && attempt == 1 {
+            return !is_unframed && socket.write_all(b"0\r\n\r\n").is_ok();
+        }
         for number in from + 1..=10 {
             let event = format!("id: {number}\ndata: event {number}\n\n");
             let event = if breaks && number == 5 {
@@ -154,7 +163,11 @@
             } else {
                 &event
             };
-            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            let chunk = if is_unframed {
+                event.to_owned()
+            } else {
+                format!("{:x}\r\n{event}\r\n", event.len())
+            };
             if socket.write_all(chunk.as_bytes()).is_err() {
                 self.state.lock().unwrap().cancelled += 1;
                 return false;
@@ -172,7 +185,7 @@
             }
             std::thread::sleep(Duration::from_millis(20));
         }
-        socket.write_all(b"0\r\n\r\n").is_ok()
+        !is_unframed && socket.write_all(b"0\r\n\r\n").is_ok()
     }
 }
 
--- a/crates/comfreyroad_proxy/tests/process/streams.rs
+++ b/crates/comfreyroad_proxy/tests/process/streams.rs
@@ -46,3 +46,26 @@
         .collect();
     assert_eq!(response.text(), expected);
 }
+
+#[test]
+fn stream_without_length_or_chunks_ends_with_the_connection() {
+    let env = Environment::start_configured();
+    let response = env.request("POST", "/events/unframed/stream", "");
+    assert_eq!((response.status(), response.text()), (200, events()));
+    assert!(response.is_complete);
+    let response = env.request("POST", "/events/unframed/breaks/stream", "");
+    assert_eq!(response.text(), events());
+    let response = env.request("POST", "/events/unframed/always/stream", "");
+    assert!(!response.is_complete, "it ended inside an event");
+}
+
+/// An engine that crashed after the head of its answer left the caller with an empty stream that looked complete.
+#[test]
+fn stream_that_ends_before_its_first_event_is_tried_again() {
+    let env = Environment::start_configured();
+    for path in ["/events/unframed/empty/stream", "/events/empty/stream"] {
+        let response = env.request("POST", path, "");
+        assert_eq!((response.status(), response.text()), (200, events()));
+        assert!(response.is_complete);
+    }
+}
