Versions are compared by a second limit on service times

Cause, by the log of the cutover: ten answers of the new version, none within 1.25 times the median of the old one, where 105 of the old one's own 164 were: its times per event spread from 30 to 120 ms, so that the limit near the median tells little, and the evidence stayed below its bound. All ten took over 98 ms, more than nine in ten of the old one's. Change: answers are also rated by twice the median; the stronger of both tells, with a correction for two tests. The lower limit stays for versions that are only twice as slow where times vary little. Test: rollouts::a_slow_version_is_rolled_back_after_a_few_answers_though_the_old_one_s_times_vary fails before (completed).

--- a/crates/comfreyroad_router/src/controller/rollouts/counts.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/counts.rs
@@ -17,6 +17,8 @@
 /// Service time, as a factor of the other versions' median, above which an answer counts as slow. Versions that do several
 /// times the work take only about twice the time per event, as much of a decoding step does not depend on the work.
 const SLOW_FACTOR: f64 = 1.25;
+/// The same, for versions whose service times vary so much that many answers exceed the lower factor.
+const COARSE_SLOW_FACTOR: f64 = 2.0;
 /// Tolerated increase of the fraction of slow answers of a new version.
 const SLOW_MARGIN: f64 = 0.15;
 /// Answers of the other versions that are needed before service times are compared.
@@ -47,6 +49,8 @@
                 routes: Vec::new(),
                 target_speed: Score::default(),
                 others_speed: Score::default(),
+                target_coarse_speed: Score::default(),
+                others_coarse_speed: Score::default(),
                 revision: 0,
             },
             peers: IndexMap::new(),
@@ -110,13 +114,16 @@
             self.baseline_service_time.add(service_time);
         }
         let Some(baseline) = baseline else { return };
-        let is_fast = service_time <= baseline.mul_f64(SLOW_FACTOR);
-        self.own.revision += 1;
-        if is_target {
-            self.own.target_speed.count(is_fast);
+        let is_fast = |factor: f64| service_time <= baseline.mul_f64(factor);
+        let own = &mut self.own;
+        own.revision += 1;
+        let (speed, coarse_speed) = if is_target {
+            (&mut own.target_speed, &mut own.target_coarse_speed)
         } else {
-            self.own.others_speed.count(is_fast);
-        }
+            (&mut own.others_speed, &mut own.others_coarse_speed)
+        };
+        speed.count(is_fast(SLOW_FACTOR));
+        coarse_speed.count(is_fast(COARSE_SLOW_FACTOR));
     }
 
     /// Merges the counts of another entry; the latest revision wins.
@@ -152,8 +159,18 @@
         let failures = routes
             .values()
             .map(|(target, others)| log_evidence(*target, *others, FAILURE_MARGIN) - correction);
-        let (target, others) = self.speed_scores();
-        failures.fold(log_evidence(target, others, SLOW_MARGIN), f64::max)
+        let speeds = self.speed_scores();
+        let correction = (speeds.len() as f64).ln();
+        // Without answers there is no evidence either way, and the trial continues.
+        let slowness = speeds.into_iter().map(|(target, others)| {
+            let evidence = log_evidence(target, others, SLOW_MARGIN);
+            if target.rated == 0 || others.rated == 0 {
+                evidence
+            } else {
+                evidence - correction
+            }
+        });
+        failures.chain(slowness).fold(f64::NEG_INFINITY, f64::max)
     }
 
     /// Whether the new version looks worse on some route, by too few answers to be significant. This is enough to prevent
@@ -180,14 +197,16 @@
         routes
     }
 
-    /// Speed scores of the new version and of the others, summed over all entries.
-    fn speed_scores(&self) -> (Score, Score) {
-        let (mut target, mut others) = (self.own.target_speed, self.own.others_speed);
-        for tally in self.peers.values() {
-            target += tally.target_speed;
-            others += tally.others_speed;
+    /// Speed scores of the new version and of the others by each of the two limits, summed over all entries.
+    fn speed_scores(&self) -> [(Score, Score); 2] {
+        let mut scores = [(Score::default(), Score::default()); 2];
+        for tally in self.tallies() {
+            scores[0].0 += tally.target_speed;
+            scores[0].1 += tally.others_speed;
+            scores[1].0 += tally.target_coarse_speed;
+            scores[1].1 += tally.others_coarse_speed;
         }
-        (target, others)
+        scores
     }
 
     /// Scores of the new version and of the others, summed over all entries and routes.
@@ -203,7 +222,7 @@
     /// Adds the scores to a log event.
     pub(super) fn annotate(&self, note: Note) -> Note {
         let (target, others) = self.total_scores();
-        let (target_speed, others_speed) = self.speed_scores();
+        let [(target_speed, others_speed), (target_coarse, others_coarse)] = self.speed_scores();
         note.with("answers", target.rated)
             .with("good", target.good)
             .with("others", others.rated)
@@ -212,5 +231,7 @@
             .with("fast", target_speed.good)
             .with("others_paces", others_speed.rated)
             .with("others_fast", others_speed.good)
+            .with("coarse_fast", target_coarse.good)
+            .with("others_coarse_fast", others_coarse.good)
     }
 }
--- a/crates/comfreyroad_router/src/rollout/tally.rs
+++ b/crates/comfreyroad_router/src/rollout/tally.rs
@@ -41,6 +41,12 @@
     /// Answers of the other versions, rated by whether they were fast enough compared with their own median.
     #[serde(rename = "others_paces")]
     pub others_speed: Score,
+    /// Answers of the new version, rated in the same way by a higher limit. Absent in frames of versions that have one limit.
+    #[serde(rename = "target_coarse_paces", default)]
+    pub target_coarse_speed: Score,
+    /// Answers of the other versions, rated in the same way by a higher limit. Absent as above.
+    #[serde(rename = "others_coarse_paces", default)]
+    pub others_coarse_speed: Score,
     /// Number of changes so far, which tells a new copy from an old one.
     pub revision: u64,
 }
--- a/crates/comfreyroad_router/tests/decisions/rollouts.rs
+++ b/crates/comfreyroad_router/tests/decisions/rollouts.rs
@@ -207,6 +207,39 @@
     assert_eq!(state(&rig), Some(State::RolledBack));
 }
 
+/// Regression (a slow version at a low request rate was completed): the times per event of the old version vary by a factor of
+/// four, so that ten answers of the new one, each slower than nine in ten of the old one's, were no evidence.
+#[test]
+fn a_slow_version_is_rolled_back_after_a_few_answers_though_the_old_one_s_times_vary() {
+    const OLD_MS: [u32; 10] = [42, 30, 62, 38, 88, 42, 50, 29, 62, 35];
+    const NEW_MS: [u32; 4] = [99, 129, 109, 103];
+    let mut rig = with_rollout();
+    let mut answers = 0;
+    for number in 0..200 {
+        rig.advance(100 * MS);
+        rig.raise(Event::Tick);
+        let mut head = head(rig.now, "stream", &format!("r{number}"));
+        head.prompt = shared_prompt(number, &format!("own{number}"));
+        let Some(sent) = rig.send(head) else { continue };
+        let is_new = &*sent.stage().slot.version == "v2";
+        answers += usize::from(is_new);
+        let service_time = if is_new {
+            NEW_MS[answers % NEW_MS.len()]
+        } else {
+            OLD_MS[number as usize % OLD_MS.len()]
+        };
+        let completion = Completion {
+            is_success: true,
+            first_event_after: None,
+            service_time: Some(service_time * MS),
+        };
+        rig.router.on_finished(rig.now, &sent, completion);
+        commit_last_write(&mut rig);
+    }
+    assert_eq!(state(&rig), Some(State::RolledBack));
+    assert!(answers <= 10, "{answers} answers");
+}
+
 #[test]
 fn status_writes_are_conditional_on_the_known_end_of_the_topic() {
     let mut rig = with_rollout();
