Versions are compared by the distribution of their service times

Cause: a limit at a fixed multiple of the median. The new version's 98 to 130 ms per event lie around twice the old one's median of 50, so that the limit of 100 ms called four in ten of them fast; the old one's go up to 115 ms in one of ten, under its load. Change: entries count the service times of both versions in histograms, which add up over all entries, and the evidence is taken at the limit between the old version's median and its ninth decile at which both differ most, with a correction for the number of limits. The second limit is gone. Test: rollouts::a_slow_version_is_rolled_back_wherever_its_times_lie_among_the_old_one_s fails before (completed); a_version_whose_times_vary_like_the_old_one_s_is_completed holds.

--- a/crates/comfreyroad_router/src/controller/rollouts/counts.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/counts.rs
@@ -6,7 +6,7 @@
 use crate::frame::Peer;
 use crate::id::{EntryId, Incarnation, Offset, RouteId, VersionId};
 use crate::note::Note;
-use crate::rollout::{Order, RouteScore, Tally};
+use crate::rollout::{Histogram, Order, RouteScore, Tally};
 use crate::upstream::Median;
 
 /// Number of failures on one route, and drop of the success rate there, that together prevent the cutover.
@@ -17,8 +17,9 @@
 /// Service time, as a factor of the other versions' median, above which an answer counts as slow. Versions that do several
 /// times the work take only about twice the time per event, as much of a decoding step does not depend on the work.
 const SLOW_FACTOR: f64 = 1.25;
-/// The same, for versions whose service times vary so much that many answers exceed the lower factor.
-const COARSE_SLOW_FACTOR: f64 = 2.0;
+/// Quantiles of the other versions' service times between which the limits lie by which answers are rated in addition. Times
+/// that vary with the load leave little evidence at the median, and slow versions differ most where few others are slower.
+const LIMIT_QUANTILES: (f64, f64) = (0.5, 0.9);
 /// Tolerated increase of the fraction of slow answers of a new version.
 const SLOW_MARGIN: f64 = 0.15;
 /// Answers of the other versions that are needed before service times are compared.
@@ -49,8 +50,8 @@
                 routes: Vec::new(),
                 target_speed: Score::default(),
                 others_speed: Score::default(),
-                target_coarse_speed: Score::default(),
-                others_coarse_speed: Score::default(),
+                target_times: Histogram::default(),
+                others_times: Histogram::default(),
                 revision: 0,
             },
             peers: IndexMap::new(),
@@ -107,6 +108,12 @@
     /// Counts an answer as fast or slow by its service time.
     pub(super) fn count_service_time(&mut self, version: &VersionId, service_time: Duration) {
         let is_target = *version == self.target;
+        self.own.revision += 1;
+        if is_target {
+            self.own.target_times.add(service_time);
+        } else {
+            self.own.others_times.add(service_time);
+        }
         let baseline = self
             .baseline_service_time
             .estimate(MIN_SERVICE_TIME_SAMPLES);
@@ -114,16 +121,12 @@
             self.baseline_service_time.add(service_time);
         }
         let Some(baseline) = baseline else { return };
-        let is_fast = |factor: f64| service_time <= baseline.mul_f64(factor);
-        let own = &mut self.own;
-        own.revision += 1;
-        let (speed, coarse_speed) = if is_target {
-            (&mut own.target_speed, &mut own.target_coarse_speed)
+        let is_fast = service_time <= baseline.mul_f64(SLOW_FACTOR);
+        if is_target {
+            self.own.target_speed.count(is_fast);
         } else {
-            (&mut own.others_speed, &mut own.others_coarse_speed)
-        };
-        speed.count(is_fast(SLOW_FACTOR));
-        coarse_speed.count(is_fast(COARSE_SLOW_FACTOR));
+            self.own.others_speed.count(is_fast);
+        }
     }
 
     /// Merges the counts of another entry; the latest revision wins.
@@ -159,17 +162,11 @@
         let failures = routes
             .values()
             .map(|(target, others)| log_evidence(*target, *others, FAILURE_MARGIN) - correction);
-        let speeds = self.speed_scores();
-        let correction = (speeds.len() as f64).ln();
-        // Without answers there is no evidence either way, and the trial continues.
-        let slowness = speeds.into_iter().map(|(target, others)| {
-            let evidence = log_evidence(target, others, SLOW_MARGIN);
-            if target.rated == 0 || others.rated == 0 {
-                evidence
-            } else {
-                evidence - correction
-            }
-        });
+        let (target, others) = self.speed_scores();
+        let slowness = [
+            log_evidence(target, others, SLOW_MARGIN),
+            self.log_evidence_of_times(),
+        ];
         failures.chain(slowness).fold(f64::NEG_INFINITY, f64::max)
     }
 
@@ -197,16 +194,38 @@
         routes
     }
 
-    /// Speed scores of the new version and of the others by each of the two limits, summed over all entries.
-    fn speed_scores(&self) -> [(Score, Score); 2] {
-        let mut scores = [(Score::default(), Score::default()); 2];
+    /// Log evidence that the service times of the new version are longer, by the limit at which they differ most.
+    fn log_evidence_of_times(&self) -> f64 {
+        let (mut target, mut others) = (Histogram::default(), Histogram::default());
         for tally in self.tallies() {
-            scores[0].0 += tally.target_speed;
-            scores[0].1 += tally.others_speed;
-            scores[1].0 += tally.target_coarse_speed;
-            scores[1].1 += tally.others_coarse_speed;
+            target.merge(&tally.target_times);
+            others.merge(&tally.others_times);
         }
-        scores
+        if target.total() == 0 || others.total() < MIN_SERVICE_TIME_SAMPLES {
+            return 0.0;
+        }
+        let (low, high) = LIMIT_QUANTILES;
+        let limits = others.quantile(low)..=others.quantile(high);
+        let correction = (limits.clone().count() as f64).ln();
+        let score = |times: &Histogram, limit: usize| Score {
+            rated: times.total(),
+            good: times.up_to(limit),
+        };
+        let evidence = |limit| {
+            let (target, others) = (score(&target, limit), score(&others, limit));
+            log_evidence(target, others, SLOW_MARGIN) - correction
+        };
+        limits.map(evidence).fold(f64::NEG_INFINITY, f64::max)
+    }
+
+    /// Speed scores of the new version and of the others, summed over all entries.
+    fn speed_scores(&self) -> (Score, Score) {
+        let (mut target, mut others) = (Score::default(), Score::default());
+        for tally in self.tallies() {
+            target += tally.target_speed;
+            others += tally.others_speed;
+        }
+        (target, others)
     }
 
     /// Scores of the new version and of the others, summed over all entries and routes.
@@ -222,7 +241,7 @@
     /// Adds the scores to a log event.
     pub(super) fn annotate(&self, note: Note) -> Note {
         let (target, others) = self.total_scores();
-        let [(target_speed, others_speed), (target_coarse, others_coarse)] = self.speed_scores();
+        let (target_speed, others_speed) = self.speed_scores();
         note.with("answers", target.rated)
             .with("good", target.good)
             .with("others", others.rated)
@@ -231,7 +250,9 @@
             .with("fast", target_speed.good)
             .with("others_paces", others_speed.rated)
             .with("others_fast", others_speed.good)
-            .with("coarse_fast", target_coarse.good)
-            .with("others_coarse_fast", others_coarse.good)
+            .with(
+                "times_evidence",
+                format_args!("{:.1}", self.log_evidence_of_times()),
+            )
     }
 }
--- a/crates/comfreyroad_router/src/rollout/tally.rs
+++ b/crates/comfreyroad_router/src/rollout/tally.rs
@@ -1,6 +1,7 @@
 use comfreyroad::quality::Score;
 use serde::{Deserialize, Serialize};
 
+use super::Histogram;
 use crate::id::{EntryId, Incarnation, Offset, PoolId, RouteId};
 
 /// Answer counts of one route.
@@ -41,12 +42,12 @@
     /// Answers of the other versions, rated by whether they were fast enough compared with their own median.
     #[serde(rename = "others_paces")]
     pub others_speed: Score,
-    /// Answers of the new version, rated in the same way by a higher limit. Absent in frames of versions that have one limit.
-    #[serde(rename = "target_coarse_paces", default)]
-    pub target_coarse_speed: Score,
-    /// Answers of the other versions, rated in the same way by a higher limit. Absent as above.
-    #[serde(rename = "others_coarse_paces", default)]
-    pub others_coarse_speed: Score,
+    /// Service times of the new version. Absent in frames of versions that only compare them with the median.
+    #[serde(default)]
+    pub target_times: Histogram,
+    /// Service times of the other versions. Absent as above.
+    #[serde(default)]
+    pub others_times: Histogram,
     /// Number of changes so far, which tells a new copy from an old one.
     pub revision: u64,
 }
--- a/crates/comfreyroad_router/tests/decisions/rollouts.rs
+++ b/crates/comfreyroad_router/tests/decisions/rollouts.rs
@@ -1,7 +1,6 @@
 use std::time::Duration;
 
-use comfreyroad_router::answer::Completion;
-use comfreyroad_router::answer::Fault;
+use comfreyroad_router::answer::{Completion, Fault};
 use comfreyroad_router::record::{Content, Topic};
 use comfreyroad_router::rollout::{Order, State, Status};
 use comfreyroad_router::{Action, Event};
@@ -207,13 +206,8 @@
     assert_eq!(state(&rig), Some(State::RolledBack));
 }
 
-/// Regression (a slow version at a low request rate was completed): the times per event of the old version vary by a factor of
-/// four, so that ten answers of the new one, each slower than nine in ten of the old one's, were no evidence.
-#[test]
-fn a_slow_version_is_rolled_back_after_a_few_answers_though_the_old_one_s_times_vary() {
-    const OLD_MS: [u32; 10] = [42, 30, 62, 38, 88, 42, 50, 29, 62, 35];
-    const NEW_MS: [u32; 4] = [99, 129, 109, 103];
-    let mut rig = with_rollout();
+/// Serves ten requests per second with the given times per event, in turn. Returns the number of answers of the new version.
+fn serve_with_times(rig: &mut Rig, old_ms: &[u32], new_ms: &[u32]) -> usize {
     let mut answers = 0;
     for number in 0..200 {
         rig.advance(100 * MS);
@@ -224,9 +218,9 @@
         let is_new = &*sent.stage().slot.version == "v2";
         answers += usize::from(is_new);
         let service_time = if is_new {
-            NEW_MS[answers % NEW_MS.len()]
+            new_ms[answers % new_ms.len()]
         } else {
-            OLD_MS[number as usize % OLD_MS.len()]
+            old_ms[number as usize % old_ms.len()]
         };
         let completion = Completion {
             is_success: true,
@@ -234,12 +228,39 @@
             service_time: Some(service_time * MS),
         };
         rig.router.on_finished(rig.now, &sent, completion);
-        commit_last_write(&mut rig);
+        commit_last_write(rig);
     }
+    answers
+}
+
+/// Regression (a slow version at a low request rate was completed): the times per event of the old version vary by a factor of
+/// four, so that ten answers of the new one, each slower than nine in ten of the old one's, were no evidence.
+#[test]
+fn a_slow_version_is_rolled_back_after_a_few_answers_though_the_old_one_s_times_vary() {
+    let mut rig = with_rollout();
+    let old = [42, 30, 62, 38, 88, 42, 50, 29, 62, 35];
+    let answers = serve_with_times(&mut rig, &old, &[99, 129, 109, 103]);
     assert_eq!(state(&rig), Some(State::RolledBack));
     assert!(answers <= 10, "{answers} answers");
 }
 
+/// Regression: as above, with times of the new version around twice the median of the old one, where a limit was.
+#[test]
+fn a_slow_version_is_rolled_back_wherever_its_times_lie_among_the_old_one_s() {
+    let mut rig = with_rollout();
+    let old = [26, 48, 34, 112, 48, 78, 50, 35, 62, 40];
+    serve_with_times(&mut rig, &old, &[98, 87, 99, 84, 106, 92]);
+    assert_eq!(state(&rig), Some(State::RolledBack));
+}
+
+#[test]
+fn a_version_whose_times_vary_like_the_old_one_s_is_completed() {
+    let mut rig = with_rollout();
+    let times = [26, 48, 34, 112, 48, 78, 50, 35, 62, 40];
+    serve_with_times(&mut rig, &times, &times);
+    assert_eq!(state(&rig), Some(State::Completed));
+}
+
 #[test]
 fn status_writes_are_conditional_on_the_known_end_of_the_topic() {
     let mut rig = with_rollout();
