The pace of a stream counts for a rollout while it runs

Change: the pace of a stream is taken once eight gaps between its events are known; shorter streams count at their end, as before. Test: rollouts::a_slow_version_is_rolled_back_before_its_first_answer_ends: no answer of the new version ends, so that nothing would be counted without the change.

--- a/crates/comfreyroad_proxy/src/front/events.rs
+++ b/crates/comfreyroad_proxy/src/front/events.rs
@@ -2,7 +2,7 @@
 
 use bytes::BytesMut;
 use comfreyroad_net::client::{Error, Reader};
-use comfreyroad_router::answer::Fault;
+use comfreyroad_router::answer::{Fault, Pace};
 use comfreyroad_wire::sse::{Event, Splitter};
 
 /// Maximum number of bytes between two events that belong to neither: comments, and events that the caller already has. A
@@ -126,11 +126,12 @@
         Some(first.saturating_duration_since(sent))
     }
 
-    /// Mean time between events.
-    pub(super) fn mean_gap(&self) -> Option<Duration> {
+    /// How fast events have arrived so far; `None` before the second one.
+    pub(super) fn pace(&self) -> Option<Pace> {
         let gaps = self.count.checked_sub(1).filter(|gaps| *gaps > 0)?;
         let (first, last) = self.first.zip(self.last)?;
-        Some(last.saturating_duration_since(first) / gaps)
+        let mean_gap = last.saturating_duration_since(first) / gaps;
+        Some(Pace { gaps, mean_gap })
     }
 }
 
--- a/crates/comfreyroad_proxy/src/front/stream.rs
+++ b/crates/comfreyroad_proxy/src/front/stream.rs
@@ -124,6 +124,12 @@
                 self.finish(call, &events);
                 return Ok(());
             };
+            if !call.request.stage().has_sampled_service_time
+                && let Some(pace) = events.pace()
+            {
+                self.shared
+                    .with_router(|router, _| router.on_pace(&mut call.request, pace));
+            }
             self.deliver(&mut call, event).await?;
             let deadline = self.next_event_deadline(&call);
             next = match self.until_caller_gone(events.next(deadline)).await? {
@@ -199,7 +205,7 @@
         let completion = Completion {
             is_success: true,
             first_event_after: events.time_to_first(request.stage().sent_at),
-            service_time: events.mean_gap(),
+            service_time: events.pace().map(|pace| pace.mean_gap),
         };
         self.shared
             .with_router(|router, now| router.on_finished(now, &request, completion));
--- a/crates/comfreyroad_router/src/answer/mod.rs
+++ b/crates/comfreyroad_router/src/answer/mod.rs
@@ -3,9 +3,11 @@
 mod completion;
 mod fault;
 mod head;
+mod pace;
 mod verdict;
 
 pub use completion::Completion;
 pub use fault::Fault;
 pub use head::Head;
+pub use pace::Pace;
 pub use verdict::{Verdict, judge};
--- a/crates/comfreyroad_router/src/request/placed.rs
+++ b/crates/comfreyroad_router/src/request/placed.rs
@@ -58,6 +58,7 @@
                 slot: placed.slot,
                 sent_at: now,
                 has_started: false,
+                has_sampled_service_time: false,
             }
         })
     }
--- a/crates/comfreyroad_router/src/request/sent.rs
+++ b/crates/comfreyroad_router/src/request/sent.rs
@@ -16,6 +16,8 @@
     pub sent_at: Instant,
     /// Whether the first event of the answer has arrived from this upstream.
     pub has_started: bool,
+    /// Whether the time per event of the answer was taken before its end.
+    pub has_sampled_service_time: bool,
 }
 
 impl Sent {
@@ -60,6 +62,11 @@
         self.stage.has_started = true;
     }
 
+    /// Records that the time per event was taken before the end of the answer. Returns whether it was not before.
+    pub(crate) fn record_service_time_sample(&mut self) -> bool {
+        !std::mem::replace(&mut self.stage.has_sampled_service_time, true)
+    }
+
     /// Records an event that the caller has received. Only an upstream of the same version can resume after it.
     pub(crate) fn record_delivery(&mut self, event: EventId, version: &VersionId) {
         let plan = self.stage.origin.plan_mut();
--- a/crates/comfreyroad_router/src/router.rs
+++ b/crates/comfreyroad_router/src/router.rs
@@ -7,7 +7,7 @@
 
 use comfreyroad::clock::Now;
 
-use crate::answer::{self, Completion, Fault, Verdict};
+use crate::answer::{self, Completion, Fault, Pace, Verdict};
 use crate::controller::Controllers;
 use crate::controller::upstreams::Prefill;
 use crate::filter::place::{self, Backpressure};
@@ -22,6 +22,9 @@
 };
 use crate::{Action, Event, Refusal, Settings};
 
+/// Number of gaps between events from which the pace of a stream is representative.
+const MIN_SAMPLE_GAPS: u32 = 8;
+
 /// Makes all routing decisions of one entry.
 #[derive(Debug)]
 pub struct Router {
@@ -231,11 +234,23 @@
         request.record_delivery(event, &version);
     }
 
+    /// Takes the pace of a stream while it runs. Streams of a slow version end late, and a rollout must not wait for them.
+    pub fn on_pace(&mut self, request: &mut Request<Sent>, pace: Pace) {
+        if pace.gaps < MIN_SAMPLE_GAPS || !request.record_service_time_sample() {
+            return;
+        }
+        let slot = &request.stage().slot;
+        let rollouts = &mut self.state.rollouts;
+        rollouts.count_service_time(&slot.pool, &slot.version, pace.mean_gap);
+    }
+
     /// Records the end of a complete answer.
     pub fn on_finished(&mut self, now: Now, request: &Request<Sent>, completion: Completion) {
         self.touch_session(now, request);
         let slot = &request.stage().slot;
-        if let Some(service_time) = completion.service_time {
+        if let Some(service_time) = completion.service_time
+            && !request.stage().has_sampled_service_time
+        {
             let rollouts = &mut self.state.rollouts;
             rollouts.count_service_time(&slot.pool, &slot.version, service_time);
         }
--- a/crates/comfreyroad_router/tests/decisions/rollouts.rs
+++ b/crates/comfreyroad_router/tests/decisions/rollouts.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use comfreyroad_router::answer::{Completion, Fault};
+use comfreyroad_router::answer::{Completion, Fault, Pace};
 use comfreyroad_router::record::{Content, Topic};
 use comfreyroad_router::rollout::{Order, State, Status};
 use comfreyroad_router::{Action, Event};
@@ -261,6 +261,39 @@
     assert_eq!(state(&rig), Some(State::Completed));
 }
 
+/// Regression: answers counted only at their end, and those of a slow version end after the cutover.
+#[test]
+fn a_slow_version_is_rolled_back_before_its_first_answer_ends() {
+    let mut rig = with_rollout();
+    let mut streams = Vec::new();
+    for number in 0..200 {
+        rig.advance(100 * MS);
+        rig.raise(Event::Tick);
+        let mut head = head(rig.now, "stream", &format!("r{number}"));
+        head.prompt = shared_prompt(number, &format!("own{number}"));
+        let Some(mut sent) = rig.send(head) else {
+            continue;
+        };
+        let is_new = &*sent.stage().slot.version == "v2";
+        let mean_gap = if is_new { 200 * MS } else { 20 * MS };
+        for gaps in 1..=8 {
+            rig.router.on_pace(&mut sent, Pace { gaps, mean_gap });
+        }
+        if is_new {
+            streams.push(sent);
+        } else {
+            let completion = Completion {
+                is_success: true,
+                first_event_after: None,
+                service_time: Some(mean_gap),
+            };
+            rig.router.on_finished(rig.now, &sent, completion);
+        }
+        commit_last_write(&mut rig);
+    }
+    assert_eq!(state(&rig), Some(State::RolledBack));
+}
+
 #[test]
 fn status_writes_are_conditional_on_the_known_end_of_the_topic() {
     let mut rig = with_rollout();
