Attribution of crashes has a file of its own, and is done only when something changed

No change of what is quarantined: E1701 names the engines that the part has crashed, the search skips parts that stand in fewer than three crashes, and it runs only after new crashes, answers for quarantined parts, and on ticks while a quarantine lasts.

--- a/crates/comfreyroad_router/src/controller/mod.rs
+++ b/crates/comfreyroad_router/src/controller/mod.rs
@@ -79,6 +79,7 @@
         for controller in self.all() {
             controller.handle(now, event, out);
         }
+        // The quarantine depends on what the upstreams have made of the same event.
         if matches!(event, Event::Tick | Event::FrameReceived(_)) {
             self.quarantine.update(now.instant, &self.upstreams, out);
         }
--- a/crates/comfreyroad_router/src/controller/quarantine/mod.rs
+++ b/crates/comfreyroad_router/src/controller/quarantine/mod.rs
@@ -7,6 +7,7 @@
 //! answered since. A part is quarantined after a series of crashes without an answer in between; all parts of a failed prompt
 //! are suspects until then, and other requests exonerate the sound ones.
 
+mod attribution;
 mod crash;
 
 use std::time::{Duration, Instant};
@@ -14,7 +15,8 @@
 use comfreyroad::clock::Now;
 use indexmap::IndexMap;
 
-use self::crash::{Crash, series};
+use self::attribution::Answers;
+use self::crash::Crash;
 use super::Controller;
 use super::upstreams::Upstreams;
 use crate::Event;
@@ -24,8 +26,6 @@
 use crate::outbox::Outbox;
 use crate::request::{Head, Request, Sent};
 
-/// Number of successive crashes after which a part is quarantined.
-const MIN_CRASHES: usize = 3;
 /// Duration of a quarantine after the last crash.
 const QUARANTINE_TIME: Duration = Duration::from_secs(300);
 /// Time for which a crash that is not explained by a quarantined part is remembered.
@@ -47,12 +47,11 @@
 #[derive(Debug, Default)]
 pub struct Quarantine {
     crashes: Vec<Crash>,
-    // When an upstream last began to answer a prompt with a part.
-    answered_at: IndexMap<PromptPartId, Instant>,
+    answered_at: Answers,
     // The quarantined parts, and when their quarantine ends.
     quarantined: IndexMap<PromptPartId, Instant>,
-    // Whether crashes were added since the quarantined parts were determined.
-    has_new_crashes: bool,
+    // Whether the quarantined parts have to be determined anew.
+    is_outdated: bool,
     // Whether parts were quarantined since the last tick.
     has_news: bool,
 }
@@ -98,6 +97,7 @@
     }
 
     fn exonerate(&mut self, part: &PromptPartId, answered_at: Instant) {
+        self.is_outdated |= self.quarantined.contains_key(part);
         if let Some(known) = self.answered_at.get_mut(part) {
             *known = answered_at.max(*known);
             return;
@@ -118,7 +118,7 @@
             self.crashes.remove(index.unwrap_or(0));
         }
         self.crashes.push(crash);
-        self.has_new_crashes = true;
+        self.is_outdated = true;
     }
 
     /// Whether a quarantined part explains a crash.
@@ -137,15 +137,19 @@
                     upstreams.has_answered_after(&crash.upstream, crash.incarnation, since);
             }
         }
-        if !std::mem::take(&mut self.has_new_crashes) && self.quarantined.is_empty() {
+        if !std::mem::take(&mut self.is_outdated) {
             return;
         }
-        let quarantined = self.convict(now);
-        for (part, until) in &quarantined {
+        let crashes = self.crashes.iter().filter(|crash| !crash.is_disproved);
+        let causes = attribution::causes(&crashes.collect::<Vec<_>>(), &self.answered_at);
+        let ends = causes
+            .into_iter()
+            .map(|cause| (cause.part, cause.last_crash_at + QUARANTINE_TIME));
+        let quarantined: IndexMap<PromptPartId, Instant> =
+            ends.filter(|(_, at)| *at > now).collect();
+        for (part, ends_at) in &quarantined {
             if !self.quarantined.contains_key(part) {
-                let note = Note::new(&note::PART_QUARANTINED).with("part", part);
-                let left = until.saturating_duration_since(now);
-                out.note(note.with("for_ms", left.as_millis()));
+                out.note(self.quarantine_note(part, ends_at.saturating_duration_since(now)));
                 self.has_news = true;
             }
         }
@@ -157,63 +161,12 @@
         self.quarantined = quarantined;
     }
 
-    /// The parts that explain the crashes, and the ends of their quarantines: first the part that explains most, until no part
-    /// stands in enough of the crashes that are left. A part explains the crash of an upstream with all requests there.
-    fn convict(&self, now: Instant) -> IndexMap<PromptPartId, Instant> {
-        let crashes = self.crashes.iter().filter(|crash| !crash.is_disproved);
-        let crashes: Vec<&Crash> = crashes.collect();
-        let mut unexplained = crashes.clone();
-        let mut convicted = IndexMap::new();
-        while let Some((part, until)) = self.prime_suspect(&crashes, &unexplained) {
-            let explains = |crash: &&&Crash| crash.parts.contains(&part);
-            let causes: Vec<&Crash> = crashes.iter().filter(explains).copied().collect();
-            unexplained.retain(|crash| !causes.iter().any(|it| it.has_same_upstream(crash)));
-            if until > now {
-                convicted.insert(part, until);
-            }
-        }
-        convicted
-    }
-
-    /// The part that most likely explains the unexplained crashes, and the end of its quarantine. Among parts that stand in the
-    /// same crashes, the deepest one affects the fewest other requests.
-    fn prime_suspect(
-        &self,
-        crashes: &[&Crash],
-        unexplained: &[&Crash],
-    ) -> Option<(PromptPartId, Instant)> {
-        let mut suspects: IndexMap<&PromptPartId, usize> = IndexMap::new();
-        for crash in unexplained {
-            suspects.extend(crash.parts.iter().zip(0..));
-        }
-        let suspects = suspects.into_iter().filter_map(|(part, depth)| {
-            let last = self
-                .series_of(part, unexplained)
-                .into_iter()
-                .nth(MIN_CRASHES - 1)?;
-            // A part that was answered before its first crash is less likely to be the cause.
-            let weight = if self.answered_at.contains_key(part) {
-                1
-            } else {
-                2
-            };
-            let series = self.series_of(part, crashes);
-            let last = series
-                .last()
-                .map_or(last.broken_at, |crash| crash.broken_at);
-            Some(((series.len() * weight, depth), part, last + QUARANTINE_TIME))
-        });
-        let prime = suspects.max_by_key(|(likelihood, ..)| *likelihood);
-        prime.map(|(_, part, until)| (part.clone(), until))
-    }
-
-    /// The successive crashes with a part, of requests sent after the last answer to a prompt with it.
-    fn series_of<'a>(&self, part: &PromptPartId, crashes: &[&'a Crash]) -> Vec<&'a Crash> {
-        let answered_at = self.answered_at.get(part);
-        let counts = |crash: &&&Crash| {
-            crash.parts.contains(part) && answered_at.is_none_or(|at| crash.sent_at > *at)
-        };
-        series(crashes.iter().filter(counts).copied().collect())
+    fn quarantine_note(&self, part: &PromptPartId, left: Duration) -> Note {
+        let crashes = self.crashes.iter().filter(|it| it.parts.contains(part));
+        let upstreams: Vec<&str> = crashes.map(|crash| &*crash.upstream).collect();
+        let note = Note::new(&note::PART_QUARANTINED).with("part", part);
+        let note = note.with("upstreams", upstreams.join(","));
+        note.with("for_ms", left.as_millis())
     }
 
     fn on_frame(&mut self, now: Instant, frame: &Frame) {
@@ -235,6 +188,8 @@
         let mut crashes = std::mem::take(&mut self.crashes);
         crashes.retain(|crash| self.is_explained(crash) || crash.broken_at + CRASH_MEMORY > now);
         self.crashes = crashes;
+        // Crashes may have been disproved, and quarantines may have ended.
+        self.is_outdated |= !self.quarantined.is_empty();
     }
 }
 
