--- a/crates/comfreyroad_router/tests/decisions/relays.rs
+++ b/crates/comfreyroad_router/tests/decisions/relays.rs
@@ -485,6 +485,25 @@
     assert_ne!(last_contacted(&rig), first);
 }
 
+/// A relay's frame with the removal of upstream `u1`, which reports the grace period after an outage.
+fn removal_after_outage(rig: &Rig, relay: &str, grace: Duration) -> Frame {
+    let mut frame = gossip(relay, 100_000);
+    frame.store_answer_age = Some(Duration::ZERO);
+    frame.registration_grace = grace;
+    let record = Record {
+        offset: rig.offset + 1,
+        key: "u1".into(),
+        content: Content::Removed,
+    };
+    frame.records.push((Topic::Upstreams, record));
+    frame
+}
+
+fn has_removed_upstream(rig: &Rig) -> bool {
+    let mut known = rig.router.state().upstreams.all();
+    known.any(|it| &*it.id == "u1")
+}
+
 /// An entry that relies on relays does not notice a short outage of the store, during which registrations lapse.
 #[test]
 fn a_removal_read_by_a_relay_just_after_an_outage_may_be_a_lapse_for_other_entries_too() {
@@ -495,23 +514,11 @@
         rig.run_for(500 * MS);
         rig.receive(gossip(&relays[0], heartbeat));
     }
-    let mut frame = gossip(&relays[0], 100_000);
-    frame.store_answer_age = Some(Duration::ZERO);
-    frame.registration_grace = 2 * SECOND;
-    let record = Record {
-        offset: rig.offset + 1,
-        key: "u1".into(),
-        content: Content::Removed,
-    };
-    frame.records.push((Topic::Upstreams, record));
-    rig.receive(frame);
-    let has = |rig: &Rig| {
-        let mut known = rig.router.state().upstreams.all();
-        known.any(|it| &*it.id == "u1")
-    };
-    assert!(has(&rig));
+    let removal = removal_after_outage(&rig, &relays[0], 2 * SECOND);
+    rig.receive(removal);
+    assert!(has_removed_upstream(&rig));
     rig.run_for(3 * SECOND);
-    assert!(!has(&rig));
+    assert!(!has_removed_upstream(&rig));
 }
 
 /// A relay that comes back from a partition cannot tell it from an outage of the store. Its zone took over its grace period and
@@ -521,16 +528,7 @@
     let (mut rig, relays) = zone(false);
     run_with_relays(&mut rig, &relays, 4 * SECOND);
     rig.run_for(500 * MS);
-    let mut frame = gossip(&relays[0], 100_000);
-    frame.store_answer_age = Some(Duration::ZERO);
-    frame.registration_grace = 2_400 * MS;
-    let record = Record {
-        offset: rig.offset + 1,
-        key: "u1".into(),
-        content: Content::Removed,
-    };
-    frame.records.push((Topic::Upstreams, record));
-    rig.receive(frame);
-    let mut known = rig.router.state().upstreams.all();
-    assert!(!known.any(|it| &*it.id == "u1"));
+    let removal = removal_after_outage(&rig, &relays[0], 2_400 * MS);
+    rig.receive(removal);
+    assert!(!has_removed_upstream(&rig));
 }
