Polls of the store by several entries no longer end together

Change: the time of a poll deviates by up to a fifth, by a hash of entry and call, so that polls do not stay aligned. The number of calls is the same in the mean. Test: subscriptions::polls_of_several_entries_do_not_end_together fails without the deviation. Remains: one entry's poll can still miss a record; it hears of it by gossip.

--- a/crates/comfreyroad_router/src/controller/subscriptions/intervals.rs
+++ b/crates/comfreyroad_router/src/controller/subscriptions/intervals.rs
@@ -3,6 +3,9 @@
 
 use std::time::Duration;
 
+use comfreyroad::rendezvous;
+
+use crate::id::CallId;
 use crate::record::Topic;
 
 /// Time after which an entry that failed to register tries again.
@@ -23,8 +26,19 @@
 /// Time beyond an interval and a long poll of the upstreams topic up to which an entry counts as reading the store.
 const STORE_ANSWER_MARGIN: Duration = Duration::from_millis(400);
 
+/// Maximum deviation of a poll's timeout, as a fraction. Polls that a record has ended at the same time would otherwise end
+/// together again, and a record that is written in that moment can miss the next poll of every entry.
+const POLL_JITTER: f64 = 0.2;
+
+/// Timeout of one long poll by an entry.
+pub(super) fn jittered_poll_timeout(topic: Topic, entry: &str, call: CallId) -> Duration {
+    let hash = rendezvous::hash(&call.to_string(), entry);
+    let fraction = hash as f64 / u64::MAX as f64;
+    poll_timeout(topic).mul_f64(1.0 + POLL_JITTER * (2.0 * fraction - 1.0))
+}
+
 /// Timeout of a long poll: how long the store may hold a read while there is no new record.
-pub(super) fn poll_timeout(topic: Topic) -> Duration {
+fn poll_timeout(topic: Topic) -> Duration {
     match topic {
         Topic::Operator => Duration::from_secs(4),
         Topic::Upstreams => Duration::from_secs(1),
@@ -47,7 +61,8 @@
 /// Age of the store's last answer up to which an entry counts as reading the store.
 pub(super) fn store_answer_validity(drain_propagation: Duration) -> Duration {
     let topic = Topic::Upstreams;
-    min_poll_interval(topic, drain_propagation) + poll_timeout(topic) + STORE_ANSWER_MARGIN
+    let longest_poll = poll_timeout(topic).mul_f64(1.0 + POLL_JITTER);
+    min_poll_interval(topic, drain_propagation) + longest_poll + STORE_ANSWER_MARGIN
 }
 
 /// Age of another entry's answer from the store up to which a relay that has all its records counts as reading the store.
--- a/crates/comfreyroad_router/src/controller/subscriptions/mod.rs
+++ b/crates/comfreyroad_router/src/controller/subscriptions/mod.rs
@@ -152,7 +152,7 @@
         } else {
             for (topic, subscription) in &mut self.subscriptions {
                 let is_polled = polls_store && intervals::is_polled(*topic);
-                subscription.start_due_call(now.instant, is_polled, out);
+                subscription.start_due_call(now.instant, &self.own.entry, is_polled, out);
             }
         }
         if self.register_at.is_some_and(|at| at <= now.instant) {
@@ -256,7 +256,7 @@
         }
         self.on_store_answer(now.instant, topic, out);
         if let Some(subscription) = self.subscriptions.get_mut(&topic) {
-            subscription.start_due_call(now.instant, is_polled, out);
+            subscription.start_due_call(now.instant, &self.own.entry, is_polled, out);
         }
     }
 
--- a/crates/comfreyroad_router/src/controller/subscriptions/subscription.rs
+++ b/crates/comfreyroad_router/src/controller/subscriptions/subscription.rs
@@ -76,12 +76,19 @@
     }
 
     /// Starts a call if one is due: a listing if the topic was not listed yet, or a read if the topic is to be polled.
-    pub(super) fn start_due_call(&mut self, now: Instant, is_polled: bool, out: &mut Outbox) {
+    pub(super) fn start_due_call(
+        &mut self,
+        now: Instant,
+        entry: &str,
+        is_polled: bool,
+        out: &mut Outbox,
+    ) {
         if self.call.is_some() || self.next_call_at.is_some_and(|at| at > now) {
             return;
         }
         if self.next_offset.is_none() || is_polled {
-            self.start_call(now, intervals::poll_timeout(self.topic), out);
+            let wait = intervals::jittered_poll_timeout(self.topic, entry, self.last_call);
+            self.start_call(now, wait, out);
         }
     }
 
--- a/crates/comfreyroad_router/tests/decisions/subscriptions.rs
+++ b/crates/comfreyroad_router/tests/decisions/subscriptions.rs
@@ -245,3 +245,28 @@
     // Over 10 s, with a backoff of at most 0.25 s before the first listing.
     assert!((25..=50).contains(&calls), "{calls} calls in 10 s");
 }
+
+/// Regression: a record ended the polls of all entries at the same time, so that all ended together again 4 s later. A
+/// configuration that was published in that moment missed the next poll of each, and was unknown for 2 s.
+#[test]
+fn polls_of_several_entries_do_not_end_together() {
+    let wait = |name: &str| {
+        let mut rig = Rig::serving(name);
+        rig.run_for(2 * SECOND);
+        rig.actions.iter().rev().find_map(|action| match action {
+            Action::Read {
+                topic: Topic::Operator,
+                wait,
+                ..
+            } => Some(*wait),
+            _ => None,
+        })
+    };
+    let names: Vec<String> = (0..6).map(|number| format!("e{number}")).collect();
+    let mut waits: Vec<_> = names.iter().filter_map(|name| wait(name)).collect();
+    assert_eq!(waits.len(), names.len());
+    waits.sort();
+    let first = waits.first().copied().unwrap_or_default();
+    let last = waits.last().copied().unwrap_or_default();
+    assert!(last - first > 200 * MS, "{waits:?}");
+}
