A relay that has just started brings no entry past removals that it does not know

Entries were restarted in turn, and a relay of its zone started after the removal: its listing holds no removed keys, yet its frames declared everything up to its own offset known, so that the entry moved past a removal that nobody sent it, for good. Change: a subscription keeps the offset from which it knows all removals. A peer behind that gets the records, but stays at its offset, so that another relay or the store brings it up to date; one that knows nothing lacks no removal. Test: relays::a_relay_brings_no_entry_past_removals_from_before_its_own_listing fails before. It holds for evacuations and orders that are withdrawn too, which are removals of another topic.

--- a/crates/comfreyroad_router/src/controller/subscriptions/subscription.rs
+++ b/crates/comfreyroad_router/src/controller/subscriptions/subscription.rs
@@ -23,6 +23,8 @@
     min_poll_interval: Duration,
     // The offset up to which the topic is known; `None` before the first listing.
     next_offset: Option<Offset>,
+    // The offset from which all removals are known. Those from before the first listing are not.
+    removals_known_from: Option<Offset>,
     records: IndexMap<Arc<str>, Cached>,
     // The active call, and the number of the last one.
     call: Option<CallId>,
@@ -62,6 +64,7 @@
             topic,
             min_poll_interval,
             next_offset: None,
+            removals_known_from: None,
             records: IndexMap::new(),
             call: None,
             last_call: 0,
@@ -190,6 +193,7 @@
     /// Marks everything before an offset as known.
     pub(super) fn advance(&mut self, next: Offset) {
         self.next_offset = self.next_offset.max(Some(next));
+        self.removals_known_from.get_or_insert(next);
     }
 
     /// Caches a record and announces it, unless the cached record of its key is newer.
@@ -226,8 +230,8 @@
         out.raise(Event::RecordLearned(self.topic, record));
     }
 
-    /// The records that changed at or after an offset, in order, and the offset up to which they are complete; `None` if
-    /// the peer lacks nothing. Recent records are withheld from a peer that reads the store, as it has probably read
+    /// The records that changed at or after an offset, in order, and the offset up to which the peer then knows all; `None` if
+    /// the peer lacks nothing. A peer that lacks removals which are not known here stays at its offset. Recent records are withheld from a peer that reads the store, as it has probably read
     /// them too.
     pub(super) fn changes_since(
         &self,
@@ -236,6 +240,7 @@
         reads_store: bool,
     ) -> Option<(Vec<Record>, Offset)> {
         let next = self.next_offset.filter(|next| *next > from)?;
+        let knows_removals = from == 0 || self.removals_known_from.is_some_and(|it| it <= from);
         // Nothing is withheld from a peer that knows no records yet.
         let is_recent = |it: &&Cached| {
             reads_store && from > 0 && it.learned_at + intervals::FORWARD_DELAY > now
@@ -256,6 +261,7 @@
             .into_iter()
             .take_while(|it| it.changed_offset < complete_up_to);
         let records: Vec<Record> = forwarded.map(|it| (*it.record).clone()).collect();
-        (complete_up_to > from).then_some((records, complete_up_to))
+        let known_up_to = if knows_removals { complete_up_to } else { from };
+        (complete_up_to > from).then_some((records, known_up_to))
     }
 }
--- a/crates/comfreyroad_router/tests/decisions/relays.rs
+++ b/crates/comfreyroad_router/tests/decisions/relays.rs
@@ -485,6 +485,42 @@
     assert_ne!(last_contacted(&rig), first);
 }
 
+/// Regression (a request reached an engine 2.9 s after it had left): a relay that starts lists the upstreams and never learns of
+/// those that were removed before. It told an entry that lacked such a removal that it knew everything.
+#[test]
+fn a_relay_brings_no_entry_past_removals_from_before_its_own_listing() {
+    let mut entry = Rig::serving("e1");
+    let known = entry
+        .router
+        .state()
+        .subscriptions
+        .next_offset(Topic::Upstreams);
+    // Upstream u1 is removed, and another entry of the zone starts.
+    let mut relay = Rig::empty("e2");
+    relay.offset = 10;
+    relay.list(Topic::Operator, vec![("config", configuration_content(1))]);
+    let remaining = Content::Upstream(Box::new(registration("v1")));
+    relay.list(Topic::Upstreams, vec![("u2", remaining)]);
+    relay.list(Topic::Status, Vec::new());
+    for _ in 0..3 {
+        let (outgoing, _) = entry.router.exchange(entry.now, frame("e3"));
+        let mut outgoing = outgoing;
+        outgoing.sender = peer("e1", "a");
+        let (reply, _) = relay.router.exchange(relay.now, outgoing);
+        entry.receive(reply);
+    }
+    let subscriptions = &entry.router.state().subscriptions;
+    assert_eq!(subscriptions.next_offset(Topic::Upstreams), known);
+    // An entry that knows nothing yet lacks no removal.
+    let mut started = Rig::empty("e4");
+    let mut outgoing = frame("e4");
+    outgoing.next_offsets = Topic::ALL.map(|topic| (topic, 0)).into();
+    let (reply, _) = relay.router.exchange(relay.now, outgoing);
+    started.receive(reply);
+    let subscriptions = &started.router.state().subscriptions;
+    assert!(subscriptions.next_offset(Topic::Upstreams) > known);
+}
+
 /// A relay's frame with the removal of upstream `u1`, which reports the grace period after an outage.
 fn removal_after_outage(rig: &Rig, relay: &str, grace: Duration) -> Frame {
     let mut frame = gossip(relay, 100_000);
