An entry whose position has expired lists the topic before it believes a peer's

If its own listing failed meanwhile, it never listed again and kept upstreams that had left. Change: after an expiry only a listing gives a position. Test: relays::an_entry_whose_position_has_expired_lists_the_topic_itself fails before (no listing follows the one that fails).

--- a/crates/comfreyroad_router/src/controller/subscriptions/mod.rs
+++ b/crates/comfreyroad_router/src/controller/subscriptions/mod.rs
@@ -203,7 +203,7 @@
         }
         for (topic, next) in &frame.complete_up_to {
             if let Some(subscription) = self.subscriptions.get_mut(topic) {
-                subscription.advance(*next);
+                subscription.on_known_up_to(*next);
             }
         }
         let from_relay = self.fleet.is_relay(&frame.sender.entry);
--- a/crates/comfreyroad_router/src/controller/subscriptions/subscription.rs
+++ b/crates/comfreyroad_router/src/controller/subscriptions/subscription.rs
@@ -23,6 +23,8 @@
     min_poll_interval: Duration,
     // The offset up to which the topic is known; `None` before the first listing.
     next_offset: Option<Offset>,
+    // Whether the position in the topic has expired, so that removals may be unknown until it is listed.
+    is_expired: bool,
     // The offset from which all removals are known. Those from before the first listing are not.
     removals_known_from: Option<Offset>,
     records: IndexMap<Arc<str>, Cached>,
@@ -64,6 +66,7 @@
             topic,
             min_poll_interval,
             next_offset: None,
+            is_expired: false,
             removals_known_from: None,
             records: IndexMap::new(),
             call: None,
@@ -177,6 +180,7 @@
     }
 
     fn finish_call(&mut self, next: Offset) {
+        self.is_expired = false;
         self.advance(next);
         self.call = None;
         self.next_call_at = self.call_started_at.map(|at| at + self.min_poll_interval);
@@ -186,12 +190,19 @@
     pub(super) fn on_expired(&mut self, out: &mut Outbox) {
         out.note(Note::new(&note::RECORDS_EXPIRED).with("topic", self.topic.name()));
         self.next_offset = None;
+        self.is_expired = true;
         self.call = None;
         self.next_call_at = None;
     }
 
-    /// Marks everything before an offset as known.
-    pub(super) fn advance(&mut self, next: Offset) {
+    /// Marks everything before an offset as known, because a peer says so.
+    pub(super) fn on_known_up_to(&mut self, next: Offset) {
+        if !self.is_expired {
+            self.advance(next);
+        }
+    }
+
+    fn advance(&mut self, next: Offset) {
         self.next_offset = self.next_offset.max(Some(next));
         self.removals_known_from.get_or_insert(next);
     }
--- a/crates/comfreyroad_router/tests/decisions/relays.rs
+++ b/crates/comfreyroad_router/tests/decisions/relays.rs
@@ -521,6 +521,38 @@
     assert!(subscriptions.next_offset(Topic::Upstreams) > known);
 }
 
+/// As above, for an entry whose position the store has expired: it knows upstreams that its peers have never heard of.
+#[test]
+fn an_entry_whose_position_has_expired_lists_the_topic_itself() {
+    let mut entry = Rig::serving("e1");
+    entry.run_for(SECOND);
+    let call = entry.pending_call(Topic::Upstreams).unwrap();
+    entry.raise(Event::RecordsExpired(Topic::Upstreams, call));
+    let mut snapshot = frame("e2");
+    let record = Record {
+        offset: 11,
+        key: "u2".into(),
+        content: Content::Upstream(Box::new(registration("v1"))),
+    };
+    snapshot.records.push((Topic::Upstreams, record));
+    snapshot.complete_up_to.insert(Topic::Upstreams, 12);
+    entry.receive(snapshot);
+    // The listing that was under way fails.
+    let call = entry.pending_call(Topic::Upstreams).unwrap();
+    entry.raise(Event::StoreFailed(Topic::Upstreams, call));
+    entry.run_for(2 * SECOND);
+    let call = entry.pending_call(Topic::Upstreams);
+    let is_listing =
+        |action: &Action| matches!(action, Action::List(Topic::Upstreams, id) if Some(*id) == call);
+    assert!(entry.actions.iter().any(is_listing));
+    entry.offset = 10;
+    let remaining = Content::Upstream(Box::new(registration("v1")));
+    entry.list(Topic::Upstreams, vec![("u2", remaining)]);
+    // The registration may have lapsed while the store was lost.
+    entry.run_for(3 * SECOND);
+    assert!(!has_removed_upstream(&entry));
+}
+
 /// A relay's frame with the removal of upstream `u1`, which reports the grace period after an outage.
 fn removal_after_outage(rig: &Rig, relay: &str, grace: Duration) -> Frame {
     let mut frame = gossip(relay, 100_000);
