A registration from before the listing does not bring a removed upstream back

Same class, found by reading on: an entry that has just started lists the upstreams, and a peer that has not heard of a removal yet forwards the registration from before it. The entry took it, and never reads the removal, which is from before its listing. Change: a key that is unknown and was written before the offset of the first listing has been removed since. Test: relays::a_registration_from_before_the_listing_does_not_bring_a_removed_upstream_back fails before.

--- a/crates/comfreyroad_router/src/controller/subscriptions/subscription.rs
+++ b/crates/comfreyroad_router/src/controller/subscriptions/subscription.rs
@@ -212,7 +212,12 @@
         let known = self.records.get(&record.key);
         let is_stale =
             |known: &Cached| known.record.offset >= record.offset || known.supersedes(&record);
-        if known.is_some_and(is_stale) {
+        // A key that was registered before the first listing and is missing there was removed.
+        let is_removed = || {
+            self.removals_known_from
+                .is_some_and(|it| record.offset < it)
+        };
+        if known.map_or_else(is_removed, is_stale) {
             return;
         }
         let newest_registration = match &record.content {
--- a/crates/comfreyroad_router/tests/decisions/relays.rs
+++ b/crates/comfreyroad_router/tests/decisions/relays.rs
@@ -521,6 +521,32 @@
     assert!(subscriptions.next_offset(Topic::Upstreams) > known);
 }
 
+/// As above: a peer that has not heard of the removal yet forwards the registration to an entry that has just started and will not
+/// read the removal, which is from before its listing.
+#[test]
+fn a_registration_from_before_the_listing_does_not_bring_a_removed_upstream_back() {
+    let mut started = Rig::empty("e2");
+    started.offset = 10;
+    started.list(Topic::Operator, vec![("config", configuration_content(1))]);
+    let upstream = || Content::Upstream(Box::new(registration("v1")));
+    started.list(Topic::Upstreams, vec![("u2", upstream())]);
+    started.list(Topic::Status, Vec::new());
+    let mut old = frame("e1");
+    let record = |offset, key: &str| Record {
+        offset,
+        key: key.into(),
+        content: upstream(),
+    };
+    old.records = vec![
+        (Topic::Upstreams, record(2, "u1")),
+        (Topic::Upstreams, record(30, "u3")),
+    ];
+    started.receive(old);
+    assert!(!has_removed_upstream(&started));
+    let mut known = started.router.state().upstreams.all();
+    assert!(known.any(|it| &*it.id == "u3"));
+}
+
 /// As above, for an entry whose position the store has expired: it knows upstreams that its peers have never heard of.
 #[test]
 fn an_entry_whose_position_has_expired_lists_the_topic_itself() {
