A restarted entry does not take the changes for its last process as all there is

Cause: relays keep the position that an address last reported. To an entry that has restarted there they sent what was newer than the position of its last process, with the offset up to which that was complete. The entry, which knew nothing, took that offset for its own, counted all removals after it as known though its listing could not show them, and moved others past them. Change: a frame says from which offset its records are complete, and a receiver that knows less does not take the position; nor does the lifecycle take it for a listing. Records of a listing are learned whatever their offset; only those that peers forward are checked. Test: relays::an_entry_that_has_restarted_does_not_take_the_changes_for_its_last_process_as_all fails without the comparison.

--- a/crates/comfreyroad_router/src/controller/lifecycle.rs
+++ b/crates/comfreyroad_router/src/controller/lifecycle.rs
@@ -139,10 +139,9 @@
             Event::ConfigurationApplied(_) => starting.has_configuration = true,
             Event::TopicListed { topic, .. } => starting.unlisted_topics.retain(|it| it != topic),
             Event::FrameReceived(frame) => {
-                let complete = &frame.complete_up_to;
                 starting
                     .unlisted_topics
-                    .retain(|it| !complete.contains_key(it));
+                    .retain(|it| frame.known_up_to(*it, 0).is_none());
             }
             _ => {}
         }
--- a/crates/comfreyroad_router/src/controller/members/mod.rs
+++ b/crates/comfreyroad_router/src/controller/members/mod.rs
@@ -90,6 +90,7 @@
             next_offsets: IndexMap::new(),
             records: Vec::new(),
             complete_up_to: IndexMap::new(),
+            complete_from: IndexMap::new(),
             rollouts: Vec::new(),
             session_pins: Vec::new(),
             tallies: Vec::new(),
--- a/crates/comfreyroad_router/src/controller/subscriptions/mod.rs
+++ b/crates/comfreyroad_router/src/controller/subscriptions/mod.rs
@@ -198,13 +198,11 @@
         self.reports.insert(address, report);
         for (topic, record) in &frame.records {
             if let Some(subscription) = self.subscriptions.get_mut(topic) {
-                subscription.learn(now.instant, record.clone(), out);
+                subscription.learn_from_peer(now.instant, record, out);
             }
         }
-        for (topic, next) in &frame.complete_up_to {
-            if let Some(subscription) = self.subscriptions.get_mut(topic) {
-                subscription.on_known_up_to(*next);
-            }
+        for subscription in self.subscriptions.values_mut() {
+            subscription.on_frame(frame);
         }
         let from_relay = self.fleet.is_relay(&frame.sender.entry);
         if let Some(age) = frame.store_answer_age
@@ -335,6 +333,7 @@
                     records.into_iter().map(|it| (*topic, it)).collect();
                 frame.records.extend(records);
                 frame.complete_up_to.insert(*topic, next);
+                frame.complete_from.insert(*topic, *from);
             }
         }
     }
--- a/crates/comfreyroad_router/src/controller/subscriptions/subscription.rs
+++ b/crates/comfreyroad_router/src/controller/subscriptions/subscription.rs
@@ -5,6 +5,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::intervals;
+use crate::frame::Frame;
 use crate::id::{CallId, Incarnation, Offset};
 use crate::note::{self, Note};
 use crate::outbox::Outbox;
@@ -195,9 +196,12 @@
         self.next_call_at = None;
     }
 
-    /// Marks everything before an offset as known, because a peer says so.
-    pub(super) fn on_known_up_to(&mut self, next: Offset) {
-        if !self.is_expired {
+    /// Takes the position of a peer's frame, if its records hold every change since the one reached here.
+    pub(super) fn on_frame(&mut self, frame: &Frame) {
+        let known = self.next_offset.unwrap_or(0);
+        if let Some(next) = frame.known_up_to(self.topic, known)
+            && !self.is_expired
+        {
             self.advance(next);
         }
     }
@@ -207,17 +211,26 @@
         self.removals_known_from.get_or_insert(next);
     }
 
+    /// Learns a record that a peer forwards, unless it is from before the first listing and missing there: its key has been
+    /// removed since.
+    pub(super) fn learn_from_peer(&mut self, now: Instant, record: &Record, out: &mut Outbox) {
+        let is_unknown = !self.records.contains_key(&record.key);
+        let is_older = || {
+            self.removals_known_from
+                .is_some_and(|it| record.offset < it)
+        };
+        if is_unknown && is_older() {
+            return;
+        }
+        self.learn(now, record.clone(), out);
+    }
+
     /// Caches a record and announces it, unless the cached record of its key is newer.
     pub(super) fn learn(&mut self, now: Instant, record: Record, out: &mut Outbox) {
         let known = self.records.get(&record.key);
         let is_stale =
             |known: &Cached| known.record.offset >= record.offset || known.supersedes(&record);
-        // A key that was registered before the first listing and is missing there was removed.
-        let is_removed = || {
-            self.removals_known_from
-                .is_some_and(|it| record.offset < it)
-        };
-        if known.map_or_else(is_removed, is_stale) {
+        if known.is_some_and(is_stale) {
             return;
         }
         let newest_registration = match &record.content {
--- a/crates/comfreyroad_router/src/frame/frame.rs
+++ b/crates/comfreyroad_router/src/frame/frame.rs
@@ -31,6 +31,10 @@
     /// For each topic, the offset before which the receiver has every record once it has applied `records`.
     #[serde(rename = "complete")]
     pub complete_up_to: IndexMap<Topic, Offset>,
+    /// For each of these topics, the offset from which `records` hold every change. A receiver that knows less cannot apply
+    /// `complete_up_to`. Absent in frames of versions that leave it open.
+    #[serde(rename = "complete_since", default)]
+    pub complete_from: IndexMap<Topic, Offset>,
     /// Progress of active rollouts.
     pub rollouts: Vec<Progress>,
     /// Sessions pinned to a version in active rollouts.
@@ -51,3 +55,13 @@
     #[serde(default)]
     pub answered_parts: Vec<PartAnswer>,
 }
+
+impl Frame {
+    /// The offset before which a receiver that knew everything before `known` knows every record of a topic, once it has applied
+    /// the frame's records. `None` if records between the two may be missing.
+    pub fn known_up_to(&self, topic: Topic, known: Offset) -> Option<Offset> {
+        let from = self.complete_from.get(&topic).copied().unwrap_or(0);
+        let next = self.complete_up_to.get(&topic).copied();
+        next.filter(|_| from <= known)
+    }
+}
--- a/crates/comfreyroad_router/tests/decisions/relays.rs
+++ b/crates/comfreyroad_router/tests/decisions/relays.rs
@@ -547,6 +547,25 @@
     assert!(known.any(|it| &*it.id == "u3"));
 }
 
+/// As above: after a restart under the same address, relays still had the position of the entry's last process and sent only what
+/// was newer. The entry took that for all there was, and passed it on.
+#[test]
+fn an_entry_that_has_restarted_does_not_take_the_changes_for_its_last_process_as_all() {
+    let mut started = Rig::empty("e1");
+    let mut stale = frame("e2");
+    stale.complete_from.insert(Topic::Upstreams, 4);
+    stale.complete_up_to.insert(Topic::Upstreams, 8);
+    started.receive(stale.clone());
+    let next = |rig: &Rig| {
+        let subscriptions = &rig.router.state().subscriptions;
+        subscriptions.next_offset(Topic::Upstreams)
+    };
+    assert_eq!(next(&started), None);
+    stale.complete_from.insert(Topic::Upstreams, 0);
+    started.receive(stale);
+    assert_eq!(next(&started), Some(8));
+}
+
 /// As above, for an entry whose position the store has expired: it knows upstreams that its peers have never heard of.
 #[test]
 fn an_entry_whose_position_has_expired_lists_the_topic_itself() {
--- a/crates/comfreyroad_router/tests/decisions/rig.rs
+++ b/crates/comfreyroad_router/tests/decisions/rig.rs
@@ -309,6 +309,7 @@
         next_offsets: indexmap::IndexMap::new(),
         records: Vec::new(),
         complete_up_to: indexmap::IndexMap::new(),
+        complete_from: indexmap::IndexMap::new(),
         rollouts: Vec::new(),
         session_pins: Vec::new(),
         tallies: Vec::new(),
