A version that is more likely slower than not is not cut over to

By the log of the cutover: nine times of the new version in the whole trial, three of them fast, evidence 2.3 of the 3 that a rollback needs. Cause: at a low rate the trial may have too few answers for the bound, and the check before the cutover, which needs less, looked at failures only. Change: the cutover is also prevented by evidence of slowness above zero: more likely slower than not. By calculation a good version is at -5 with four to twelve answers. Test: rollouts::a_version_that_is_probably_slow_is_not_cut_over_to fails before (completed).

--- a/crates/comfreyroad_router/src/controller/rollouts/counts.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/counts.rs
@@ -12,6 +12,8 @@
 /// Number of failures on one route, and drop of the success rate there, that together prevent the cutover.
 const SUSPICIOUS_FAILURES: u32 = 2;
 const SUSPICIOUS_RATE_DROP: f64 = 0.25;
+/// Log evidence of slowness above which the cutover is prevented: the new version is more likely slower than not.
+const SUSPICIOUS_SLOWNESS: f64 = 0.0;
 /// Tolerated drop of the success rate of a new version.
 const FAILURE_MARGIN: f64 = 0.03;
 /// Service time, as a factor of the other versions' median, above which an answer counts as slow. Versions that do several
@@ -170,15 +172,16 @@
         failures.chain(slowness).fold(f64::NEG_INFINITY, f64::max)
     }
 
-    /// Whether the new version looks worse on some route, by too few answers to be significant. This is enough to prevent
-    /// the cutover.
+    /// Whether the new version looks slower, or worse on some route, by too few answers to be significant. This is enough to
+    /// prevent the cutover.
     pub(super) fn is_suspicious(&self) -> bool {
         let rate = |score: Score| f64::from(score.good) / f64::from(score.rated.max(1));
         let routes = self.route_scores();
-        routes.values().any(|(target, others)| {
+        let fails_more = routes.values().any(|(target, others)| {
             let failures = target.rated - target.good;
             failures >= SUSPICIOUS_FAILURES && rate(*target) < rate(*others) - SUSPICIOUS_RATE_DROP
-        })
+        });
+        fails_more || self.log_evidence_of_times() > SUSPICIOUS_SLOWNESS
     }
 
     /// Scores of the new version and of the others by route, summed over all entries.
--- a/crates/comfreyroad_router/tests/decisions/rollouts.rs
+++ b/crates/comfreyroad_router/tests/decisions/rollouts.rs
@@ -206,11 +206,12 @@
     assert_eq!(state(&rig), Some(State::RolledBack));
 }
 
-/// Serves ten requests per second with the given times per event, in turn. Returns the number of answers of the new version.
-fn serve_with_times(rig: &mut Rig, old_ms: &[u32], new_ms: &[u32]) -> usize {
+/// Serves requests at an interval for the whole rollout, with the given times per event in turn. Returns the number of answers of
+/// the new version.
+fn serve_with_times(rig: &mut Rig, interval: Duration, old_ms: &[u32], new_ms: &[u32]) -> usize {
     let mut answers = 0;
-    for number in 0..200 {
-        rig.advance(100 * MS);
+    for number in 0..(DURATION.as_millis() / interval.as_millis()) as u64 {
+        rig.advance(interval);
         rig.raise(Event::Tick);
         let mut head = head(rig.now, "stream", &format!("r{number}"));
         head.prompt = shared_prompt(number, &format!("own{number}"));
@@ -239,7 +240,7 @@
 fn a_slow_version_is_rolled_back_after_a_few_answers_though_the_old_one_s_times_vary() {
     let mut rig = with_rollout();
     let old = [42, 30, 62, 38, 88, 42, 50, 29, 62, 35];
-    let answers = serve_with_times(&mut rig, &old, &[99, 129, 109, 103]);
+    let answers = serve_with_times(&mut rig, 100 * MS, &old, &[99, 129, 109, 103]);
     assert_eq!(state(&rig), Some(State::RolledBack));
     assert!(answers <= 10, "{answers} answers");
 }
@@ -249,7 +250,16 @@
 fn a_slow_version_is_rolled_back_wherever_its_times_lie_among_the_old_one_s() {
     let mut rig = with_rollout();
     let old = [26, 48, 34, 112, 48, 78, 50, 35, 62, 40];
-    serve_with_times(&mut rig, &old, &[98, 87, 99, 84, 106, 92]);
+    serve_with_times(&mut rig, 100 * MS, &old, &[98, 87, 99, 84, 106, 92]);
+    assert_eq!(state(&rig), Some(State::RolledBack));
+}
+
+/// Regression: as above, at a rate at which the trial has too few answers for the bound of the evidence.
+#[test]
+fn a_version_that_is_probably_slow_is_not_cut_over_to() {
+    let mut rig = with_rollout();
+    let old = [26, 48, 34, 112, 48, 78, 50, 35, 62, 40];
+    serve_with_times(&mut rig, 150 * MS, &old, &[98, 87, 99, 84, 106, 92]);
     assert_eq!(state(&rig), Some(State::RolledBack));
 }
 
@@ -257,7 +267,7 @@
 fn a_version_whose_times_vary_like_the_old_one_s_is_completed() {
     let mut rig = with_rollout();
     let times = [26, 48, 34, 112, 48, 78, 50, 35, 62, 40];
-    serve_with_times(&mut rig, &times, &times);
+    serve_with_times(&mut rig, 100 * MS, &times, &times);
     assert_eq!(state(&rig), Some(State::Completed));
 }
 
