A stop of the server resets no established connection

What callers saw: a request on a connection opened while the entry stopped was reset without an answer.

Cause: the server accepted what was waiting in the kernel and then closed its listener. A connection whose handshake ended between the last accept and the close was established for its caller, and the close reset it. Every server of both daemons has this race. Ruled out: compio's "thread pool is needed" panics in the same output; they are in the stand-ins' server, are contained in its tasks, and are printed in runs that pass too.

Now the listener first ignores new attempts (a socket filter drops the first packet of a handshake), then accepts for 100 ms, so that handshakes under way end, and then closes. An ignored caller repeats its packet after a second and is refused, which is a true "not sent". Where the system refuses the filter, this is logged and the server goes on as before. The entry's late calls get 250 ms in place of 50 ms, longer than the time for handshakes.

Test: stop::a_stop_under_load_resets_no_established_connection.

--- a/crates/comfreyroad_entry/src/daemon.rs
+++ b/crates/comfreyroad_entry/src/daemon.rs
@@ -25,6 +25,8 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval of ticks while the entry is idle.
 const IDLE_TICK_INTERVAL: Duration = Duration::from_millis(250);
+/// Time for answers to calls on connections that are established while the server stops accepting.
+const LATE_CALL_TIME: Duration = Duration::from_millis(250);
 
 /// The entry failed to start, or its event loop failed.
 #[derive(Debug, thiserror::Error)]
@@ -63,7 +65,7 @@
 
     /// Deadline after which the remaining connections are closed.
     fn connection_deadline(&self) -> Instant {
-        let soon = Instant::now() + TICK_INTERVAL;
+        let soon = Instant::now() + LATE_CALL_TIME;
         match self.entry.borrow().state().lifecycle.phase() {
             Phase::Gone(gone) => gone.until.max(soon),
             _ => soon,
--- a/crates/comfreyroad_net/src/listener.rs
+++ b/crates/comfreyroad_net/src/listener.rs
@@ -7,7 +7,7 @@
 };
 
 use compio::runtime::fd::PollFd;
-use socket2::{Domain, Protocol, SockAddr, Socket, Type};
+use socket2::{Domain, Protocol, SockAddr, SockFilter, Socket, Type};
 
 use crate::stream::Stream;
 
@@ -60,6 +60,30 @@
         }
     }
 
+    /// Ignores new attempts to connect, while handshakes under way still end and their connections can be accepted.
+    ///
+    /// Closing a listener resets the connections that it has not accepted. An ignored caller is refused when it repeats
+    /// its attempt after the listener was closed, and so knows that its request was not sent.
+    pub fn ignore_attempts(&self) -> io::Result<()> {
+        const LOAD_BYTE: u16 = 0x30;
+        const AND: u16 = 0x54;
+        const SKIP_UNLESS_EQUAL: u16 = 0x15;
+        const RETURN: u16 = 0x06;
+        /// Offset of the flags in a TCP header, where the filter of a TCP socket begins to read.
+        const FLAGS_OFFSET: u32 = 13;
+        const SYN: u32 = 0x02;
+        const ACK: u32 = 0x10;
+        // Classic BPF: drop the first packet of a handshake, pass all others.
+        let filter = [
+            SockFilter::new(LOAD_BYTE, 0, 0, FLAGS_OFFSET),
+            SockFilter::new(AND, 0, 0, SYN | ACK),
+            SockFilter::new(SKIP_UNLESS_EQUAL, 0, 1, SYN),
+            SockFilter::new(RETURN, 0, 0, 0),
+            SockFilter::new(RETURN, 0, 0, u32::MAX),
+        ];
+        self.socket.attach_filter(&filter)
+    }
+
     /// Accepts a connection if one is already waiting.
     pub fn try_accept(&self) -> io::Result<Option<(Stream, SocketAddr)>> {
         let (socket, peer) = match self.socket.accept() {
--- a/crates/comfreyroad_net/src/server/mod.rs
+++ b/crates/comfreyroad_net/src/server/mod.rs
@@ -12,8 +12,10 @@
     net::SocketAddr,
     pin::pin,
     rc::Rc,
+    time::{Duration, Instant},
 };
 
+use compio::time::timeout_at;
 use futures_util::future::{Either, select};
 use http::{Request, Response};
 use hyper::body::Incoming;
@@ -27,6 +29,9 @@
 pub use handle::Handle;
 pub use limits::Limits;
 
+/// Time that handshakes under way get to end when the server stops.
+const HANDSHAKE_TIME: Duration = Duration::from_millis(100);
+
 /// HTTP server on a listener.
 #[derive(Debug)]
 pub struct Server {
@@ -82,10 +87,7 @@
                 Either::Right((accepted, _)) => self.spawn(accepted?, &handler),
             }
         }
-        // Connections that the kernel has already accepted are served too.
-        while let Ok(Some(accepted)) = self.listener.try_accept() {
-            self.spawn(accepted, &handler);
-        }
+        self.accept_remaining(&handler).await;
         let Self {
             listener, state, ..
         } = self;
@@ -99,6 +101,30 @@
         Ok(())
     }
 
+    /// Accepts the connections that callers consider established, so that closing the listener resets none.
+    async fn accept_remaining<H, F>(&self, handler: &Rc<H>)
+    where
+        H: Fn(Request<Incoming>, SocketAddr) -> F + 'static,
+        F: Future<Output = Response<Body>> + 'static,
+    {
+        if let Err(error) = self.listener.ignore_attempts() {
+            let address = self.listener.address();
+            log::warn!("connections to {address} during its close may be reset: {error}");
+        }
+        let handshakes_end = Instant::now() + HANDSHAKE_TIME;
+        let until = self
+            .state
+            .borrow()
+            .deadline()
+            .map_or(handshakes_end, |deadline| deadline.min(handshakes_end));
+        while let Ok(Ok(accepted)) = timeout_at(until, self.listener.accept()).await {
+            self.spawn(accepted, handler);
+        }
+        while let Ok(Some(accepted)) = self.listener.try_accept() {
+            self.spawn(accepted, handler);
+        }
+    }
+
     fn spawn<H, F>(&self, (stream, peer): (Stream, SocketAddr), handler: &Rc<H>)
     where
         H: Fn(Request<Incoming>, SocketAddr) -> F + 'static,
--- a/crates/comfreyroad_net/tests/net/stop.rs
+++ b/crates/comfreyroad_net/tests/net/stop.rs
@@ -1,6 +1,7 @@
 use std::{
-    io::{ErrorKind, Read, Write},
-    net::TcpStream,
+    io::{self, ErrorKind, Read, Write},
+    net::{SocketAddr, TcpStream},
+    thread,
     time::{Duration, Instant},
 };
 
@@ -73,6 +74,52 @@
     });
 }
 
+/// Sends requests, each on a connection of its own, until connections are refused. Returns the number of answers.
+fn call_until_refused(address: SocketAddr) -> io::Result<usize> {
+    let mut answers = 0;
+    loop {
+        let mut stream = match TcpStream::connect(address) {
+            Ok(stream) => stream,
+            Err(error) if error.kind() == ErrorKind::ConnectionRefused => return Ok(answers),
+            Err(error) => return Err(error),
+        };
+        stream.write_all(b"GET / HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n")?;
+        let mut text = String::new();
+        stream.read_to_string(&mut text)?;
+        if !text.ends_with("hello") {
+            return Err(io::Error::other(text));
+        }
+        answers += 1;
+    }
+}
+
+#[test]
+fn a_stop_under_load_resets_no_established_connection() {
+    /// A single stop seldom meets a connection between the last accept and the close of the listener.
+    const STOPS: usize = 100;
+    const CALLERS: usize = 6;
+    let mut callers = Vec::new();
+    run(async {
+        let mut tasks = Vec::new();
+        for _ in 0..STOPS {
+            let (address, handle, task) =
+                serve(|_, _| async { Response::new(Body::full("hello")) });
+            callers
+                .extend((0..CALLERS).map(|_| thread::spawn(move || call_until_refused(address))));
+            sleep_ms(10).await;
+            handle.stop(deadline());
+            tasks.push(task);
+        }
+        for task in tasks {
+            task.await.unwrap().unwrap();
+        }
+    });
+    for caller in callers {
+        let answers = caller.join().unwrap();
+        assert!(answers.is_ok(), "{answers:?}");
+    }
+}
+
 #[test]
 fn a_stop_resets_connections_open_at_its_deadline() {
     run(async {
