A leased port is not taken for a moment by the lease itself

Cause: a lease bound its port to find out whether it is free, and let it go. A process that another thread forked meanwhile holds a copy of the listening socket until its exec, and with it the port, so that the process under test could not bind it.

Now the lease tries to connect instead: a refusal shows that nobody listens, and no socket ever has the port.

--- a/crates/comfreyroad_fakes/src/port.rs
+++ b/crates/comfreyroad_fakes/src/port.rs
@@ -2,7 +2,7 @@
 
 use std::fs::{self, File};
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpStream};
 use std::ops::Range;
 
 /// Ports that leases are taken from. They lie below the ephemeral range, so the system gives them neither to outgoing
@@ -43,7 +43,9 @@
                 continue;
             }
             let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
-            if TcpListener::bind(address).is_ok() {
+            // Binding the port to find out would take it for a moment, and longer if another thread forks meanwhile.
+            let probe = TcpStream::connect(address);
+            if probe.is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused) {
                 return Ok(Self {
                     address,
                     _lock: lock,
