A slow version is found though the old one was under load when the trial began

Cause, by the samples of each decision (logged in a scratch copy): the old version's engines were under load when the trial began, at a median of 95 ms an event, and the new one's 75 to 130 ms lay around that median. None of them were among the fastest 45 in 100 of the old one's, but no limit lay below the median; the comparison took the old version's rate for unknown, though 300 answers show it; a margin of 0.15 took a third of the difference. Nothing looked suspicious, so the trial ended.

Change: limits begin at the first quartile; the old version's rate counts as known, less two standard errors and a margin of 0.05.

--- a/crates/comfreyroad/src/quality/evidence.rs
+++ b/crates/comfreyroad/src/quality/evidence.rs
@@ -23,6 +23,15 @@
     mixtures - max_log_likelihood(version, other, margin)
 }
 
+/// Logarithm of the evidence against the hypothesis that the version's rate of good answers is at least `least`, which
+/// is known. A comparison with a rate that many answers show needs fewer answers of the version than [`log_evidence`].
+pub fn log_evidence_below(version: Score, least: f64) -> f64 {
+    if version.rated == 0 {
+        return 0.0;
+    }
+    log_mixture(version) - log_likelihood(version, rate(version).max(least))
+}
+
 /// The greatest log-likelihood of both counts under the hypothesis.
 fn max_log_likelihood(version: Score, other: Score, margin: f64) -> f64 {
     let unconstrained = log_likelihood(version, rate(version)) + log_likelihood(other, rate(other));
--- a/crates/comfreyroad/src/quality/mod.rs
+++ b/crates/comfreyroad/src/quality/mod.rs
@@ -18,7 +18,7 @@
 pub use cell::Cell;
 pub use constraints::Constraints;
 pub use count::Count;
-pub use evidence::log_evidence;
+pub use evidence::{log_evidence, log_evidence_below};
 pub use plan::{MAX_STEPS, cheapest_chain};
 pub use score::Score;
 pub use subject::{Origin, Subject};
--- a/crates/comfreyroad/tests/quality.rs
+++ b/crates/comfreyroad/tests/quality.rs
@@ -213,6 +213,29 @@
     }
 }
 
+/// The same holds against a known rate, with fewer ratings.
+#[test]
+fn evidence_against_a_known_rate_keeps_its_error_rate_and_detects_a_worse_version() {
+    let limit = (1.0_f64 / 0.01).ln();
+    let max_evidence = |seed, rate: f64, least, steps| {
+        let mut rng = Rng::with_seed(seed);
+        let mut score = Score::default();
+        let mut step = |greatest: f64, _| {
+            score.count(rng.f64() < rate);
+            greatest.max(quality::log_evidence_below(score, least))
+        };
+        (0..steps).fold(f64::MIN, &mut step)
+    };
+    for rate in [0.3, 0.6, 0.9, 0.98] {
+        let crossed = (0..400).filter(|seed| max_evidence(*seed, rate, rate, 600) >= limit);
+        let count = crossed.count();
+        assert!(count <= 8, "rate {rate}: {count} of 400");
+    }
+    for seed in 0..40 {
+        assert!(max_evidence(seed, 0.05, 0.5, 30) >= limit, "seed {seed}");
+    }
+}
+
 /// The maximum evidence over `steps` ratings, where the other version starts with `ahead` ratings.
 fn max_evidence(seed: u64, rate: f64, other_rate: f64, ahead: u32, steps: u32) -> f64 {
     let mut rng = Rng::with_seed(seed);
--- a/crates/comfreyroad_router/src/controller/rollouts/counts.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/counts.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use comfreyroad::quality::{Score, log_evidence};
+use comfreyroad::quality::{Score, log_evidence, log_evidence_below};
 use indexmap::IndexMap;
 
 use crate::frame::Peer;
@@ -20,10 +20,16 @@
 /// times the work take only about twice the time per event, as much of a decoding step does not depend on the work.
 const SLOW_FACTOR: f64 = 1.25;
 /// Quantiles of the other versions' service times between which the limits lie by which answers are rated in addition. Times
-/// that vary with the load leave little evidence at the median, and slow versions differ most where few others are slower.
-const LIMIT_QUANTILES: (f64, f64) = (0.5, 0.9);
-/// Tolerated increase of the fraction of slow answers of a new version.
+/// that vary with the load leave little evidence at the median. Slow versions differ where few others are slower, or, if the
+/// others are under load, where few of the new version's are as fast.
+const LIMIT_QUANTILES: (f64, f64) = (0.25, 0.9);
+/// Tolerated increase of the fraction of answers of a new version that are slower than a multiple of the median.
 const SLOW_MARGIN: f64 = 0.15;
+/// Tolerated increase of the fraction of answers of a new version that are slower than one of the limits. It is small, because
+/// upstreams of a new version have less load than the others.
+const LIMIT_MARGIN: f64 = 0.05;
+/// Standard errors by which the other versions' fraction of fast answers may be overestimated.
+const BASELINE_STANDARD_ERRORS: f64 = 2.0;
 /// Answers of the other versions that are needed before service times are compared.
 const MIN_SERVICE_TIME_SAMPLES: u32 = 16;
 
@@ -210,13 +216,16 @@
         let (low, high) = LIMIT_QUANTILES;
         let limits = others.quantile(low)..=others.quantile(high);
         let correction = (limits.clone().count() as f64).ln();
-        let score = |times: &Histogram, limit: usize| Score {
-            rated: times.total(),
-            good: times.up_to(limit),
-        };
         let evidence = |limit| {
-            let (target, others) = (score(&target, limit), score(&others, limit));
-            log_evidence(target, others, SLOW_MARGIN) - correction
+            let target = Score {
+                rated: target.total(),
+                good: target.up_to(limit),
+            };
+            let total = f64::from(others.total());
+            let fast = f64::from(others.up_to(limit)) / total;
+            let standard_error = (fast * (1.0 - fast) / total).sqrt();
+            let expected = fast - BASELINE_STANDARD_ERRORS * standard_error - LIMIT_MARGIN;
+            log_evidence_below(target, expected) - correction
         };
         limits.map(evidence).fold(f64::NEG_INFINITY, f64::max)
     }
--- a/crates/comfreyroad_router/tests/decisions/rollouts.rs
+++ b/crates/comfreyroad_router/tests/decisions/rollouts.rs
@@ -271,6 +271,54 @@
     assert_eq!(state(&rig), Some(State::Completed));
 }
 
+/// Regression (scenario rollout-slow-version, seed 512844319512): the old version was under load when the trial began, so that the
+/// new one's times lay around its median, and two in three answers had too few events for a time.
+#[test]
+fn a_slow_version_is_rolled_back_in_time_though_the_old_one_was_as_slow_at_first() {
+    /// Bad answers of a version, and the time after the last of them, that a rollback may take.
+    const MAX_BAD_ANSWERS: usize = 50;
+    const ROLLBACK_TIME: Duration = Duration::from_secs(5);
+    let old_under_load = [
+        26, 130, 38, 600, 31, 94, 52, 230, 36, 160, 62, 480, 31, 110, 44, 195, 92, 54, 300, 75,
+    ];
+    let old = [
+        23, 94, 32, 301, 28, 71, 40, 205, 30, 111, 52, 366, 25, 85, 34, 44, 242, 36, 55, 47,
+    ];
+    let new = [76, 105, 134, 77, 87, 324, 79, 75, 76, 100, 87, 79, 104, 107];
+    let mut rig = with_rollout();
+    let ordered_at = rig.now.instant;
+    let mut answers = 0;
+    let mut must_end_at = None;
+    for number in 0..(DURATION.as_millis() / 15) as u64 {
+        rig.advance(15 * MS);
+        rig.raise(Event::Tick);
+        let mut head = head(rig.now, "stream", &format!("r{number}"));
+        head.prompt = shared_prompt(number, &format!("own{number}"));
+        let Some(sent) = rig.send(head) else { continue };
+        let is_new = &*sent.stage().slot.version == "v2";
+        answers += usize::from(is_new);
+        if is_new && answers == MAX_BAD_ANSWERS {
+            must_end_at = Some(rig.now.instant + ROLLBACK_TIME);
+        }
+        let is_overdue = must_end_at.is_some_and(|at| rig.now.instant > at);
+        assert!(!is_overdue || state(&rig) == Some(State::RolledBack));
+        let is_under_load = rig.now.instant < ordered_at + 7 * SECOND;
+        let service_time = match (is_new, is_under_load) {
+            (true, _) => (answers % 3 == 0).then(|| new[answers / 3 % new.len()]),
+            (false, true) => Some(old_under_load[number as usize % old_under_load.len()]),
+            (false, false) => Some(old[number as usize % old.len()]),
+        };
+        let completion = Completion {
+            is_success: true,
+            first_event_after: None,
+            service_time: service_time.map(|time| time * MS),
+        };
+        rig.router.on_finished(rig.now, &sent, completion);
+        commit_last_write(&mut rig);
+    }
+    assert_eq!(state(&rig), Some(State::RolledBack));
+}
+
 /// Regression: answers counted only at their end, and those of a slow version end after the cutover.
 #[test]
 fn a_slow_version_is_rolled_back_before_its_first_answer_ends() {
