Stand-ins close connections without a thread pool

hyper's shutdown of a connection is a blocking call in compio, and the event loop of the tests has no thread pool: each connection that a stand-in's server ended printed a panic, contained in its task. Dropping the stream closes it as well.

--- a/crates/comfreyroad_fakes/src/server.rs
+++ b/crates/comfreyroad_fakes/src/server.rs
@@ -83,9 +83,11 @@
         let fake = Rc::clone(&fake);
         async move { answer(fake, request, peer, delay).await }
     });
-    let served = http1::Builder::new().serve_connection(HyperStream::new_plain(stream), service);
-    // Errors are ignored: the caller disconnected or an injected fault dropped the connection.
-    drop(served.await);
+    let connection =
+        http1::Builder::new().serve_connection(HyperStream::new_plain(stream), service);
+    // Errors are ignored: the caller disconnected or an injected fault dropped the connection. Dropping the stream closes it; a
+    // shutdown would need a thread pool.
+    drop(connection.without_shutdown().await);
 }
 
 async fn answer(
