--- a/crates/comfreyroad/src/controller/upstreams/pick.rs
+++ b/crates/comfreyroad/src/controller/upstreams/pick.rs
@@ -86,7 +86,7 @@
         requirements: &Requirements,
     ) -> Option<(f64, &'a Any)> {
         let key = requirements.salt.to_string();
-        let weight = |upstream: &&&Any| rendezvous::weight(&key, &upstream.info().id);
+        let weight = |upstream: &&&Any| rendezvous::hash(&key, &upstream.info().id);
         let first = upstreams.iter().max_by_key(weight)?;
         let others = upstreams
             .iter()
--- a/crates/comfreyroad/src/controller/upstreams/reports.rs
+++ b/crates/comfreyroad/src/controller/upstreams/reports.rs
@@ -115,7 +115,7 @@
         let peers = peers.filter(|beat| beat.zone == self.zone && beat.entry != self.entry);
         let mut peers: Vec<&Heartbeat> = peers.collect();
         peers.sort_by_cached_key(|beat| {
-            rendezvous::weight(&format!("{}/{id}", self.entry), &beat.entry)
+            rendezvous::hash(&format!("{}/{id}", self.entry), &beat.entry)
         });
         for beat in peers.into_iter().take(ALERT_FANOUT) {
             let to = beat.address.clone();
--- a/crates/comfreyroad/src/controller/upstreams/vm_list.rs
+++ b/crates/comfreyroad/src/controller/upstreams/vm_list.rs
@@ -97,7 +97,7 @@
                 _ if zone == self.zone => OWN_ZONE_TARGETS,
                 _ => OTHER_ZONE_TARGETS,
             };
-            group.sort_by_cached_key(|id| Reverse(rendezvous::weight(&self.entry, id)));
+            group.sort_by_cached_key(|id| Reverse(rendezvous::hash(&self.entry, id)));
             targets.extend(group.into_iter().take(count));
         }
         for (id, upstream) in &mut self.upstreams {
--- a/crates/comfreyroad/src/rendezvous.rs
+++ b/crates/comfreyroad/src/rendezvous.rs
@@ -13,9 +13,9 @@
     members.max_by_key(|member| xxh3_64_with_seed(member.as_bytes(), seed))
 }
 
-/// The weight of a member for a key; the member with the highest weight comes first.
-pub fn weight(key: &str, member: &str) -> u64 {
-    xxh3_64_with_seed(member.as_bytes(), xxh3_64_with_seed(key.as_bytes(), 0))
+/// The hash of a member for a key, scaled to the range from 0 to 1.
+pub fn fraction(key: &str, member: &str) -> f64 {
+    hash(key, member) as f64 / u64::MAX as f64
 }
 
 /// The number of members with a higher hash for a key than the given member.
--- a/crates/comfreyroad_router/src/controller/rollouts/rollout.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/rollout.rs
@@ -188,8 +188,7 @@
 
     /// Hash of a key, scaled to the range from 0 to 1. Keys below the share of the new version go to it.
     fn hash_fraction(&self, key: &str) -> f64 {
-        let hash = rendezvous::hash(&self.order.target, key);
-        hash as f64 / u64::MAX as f64
+        rendezvous::fraction(&self.order.target, key)
     }
 
     /// Merges the progress that another entry reports: the age of the rollout, its shares and whether it failed.
--- a/crates/comfreyroad_router/src/controller/subscriptions/intervals.rs
+++ b/crates/comfreyroad_router/src/controller/subscriptions/intervals.rs
@@ -32,8 +32,7 @@
 
 /// Timeout of one long poll by an entry.
 pub(super) fn jittered_poll_timeout(topic: Topic, entry: &str, call: CallId) -> Duration {
-    let hash = rendezvous::hash(&call.to_string(), entry);
-    let fraction = hash as f64 / u64::MAX as f64;
+    let fraction = rendezvous::fraction(&call.to_string(), entry);
     poll_timeout(topic).mul_f64(1.0 + POLL_JITTER * (2.0 * fraction - 1.0))
 }
 
--- a/crates/comfreyroad_router/src/controller/subscriptions/subscription.rs
+++ b/crates/comfreyroad_router/src/controller/subscriptions/subscription.rs
@@ -24,8 +24,6 @@
     min_poll_interval: Duration,
     // The offset up to which the topic is known; `None` before the first listing.
     next_offset: Option<Offset>,
-    // Whether the position in the topic has expired, so that removals may be unknown until it is listed.
-    is_expired: bool,
     // The offset from which all removals are known. Those from before the first listing are not.
     removals_known_from: Option<Offset>,
     records: IndexMap<Arc<str>, Cached>,
@@ -67,7 +65,6 @@
             topic,
             min_poll_interval,
             next_offset: None,
-            is_expired: false,
             removals_known_from: None,
             records: IndexMap::new(),
             call: None,
@@ -82,6 +79,11 @@
         self.next_offset
     }
 
+    /// Whether the position in the topic has expired, so that removals may be unknown until it is listed again.
+    fn is_expired(&self) -> bool {
+        self.removals_known_from.is_some() && self.next_offset.is_none()
+    }
+
     /// Starts a call if one is due: a listing if the topic was not listed yet, or a read if the topic is to be polled.
     pub(super) fn start_due_call(
         &mut self,
@@ -181,7 +183,6 @@
     }
 
     fn finish_call(&mut self, next: Offset) {
-        self.is_expired = false;
         self.advance(next);
         self.call = None;
         self.next_call_at = self.call_started_at.map(|at| at + self.min_poll_interval);
@@ -191,7 +192,6 @@
     pub(super) fn on_expired(&mut self, out: &mut Outbox) {
         out.note(Note::new(&note::RECORDS_EXPIRED).with("topic", self.topic.name()));
         self.next_offset = None;
-        self.is_expired = true;
         self.call = None;
         self.next_call_at = None;
     }
@@ -200,7 +200,7 @@
     pub(super) fn on_frame(&mut self, frame: &Frame) {
         let known = self.next_offset.unwrap_or(0);
         if let Some(next) = frame.known_up_to(self.topic, known)
-            && !self.is_expired
+            && !self.is_expired()
         {
             self.advance(next);
         }
@@ -260,8 +260,8 @@
     }
 
     /// The records that changed at or after an offset, in order, and the offset up to which the peer then knows all; `None` if
-    /// the peer lacks nothing. A peer that lacks removals which are not known here stays at its offset. Recent records are withheld from a peer that reads the store, as it has probably read
-    /// them too.
+    /// the peer lacks nothing. A peer that lacks removals which are not known here stays at its offset. Recent records are
+    /// withheld from a peer that reads the store, as it has probably read them too.
     pub(super) fn changes_since(
         &self,
         now: Instant,
--- a/crates/comfreyroad_router/src/request/head.rs
+++ b/crates/comfreyroad_router/src/request/head.rs
@@ -42,6 +42,15 @@
         &self.prompt[..shared]
     }
 
+    /// The ids of the shared parts, for logs.
+    pub(crate) fn shared_part_ids(&self) -> String {
+        let ids: Vec<&str> = self.shared_parts().iter().map(|it| &*it.id).collect();
+        if ids.is_empty() {
+            return "-".into();
+        }
+        ids.join(",")
+    }
+
     /// Length of the prompt in tokens.
     pub fn prompt_tokens(&self) -> u32 {
         self.prompt.iter().map(|part| part.tokens).sum()
--- a/crates/comfreyroad_router/src/router.rs
+++ b/crates/comfreyroad_router/src/router.rs
@@ -18,7 +18,7 @@
 use crate::outbox::Outbox;
 use crate::refusal::{Code, Ran};
 use crate::request::{
-    Head, Placed, Planned, Received, Rejection, Request, Retrying, Returned, Sent, Unplaced,
+    Placed, Planned, Received, Rejection, Request, Retrying, Returned, Sent, Unplaced,
 };
 use crate::{Action, Event, Refusal, Settings};
 
@@ -187,7 +187,7 @@
             .with("upstream", &slot.upstream)
             .with("why", fault.name())
             .with("started", request.stage().has_started)
-            .with("parts", shared_part_ids(request.head()));
+            .with("parts", request.head().shared_part_ids());
         self.out
             .note(note.with("runs", request.stage().plan().runs));
         self.state
@@ -340,12 +340,3 @@
             .note(note.with("ran", ran).with("generation", generation));
     }
 }
-
-/// The ids of the shared parts of a prompt for a log event.
-fn shared_part_ids(head: &Head) -> String {
-    let ids: Vec<&str> = head.shared_parts().iter().map(|part| &*part.id).collect();
-    if ids.is_empty() {
-        return "-".into();
-    }
-    ids.join(",")
-}
