Entries report crashes of engines to their peers before the next regular round

Cause: three successive crashes quarantine a part, but each entry learned of those at the others only in the next regular round of gossip, up to half a second later; only the quarantine itself hastened a round. Change: each crash that becomes known does, with the shortest interval of 200 ms that removals use.

Test: quarantine::a_crash_is_reported_to_peers_before_the_next_regular_round failed before (400 ms), passes after.

--- a/crates/comfreyroad_router/src/controller/members/mod.rs
+++ b/crates/comfreyroad_router/src/controller/members/mod.rs
@@ -219,9 +219,8 @@
         match event {
             Event::Started => self.update_fleet(now.instant, out),
             Event::Tick => self.on_tick(now.instant, out),
-            // The next round contacts another peer.
-            Event::PeerFailed(_) => self.hasten_round(),
-            Event::PartQuarantined => self.hasten_round(),
+            // After a failure the next round contacts another peer.
+            Event::PeerFailed(_) | Event::CrashLearned => self.hasten_round(),
             Event::FrameReceived(frame) => {
                 for peer in frame.peers.iter().chain([&frame.sender]) {
                     self.on_heartbeat(now.instant, peer, out);
--- a/crates/comfreyroad_router/src/controller/quarantine/mod.rs
+++ b/crates/comfreyroad_router/src/controller/quarantine/mod.rs
@@ -52,7 +52,7 @@
     quarantined: IndexMap<PromptPartId, Instant>,
     // Whether the quarantined parts have to be determined anew.
     is_outdated: bool,
-    // Whether parts were quarantined since the last tick.
+    // Whether crashes became known since the last tick.
     has_news: bool,
 }
 
@@ -119,6 +119,7 @@
         }
         self.crashes.push(crash);
         self.is_outdated = true;
+        self.has_news = true;
     }
 
     /// Whether a quarantined part explains a crash.
@@ -150,7 +151,6 @@
         for (part, ends_at) in &quarantined {
             if !self.quarantined.contains_key(part) {
                 out.note(self.quarantine_note(part, ends_at.saturating_duration_since(now)));
-                self.has_news = true;
             }
         }
         for part in self.quarantined.keys() {
@@ -183,7 +183,7 @@
 
     fn on_tick(&mut self, now: Instant, out: &mut Outbox) {
         if std::mem::take(&mut self.has_news) {
-            out.raise(Event::PartQuarantined);
+            out.raise(Event::CrashLearned);
         }
         let mut crashes = std::mem::take(&mut self.crashes);
         crashes.retain(|crash| self.is_explained(crash) || crash.broken_at + CRASH_MEMORY > now);
--- a/crates/comfreyroad_router/src/event.rs
+++ b/crates/comfreyroad_router/src/event.rs
@@ -76,8 +76,8 @@
     StoreRecovered,
     /// A rollout of a pool was ordered.
     RolloutOrdered(PoolId),
-    /// A part of prompts was found to crash engines, and its requests are refused.
-    PartQuarantined,
+    /// Crashes of engines under prompts became known. Each entry that does not know them may let the same prompts crash more.
+    CrashLearned,
     /// The status of a rollout has to be written.
     StatusDue(Status),
 }
--- a/crates/comfreyroad_router/tests/decisions/quarantine.rs
+++ b/crates/comfreyroad_router/tests/decisions/quarantine.rs
@@ -7,7 +7,7 @@
 use comfreyroad_router::record::Topic;
 use comfreyroad_router::refusal::{Code, Ran};
 use comfreyroad_router::request::{Returned, Sent};
-use comfreyroad_router::{Refusal, Request};
+use comfreyroad_router::{Action, Event, Refusal, Request};
 
 use super::rig::{MS, Rig, SECOND, frame, head, prompt};
 use super::upstreams::upstream;
@@ -165,6 +165,35 @@
     assert_eq!(quarantined(&started), ["deadly"]);
 }
 
+/// Ticks until the next frame that holds crashes is sent. Returns the time that it took.
+fn time_to_report(rig: &mut Rig) -> Duration {
+    let started_at = rig.now.instant;
+    for _ in 0..20 {
+        rig.advance(50 * MS);
+        rig.actions.clear();
+        rig.raise(Event::Tick);
+        let is_report =
+            |it: &Action| matches!(it, Action::Gossip { frame, .. } if !frame.crashes.is_empty());
+        if rig.actions.iter().any(is_report) {
+            break;
+        }
+    }
+    rig.now.instant - started_at
+}
+
+/// Regression: entries learned of each other's crashes only in the next regular round, and up to eight of nine engines crashed
+/// meanwhile.
+#[test]
+fn a_crash_is_reported_to_peers_before_the_next_regular_round() {
+    let mut rig = serving();
+    rig.receive(frame("e2"));
+    crash(&mut rig, &["all", "deadly"]);
+    // A round has just been made, so that the next regular one is half a second away.
+    time_to_report(&mut rig);
+    crash(&mut rig, &["all", "deadly"]);
+    assert!(time_to_report(&mut rig) <= 150 * MS);
+}
+
 #[test]
 fn an_answer_to_a_peer_exonerates_a_part() {
     let mut rig = serving();
