A stop serves the first request of a connection that was just accepted

What callers saw: a request on a connection that the server had accepted just before it stopped got no answer; the connection was closed.

Cause: when told to shut down, hyper closes a connection at once if nothing has arrived on it (has_initial_read_write_state). A caller that has connected and not yet sent its request is cut off so, on every server of both daemons.

Now a connection without a request gets up to a second, and no longer than the server's deadline, for its first one. Answers that are given while the server stops carry "connection: close".

Test: stop::a_stop_serves_the_first_request_of_a_connection_that_was_just_accepted failed before, without load.

--- a/crates/comfreyroad_net/src/server/connection.rs
+++ b/crates/comfreyroad_net/src/server/connection.rs
@@ -1,14 +1,15 @@
 use std::{
+    cell::Cell,
     convert::Infallible,
     future::{Future, poll_fn},
     net::SocketAddr,
     pin::{Pin, pin},
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use cyper_core::CompioTimer;
 use futures_util::future::{Either, select};
-use http::{Request, Response};
+use http::{HeaderValue, Request, Response, header::CONNECTION};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 
 use super::{limits::Limits, state::Registration};
@@ -17,6 +18,9 @@
     stream::{Handle, Stream},
 };
 
+/// Time that a new connection gets for its first request when the server stops.
+const FIRST_REQUEST_TIME: Duration = Duration::from_secs(1);
+
 /// One accepted connection.
 pub(super) struct Connection {
     pub(super) stream: Stream,
@@ -38,11 +42,18 @@
             limits,
         } = self;
         let handle = stream.handle();
+        let has_request = Cell::new(false);
+        let is_stopping = Cell::new(false);
         let service = service_fn(|request| {
+            has_request.set(true);
             let response = handler(request, peer);
-            let handle = &handle;
+            let (handle, is_stopping) = (&handle, &is_stopping);
             async move {
-                let response = response.await;
+                let mut response = response.await;
+                if is_stopping.get() {
+                    let close = HeaderValue::from_static("close");
+                    response.headers_mut().insert(CONNECTION, close);
+                }
                 response.body().bind(handle);
                 Ok::<_, Infallible>(response)
             }
@@ -53,8 +64,18 @@
         let result = match select(connection.as_mut(), stop).await {
             Either::Left((result, _)) => Some(result),
             Either::Right((deadline, _)) => {
-                connection.as_mut().graceful_shutdown();
-                run_until(deadline, connection.as_mut()).await
+                is_stopping.set(true);
+                let mut result = None;
+                if !has_request.get() {
+                    // hyper would close a connection on which nothing has arrived yet.
+                    let until = deadline.min(Instant::now() + FIRST_REQUEST_TIME);
+                    result = run_until(until, connection.as_mut()).await;
+                }
+                if result.is_none() {
+                    connection.as_mut().graceful_shutdown();
+                    result = run_until(deadline, connection.as_mut()).await;
+                }
+                result
             }
         };
         finish(&handle, peer, result);
--- a/crates/comfreyroad_net/tests/net/stop.rs
+++ b/crates/comfreyroad_net/tests/net/stop.rs
@@ -74,6 +74,26 @@
     });
 }
 
+/// Regression: a connection on which nothing had arrived was closed without an answer.
+#[test]
+fn a_stop_serves_the_first_request_of_a_connection_that_was_just_accepted() {
+    run(async {
+        let (address, handle, task) = serve(|_, _| async { Response::new(Body::full("hello")) });
+        let mut stream = Stream::connect(address).await.unwrap();
+        while handle.connections() == 0 {
+            sleep_ms(1).await;
+        }
+        handle.stop(deadline());
+        sleep_ms(50).await;
+        write(&mut stream, b"GET / HTTP/1.1\r\nhost: x\r\n\r\n").await;
+        let (text, end) = read_to_end(&mut stream).await;
+        assert!(text.ends_with("hello"), "{text:?}");
+        assert!(text.contains("connection: close"), "{text}");
+        end.unwrap();
+        task.await.unwrap().unwrap();
+    });
+}
+
 /// Sends requests, each on a connection of its own, until connections are refused. Returns the number of answers.
 fn call_until_refused(address: SocketAddr) -> io::Result<usize> {
     let mut answers = 0;
