--- a/crates/comfreyroad_router/src/controller/rollouts/counts.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/counts.rs
@@ -250,11 +250,26 @@
         (target, others)
     }
 
+    /// Good and rated answers of the new version and of the others on each route that the new version has served.
+    fn describe_routes(&self) -> String {
+        let routes = self.route_scores();
+        let tried = routes.iter().filter(|(_, (target, _))| target.rated > 0);
+        let score = |score: &Score| format!("{}/{}", score.good, score.rated);
+        let tried = tried.map(|(route, (target, others))| {
+            format!("{route}:{}:{}", score(target), score(others))
+        });
+        tried.collect::<Vec<_>>().join(",")
+    }
+
     /// Adds the scores to a log event.
     pub(super) fn annotate(&self, note: Note) -> Note {
         let (target, others) = self.total_scores();
         let (target_speed, others_speed) = self.speed_scores();
-        note.with("answers", target.rated)
+        let (target_sent, others_sent) = self.requests();
+        note.with("sent", target_sent)
+            .with("others_sent", others_sent)
+            .with("routes", self.describe_routes())
+            .with("answers", target.rated)
             .with("good", target.good)
             .with("others", others.rated)
             .with("others_good", others.good)
--- a/crates/comfreyroad_router/src/controller/rollouts/mod.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/mod.rs
@@ -11,6 +11,7 @@
 mod phase;
 mod pins;
 mod ramp;
+mod reason;
 mod rollout;
 
 use std::rc::Rc;
--- a/crates/comfreyroad_router/src/controller/rollouts/phase.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/phase.rs
@@ -44,6 +44,16 @@
 }
 
 impl Phase {
+    /// The name used in logs.
+    pub(super) fn name(self) -> &'static str {
+        match self {
+            Self::Canary(_) => "canary",
+            Self::Cutover(_) => "cutover",
+            Self::Rollback(_) => "rollback",
+            Self::Completion(_) => "completion",
+        }
+    }
+
     /// Rolls back to the old version; has no effect in a final phase.
     pub(super) fn roll_back(self) -> Self {
         match self {
--- a/crates/comfreyroad_router/src/controller/rollouts/rollout.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/rollout.rs
@@ -8,6 +8,7 @@
 use super::phase::{Canary, Completion, Cutover, Phase, Rollback};
 use super::pins::{Pin, Pins};
 use super::ramp::{Ramp, Snapshot};
+use super::reason::Reason;
 use crate::controller::members::Fleet;
 use crate::frame::{Frame, Peer, Progress, SessionPin};
 use crate::id::{Offset, RouteId, VersionId};
@@ -201,7 +202,7 @@
         }
         self.ramp.merge(progress);
         if progress.is_target_bad {
-            self.roll_back(out);
+            self.roll_back(now, Reason::Peer, out);
         }
     }
 
@@ -227,7 +228,7 @@
     pub(super) fn advance(&mut self, now: Instant, fleet: &Fleet, out: &mut Outbox) {
         let snapshot = self.snapshot(now);
         if snapshot.log_evidence >= BAD_LOG_EVIDENCE {
-            self.roll_back(out);
+            self.roll_back(now, Reason::Evidence, out);
         }
         let (counted, live) = (self.counts.reporting_entries(), fleet.entries.len());
         self.ramp.advance(snapshot, counted, live);
@@ -235,9 +236,9 @@
             && self.ramp.may_cut_over(snapshot)
         {
             if self.counts.is_suspicious() {
-                self.roll_back(out);
+                self.roll_back(now, Reason::Suspicion, out);
             } else {
-                self.log_scores(&note::ROLLOUT_CUT_OVER, out);
+                out.note(self.describe(&note::ROLLOUT_CUT_OVER, now));
                 self.phase = Phase::Cutover(canary.cut_over(now));
             }
         }
@@ -281,20 +282,26 @@
         Some(state)
     }
 
-    fn roll_back(&mut self, out: &mut Outbox) {
+    fn roll_back(&mut self, now: Instant, reason: Reason, out: &mut Outbox) {
         if matches!(self.phase, Phase::Rollback(_) | Phase::Completion(_)) {
             return;
         }
-        self.log_scores(&note::ROLLOUT_FAILED, out);
+        let note = self.describe(&note::ROLLOUT_FAILED, now);
+        out.note(
+            note.with("why", reason.name())
+                .with("phase", self.phase.name()),
+        );
         self.phase = self.phase.roll_back();
     }
 
-    fn log_scores(&self, kind: &'static note::Kind, out: &mut Outbox) {
-        let note = Note::new(kind).with("pool", &self.order.pool);
-        out.note(
-            self.counts
-                .annotate(note.with("target", &self.order.target)),
-        );
+    /// A log event with the counts by which the rollout is decided.
+    fn describe(&self, kind: &'static note::Kind, now: Instant) -> Note {
+        let age = now.saturating_duration_since(self.started_at);
+        let note = Note::new(kind)
+            .with("pool", &self.order.pool)
+            .with("target", &self.order.target)
+            .with("age_ms", age.as_millis());
+        self.counts.annotate(note)
     }
 
     /// Adds the rollout's state to a frame. Relays exchange the counts of all entries; other entries report their own
