The cutover of a rollout keeps within the exposure limit

Cause: when the time of a rollout ran out, the cutover went ahead whatever was left of the limit, 2.2 s before the end; 48 requests of the trial and those of the share after it had been spent before. Entries without the counts of a quorum did so too, each on its own. Change: the trial leaves room for the requests that move at the latest cutover, 1.7 s before the end, and for a fifth more, as a bad version's failed answers are requested again. Where the limit admits no cutover in time, the rollout is rolled back. The completion is written 1.0 s before the end. Before: exposure::the_exposure_limit_holds_at_any_rate_and_duration fails (83 of 303, 75 allowed). After: passes, 5 to 500 requests/s.

--- a/crates/comfreyroad_router/src/controller/rollouts/exposure.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/exposure.rs
@@ -2,16 +2,19 @@
 
 /// Fraction of the exposure limit used during the trial, the first part of the canary phase.
 const TRIAL_FRACTION: f64 = 0.8;
-/// Fraction of the exposure limit used between the trial and the cutover. Some bad versions show no bad answers, so the
-/// limit must also cover the requests that move at the cutover, before the rollout's time is over.
+/// Fraction of the exposure limit used between the trial and the cutover.
 const TRICKLE_FRACTION: f64 = 0.1;
-/// Fraction of the exposure limit and its slack that is used. The rest covers requests that other entries have sent since
-/// their last report.
-const SAFETY_FACTOR: f64 = 0.85;
+/// Fraction of the exposure limit and its slack that the trial leaves to the cutover or uses itself. The rest covers requests
+/// that other entries have sent since their last report.
+const TRIAL_SAFETY_FACTOR: f64 = 0.9;
+/// As above, at the cutover: the trial has ended by then, and reports of its requests have arrived.
+const CUTOVER_SAFETY_FACTOR: f64 = 0.95;
+/// Factor on the request rate after the cutover: failed and slow answers of a bad version are requested again.
+const MOVED_RATE_FACTOR: f64 = 1.2;
 /// Fraction of the rollout's duration before which sessions in progress do not move to the new version.
 const MIN_CANARY_FRACTION: f64 = 0.52;
-/// Time before the end of a rollout at which all requests move to the new version at the latest.
-const LATEST_CUTOVER_BEFORE_END: Duration = Duration::from_millis(2200);
+/// Time before the end of a rollout after which requests can no longer move so that it finishes within its duration.
+const LATEST_CUTOVER_BEFORE_END: Duration = Duration::from_millis(1700);
 
 /// Limit on the requests that an unproven version may receive within the duration of a rollout.
 #[derive(Clone, Copy, Debug)]
@@ -22,6 +25,39 @@
     pub(super) slack: f64,
 }
 
+/// The requests of a rollout up to one moment.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Usage {
+    /// Time since the order.
+    pub(super) age: Duration,
+    /// Duration of the rollout.
+    pub(super) duration: Duration,
+    /// Requests sent to the new version.
+    pub(super) target: f64,
+    /// Requests sent to the other versions.
+    pub(super) others: f64,
+}
+
+impl Usage {
+    fn total(&self) -> f64 {
+        self.target + self.others
+    }
+
+    /// Requests per second so far.
+    pub(super) fn rate(&self) -> f64 {
+        self.total() / self.age.as_secs_f64().max(1.0)
+    }
+
+    fn remaining(&self) -> Duration {
+        self.duration.saturating_sub(self.age)
+    }
+
+    /// Requests until the end of the rollout, if they keep arriving at the rate so far.
+    fn expected(&self) -> f64 {
+        self.rate() * self.remaining().as_secs_f64()
+    }
+}
+
 impl Exposure {
     /// Fraction of new requests sent to the new version during the trial.
     pub(super) fn trial_share(self) -> f64 {
@@ -33,28 +69,33 @@
         self.share * TRICKLE_FRACTION
     }
 
-    /// Whether all requests must move at this age of the rollout so that it finishes within its duration.
-    pub(super) fn must_cut_over(age: Duration, duration: Duration) -> bool {
-        age >= duration.mul_f64(MIN_CANARY_FRACTION)
-            && duration.saturating_sub(age) <= LATEST_CUTOVER_BEFORE_END
-    }
-
-    /// Whether all requests may move at this age of the rollout, given the requests sent so far to the new version and to
-    /// the others. If requests keep arriving at the rate seen so far, the new version stays within the exposure limit for
-    /// the whole duration of the rollout, even if it turns out to be bad.
-    pub(super) fn may_cut_over(
-        self,
-        age: Duration,
-        duration: Duration,
-        (target, others): (f64, f64),
-    ) -> bool {
-        let remaining = duration.saturating_sub(age);
-        if age < duration.mul_f64(MIN_CANARY_FRACTION) {
-            return false;
-        }
-        let total = target + others;
-        let expected = total / age.as_secs_f64().max(1.0) * remaining.as_secs_f64();
-        let allowed = self.share * (total + expected) + self.slack;
-        target + expected <= allowed * SAFETY_FACTOR
+    /// Requests that the new version may receive within the duration of the rollout.
+    fn allowed(self, usage: Usage) -> f64 {
+        self.share * (usage.total() + usage.expected()) + self.slack
+    }
+
+    /// Requests that the new version may receive before the cutover. The others are left to those that move at the latest
+    /// cutover: a version that shows no bad answers until then must stay within the limit too.
+    pub(super) fn canary_limit(self, usage: Usage) -> f64 {
+        let moved = usage.rate() * LATEST_CUTOVER_BEFORE_END.as_secs_f64();
+        self.allowed(usage) * TRIAL_SAFETY_FACTOR - moved * MOVED_RATE_FACTOR
+    }
+
+    /// Requests that the trial may send: those before the cutover, less those that follow the trial.
+    pub(super) fn trial_limit(self, usage: Usage) -> f64 {
+        self.canary_limit(usage) - self.trickle_share() * usage.expected()
+    }
+
+    /// Whether all requests may move now. If requests keep arriving at the rate seen so far, the new version stays within the
+    /// exposure limit for the whole duration of the rollout, even if it turns out to be bad.
+    pub(super) fn may_cut_over(self, usage: Usage) -> bool {
+        let after = usage.target + usage.expected() * MOVED_RATE_FACTOR;
+        usage.age >= usage.duration.mul_f64(MIN_CANARY_FRACTION)
+            && after <= self.allowed(usage) * CUTOVER_SAFETY_FACTOR
+    }
+
+    /// Whether it is too late for a cutover that finishes within the duration of the rollout.
+    pub(super) fn is_too_late_to_cut_over(usage: Usage) -> bool {
+        usage.remaining() < LATEST_CUTOVER_BEFORE_END
     }
 }
--- a/crates/comfreyroad_router/src/controller/rollouts/ramp.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/ramp.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use super::exposure::Exposure;
+use super::exposure::{Exposure, Usage};
 use crate::frame::Progress;
 
 /// Requests to the new version after which the trial has enough answers: a failure rate of 30% shows within a third of
@@ -33,12 +33,8 @@
 /// The state of a rollout at one moment.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Snapshot {
-    /// Time since the order.
-    pub(super) age: Duration,
-    /// Duration of the rollout.
-    pub(super) duration: Duration,
-    /// Requests that all entries have sent to the new version, and to the others.
-    pub(super) requests: (f64, f64),
+    /// The requests that all entries have sent.
+    pub(super) usage: Usage,
     /// Log evidence that the new version is worse.
     pub(super) log_evidence: f64,
 }
@@ -86,14 +82,12 @@
         self.has_quorum = counted as f64 >= live as f64 * QUORUM;
         if self.agreed_trial_share.is_some()
             || !self.has_quorum
-            || snapshot.age < SESSION_SYNC_DELAY
+            || snapshot.usage.age < SESSION_SYNC_DELAY
         {
             return;
         }
         // The request rate is measured over the time in which entries exchanged their sessions.
-        let (target, others) = snapshot.requests;
-        let expected =
-            (target + others) / snapshot.age.as_secs_f64() * TRIAL_DURATION.as_secs_f64();
+        let expected = snapshot.usage.rate() * TRIAL_DURATION.as_secs_f64();
         self.agreed_trial_share = Some(
             self.exposure
                 .trial_share()
@@ -103,39 +97,36 @@
 
     /// Fraction of new requests that go to the new version.
     pub(super) fn share(&self, snapshot: Snapshot) -> f64 {
-        if snapshot.age < SESSION_SYNC_DELAY {
+        let usage = snapshot.usage;
+        if usage.age < SESSION_SYNC_DELAY {
             return 0.0;
         }
         if !self.has_quorum {
             return self.reported_share.unwrap_or(self.max_share());
         }
-        if Self::is_trial_over(snapshot) {
+        if usage.target >= self.exposure.canary_limit(usage) {
+            return 0.0;
+        }
+        if self.is_trial_over(snapshot) {
             return self.exposure.trickle_share().min(self.max_share());
         }
         self.max_share()
     }
 
-    /// Whether the trial has enough answers or time. A trial with suspicious answers continues.
-    fn is_trial_over(snapshot: Snapshot) -> bool {
-        let (target, _) = snapshot.requests;
-        let is_late = snapshot.age >= snapshot.duration.mul_f64(MAX_TRIAL_FRACTION);
-        is_late || (target >= ENOUGH_REQUESTS && snapshot.log_evidence < SUSPICIOUS_LOG_EVIDENCE)
+    /// Whether the trial has enough answers or time, or has used its part of the exposure limit. A trial with suspicious answers
+    /// continues otherwise.
+    fn is_trial_over(&self, snapshot: Snapshot) -> bool {
+        let usage = snapshot.usage;
+        let is_late = usage.age >= usage.duration.mul_f64(MAX_TRIAL_FRACTION);
+        let is_used_up = usage.target >= self.exposure.trial_limit(usage);
+        let has_enough = usage.target >= ENOUGH_REQUESTS;
+        is_late || is_used_up || (has_enough && snapshot.log_evidence < SUSPICIOUS_LOG_EVIDENCE)
     }
 
-    /// Whether all requests may move to the new version: by counts, by the share that others report, or because the
-    /// rollout's time runs out.
+    /// Whether all requests may move to the new version: by counts, or by the share that others report.
     pub(super) fn may_cut_over(&self, snapshot: Snapshot) -> bool {
-        let Snapshot {
-            age,
-            duration,
-            requests,
-            ..
-        } = snapshot;
-        if Exposure::must_cut_over(age, duration) {
-            return true;
-        }
         if self.has_quorum {
-            return self.exposure.may_cut_over(age, duration, requests);
+            return self.exposure.may_cut_over(snapshot.usage);
         }
         self.reported_share.is_some_and(|share| share >= 1.0)
     }
--- a/crates/comfreyroad_router/src/controller/rollouts/reason.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/reason.rs
@@ -5,6 +5,8 @@
     Evidence,
     /// The answers look worse or slower when all requests are to move to the new version.
     Suspicion,
+    /// The exposure limit did not admit a cutover in time.
+    Exposure,
     /// Another entry has rolled it back.
     Peer,
 }
@@ -15,6 +17,7 @@
         match self {
             Self::Evidence => "evidence",
             Self::Suspicion => "suspicion",
+            Self::Exposure => "exposure",
             Self::Peer => "peer",
         }
     }
--- a/crates/comfreyroad_router/src/controller/rollouts/rollout.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/rollout.rs
@@ -4,7 +4,7 @@
 use comfreyroad::{clock, rendezvous};
 
 use super::counts::Counts;
-use super::exposure::Exposure;
+use super::exposure::{Exposure, Usage};
 use super::phase::{Canary, Completion, Cutover, Phase, Rollback};
 use super::pins::{Pin, Pins};
 use super::ramp::{Ramp, Snapshot};
@@ -16,8 +16,8 @@
 use crate::outbox::Outbox;
 use crate::rollout::{Order, State, Status, Tally};
 
-/// Time before the end of a rollout at which its completion is written: two writer timeouts, and the store's answer.
-const COMPLETION_LEAD: Duration = Duration::from_millis(1600);
+/// Time before the end of a rollout at which its completion is written: a writer timeout, and the store's answer.
+const COMPLETION_LEAD: Duration = Duration::from_millis(1000);
 /// Minimum time between the cutover and the completion, so that the other entries have cut over too.
 const MIN_CUTOVER_DURATION: Duration = Duration::from_millis(600);
 /// Log evidence at which the new version is found bad: at most one false positive in twenty rollouts, which costs a
@@ -114,10 +114,14 @@
 
     fn snapshot(&self, now: Instant) -> Snapshot {
         let is_over = matches!(self.phase, Phase::Rollback(_) | Phase::Completion(_));
+        let (target, others) = self.counts.requests();
         Snapshot {
-            age: now.saturating_duration_since(self.started_at),
-            duration: self.order.duration,
-            requests: self.counts.requests(),
+            usage: Usage {
+                age: now.saturating_duration_since(self.started_at),
+                duration: self.order.duration,
+                target,
+                others,
+            },
             log_evidence: if is_over {
                 0.0
             } else {
@@ -232,20 +236,34 @@
         }
         let (counted, live) = (self.counts.reporting_entries(), fleet.entries.len());
         self.ramp.advance(snapshot, counted, live);
-        if let Phase::Canary(canary) = self.phase
-            && self.ramp.may_cut_over(snapshot)
-        {
-            if self.counts.is_suspicious() {
-                self.roll_back(now, Reason::Suspicion, out);
-            } else {
-                out.note(self.describe(&note::ROLLOUT_CUT_OVER, now));
-                self.phase = Phase::Cutover(canary.cut_over(now));
-            }
+        if let Phase::Canary(canary) = self.phase {
+            self.decide_cutover(now, canary, snapshot, out);
         }
         self.share = self.phase_share(snapshot);
         self.update_pending_status(now);
     }
 
+    /// Moves all requests to the new version as soon as the exposure limit admits it, or rolls back.
+    fn decide_cutover(
+        &mut self,
+        now: Instant,
+        canary: Canary,
+        snapshot: Snapshot,
+        out: &mut Outbox,
+    ) {
+        let is_too_late = Exposure::is_too_late_to_cut_over(snapshot.usage);
+        if is_too_late && self.ramp.has_quorum() {
+            self.roll_back(now, Reason::Exposure, out);
+        } else if !self.ramp.may_cut_over(snapshot) {
+            // The canary phase goes on.
+        } else if self.counts.is_suspicious() {
+            self.roll_back(now, Reason::Suspicion, out);
+        } else {
+            out.note(self.describe(&note::ROLLOUT_CUT_OVER, now));
+            self.phase = Phase::Cutover(canary.cut_over(now));
+        }
+    }
+
     /// Marks the status of the current phase as pending unless it is written already.
     fn update_pending_status(&mut self, now: Instant) {
         let state = match self.phase {
