A new version gets all requests only when its answers prove it sound

Cause: the cutover took the absence of evidence for soundness. Evidence of failure paid for every route known, and took a rate shown by hundreds of answers for unknown. Change: the evidence is the likelihood of the answers under a bad version against a sound one: failures on all routes together or on one, weighted by traffic, and times in which a fraction is several times slower. It is about 0 without answers. The cutover needs -1, 3 rolls back; in between the trial goes on to the latest cutover, within its part of the limit. The comparison with the median, which rolled back a sound version by chance (8 answers), is gone.

--- a/crates/comfreyroad_router/src/controller/rollouts/mod.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/mod.rs
@@ -13,6 +13,7 @@
 mod ramp;
 mod reason;
 mod rollout;
+mod verdict;
 
 use std::rc::Rc;
 use std::sync::Arc;
--- a/crates/comfreyroad_router/src/controller/rollouts/ramp.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/ramp.rs
@@ -9,10 +9,6 @@
 /// Time within which the trial sends its requests where a lower share than the exposure limit is enough for that. The
 /// fewer sessions move, the fewer of them reach an entry that does not know yet that they have moved.
 const TRIAL_DURATION: Duration = Duration::from_secs(4);
-/// Fraction of the rollout's duration after which the trial ends in any case.
-const MAX_TRIAL_FRACTION: f64 = 0.55;
-/// Log evidence at or above which the trial continues to collect answers: the new version is as likely worse as not.
-const SUSPICIOUS_LOG_EVIDENCE: f64 = 0.0;
 /// Time after the order in which entries exchange the sessions that are pinned to the old version: four gossip rounds.
 const SESSION_SYNC_DELAY: Duration = Duration::from_millis(2000);
 /// Fraction of the live entries whose counts an entry must have to decide by counts.
@@ -35,8 +31,8 @@
 pub(super) struct Snapshot {
     /// The requests that all entries have sent.
     pub(super) usage: Usage,
-    /// Log evidence that the new version is worse.
-    pub(super) log_evidence: f64,
+    /// Whether the answers show that the new version is sound.
+    pub(super) is_proved: bool,
 }
 
 impl Ramp {
@@ -113,14 +109,11 @@
         self.max_share()
     }
 
-    /// Whether the trial has enough answers or time, or has used its part of the exposure limit. A trial with suspicious answers
-    /// continues otherwise.
+    /// Whether the trial has enough answers, or has used its part of the exposure limit.
     fn is_trial_over(&self, snapshot: Snapshot) -> bool {
         let usage = snapshot.usage;
-        let is_late = usage.age >= usage.duration.mul_f64(MAX_TRIAL_FRACTION);
         let is_used_up = usage.target >= self.exposure.trial_limit(usage);
-        let has_enough = usage.target >= ENOUGH_REQUESTS;
-        is_late || is_used_up || (has_enough && snapshot.log_evidence < SUSPICIOUS_LOG_EVIDENCE)
+        is_used_up || (usage.target >= ENOUGH_REQUESTS && snapshot.is_proved)
     }
 
     /// Whether all requests may move to the new version: by counts, or by the share that others report.
--- a/crates/comfreyroad_router/src/controller/rollouts/reason.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/reason.rs
@@ -3,8 +3,8 @@
 pub(super) enum Reason {
     /// The answers are significantly worse or slower than those of the other versions.
     Evidence,
-    /// The answers look worse or slower when all requests are to move to the new version.
-    Suspicion,
+    /// The answers do not show that the new version is sound when all requests are to move to it.
+    Unproved,
     /// The exposure limit did not admit a cutover in time.
     Exposure,
     /// Another entry has rolled it back.
@@ -16,7 +16,7 @@
     pub(super) fn name(self) -> &'static str {
         match self {
             Self::Evidence => "evidence",
-            Self::Suspicion => "suspicion",
+            Self::Unproved => "unproved",
             Self::Exposure => "exposure",
             Self::Peer => "peer",
         }
--- a/crates/comfreyroad_router/src/controller/rollouts/rollout.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/rollout.rs
@@ -9,6 +9,7 @@
 use super::pins::{Pin, Pins};
 use super::ramp::{Ramp, Snapshot};
 use super::reason::Reason;
+use super::verdict::Evidence;
 use crate::controller::members::Fleet;
 use crate::frame::{Frame, Peer, Progress, SessionPin};
 use crate::id::{Offset, RouteId, VersionId};
@@ -20,9 +21,8 @@
 const COMPLETION_LEAD: Duration = Duration::from_millis(1000);
 /// Minimum time between the cutover and the completion, so that the other entries have cut over too.
 const MIN_CUTOVER_DURATION: Duration = Duration::from_millis(600);
-/// Log evidence at which the new version is found bad: at most one false positive in twenty rollouts, which costs a
-/// rollout but no request.
-const BAD_LOG_EVIDENCE: f64 = 3.0;
+/// Requests to a pool below which a rollout needs no proof: a bad version could not give as many bad answers either.
+const MIN_REQUESTS_TO_PROVE: f64 = 30.0;
 /// Time for which each entry waits for each entry that ranks before it to write a status.
 const WRITER_TIMEOUT: Duration = Duration::from_millis(700);
 /// Minimum time between two attempts of one entry to write a status.
@@ -112,8 +112,7 @@
         }
     }
 
-    fn snapshot(&self, now: Instant) -> Snapshot {
-        let is_over = matches!(self.phase, Phase::Rollback(_) | Phase::Completion(_));
+    fn snapshot(&self, now: Instant, evidence: Option<Evidence>) -> Snapshot {
         let (target, others) = self.counts.requests();
         Snapshot {
             usage: Usage {
@@ -122,14 +121,23 @@
                 target,
                 others,
             },
-            log_evidence: if is_over {
-                0.0
-            } else {
-                self.counts.log_evidence()
-            },
+            is_proved: evidence.is_some_and(|evidence| self.is_proved(evidence)),
         }
     }
 
+    /// Whether the rollout is decided.
+    fn is_over(&self) -> bool {
+        matches!(self.phase, Phase::Rollback(_) | Phase::Completion(_))
+    }
+
+    /// Whether the new version may get all requests. An entry that follows the others leaves this to them, and a pool that is
+    /// hardly used has no answers that could prove anything.
+    fn is_proved(&self, evidence: Evidence) -> bool {
+        let (target, others) = self.counts.requests();
+        let is_idle = target + others < MIN_REQUESTS_TO_PROVE;
+        is_idle || !self.ramp.has_quorum() || evidence.is_sound()
+    }
+
     fn is_canary(&self) -> bool {
         matches!(self.phase, Phase::Canary(_))
     }
@@ -230,20 +238,29 @@
 
     /// Advances the rollout by the elapsed time and the current counts.
     pub(super) fn advance(&mut self, now: Instant, fleet: &Fleet, out: &mut Outbox) {
-        let snapshot = self.snapshot(now);
-        if snapshot.log_evidence >= BAD_LOG_EVIDENCE {
-            self.roll_back(now, Reason::Evidence, out);
-        }
+        // The evidence matters only until the rollout is decided.
+        let evidence = (!self.is_over()).then(|| self.counts.evidence());
+        let snapshot = self.snapshot(now, evidence);
         let (counted, live) = (self.counts.reporting_entries(), fleet.entries.len());
         self.ramp.advance(snapshot, counted, live);
-        if let Phase::Canary(canary) = self.phase {
-            self.decide_cutover(now, canary, snapshot, out);
+        if let Some(evidence) = evidence {
+            self.decide(now, evidence, snapshot, out);
         }
         self.share = self.phase_share(snapshot);
         self.update_pending_status(now);
     }
 
-    /// Moves all requests to the new version as soon as the exposure limit admits it, or rolls back.
+    /// Rolls back or enters the next phase if the evidence and the exposure limit demand or admit it.
+    fn decide(&mut self, now: Instant, evidence: Evidence, snapshot: Snapshot, out: &mut Outbox) {
+        if evidence.is_bad() {
+            self.roll_back(now, Reason::Evidence, out);
+        }
+        if let Phase::Canary(canary) = self.phase {
+            self.decide_cutover(now, canary, snapshot, out);
+        }
+    }
+
+    /// Moves all requests to the new version as soon as it is proved and the exposure limit admits it, or rolls back.
     fn decide_cutover(
         &mut self,
         now: Instant,
@@ -251,16 +268,17 @@
         snapshot: Snapshot,
         out: &mut Outbox,
     ) {
-        let is_too_late = Exposure::is_too_late_to_cut_over(snapshot.usage);
-        if is_too_late && self.ramp.has_quorum() {
-            self.roll_back(now, Reason::Exposure, out);
-        } else if !self.ramp.may_cut_over(snapshot) {
-            // The canary phase goes on.
-        } else if self.counts.is_suspicious() {
-            self.roll_back(now, Reason::Suspicion, out);
-        } else {
+        let may_cut_over = self.ramp.may_cut_over(snapshot);
+        if may_cut_over && snapshot.is_proved {
             out.note(self.describe(&note::ROLLOUT_CUT_OVER, now));
             self.phase = Phase::Cutover(canary.cut_over(now));
+        } else if Exposure::is_too_late_to_cut_over(snapshot.usage) && self.ramp.has_quorum() {
+            let reason = if may_cut_over {
+                Reason::Unproved
+            } else {
+                Reason::Exposure
+            };
+            self.roll_back(now, reason, out);
         }
     }
 
@@ -301,7 +319,7 @@
     }
 
     fn roll_back(&mut self, now: Instant, reason: Reason, out: &mut Outbox) {
-        if matches!(self.phase, Phase::Rollback(_) | Phase::Completion(_)) {
+        if self.is_over() {
             return;
         }
         let note = self.describe(&note::ROLLOUT_FAILED, now);
--- a/crates/comfreyroad_router/src/note/mod.rs
+++ b/crates/comfreyroad_router/src/note/mod.rs
@@ -76,7 +76,7 @@
     ROLLOUT_STARTED = 1601, Info, "rollout started";
     /// All requests go to the new version.
     ROLLOUT_CUT_OVER = 1602, Info, "rollout cut over to new version";
-    /// The new version was found bad and is rolled back.
+    /// The new version was found bad, or not proved in time, and is rolled back.
     ROLLOUT_FAILED = 1603, Error, "new version found bad";
     /// A new status of a rollout was read back from the store.
     ROLLOUT_STATUS_WRITTEN = 1604, Info, "rollout status written";
--- a/crates/comfreyroad_router/src/rollout/histogram.rs
+++ b/crates/comfreyroad_router/src/rollout/histogram.rs
@@ -8,6 +8,10 @@
 const RATIO: f64 = 1.2;
 /// Number of buckets. The last one has no upper bound.
 const BUCKETS: usize = 60;
+/// Fraction of the service times that is spread over all buckets by [`Histogram::smoothed`].
+const UNSEEN_FRACTION: f64 = 0.02;
+/// Weights with which it spreads a bucket over the one before, itself and the next one.
+const BLUR: [f64; 3] = [0.25, 0.5, 0.25];
 
 /// Counts of service times in buckets of exponentially growing width. Histograms of several entries can be added.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -39,6 +43,30 @@
         }
     }
 
+    /// Number of service times in each bucket, up to the last one that has any.
+    pub fn counts(&self) -> &[u32] {
+        &self.counts
+    }
+
+    /// The distribution of the service times, as a fraction for each bucket. Neighbouring buckets are blurred, and each bucket has a
+    /// small fraction of its own, because the counts are a sample.
+    pub fn smoothed(&self) -> [f64; BUCKETS] {
+        let total = f64::from(self.total().max(1));
+        let mut smoothed = [UNSEEN_FRACTION / BUCKETS as f64; BUCKETS];
+        for (bucket, count) in self.counts.iter().enumerate().take(BUCKETS) {
+            let fraction = f64::from(*count) / total * (1.0 - UNSEEN_FRACTION);
+            let neighbours = [
+                bucket.saturating_sub(1),
+                bucket,
+                (bucket + 1).min(BUCKETS - 1),
+            ];
+            for (neighbour, weight) in neighbours.into_iter().zip(BLUR) {
+                smoothed[neighbour] += fraction * weight;
+            }
+        }
+        smoothed
+    }
+
     /// Number of service times.
     pub fn total(&self) -> u32 {
         self.up_to(BUCKETS)
--- a/crates/comfreyroad_router/src/rollout/mod.rs
+++ b/crates/comfreyroad_router/src/rollout/mod.rs
@@ -1,5 +1,6 @@
 //! Rollouts of new versions: orders, statuses and answer counts.
 
+pub mod evidence;
 mod histogram;
 mod order;
 mod status;
--- a/crates/comfreyroad_router/src/rollout/tally.rs
+++ b/crates/comfreyroad_router/src/rollout/tally.rs
@@ -36,10 +36,10 @@
     pub others_sent: u32,
     /// Answers by route, because failure rates differ between routes.
     pub routes: Vec<RouteScore>,
-    /// Answers of the new version, rated by whether they were fast enough compared with the median of the other versions.
+    /// Always empty; entries of earlier versions, which compared speeds by it, require the field.
     #[serde(rename = "target_paces")]
     pub target_speed: Score,
-    /// Answers of the other versions, rated by whether they were fast enough compared with their own median.
+    /// Always empty, as above.
     #[serde(rename = "others_paces")]
     pub others_speed: Score,
     /// Service times of the new version. Absent in frames of versions that only compare them with the median.
--- a/crates/comfreyroad_router/tests/decisions/exposure.rs
+++ b/crates/comfreyroad_router/tests/decisions/exposure.rs
@@ -3,12 +3,13 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-use comfreyroad_router::Event;
 use comfreyroad_router::answer::Completion;
+use comfreyroad_router::note;
 use comfreyroad_router::rollout::State;
+use comfreyroad_router::{Action, Event};
 use fastrand::Rng;
 
-use super::rig::{MS, SECOND, head};
+use super::rig::{MS, Rig, SECOND, head};
 use super::rollouts::{commit_last_write, state, with_rollout_of};
 
 /// Limit in the settings of the rig: fraction of the requests during the rollout, and requests in addition.
@@ -80,6 +81,7 @@
     bad: u32,
     // Requests to the new version after the time that a rollback may take.
     overdue: u32,
+    log: String,
 }
 
 impl Outcome {
@@ -146,9 +148,22 @@
         rig.router.on_finished(rig.now, &sent, completion);
     }
     outcome.state = state(&rig);
+    outcome.log = rollout_log(&rig);
     outcome
 }
 
+/// The log events that say how the rollout was decided.
+fn rollout_log(rig: &Rig) -> String {
+    let notes = rig.actions.iter().filter_map(|action| match action {
+        Action::Note(note) => Some(note),
+        _ => None,
+    });
+    let decisions = [&note::ROLLOUT_CUT_OVER, &note::ROLLOUT_FAILED].map(|kind| kind.number);
+    let decided = notes.filter(|note| decisions.contains(&note.kind.number));
+    let lines: Vec<String> = decided.map(ToString::to_string).collect();
+    lines.join("; ")
+}
+
 /// Plays a version on many seeds, each of which must keep the limits and end in a rollback.
 fn assert_rolled_back(what: &str, answer: impl Fn(&Situation, &mut Rng) -> Answer) {
     for seed in 1..=SEEDS {
