A new version is completed only if its answers under the whole load speak for it

Cause: nothing was decided after the cutover. Service times were not counted, failures only added to those of the trial, and the completion was written on time whatever the answers showed. Change: answers to requests since the cutover are counted apart, as good from the start until they fail, and compared with what the others showed under the same load before it. They roll back at once if they are bad, and at the completion if they fit as well to a bad version. Gossip is urgent during that second. The trial ends at 30 requests if these prove the version, which leaves more of the limit to the cutover; the completion is written 0.8 s before the end. E1605 says why a version was completed.

--- a/crates/comfreyroad_router/src/controller/members/mod.rs
+++ b/crates/comfreyroad_router/src/controller/members/mod.rs
@@ -220,7 +220,7 @@
             Event::Started => self.update_fleet(now.instant, out),
             Event::Tick => self.on_tick(now.instant, out),
             // After a failure the next round contacts another peer.
-            Event::PeerFailed(_) | Event::CrashLearned => self.hasten_round(),
+            Event::PeerFailed(_) | Event::GossipUrgent => self.hasten_round(),
             Event::FrameReceived(frame) => {
                 for peer in frame.peers.iter().chain([&frame.sender]) {
                     self.on_heartbeat(now.instant, peer, out);
--- a/crates/comfreyroad_router/src/controller/quarantine/mod.rs
+++ b/crates/comfreyroad_router/src/controller/quarantine/mod.rs
@@ -183,7 +183,8 @@
 
     fn on_tick(&mut self, now: Instant, out: &mut Outbox) {
         if std::mem::take(&mut self.has_news) {
-            out.raise(Event::CrashLearned);
+            // Each entry that does not know the crash may let the same prompts crash more.
+            out.raise(Event::GossipUrgent);
         }
         let mut crashes = std::mem::take(&mut self.crashes);
         crashes.retain(|crash| self.is_explained(crash) || crash.broken_at + CRASH_MEMORY > now);
--- a/crates/comfreyroad_router/src/controller/rollouts/counts.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/counts.rs
@@ -3,9 +3,10 @@
 use comfreyroad::quality::Score;
 use indexmap::IndexMap;
 
+use super::attempt::Group;
 use super::verdict::Evidence;
 use crate::frame::Peer;
-use crate::id::{EntryId, Incarnation, Offset, RouteId, VersionId};
+use crate::id::{EntryId, Incarnation, Offset, RouteId};
 use crate::note::Note;
 use crate::rollout::evidence::{self, Comparison};
 use crate::rollout::{Histogram, Order, RouteScore, Tally};
@@ -13,7 +14,6 @@
 /// Requests and answers of a rollout as counted by all entries: a grow-only counter per entry, merged by gossip.
 #[derive(Debug)]
 pub(super) struct Counts {
-    target: VersionId,
     own: Tally,
     peers: IndexMap<(EntryId, Incarnation), Tally>,
 }
@@ -22,7 +22,6 @@
     /// Empty counts for a rollout.
     pub(super) fn new(order: &Order, offset: Offset, own: &Peer) -> Self {
         Self {
-            target: order.target.clone(),
             own: Tally {
                 pool: order.pool.clone(),
                 order_offset: offset,
@@ -35,6 +34,7 @@
                 others_speed: Score::default(),
                 target_times: Histogram::default(),
                 others_times: Histogram::default(),
+                times_after_cutover: Histogram::default(),
                 revision: 0,
             },
             peers: IndexMap::new(),
@@ -56,48 +56,61 @@
         self.peers.values().chain([&self.own])
     }
 
-    /// Counts a finished answer on a route.
-    pub(super) fn count_answer(&mut self, version: &VersionId, route: &RouteId, is_success: bool) {
+    /// Counts a request that is sent.
+    pub(super) fn count_request(&mut self, group: Group) {
         self.own.revision += 1;
-        let routes = &mut self.own.routes;
-        let index = routes.iter().position(|it| it.route == *route);
-        let index = index.unwrap_or_else(|| {
-            routes.push(RouteScore {
-                route: route.clone(),
-                target: Score::default(),
-                others: Score::default(),
-            });
-            routes.len() - 1
-        });
-        let score = &mut routes[index];
-        if *version == self.target {
-            score.target.count(is_success);
-        } else {
-            score.others.count(is_success);
+        match group {
+            Group::Canary | Group::Cutover => self.own.target_sent += 1,
+            Group::Others => self.own.others_sent += 1,
         }
     }
 
-    /// Counts a request sent to a version.
-    pub(super) fn count_request(&mut self, version: &VersionId) {
+    /// Counts an answer that starts after the cutover. It counts as good until it fails: there is no time to wait for the ends of
+    /// long answers.
+    pub(super) fn count_start(&mut self, route: &RouteId) {
+        self.route_score(route).after_cutover.count(true);
+    }
+
+    /// Counts a finished answer on a route.
+    pub(super) fn count_answer(&mut self, group: Group, route: &RouteId, is_success: bool) {
         self.own.revision += 1;
-        if *version == self.target {
-            self.own.target_sent += 1;
-        } else {
-            self.own.others_sent += 1;
+        let score = self.route_score(route);
+        match group {
+            Group::Canary => score.target.count(is_success),
+            Group::Cutover => {
+                let good = &mut score.after_cutover.good;
+                *good = good.saturating_sub(u32::from(!is_success));
+            }
+            Group::Others => score.others.count(is_success),
         }
     }
 
     /// Counts the service time of an answer.
-    pub(super) fn count_service_time(&mut self, version: &VersionId, service_time: Duration) {
+    pub(super) fn count_service_time(&mut self, group: Group, service_time: Duration) {
         self.own.revision += 1;
-        let times = if *version == self.target {
-            &mut self.own.target_times
-        } else {
-            &mut self.own.others_times
+        let times = match group {
+            Group::Canary => &mut self.own.target_times,
+            Group::Cutover => &mut self.own.times_after_cutover,
+            Group::Others => &mut self.own.others_times,
         };
         times.add(service_time);
     }
 
+    fn route_score(&mut self, route: &RouteId) -> &mut RouteScore {
+        let routes = &mut self.own.routes;
+        let index = routes.iter().position(|it| it.route == *route);
+        let index = index.unwrap_or_else(|| {
+            routes.push(RouteScore {
+                route: route.clone(),
+                target: Score::default(),
+                others: Score::default(),
+                after_cutover: Score::default(),
+            });
+            routes.len() - 1
+        });
+        &mut routes[index]
+    }
+
     /// Merges the counts of another entry; the latest revision wins.
     pub(super) fn merge(&mut self, tally: &Tally) {
         let is_own = tally.entry == self.own.entry && tally.incarnation == self.own.incarnation;
@@ -123,20 +136,42 @@
         tallies.fold((0.0, 0.0), sum)
     }
 
-    /// Log evidence that the new version fails more often, and that it is slower.
+    /// Evidence by the answers before the cutover.
     pub(super) fn evidence(&self) -> Evidence {
         let routes: Vec<Comparison> = self.route_scores().into_values().collect();
-        let (mut target, mut others) = (Histogram::default(), Histogram::default());
-        for tally in self.tallies() {
-            target.merge(&tally.target_times);
-            others.merge(&tally.others_times);
+        let times = self.sum_times(|tally| &tally.target_times);
+        self.compare(&routes, &times)
+    }
+
+    /// Evidence by the answers to requests after the cutover, when the new version has the load that the others had before.
+    pub(super) fn evidence_after_cutover(&self) -> Evidence {
+        let mut routes: IndexMap<&RouteId, Comparison> = IndexMap::new();
+        for score in self.tallies().flat_map(|tally| &tally.routes) {
+            let sum = routes.entry(&score.route).or_default();
+            sum.target += score.after_cutover;
+            sum.others += score.others;
         }
+        let routes: Vec<Comparison> = routes.into_values().collect();
+        let times = self.sum_times(|tally| &tally.times_after_cutover);
+        self.compare(&routes, &times)
+    }
+
+    fn compare(&self, routes: &[Comparison], times: &Histogram) -> Evidence {
+        let others_times = self.sum_times(|tally| &tally.others_times);
         Evidence {
-            failures: evidence::of_failures(&routes),
-            times: evidence::of_slowness(&target, &others),
+            failures: evidence::of_failures(routes),
+            times: evidence::of_slowness(times, &others_times),
         }
     }
 
+    fn sum_times(&self, times: impl Fn(&Tally) -> &Histogram) -> Histogram {
+        let mut sum = Histogram::default();
+        for tally in self.tallies() {
+            sum.merge(times(tally));
+        }
+        sum
+    }
+
     /// Scores of the new version and of the others by route, summed over all entries.
     fn route_scores(&self) -> IndexMap<RouteId, Comparison> {
         let mut routes: IndexMap<RouteId, Comparison> = IndexMap::new();
@@ -160,6 +195,15 @@
         (target, others)
     }
 
+    /// Requests to the new version since the cutover, and those that have not failed.
+    fn score_after_cutover(&self) -> Score {
+        let mut sum = Score::default();
+        for score in self.tallies().flat_map(|tally| &tally.routes) {
+            sum += score.after_cutover;
+        }
+        sum
+    }
+
     /// Good and rated answers of the new version and of the others on each route that the new version has served.
     fn describe_routes(&self) -> String {
         let routes = self.route_scores();
@@ -175,7 +219,8 @@
     pub(super) fn annotate(&self, note: Note) -> Note {
         let (target, others) = self.total_scores();
         let (target_sent, others_sent) = self.requests();
-        let evidence = self.evidence();
+        let (evidence, loaded) = (self.evidence(), self.evidence_after_cutover());
+        let after_cutover = self.score_after_cutover();
         note.with("sent", target_sent)
             .with("others_sent", others_sent)
             .with("routes", self.describe_routes())
@@ -183,13 +228,21 @@
             .with("good", target.good)
             .with("others", others.rated)
             .with("others_good", others.good)
+            .with("after_cutover", after_cutover.rated)
+            .with("after_cutover_good", after_cutover.good)
+            .with("failures_evidence", describe(evidence.failures))
             .with(
-                "failures_evidence",
-                format_args!("{:.1}", evidence.failures),
+                "times_evidence",
+                describe(evidence.times.unwrap_or_default()),
             )
+            .with("after_cutover_failures_evidence", describe(loaded.failures))
             .with(
-                "times_evidence",
-                format_args!("{:.1}", evidence.times.unwrap_or_default()),
+                "after_cutover_times_evidence",
+                describe(loaded.times.unwrap_or_default()),
             )
     }
 }
+
+fn describe(evidence: f64) -> String {
+    format!("{evidence:.1}")
+}
--- a/crates/comfreyroad_router/src/controller/rollouts/exposure.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/exposure.rs
@@ -14,7 +14,7 @@
 /// Fraction of the rollout's duration before which sessions in progress do not move to the new version.
 const MIN_CANARY_FRACTION: f64 = 0.52;
 /// Time before the end of a rollout after which requests can no longer move so that it finishes within its duration.
-const LATEST_CUTOVER_BEFORE_END: Duration = Duration::from_millis(1700);
+const LATEST_CUTOVER_BEFORE_END: Duration = Duration::from_millis(1500);
 
 /// Limit on the requests that an unproven version may receive within the duration of a rollout.
 #[derive(Clone, Copy, Debug)]
@@ -52,7 +52,7 @@
         self.duration.saturating_sub(self.age)
     }
 
-    /// Requests until the end of the rollout, if they keep arriving at the rate so far.
+    /// Requests until the end of the rollout, if they keep arriving at this rate.
     fn expected(&self) -> f64 {
         self.rate() * self.remaining().as_secs_f64()
     }
--- a/crates/comfreyroad_router/src/controller/rollouts/mod.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/mod.rs
@@ -6,6 +6,7 @@
 //! write is conditional: it succeeds only if the topic has not changed since this entry last read it, so a late writer
 //! cannot overwrite the decision of another entry.
 
+mod attempt;
 mod counts;
 mod exposure;
 mod phase;
@@ -22,13 +23,14 @@
 use comfreyroad::clock::Now;
 use indexmap::IndexMap;
 
+pub(crate) use self::attempt::Attempt;
 use self::exposure::Exposure;
 use self::rollout::Rollout;
 use super::Controller;
 use super::members::Fleet;
 use super::upstreams::Versions;
 use crate::frame::{Frame, Peer};
-use crate::id::{Address, Offset, PoolId, RequestId, RouteId, VersionId};
+use crate::id::{Address, Offset, PoolId, RequestId, VersionId};
 use crate::note::{self, Note};
 use crate::outbox::Outbox;
 use crate::record::{Content, Record, Topic};
@@ -130,23 +132,17 @@
         (is_target && rollout.is_rolled_back()) || (!is_target && rollout.has_cut_over())
     }
 
-    /// Counts a finished answer of a version.
-    pub(crate) fn count_answer(
-        &mut self,
-        pool: &PoolId,
-        version: &VersionId,
-        route: &RouteId,
-        is_success: bool,
-    ) {
-        if let Some(rollout) = self.rollouts.get_mut(pool) {
-            rollout.count_answer(version, route, is_success);
+    /// Counts a request that is sent.
+    pub(crate) fn count_request(&mut self, attempt: Attempt<'_>) {
+        if let Some(rollout) = self.rollouts.get_mut(attempt.pool) {
+            rollout.count_request(attempt);
         }
     }
 
-    /// Counts a request sent to a version.
-    pub(crate) fn count_request(&mut self, pool: &PoolId, version: &VersionId) {
-        if let Some(rollout) = self.rollouts.get_mut(pool) {
-            rollout.count_request(version);
+    /// Counts a finished answer.
+    pub(crate) fn count_answer(&mut self, attempt: Attempt<'_>, is_success: bool) {
+        if let Some(rollout) = self.rollouts.get_mut(attempt.pool) {
+            rollout.count_answer(attempt, is_success);
         }
     }
 
@@ -158,14 +154,9 @@
     }
 
     /// Counts the service time of an answer: its time per event, or the duration of an answer without events.
-    pub(crate) fn count_service_time(
-        &mut self,
-        pool: &PoolId,
-        version: &VersionId,
-        service_time: Duration,
-    ) {
-        if let Some(rollout) = self.rollouts.get_mut(pool) {
-            rollout.count_service_time(version, service_time);
+    pub(crate) fn count_service_time(&mut self, attempt: Attempt<'_>, service_time: Duration) {
+        if let Some(rollout) = self.rollouts.get_mut(attempt.pool) {
+            rollout.count_service_time(attempt, service_time);
         }
     }
 
@@ -213,6 +204,10 @@
     fn on_tick(&mut self, now: Instant, out: &mut Outbox) {
         for rollout in self.rollouts.values_mut() {
             rollout.advance(now, &self.fleet, out);
+            if rollout.is_cutover() {
+                // There is little time to find a version bad after the cutover.
+                out.raise(Event::GossipUrgent);
+            }
             let key = rollout.writer_key();
             let rank = self.fleet.rank_relays_first(&key, &self.own.entry);
             if let Some(state) = rollout.due_status(now, rank) {
--- a/crates/comfreyroad_router/src/controller/rollouts/ramp.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/ramp.rs
@@ -3,9 +3,9 @@
 use super::exposure::{Exposure, Usage};
 use crate::frame::Progress;
 
-/// Requests to the new version after which the trial has enough answers: a failure rate of 30% shows within a third of
-/// them.
-const ENOUGH_REQUESTS: f64 = 48.0;
+/// Requests to the new version after which a trial that proves it has enough answers. What it leaves of the exposure limit is for an
+/// earlier cutover, and so for more answers under the whole load.
+const ENOUGH_REQUESTS: f64 = 30.0;
 /// Time within which the trial sends its requests where a lower share than the exposure limit is enough for that. The
 /// fewer sessions move, the fewer of them reach an entry that does not know yet that they have moved.
 const TRIAL_DURATION: Duration = Duration::from_secs(4);
--- a/crates/comfreyroad_router/src/controller/rollouts/rollout.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/rollout.rs
@@ -3,6 +3,7 @@
 
 use comfreyroad::{clock, rendezvous};
 
+use super::attempt::{Attempt, Group};
 use super::counts::Counts;
 use super::exposure::{Exposure, Usage};
 use super::phase::{Canary, Completion, Cutover, Phase, Rollback};
@@ -12,13 +13,13 @@
 use super::verdict::Evidence;
 use crate::controller::members::Fleet;
 use crate::frame::{Frame, Peer, Progress, SessionPin};
-use crate::id::{Offset, RouteId, VersionId};
+use crate::id::{Offset, VersionId};
 use crate::note::{self, Note};
 use crate::outbox::Outbox;
 use crate::rollout::{Order, State, Status, Tally};
 
 /// Time before the end of a rollout at which its completion is written: a writer timeout, and the store's answer.
-const COMPLETION_LEAD: Duration = Duration::from_millis(1000);
+const COMPLETION_LEAD: Duration = Duration::from_millis(800);
 /// Minimum time between the cutover and the completion, so that the other entries have cut over too.
 const MIN_CUTOVER_DURATION: Duration = Duration::from_millis(600);
 /// Requests to a pool below which a rollout needs no proof: a bad version could not give as many bad answers either.
@@ -138,25 +139,47 @@
         is_idle || !self.ramp.has_quorum() || evidence.is_sound()
     }
 
+    /// Whether all requests go to the new version, which is not completed yet.
+    pub(super) fn is_cutover(&self) -> bool {
+        matches!(self.phase, Phase::Cutover(_))
+    }
+
     fn is_canary(&self) -> bool {
         matches!(self.phase, Phase::Canary(_))
     }
 
-    /// Counts a finished answer on a route.
-    pub(super) fn count_answer(&mut self, version: &VersionId, route: &RouteId, is_success: bool) {
-        self.counts.count_answer(version, route, is_success);
+    /// What an attempt is counted for.
+    fn group(&self, attempt: Attempt<'_>) -> Group {
+        if *attempt.version != self.order.target {
+            return Group::Others;
+        }
+        match self.phase {
+            Phase::Cutover(cutover) if attempt.sent_at >= cutover.started_at => Group::Cutover,
+            _ => Group::Canary,
+        }
     }
 
-    /// Counts a request sent to a version.
-    pub(super) fn count_request(&mut self, version: &VersionId) {
-        self.counts.count_request(version);
+    /// Counts a request that is sent.
+    pub(super) fn count_request(&mut self, attempt: Attempt<'_>) {
+        let group = self.group(attempt);
+        self.counts.count_request(group);
+        if group == Group::Cutover {
+            self.counts.count_start(attempt.route);
+        }
     }
 
-    /// Counts the service time of an answer during the canary phase. After the cutover service times are not comparable,
-    /// as the versions then have different loads.
-    pub(super) fn count_service_time(&mut self, version: &VersionId, service_time: Duration) {
-        if self.is_canary() {
-            self.counts.count_service_time(version, service_time);
+    /// Counts a finished answer.
+    pub(super) fn count_answer(&mut self, attempt: Attempt<'_>, is_success: bool) {
+        let group = self.group(attempt);
+        self.counts.count_answer(group, attempt.route, is_success);
+    }
+
+    /// Counts the service time of an answer. The others have hardly any load after the cutover, which says nothing about the new
+    /// version.
+    pub(super) fn count_service_time(&mut self, attempt: Attempt<'_>, service_time: Duration) {
+        let group = self.group(attempt);
+        if self.is_canary() || group == Group::Cutover {
+            self.counts.count_service_time(group, service_time);
         }
     }
 
@@ -255,8 +278,10 @@
         if evidence.is_bad() {
             self.roll_back(now, Reason::Evidence, out);
         }
-        if let Phase::Canary(canary) = self.phase {
-            self.decide_cutover(now, canary, snapshot, out);
+        match self.phase {
+            Phase::Canary(canary) => self.decide_cutover(now, canary, snapshot, out),
+            Phase::Cutover(cutover) => self.decide_completion(now, cutover, out),
+            Phase::Rollback(_) | Phase::Completion(_) => {}
         }
     }
 
@@ -282,6 +307,23 @@
         }
     }
 
+    /// Rolls back if the answers since the cutover show that the new version does not bear the whole load. By the time of the
+    /// completion it is enough that they are more likely those of a bad version.
+    fn decide_completion(&mut self, now: Instant, cutover: Cutover, out: &mut Outbox) {
+        let evidence = self.counts.evidence_after_cutover();
+        if evidence.is_bad() {
+            self.roll_back(now, Reason::Evidence, out);
+        } else if self.is_completion_pending() {
+            // The status is being written.
+        } else if !self.may_complete(now, cutover) {
+            // More answers arrive.
+        } else if evidence.is_suspicious() {
+            self.roll_back(now, Reason::Unproved, out);
+        } else {
+            out.note(self.describe(&note::ROLLOUT_PROVED, now));
+        }
+    }
+
     /// Marks the status of the current phase as pending unless it is written already.
     fn update_pending_status(&mut self, now: Instant) {
         let state = match self.phase {
@@ -300,6 +342,11 @@
         }
     }
 
+    fn is_completion_pending(&self) -> bool {
+        let state = self.pending_status.map(|(state, _)| state);
+        state == Some(State::Completed)
+    }
+
     /// Whether the rollout may complete. It completes as late as possible, as faults of the new version may show only
     /// under full load.
     fn may_complete(&self, now: Instant, cutover: Cutover) -> bool {
--- a/crates/comfreyroad_router/src/event.rs
+++ b/crates/comfreyroad_router/src/event.rs
@@ -76,8 +76,8 @@
     StoreRecovered,
     /// A rollout of a pool was ordered.
     RolloutOrdered(PoolId),
-    /// Crashes of engines under prompts became known. Each entry that does not know them may let the same prompts crash more.
-    CrashLearned,
+    /// Something became known that the other entries need before the next regular gossip round.
+    GossipUrgent,
     /// The status of a rollout has to be written.
     StatusDue(Status),
 }
--- a/crates/comfreyroad_router/src/note/mod.rs
+++ b/crates/comfreyroad_router/src/note/mod.rs
@@ -80,6 +80,8 @@
     ROLLOUT_FAILED = 1603, Error, "new version found bad";
     /// A new status of a rollout was read back from the store.
     ROLLOUT_STATUS_WRITTEN = 1604, Info, "rollout status written";
+    /// The answers since the cutover do not speak against the new version, which is completed.
+    ROLLOUT_PROVED = 1605, Info, "new version proved";
     /// A part of prompts crashes engines. Requests with it are refused.
     PART_QUARANTINED = 1701, Error, "prompt part quarantined";
     /// Requests with a part of prompts are no longer refused.
--- a/crates/comfreyroad_router/src/rollout/evidence.rs
+++ b/crates/comfreyroad_router/src/rollout/evidence.rs
@@ -9,7 +9,7 @@
 /// Fractions of the answers of a bad version that are bad.
 const BAD_FRACTIONS: [f64; 6] = [0.15, 0.25, 0.4, 0.6, 0.8, 0.95];
 /// Tolerated increase of the failure rate of a sound version.
-const FAILURE_MARGIN: f64 = 0.03;
+const FAILURE_MARGIN: f64 = 0.02;
 /// Standard errors by which a rate of the other versions may be misjudged.
 const BASELINE_STANDARD_ERRORS: f64 = 2.0;
 /// Fractions of the answers of a slow version that are slow.
--- a/crates/comfreyroad_router/src/rollout/tally.rs
+++ b/crates/comfreyroad_router/src/rollout/tally.rs
@@ -13,12 +13,15 @@
     pub target: Score,
     /// Answers of the other versions.
     pub others: Score,
+    /// Requests to the new version since the cutover, and those of them that have not failed. Absent in frames of versions that do
+    /// not count them.
+    #[serde(default)]
+    pub after_cutover: Score,
 }
 
 /// What one incarnation of one entry has counted during a rollout.
 ///
-/// Counts only grow and are written only by the entry that counts, so copies can be merged by keeping the one with the higher
-/// revision.
+/// Only the entry that counts changes them, so copies can be merged by keeping the one with the higher revision.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Tally {
     /// The pool that is rolled out.
@@ -48,6 +51,9 @@
     /// Service times of the other versions. Absent as above.
     #[serde(default)]
     pub others_times: Histogram,
+    /// Service times of the new version since the cutover. Absent as above.
+    #[serde(default)]
+    pub times_after_cutover: Histogram,
     /// Number of changes so far, which tells a new copy from an old one.
     pub revision: u64,
 }
--- a/crates/comfreyroad_router/src/router.rs
+++ b/crates/comfreyroad_router/src/router.rs
@@ -9,6 +9,7 @@
 
 use crate::answer::{self, Completion, Fault, Pace, Verdict};
 use crate::controller::Controllers;
+use crate::controller::rollouts::Attempt;
 use crate::controller::upstreams::Prefill;
 use crate::filter::place::{self, Backpressure};
 use crate::filter::{Context, chain, escalate};
@@ -101,7 +102,7 @@
     pub fn send(&mut self, now: Now, request: Request<Placed>) -> Request<Sent> {
         let is_first = !request.stage().origin.plan().is_retry();
         let request = request.send(now.instant);
-        let (plan, slot) = (request.stage().plan(), &request.stage().slot);
+        let plan = request.stage().plan();
         if is_first {
             self.state
                 .retry_budgets
@@ -111,7 +112,7 @@
                 .retry_budgets
                 .record_extra_attempt(now.instant, &plan.pool);
         }
-        self.state.rollouts.count_request(&plan.pool, &slot.version);
+        self.state.rollouts.count_request(Attempt::of(&request));
         self.touch_session(now, &request);
         request
     }
@@ -239,9 +240,8 @@
         if pace.gaps < MIN_SAMPLE_GAPS || !request.record_service_time_sample() {
             return;
         }
-        let slot = &request.stage().slot;
         let rollouts = &mut self.state.rollouts;
-        rollouts.count_service_time(&slot.pool, &slot.version, pace.mean_gap);
+        rollouts.count_service_time(Attempt::of(request), pace.mean_gap);
     }
 
     /// Records the end of a complete answer.
@@ -252,7 +252,7 @@
             && !request.stage().has_sampled_service_time
         {
             let rollouts = &mut self.state.rollouts;
-            rollouts.count_service_time(&slot.pool, &slot.version, service_time);
+            rollouts.count_service_time(Attempt::of(request), service_time);
         }
         let upstreams = &mut self.state.upstreams;
         upstreams.on_success(now.instant, slot, completion.service_time);
@@ -287,10 +287,8 @@
     }
 
     fn count_answer(&mut self, request: &Request<Sent>, is_success: bool) {
-        let slot = &request.stage().slot;
         let rollouts = &mut self.state.rollouts;
-        let route = &request.stage().plan().route.id;
-        rollouts.count_answer(&slot.pool, &slot.version, route, is_success);
+        rollouts.count_answer(Attempt::of(request), is_success);
     }
 
     /// Logs that the caller disconnected before the end of its answer.
