A request counts once for a rollout, however often it was tried

What operators saw: sound versions rolled back (trial: 9 of 15 lookups good against 95 of 108), bad ones not told from them. Cause: some lookups fail wherever they run, and each of their three attempts counted. Outcomes of attempts at one request are no independent samples; the fewer answers a trial has, the more one such request weighs. Change: attempts after a failed one at the same request count as sent, not as answers.

--- a/crates/comfreyroad_router/src/controller/rollouts/attempt.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/attempt.rs
@@ -10,6 +10,9 @@
     pub(crate) version: &'a VersionId,
     pub(crate) route: &'a RouteId,
     pub(crate) sent_at: Instant,
+    /// Whether an earlier attempt at the same request failed. Some requests fail wherever they run, so that the outcomes of
+    /// several attempts are no independent samples.
+    pub(crate) is_after_failure: bool,
 }
 
 impl<'a> Attempt<'a> {
@@ -21,6 +24,7 @@
             version: &stage.slot.version,
             route: &stage.plan().route.id,
             sent_at: stage.sent_at,
+            is_after_failure: stage.plan().has_failed,
         }
     }
 }
--- a/crates/comfreyroad_router/src/controller/rollouts/rollout.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/rollout.rs
@@ -163,15 +163,17 @@
     pub(super) fn count_request(&mut self, attempt: Attempt<'_>) {
         let group = self.group(attempt);
         self.counts.count_request(group);
-        if group == Group::Cutover {
+        if group == Group::Cutover && !attempt.is_after_failure {
             self.counts.count_start(attempt.route);
         }
     }
 
     /// Counts a finished answer.
     pub(super) fn count_answer(&mut self, attempt: Attempt<'_>, is_success: bool) {
-        let group = self.group(attempt);
-        self.counts.count_answer(group, attempt.route, is_success);
+        if !attempt.is_after_failure {
+            let group = self.group(attempt);
+            self.counts.count_answer(group, attempt.route, is_success);
+        }
     }
 
     /// Counts the service time of an answer. The others have hardly any load after the cutover, which says nothing about the new
--- a/crates/comfreyroad_router/src/filter/plan.rs
+++ b/crates/comfreyroad_router/src/filter/plan.rs
@@ -57,6 +57,7 @@
             last_event_id,
             tried_upstreams: Vec::new(),
             runs: 0,
+            has_failed: false,
         }))
     }
 }
--- a/crates/comfreyroad_router/src/request/plan.rs
+++ b/crates/comfreyroad_router/src/request/plan.rs
@@ -27,6 +27,8 @@
     pub tried_upstreams: Vec<UpstreamId>,
     /// Number of attempts in which an upstream may have run the request.
     pub runs: u32,
+    /// Whether an attempt has failed.
+    pub has_failed: bool,
 }
 
 /// Rejected attempts that a request may have beyond the maximum number of attempts of its route.
--- a/crates/comfreyroad_router/src/request/sent.rs
+++ b/crates/comfreyroad_router/src/request/sent.rs
@@ -92,8 +92,15 @@
         Ok(request)
     }
 
+    /// Prepares a retry after a failed attempt, which may have run.
+    pub(crate) fn fail(self) -> Result<Request<Retrying>, Self> {
+        let mut request = self.into_retry()?;
+        request.stage.plan.has_failed = true;
+        Ok(request)
+    }
+
     /// Prepares a retry of a request that may have run. Fails if the route does not allow a retry.
-    pub(crate) fn into_retry(self) -> Result<Request<Retrying>, Self> {
+    fn into_retry(self) -> Result<Request<Retrying>, Self> {
         if !self.stage.plan().route.idempotency.may_retry() {
             return Err(self);
         }
--- a/crates/comfreyroad_router/src/router.rs
+++ b/crates/comfreyroad_router/src/router.rs
@@ -211,7 +211,7 @@
         } else {
             Code::Failed
         };
-        let retried = request.into_retry();
+        let retried = request.fail();
         retried.map_err(|request| Refusal::may_have_run(&request, code))
     }
 
