The cutover is planned by the recent request rate

Cause: the requests still to come were estimated by the mean rate since the order. A version that has used the limit up after the cutover is rolled back.

--- a/crates/comfreyroad_router/src/controller/rollouts/exposure.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/exposure.rs
@@ -36,6 +36,8 @@
     pub(super) target: f64,
     /// Requests sent to the other versions.
     pub(super) others: f64,
+    /// Requests per second of late.
+    pub(super) recent_rate: f64,
 }
 
 impl Usage {
@@ -43,9 +45,10 @@
         self.target + self.others
     }
 
-    /// Requests per second so far.
+    /// Requests per second: the mean so far, or the recent rate if it is higher.
     pub(super) fn rate(&self) -> f64 {
-        self.total() / self.age.as_secs_f64().max(1.0)
+        let mean = self.total() / self.age.as_secs_f64().max(1.0);
+        mean.max(self.recent_rate)
     }
 
     fn remaining(&self) -> Duration {
@@ -94,6 +97,11 @@
             && after <= self.allowed(usage) * CUTOVER_SAFETY_FACTOR
     }
 
+    /// Whether the new version has received nearly all that it may until the end of the rollout.
+    pub(super) fn is_used_up(self, usage: Usage) -> bool {
+        usage.target >= self.allowed(usage) * CUTOVER_SAFETY_FACTOR
+    }
+
     /// Whether it is too late for a cutover that finishes within the duration of the rollout.
     pub(super) fn is_too_late_to_cut_over(usage: Usage) -> bool {
         usage.remaining() < LATEST_CUTOVER_BEFORE_END
--- a/crates/comfreyroad_router/src/controller/rollouts/mod.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/mod.rs
@@ -12,6 +12,7 @@
 mod phase;
 mod pins;
 mod ramp;
+mod rate;
 mod reason;
 mod rollout;
 mod verdict;
--- a/crates/comfreyroad_router/src/controller/rollouts/ramp.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/ramp.rs
@@ -116,6 +116,11 @@
         is_used_up || (usage.target >= ENOUGH_REQUESTS && snapshot.is_proved)
     }
 
+    /// Whether the exposure limit leaves nothing to a version that gets all requests.
+    pub(super) fn is_used_up(&self, snapshot: Snapshot) -> bool {
+        self.exposure.is_used_up(snapshot.usage)
+    }
+
     /// Whether all requests may move to the new version: by counts, or by the share that others report.
     pub(super) fn may_cut_over(&self, snapshot: Snapshot) -> bool {
         if self.has_quorum {
--- a/crates/comfreyroad_router/src/controller/rollouts/rollout.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/rollout.rs
@@ -9,6 +9,7 @@
 use super::phase::{Canary, Completion, Cutover, Phase, Rollback};
 use super::pins::{Pin, Pins};
 use super::ramp::{Ramp, Snapshot};
+use super::rate::Rate;
 use super::reason::Reason;
 use super::verdict::Evidence;
 use crate::controller::members::Fleet;
@@ -42,6 +43,7 @@
     next_write_at: Option<Instant>,
     written_status: Option<State>,
     counts: Counts,
+    rate: Rate,
     pins: Pins,
     ramp: Ramp,
     // Fraction of new requests that currently go to the new version.
@@ -67,6 +69,7 @@
             written_status: None,
             pins: Pins::default(),
             ramp: Ramp::new(exposure),
+            rate: Rate::default(),
             share: 0.0,
         }
     }
@@ -121,6 +124,7 @@
                 duration: self.order.duration,
                 target,
                 others,
+                recent_rate: self.rate.per_second(),
             },
             is_proved: evidence.is_some_and(|evidence| self.is_proved(evidence)),
         }
@@ -263,6 +267,8 @@
 
     /// Advances the rollout by the elapsed time and the current counts.
     pub(super) fn advance(&mut self, now: Instant, fleet: &Fleet, out: &mut Outbox) {
+        let (target, others) = self.counts.requests();
+        self.rate.add(now, target + others);
         // The evidence matters only until the rollout is decided.
         let evidence = (!self.is_over()).then(|| self.counts.evidence());
         let snapshot = self.snapshot(now, evidence);
@@ -282,7 +288,7 @@
         }
         match self.phase {
             Phase::Canary(canary) => self.decide_cutover(now, canary, snapshot, out),
-            Phase::Cutover(cutover) => self.decide_completion(now, cutover, out),
+            Phase::Cutover(cutover) => self.decide_completion(now, cutover, snapshot, out),
             Phase::Rollback(_) | Phase::Completion(_) => {}
         }
     }
@@ -311,12 +317,20 @@
 
     /// Rolls back if the answers since the cutover show that the new version does not bear the whole load. By the time of the
     /// completion it is enough that they are more likely those of a bad version.
-    fn decide_completion(&mut self, now: Instant, cutover: Cutover, out: &mut Outbox) {
+    fn decide_completion(
+        &mut self,
+        now: Instant,
+        cutover: Cutover,
+        snapshot: Snapshot,
+        out: &mut Outbox,
+    ) {
         let evidence = self.counts.evidence_after_cutover();
         if evidence.is_bad() {
             self.roll_back(now, Reason::Evidence, out);
         } else if self.is_completion_pending() {
             // The status is being written.
+        } else if self.ramp.is_used_up(snapshot) {
+            self.roll_back(now, Reason::Exposure, out);
         } else if !self.may_complete(now, cutover) {
             // More answers arrive.
         } else if evidence.is_suspicious() {
--- a/crates/comfreyroad_router/tests/decisions/exposure.rs
+++ b/crates/comfreyroad_router/tests/decisions/exposure.rs
@@ -100,6 +100,16 @@
     interval: Duration,
     seed: u64,
     answer: impl Fn(&Situation, &mut Rng) -> Answer,
+) -> Outcome {
+    play_at(duration, |_| interval, seed, answer)
+}
+
+/// As above, with the interval between requests by the age of the rollout.
+fn play_at(
+    duration: Duration,
+    interval: impl Fn(Duration) -> Duration,
+    seed: u64,
+    answer: impl Fn(&Situation, &mut Rng) -> Answer,
 ) -> Outcome {
     let mut rig = with_rollout_of(duration);
     let mut rng = Rng::with_seed(seed);
@@ -110,7 +120,8 @@
     let mut recent = VecDeque::from([false; SHARE_WINDOW]);
     let mut number = seed * 1_000_000;
     while rig.now.instant < ends_at + TRAFFIC_AFTER {
-        rig.advance(interval);
+        let age = (rig.now.instant + duration).saturating_duration_since(ends_at);
+        rig.advance(interval(age));
         while next_tick_at <= rig.now.instant {
             next_tick_at += 100 * MS;
             rig.raise(Event::Tick);
@@ -215,6 +226,20 @@
     }
 }
 
+/// Regression (147 of 716 requests, 137 allowed): the rate had doubled shortly before the cutover, which was planned by the mean.
+#[test]
+fn the_exposure_limit_holds_when_the_rate_rises_before_the_cutover() {
+    for (rise_at, factor) in [(10, 2), (13, 2), (14, 3), (15, 2), (15, 4)] {
+        let rate = |age: Duration| {
+            let factor = if age >= rise_at * SECOND { factor } else { 1 };
+            32 * MS / factor
+        };
+        let good = |_: &Situation, rng: &mut Rng| Answer::success(rng);
+        let outcome = play_at(DURATION, rate, 1, good);
+        assert!(outcome.is_within_limit(), "{rise_at} s: {outcome:?}");
+    }
+}
+
 /// Regression (a bad ledger-desk got 139 requests of 649): a fifth of the answers failed, which was less than what kept from
 /// the cutover.
 #[test]
