Read and log the rate limits that upstreams state

Logs and metrics could not tell whether an entry had heard of a limit. Now the header is decoded, E1408 and E1409 mark the start and the end of a limit, E1410 a value that is no number (which is ignored), and a gauge counts the upstreams with one.

--- a/crates/comfreyroad_proxy/src/metrics.rs
+++ b/crates/comfreyroad_proxy/src/metrics.rs
@@ -36,6 +36,7 @@
     configuration: Gauge,
     entries: Gauge,
     upstreams: Gauge,
+    limited_upstreams: Gauge,
     ready: Gauge,
     store_lost: Gauge,
 }
@@ -53,6 +54,7 @@
             configuration: Gauge::default(),
             entries: Gauge::default(),
             upstreams: Gauge::default(),
+            limited_upstreams: Gauge::default(),
             ready: Gauge::default(),
             store_lost: Gauge::default(),
         };
@@ -83,6 +85,8 @@
         registry.register("configuration", text, self.configuration.clone());
         registry.register("entries", "Live entries", self.entries.clone());
         registry.register("upstreams", "Known upstreams", self.upstreams.clone());
+        let text = "Upstreams that state a rate limit";
+        registry.register("limited_upstreams", text, self.limited_upstreams.clone());
         registry.register("ready", "Whether the entry is ready", self.ready.clone());
         let text = "Whether the store does not answer";
         registry.register("store_lost", text, self.store_lost.clone());
@@ -126,6 +130,11 @@
         self.configuration.set(generation as i64);
         self.entries.set(state.members.fleet().entries.len() as i64);
         self.upstreams.set(state.upstreams.all().count() as i64);
+        let limited = state
+            .upstreams
+            .all()
+            .filter(|it| it.stated_rate().is_some());
+        self.limited_upstreams.set(limited.count() as i64);
         self.ready.set(state.lifecycle.is_ready().into());
         self.store_lost
             .set(state.subscriptions.is_store_lost().into());
--- a/crates/comfreyroad_router/src/answer/head.rs
+++ b/crates/comfreyroad_router/src/answer/head.rs
@@ -1,5 +1,6 @@
 use std::time::Instant;
 
+use super::RateLimit;
 use crate::id::RequestId;
 use crate::upstream::Load;
 
@@ -18,6 +19,8 @@
     pub load: Option<Load>,
     /// End of the upstream's warm-up, if reported.
     pub cold_until: Option<Instant>,
+    /// The rate limit of the upstream.
+    pub rate_limit: RateLimit,
     /// The model's confidence in its answer, in percent.
     pub confidence: Option<u8>,
 }
--- a/crates/comfreyroad_router/src/controller/upstreams/mod.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/mod.rs
@@ -3,6 +3,7 @@
 mod limiter;
 mod load_exchange;
 mod outcomes;
+mod rate_limits;
 mod requirements;
 mod selection;
 mod store_answers;
--- a/crates/comfreyroad_router/src/controller/upstreams/outcomes.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/outcomes.rs
@@ -20,7 +20,7 @@
 
 impl Upstreams {
     /// The upstream of a slot, unless it has restarted since.
-    fn upstream_of(&mut self, slot: &Slot) -> Option<&mut Upstream> {
+    pub(super) fn upstream_of(&mut self, slot: &Slot) -> Option<&mut Upstream> {
         let upstream = self.upstreams.get_mut(&slot.upstream)?;
         (upstream.registration.incarnation == slot.incarnation).then_some(upstream)
     }
--- a/crates/comfreyroad_router/src/note/mod.rs
+++ b/crates/comfreyroad_router/src/note/mod.rs
@@ -56,6 +56,12 @@
     UPSTREAM_EJECTED = 1406, Warn, "upstream ejected";
     /// An engine has failed to answer this entry or a peer and gets no new requests until it answers some entry.
     UPSTREAM_SUSPECTED = 1407, Info, "upstream suspected";
+    /// An upstream states that it takes only a limited request rate from all entries together.
+    UPSTREAM_LIMITED = 1408, Warn, "upstream states a rate limit";
+    /// An upstream that stated a rate limit states none any more.
+    UPSTREAM_UNLIMITED = 1409, Info, "upstream has no rate limit any more";
+    /// An upstream states a rate limit that cannot be read, which is ignored.
+    RATE_LIMIT_UNREADABLE = 1410, Warn, "rate limit unreadable";
     /// A request was refused.
     REQUEST_REFUSED = 1501, Info, "request refused";
     /// An upstream rejected a request without running it; the request is placed again.
--- a/crates/comfreyroad_router/src/router.rs
+++ b/crates/comfreyroad_router/src/router.rs
@@ -135,19 +135,25 @@
         head: &answer::Head,
     ) -> Verdict {
         let verdict = answer::judge(request, head);
+        if verdict != Verdict::Unusable(Fault::WrongRequest) {
+            self.state.upstreams.on_head(&request.stage().slot, head);
+        }
+        let is_own = head.request_id.as_ref() == Some(&request.head().id);
+        if is_own && verdict != Verdict::Rejected(Rejection::Misdirected) {
+            let stage = request.stage();
+            let (sent, limit) = ((&stage.slot, stage.sent_at), head.rate_limit);
+            let upstreams = &mut self.state.upstreams;
+            upstreams.on_rate_limit(now.instant, sent, limit, &mut self.out);
+        }
         let state = &self.state;
         if verdict == Verdict::Forward
             && escalate::is_worthwhile(request, head, Context { now, state })
         {
-            self.state.upstreams.on_head(&request.stage().slot, head);
             let note = Note::new(&note::ESCALATED).with("request", &request.head().id);
             self.out
                 .note(note.with("confidence", head.confidence.unwrap_or(0)));
             return Verdict::LowConfidence;
         }
-        if verdict != Verdict::Unusable(Fault::WrongRequest) {
-            self.state.upstreams.on_head(&request.stage().slot, head);
-        }
         verdict
     }
 
--- a/crates/comfreyroad_router/src/upstream/upstream.rs
+++ b/crates/comfreyroad_router/src/upstream/upstream.rs
@@ -4,7 +4,7 @@
 
 use comfreyroad::clock;
 
-use super::{Average, Backlog, Health, Load, Registration, Slot, Stage};
+use super::{Average, Backlog, Health, Load, RateLimit, Registration, Slot, Stage};
 use crate::id::{Offset, UpstreamId};
 
 /// Maximum age of a load report for its count of requests from other entries to be used.
@@ -28,6 +28,8 @@
     pub removal_due_at: Option<Instant>,
     /// The last load report.
     pub load: Option<Load>,
+    /// The last statement about its rate limit; `None` if it has stated none.
+    pub rate_limit: Option<RateLimit>,
     /// Service time: the time per event of a stream, or of a whole plain answer.
     pub service_time: Average,
     /// Passive health check by this entry alone.
@@ -48,6 +50,7 @@
             offset,
             removal_due_at: None,
             load: None,
+            rate_limit: None,
             service_time: Average::default(),
             health: Health::default(),
             failed_at: None,
@@ -98,6 +101,11 @@
         })
     }
 
+    /// Requests per second that the upstream takes from all entries together, if it states a limit.
+    pub fn stated_rate(&self) -> Option<f64> {
+        self.rate_limit.and_then(|limit| limit.rate)
+    }
+
     /// Whether the upstream is warming up and takes only a limited request rate.
     pub fn is_cold(&self, now: Instant) -> bool {
         self.cold_until.is_some_and(|until| until > now)
--- a/crates/comfreyroad_router/tests/decisions/main.rs
+++ b/crates/comfreyroad_router/tests/decisions/main.rs
@@ -10,6 +10,7 @@
 mod members;
 mod models;
 mod quarantine;
+mod rate_limits;
 mod relays;
 mod retry_budgets;
 mod rig;
--- a/crates/comfreyroad_router/tests/decisions/rig.rs
+++ b/crates/comfreyroad_router/tests/decisions/rig.rs
@@ -144,6 +144,7 @@
         is_rejection: false,
         load: None,
         cold_until: None,
+        rate_limit: answer::RateLimit::Unlimited,
         confidence: None,
     }
 }
