The whole limit of an upstream is used

Cause: a margin of 0.15 beside the tolerance of the upstream served callers less; entries that view the fleet differently are covered by the tolerance.

--- a/crates/comfreyroad_router/src/controller/upstreams/stated_limit.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/stated_limit.rs
@@ -5,8 +5,6 @@
 
 use crate::controller::members::Fleet;
 
-/// Fraction of the limit that is used. The rest covers entries whose views of the fleet differ.
-const SAFETY_FACTOR: f64 = 0.85;
 /// Minimum rate of all entries together, in requests per second. Only an answer tells that a limit has ended.
 const MIN_RATE: f64 = 0.25;
 /// What an upstream tolerates within some seconds: a factor on its limit, and requests in addition.
@@ -19,7 +17,7 @@
 /// Refill rate of this entry's bucket for an upstream with a limit, in requests per second; 0 if it holds none. The more entries
 /// hold one, the more evenly callers are served, but each full bucket lets through one request more.
 pub(super) fn rate(fleet: &Fleet, entry: &str, id: &str, limit: f64) -> f64 {
-    let total = (limit * SAFETY_FACTOR).max(MIN_RATE);
+    let total = limit.max(MIN_RATE);
     let tolerated = TOLERATED_FACTOR * limit * TOLERANCE_WINDOW_S + TOLERATED_SLACK;
     let full_buckets = tolerated - total * TOLERANCE_WINDOW_S - RESERVE;
     let holders = (full_buckets as usize).clamp(1, fleet.entries.len().max(1));
