A rejection counts only with the id of its request

What other operators saw: callers told 'not run, try again' for requests that had run, or such a request run at a second engine, after a faulty engine wrote an earlier rejection once more on a kept connection. Can it happen here: yes, if the copy has no id; with the id of the earlier request it was recognised before. Cause: a rejection without an id was taken for that of the request under way. Upstreams echo the id in all their answers. Before: responses::a_repeated_rejection_says_nothing_about_the_next_request fails ('it ran 2 times'), as does answers::a_rejection_without_an_id_is_not_trusted. After: both pass.

--- a/crates/comfreyroad_proxy/tests/process/engine.rs
+++ b/crates/comfreyroad_proxy/tests/process/engine.rs
@@ -86,9 +86,17 @@
             }
             "crossed" => ok.replace(&id, "another"),
             "unsigned" => ok.replace("X-Comfreyroad-Server-Signature: s\r\n", ""),
-            "full" => {
-                "HTTP/1.1 503 X\r\nX-Comfreyroad-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
-                    .into()
+            "full" => refusal(&id),
+            "refused-again" | "refused-again-unnamed" => {
+                if stream.get_mut().write_all(refusal(&id).as_bytes()).is_err() {
+                    return false;
+                }
+                std::thread::sleep(Duration::from_millis(3 * (id.len() as u64 % 3)));
+                if name == "refused-again" {
+                    refusal(&id)
+                } else {
+                    refusal(&id).replace("X-Comfreyroad-Request-Id", "X-Other")
+                }
             }
             "unconfirmed" => head("503 X", "Content-Length: 0\r\n\r\n"),
             "failed" => head("500 X", "Content-Length: 4\r\n\r\noops"),
@@ -189,6 +197,13 @@
     }
 }
 
+/// The rejection of a request that has not run.
+fn refusal(id: &str) -> String {
+    format!(
+        "HTTP/1.1 503 X\r\nX-Comfreyroad-Request-Id: {id}\r\nX-Comfreyroad-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+    )
+}
+
 /// The start of a response without end, and the text that follows again and again.
 fn endless(name: &str, head: impl Fn(&str, &str) -> String) -> Option<(String, String)> {
     let block = "x".repeat(4096);
--- a/crates/comfreyroad_proxy/tests/process/responses.rs
+++ b/crates/comfreyroad_proxy/tests/process/responses.rs
@@ -105,6 +105,33 @@
     }
 }
 
+/// An engine wrote a rejection once more on a kept connection, where it was taken for the answer to the next request: the caller was
+/// told that it had not run, though it had.
+#[test]
+fn a_repeated_rejection_says_nothing_about_the_next_request() {
+    let env = Environment::start_configured();
+    for path in ["refused-again", "refused-again-unnamed"] {
+        for round in 0..40 {
+            env.request("POST", &format!("/once/{path}"), "");
+            std::thread::sleep(std::time::Duration::from_millis(round % 4));
+            let text = request_text("POST", "/once/ok", "");
+            let id = text
+                .lines()
+                .find_map(|it| it.strip_prefix("X-Comfreyroad-Request-Id: "));
+            let response = http::send_request(env.front, &text).unwrap();
+            let arrivals = env.engine.requests().into_iter();
+            let runs = arrivals
+                .filter(|it| Some(it.header("x-comfreyroad-request-id")) == id)
+                .count();
+            assert!(runs <= 1, "{path}: it ran {runs} times");
+            assert!(
+                response.status() != 503 || runs == 0,
+                "{path}: the caller was told that a request had not run that had"
+            );
+        }
+    }
+}
+
 #[test]
 fn response_without_length_ends_with_the_connection() {
     let env = Environment::start_configured();
--- a/crates/comfreyroad_router/src/answer/verdict.rs
+++ b/crates/comfreyroad_router/src/answer/verdict.rs
@@ -27,6 +27,10 @@
     if head.request_id.is_some() && !is_id_matching {
         return Verdict::Unusable(Fault::WrongRequest);
     }
+    // Without the id it may be a copy of an earlier rejection, and this request may run.
+    if (head.status == MISDIRECTED || head.is_rejection) && !is_id_matching {
+        return Verdict::Unusable(Fault::Broken);
+    }
     if head.status == MISDIRECTED {
         return Verdict::Rejected(Rejection::Misdirected);
     }
--- a/crates/comfreyroad_router/tests/decisions/answers.rs
+++ b/crates/comfreyroad_router/tests/decisions/answers.rs
@@ -34,6 +34,19 @@
     assert_eq!(wrong, Verdict::Unusable(Fault::WrongRequest));
 }
 
+/// Regression (a request ran at a second upstream): a repeated rejection without an id was taken for that of the next request.
+#[test]
+fn a_rejection_without_an_id_is_not_trusted() {
+    for status in [408, 421, 429, 503] {
+        let unnamed = verdict("once", |head| {
+            head.status = status;
+            head.is_rejection = true;
+            head.request_id = None;
+        });
+        assert_eq!(unnamed, Verdict::Unusable(Fault::Broken), "{status}");
+    }
+}
+
 #[test]
 fn a_not_run_status_counts_only_if_the_upstream_states_a_rejection() {
     for status in [408, 429, 503] {
