A stream is continued only by an answer of the same status and content type

What other operators saw: an error's text in the middle of a stream that had broken off, or a stream that ended as if it were complete. Can it happen here: an error of the next engine never reached the caller (500, 404, 429, 503 in the test), but any 2xx counted as the stream's continuation: one without a body ended the stream as complete after its second event, and text that looks like events was appended. Before: streams::an_answer_that_is_no_stream_does_not_continue_one fails for 204. After: it passes for all seven answers.

--- a/crates/comfreyroad_proxy/src/front/stream.rs
+++ b/crates/comfreyroad_proxy/src/front/stream.rs
@@ -11,7 +11,8 @@
 use comfreyroad_router::answer::Fault;
 use comfreyroad_wire::sse::Event;
 use futures_util::future::{Either, select};
-use http::Response;
+use http::header::CONTENT_TYPE;
+use http::{HeaderValue, Response, StatusCode};
 
 use super::attempt::{self, Failure, Message};
 use super::call::Call;
@@ -71,6 +72,7 @@
         metrics.count_response_start(&route.id, status, request.head().received_at);
         let forwarder = Forwarder {
             shared: self.shared,
+            format: Format::of(&self.parts),
             caller,
             sender,
             _open_request: guard,
@@ -84,11 +86,28 @@
 #[derive(Debug)]
 struct Forwarder {
     shared: Rc<Shared>,
+    format: Format,
     caller: Message,
     sender: Sender,
     _open_request: Guard,
 }
 
+/// What the head of a response says about its body.
+#[derive(Debug, PartialEq, Eq)]
+struct Format {
+    status: StatusCode,
+    content_type: Option<HeaderValue>,
+}
+
+impl Format {
+    fn of(parts: &http::response::Parts) -> Self {
+        Self {
+            status: parts.status,
+            content_type: parts.headers.get(CONTENT_TYPE).cloned(),
+        }
+    }
+}
+
 /// Why forwarding stops before the end of a stream.
 enum Stop {
     /// The caller has closed the connection.
@@ -180,7 +199,7 @@
             };
             let placed = attempt::place(shared, returned).await?;
             failure = match attempt::send(shared, &self.caller, placed).await {
-                Ok(response) if response.parts.status.is_success() => {
+                Ok(response) if Format::of(&response.parts) == self.format => {
                     match start(shared, response).await {
                         Ok(started) => {
                             let request = &started.call.request;
--- a/crates/comfreyroad_proxy/tests/process/engine.rs
+++ b/crates/comfreyroad_proxy/tests/process/engine.rs
@@ -142,6 +142,12 @@
         head: &str,
         attempt: usize,
     ) -> bool {
+        let id = request.header("x-comfreyroad-request-id");
+        if attempt > 1
+            && let Some(response) = request.path().split('/').find_map(|it| unusable(it, id))
+        {
+            return stream.get_mut().write_all(response.as_bytes()).is_ok();
+        }
         let from: u64 = request.header("last-event-id").parse().unwrap_or(0);
         let stalls = request
             .path()
@@ -204,6 +210,26 @@
     )
 }
 
+/// A response that continues no stream, by a segment of the path. Its body looks like events.
+fn unusable(name: &str, id: &str) -> Option<String> {
+    let (status, rest) = match name {
+        "then-500" => ("500 X", ""),
+        "then-404" => ("404 X", ""),
+        "then-429" => ("429 X", ""),
+        "then-503" => ("503 X", "X-Comfreyroad-Not-Executed: 1\r\n"),
+        "then-204" => ("204 X", ""),
+        "then-text" => ("200 OK", "Content-Type: text/plain\r\n"),
+        "then-untyped" => ("200 OK", ""),
+        _ => return None,
+    };
+    let body = "id: 5\ndata: oops\n\nid: 6\ndata: oops\n\n";
+    let body = if name == "then-204" { "" } else { body };
+    let length = body.len();
+    Some(format!(
+        "HTTP/1.1 {status}\r\nX-Comfreyroad-Request-Id: {id}\r\nX-Comfreyroad-Server-Signature: s\r\n{rest}Content-Length: {length}\r\n\r\n{body}"
+    ))
+}
+
 /// The start of a response without end, and the text that follows again and again.
 fn endless(name: &str, head: impl Fn(&str, &str) -> String) -> Option<(String, String)> {
     let block = "x".repeat(4096);
--- a/crates/comfreyroad_proxy/tests/process/streams.rs
+++ b/crates/comfreyroad_proxy/tests/process/streams.rs
@@ -69,3 +69,18 @@
         assert!(response.is_complete);
     }
 }
+
+/// The next engine answered a stream that had broken off with an error, whose text reached the caller in the middle of the stream.
+#[test]
+fn an_answer_that_is_no_stream_does_not_continue_one() {
+    let env = Environment::start_configured();
+    let answers = ["500", "404", "429", "503", "204", "text", "untyped"];
+    for answer in answers {
+        let path = format!("/events/breaks/then-{answer}/stream");
+        let response = env.request("POST", &path, "");
+        assert_eq!(response.status(), 200, "{answer}");
+        let text = response.text();
+        assert!(events().starts_with(&text), "{answer}: {text}");
+        assert!(!response.is_complete, "{answer}: {text}");
+    }
+}
