A resumed stream without events is complete only if its end is marked

What callers would see: a stream that ends as complete after the events before its break. Cause: a resumed stream may have no events left, so that one whose upstream crashed after the head, closing the connection, counted as ended. Change: without an event, the end must be marked by a length or the last chunk. Before: streams::a_resumed_stream_without_events_whose_end_is_not_marked_is_incomplete fails (complete after event 4). After: passes.

--- a/crates/comfreyroad_proxy/src/front/events.rs
+++ b/crates/comfreyroad_proxy/src/front/events.rs
@@ -4,6 +4,8 @@
 use comfreyroad_net::client::{Error, Reader};
 use comfreyroad_router::answer::{Fault, Pace};
 use comfreyroad_wire::sse::{Event, Splitter};
+use http::HeaderMap;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 
 /// Maximum number of bytes between two events that belong to neither: comments, and events that the caller already has. A
 /// stream that is resumed from its start may repeat as much.
@@ -16,6 +18,8 @@
     splitter: Splitter,
     // Last event that was returned or that the caller already has; events up to this one are skipped.
     after: Option<u64>,
+    // Whether the end of the body is marked by its length or its last chunk, not by the end of the connection.
+    has_marked_end: bool,
     // Comments that have arrived since the last event, which precede the next one.
     comments: BytesMut,
     // Bytes that have arrived since the last event and belong to none.
@@ -26,8 +30,11 @@
 }
 
 impl Events {
-    pub(super) fn new(reader: Reader, after: Option<u64>) -> Self {
+    /// Reads the events of a response after a given one.
+    pub(super) fn new(reader: Reader, headers: &HeaderMap, after: Option<u64>) -> Self {
+        let framing = [CONTENT_LENGTH, TRANSFER_ENCODING];
         Self {
+            has_marked_end: framing.iter().any(|name| headers.contains_key(name)),
             reader,
             splitter: Splitter::default(),
             after,
@@ -57,9 +64,10 @@
         }
     }
 
-    /// Whether a stream that starts from its first event has none yet.
+    /// Whether a stream has no event yet, though it must have some. One that is resumed after its last event has none, but then
+    /// its end must be marked: an upstream that crashes also closes the connection.
     fn is_empty(&self) -> bool {
-        self.count == 0 && self.after.is_none()
+        self.count == 0 && !(self.after.is_some() && self.has_marked_end)
     }
 
     /// The next event that has arrived completely and that the caller does not have.
--- a/crates/comfreyroad_proxy/tests/process/engine.rs
+++ b/crates/comfreyroad_proxy/tests/process/engine.rs
@@ -148,6 +148,13 @@
         {
             return stream.get_mut().write_all(response.as_bytes()).is_ok();
         }
+        if attempt > 1 && request.path().contains("then-gone") {
+            let rest = "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n";
+            let _ = stream
+                .get_mut()
+                .write_all(format!("{head}{rest}").as_bytes());
+            return false;
+        }
         let from: u64 = request.header("last-event-id").parse().unwrap_or(0);
         let stalls = request
             .path()
--- a/crates/comfreyroad_proxy/tests/process/streams.rs
+++ b/crates/comfreyroad_proxy/tests/process/streams.rs
@@ -84,3 +84,13 @@
         assert!(!response.is_complete, "{answer}: {text}");
     }
 }
+
+/// An engine that resumed a stream crashed after the head of its answer, and the caller took what it had for the whole stream.
+#[test]
+fn a_resumed_stream_without_events_whose_end_is_not_marked_is_incomplete() {
+    let env = Environment::start_configured();
+    let response = env.request("POST", "/events/breaks/then-gone/stream", "");
+    let text = response.text();
+    assert!(events().starts_with(&text) && text != events(), "{text}");
+    assert!(!response.is_complete, "{text}");
+}
