--- a/crates/comfreyroad_proxy/tests/process/engine.rs
+++ b/crates/comfreyroad_proxy/tests/process/engine.rs
@@ -87,16 +87,10 @@
             "crossed" => ok.replace(&id, "another"),
             "unsigned" => ok.replace("X-Comfreyroad-Server-Signature: s\r\n", ""),
             "full" => refusal(&id),
-            "refused-again" | "refused-again-unnamed" => {
-                if stream.get_mut().write_all(refusal(&id).as_bytes()).is_err() {
-                    return false;
-                }
-                std::thread::sleep(Duration::from_millis(3 * (id.len() as u64 % 3)));
-                if name == "refused-again" {
-                    refusal(&id)
-                } else {
-                    refusal(&id).replace("X-Comfreyroad-Request-Id", "X-Other")
-                }
+            "refused-again" => return refuse_twice(stream, &id, &refusal(&id)),
+            "refused-again-unnamed" => {
+                let copy = refusal(&id).replace("X-Comfreyroad-Request-Id", "X-Other");
+                return refuse_twice(stream, &id, &copy);
             }
             "unconfirmed" => head("503 X", "Content-Length: 0\r\n\r\n"),
             "failed" => head("500 X", "Content-Length: 4\r\n\r\noops"),
@@ -142,18 +136,10 @@
         head: &str,
         attempt: usize,
     ) -> bool {
-        let id = request.header("x-comfreyroad-request-id");
         if attempt > 1
-            && let Some(response) = request.path().split('/').find_map(|it| unusable(it, id))
+            && let Some((response, stays_open)) = unusable(request, head)
         {
-            return stream.get_mut().write_all(response.as_bytes()).is_ok();
-        }
-        if attempt > 1 && request.path().contains("then-gone") {
-            let rest = "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n";
-            let _ = stream
-                .get_mut()
-                .write_all(format!("{head}{rest}").as_bytes());
-            return false;
+            return stream.get_mut().write_all(response.as_bytes()).is_ok() && stays_open;
         }
         let from: u64 = request.header("last-event-id").parse().unwrap_or(0);
         let stalls = request
@@ -217,23 +203,39 @@
     )
 }
 
-/// A response that continues no stream, by a segment of the path. Its body looks like events.
-fn unusable(name: &str, id: &str) -> Option<String> {
+/// Sends a rejection and, some milliseconds later, a copy of it.
+fn refuse_twice(stream: &mut BufReader<TcpStream>, id: &str, copy: &str) -> bool {
+    if stream.get_mut().write_all(refusal(id).as_bytes()).is_err() {
+        return false;
+    }
+    std::thread::sleep(Duration::from_millis(3 * (id.len() as u64 % 3)));
+    stream.get_mut().write_all(copy.as_bytes()).is_ok()
+}
+
+/// A response that continues no stream, by a segment of the path, and whether the connection stays open after it. The body looks
+/// like events.
+fn unusable(request: &Message, head: &str) -> Option<(String, bool)> {
+    const BODY: &str = "id: 5\ndata: oops\n\nid: 6\ndata: oops\n\n";
+    let name = request
+        .path()
+        .split('/')
+        .find_map(|it| it.strip_prefix("then-"))?;
     let (status, rest) = match name {
-        "then-500" => ("500 X", ""),
-        "then-404" => ("404 X", ""),
-        "then-429" => ("429 X", ""),
-        "then-503" => ("503 X", "X-Comfreyroad-Not-Executed: 1\r\n"),
-        "then-204" => ("204 X", ""),
-        "then-text" => ("200 OK", "Content-Type: text/plain\r\n"),
-        "then-untyped" => ("200 OK", ""),
-        _ => return None,
+        "gone" => {
+            let rest = "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n";
+            return Some((format!("{head}{rest}"), false));
+        }
+        "text" => ("200 OK", "Content-Type: text/plain\r\n"),
+        "untyped" => ("200 OK", ""),
+        "503" => ("503", "X-Comfreyroad-Not-Executed: 1\r\n"),
+        status => (status, ""),
     };
-    let body = "id: 5\ndata: oops\n\nid: 6\ndata: oops\n\n";
-    let body = if name == "then-204" { "" } else { body };
+    let body = if name == "204" { "" } else { BODY };
+    let head = head.replacen("200 OK", status, 1);
     let length = body.len();
-    Some(format!(
-        "HTTP/1.1 {status}\r\nX-Comfreyroad-Request-Id: {id}\r\nX-Comfreyroad-Server-Signature: s\r\n{rest}Content-Length: {length}\r\n\r\n{body}"
+    Some((
+        format!("{head}{rest}Content-Length: {length}\r\n\r\n{body}"),
+        true,
     ))
 }
 
