An upstream that states that it leaves gets no requests soon after

Nothing read the statement. Change: from the first statement on, the upstream gets no request that another can take, and none at all after half of the drain bound. Peers hear of it in the regular gossip. An answer without the statement to a request sent later ends it, as does a new incarnation. What answers state about their upstream has one type and one entry point; what cannot be read is ignored with E1410. Before: three of the four tests in decisions/departures.rs fail when the choice of upstreams takes no notice. After: they pass.

--- a/crates/comfreyroad_router/src/answer/head.rs
+++ b/crates/comfreyroad_router/src/answer/head.rs
@@ -1,6 +1,6 @@
 use std::time::Instant;
 
-use super::RateLimit;
+use super::Statement;
 use crate::id::RequestId;
 use crate::upstream::Load;
 
@@ -19,8 +19,10 @@
     pub load: Option<Load>,
     /// End of the upstream's warm-up, if reported.
     pub cold_until: Option<Instant>,
-    /// The rate limit of the upstream.
-    pub rate_limit: RateLimit,
+    /// Requests per second that the upstream takes from all entries together.
+    pub rate_limit: Statement<f64>,
+    /// That the upstream is about to leave.
+    pub leaving: Statement<()>,
     /// The model's confidence in its answer, in percent.
     pub confidence: Option<u8>,
 }
--- a/crates/comfreyroad_router/src/answer/mod.rs
+++ b/crates/comfreyroad_router/src/answer/mod.rs
@@ -4,12 +4,12 @@
 mod fault;
 mod head;
 mod pace;
-mod rate_limit;
+mod statement;
 mod verdict;
 
 pub use completion::Completion;
 pub use fault::Fault;
 pub use head::Head;
 pub use pace::Pace;
-pub use rate_limit::RateLimit;
+pub use statement::Statement;
 pub use verdict::{Verdict, judge};
--- a/crates/comfreyroad_router/src/controller/members/mod.rs
+++ b/crates/comfreyroad_router/src/controller/members/mod.rs
@@ -97,6 +97,7 @@
             loads: Vec::new(),
             suspicions: Vec::new(),
             rate_limits: Vec::new(),
+            leaving: Vec::new(),
             crashes: Vec::new(),
             answered_parts: Vec::new(),
         }
--- a/crates/comfreyroad_router/src/controller/upstreams/mod.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/mod.rs
@@ -1,6 +1,7 @@
 //! The upstreams: their registrations, and their health and load as this entry observes them.
 
 mod cold_limit;
+mod departures;
 mod limiter;
 mod load_exchange;
 mod outcomes;
@@ -8,6 +9,7 @@
 mod requirements;
 mod selection;
 mod stated_limit;
+mod statements;
 mod store_answers;
 mod suspicions;
 
@@ -53,6 +55,8 @@
 pub struct Upstreams {
     entry: EntryId,
     zone: ZoneId,
+    // Time in which all entries must stop sending requests to an upstream that drains.
+    drain_propagation: Duration,
     upstreams: IndexMap<UpstreamId, Upstream>,
     configuration: Option<Arc<Configuration>>,
     fleet: Rc<Fleet>,
@@ -73,6 +77,7 @@
         Self {
             entry: settings.own.entry.clone(),
             zone: settings.own.zone.clone(),
+            drain_propagation: settings.drain_propagation,
             upstreams: IndexMap::new(),
             configuration: None,
             fleet: Rc::default(),
@@ -249,6 +254,7 @@
                 self.on_load_reports(now.instant, &frame.loads);
                 self.on_suspicions(now.instant, &frame.suspicions, out);
                 self.on_rate_limit_reports(now.instant, &frame.rate_limits, out);
+                self.on_leaving_reports(now.instant, &frame.leaving, out);
             }
             Event::ConfigurationApplied(configuration) => {
                 self.configuration = Some(Arc::clone(configuration));
@@ -267,5 +273,6 @@
         frame.loads = self.load_reports(now.instant);
         frame.suspicions = self.suspicions(now.instant);
         frame.rate_limits = self.rate_limit_reports(now.instant);
+        frame.leaving = self.leaving_reports(now.instant);
     }
 }
--- a/crates/comfreyroad_router/src/controller/upstreams/rate_limits.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/rate_limits.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use super::Upstreams;
-use crate::answer;
+use crate::answer::Statement;
 use crate::frame::RateLimitReport;
 use crate::note::{self, Note};
 use crate::outbox::Outbox;
@@ -18,30 +18,26 @@
 impl Upstreams {
     /// Takes what an answer says about the rate limit of its upstream. An upstream that states no limit in the answer to a request
     /// that was sent after it had stated one has no limit any more.
-    pub(crate) fn on_rate_limit(
+    pub(super) fn on_rate_limit(
         &mut self,
         now: Instant,
         (slot, sent_at): (&Slot, Instant),
-        limit: answer::RateLimit,
+        limit: Statement<f64>,
         out: &mut Outbox,
     ) {
         let Some(upstream) = self.upstream_of(slot) else {
             return;
         };
         let rate = match limit {
-            answer::RateLimit::Limited(rate) => Some(rate),
-            answer::RateLimit::Unlimited => {
+            Statement::Stated(rate) => Some(rate),
+            Statement::Absent => {
                 let stated = upstream.rate_limit.filter(|known| known.rate.is_some());
                 if stated.is_none_or(|known| known.stated_at > sent_at) {
                     return;
                 }
                 None
             }
-            answer::RateLimit::Unreadable => {
-                let note = Note::new(&note::RATE_LIMIT_UNREADABLE);
-                out.note(note.with("upstream", &upstream.id));
-                return;
-            }
+            Statement::Unreadable => return,
         };
         let statement = RateLimit {
             rate,
--- a/crates/comfreyroad_router/src/controller/upstreams/selection.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/selection.rs
@@ -31,6 +31,13 @@
 /// Service time assumed of an upstream that has not answered yet.
 const DEFAULT_SERVICE_TIME: Duration = Duration::from_millis(20);
 
+/// The upstreams that meet a condition, or all if none does.
+fn prefer(all: Vec<&Upstream>, is_preferred: impl Fn(&Upstream) -> bool) -> Vec<&Upstream> {
+    let preferred = all.iter().filter(|it| is_preferred(it));
+    let preferred: Vec<&Upstream> = preferred.copied().collect();
+    if preferred.is_empty() { all } else { preferred }
+}
+
 /// An upstream that can serve the request, with its load.
 struct Candidate<'a> {
     upstream: &'a Upstream,
@@ -92,6 +99,7 @@
                 && self.has_capacity(now, upstream, service)
         };
         let usable: Vec<&Upstream> = self.upstreams.values().filter(usable).collect();
+        let usable = prefer(usable, |it| it.leaving.is_none());
         // If more than half of the usable upstreams are ejected or suspected, the fault is more likely elsewhere, and that is
         // ignored.
         let is_healthy = |it: &&&Upstream| !it.health.is_ejected(now) && !it.is_suspected(now);
@@ -122,6 +130,7 @@
             |model| registration.models.is_empty() || registration.models.contains(model);
         registration.pool == *requirements.pool
             && upstream.is_ready(now)
+            && !self.has_left(now, upstream)
             && requirements.versions.allows(&registration.version)
             && requirements.model.is_none_or(has_model)
             && !requirements.tried.contains(&upstream.id)
--- a/crates/comfreyroad_router/src/frame/frame.rs
+++ b/crates/comfreyroad_router/src/frame/frame.rs
@@ -4,7 +4,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    CrashReport, LoadReport, PartAnswer, Peer, Progress, RateLimitReport, SessionPin, Suspicion,
+    CrashReport, LeavingReport, LoadReport, PartAnswer, Peer, Progress, RateLimitReport,
+    SessionPin, Suspicion,
 };
 use crate::id::Offset;
 use crate::record::{Record, Topic};
@@ -53,6 +54,9 @@
     /// Statements of upstreams about their rate limits. Absent in frames of versions that do not exchange them.
     #[serde(default)]
     pub rate_limits: Vec<RateLimitReport>,
+    /// Upstreams that have stated that they are about to leave. Absent as above.
+    #[serde(default)]
+    pub leaving: Vec<LeavingReport>,
     /// Requests whose upstream may have crashed by them. Absent in frames of versions that do not exchange them.
     #[serde(default)]
     pub crashes: Vec<CrashReport>,
--- a/crates/comfreyroad_router/src/frame/mod.rs
+++ b/crates/comfreyroad_router/src/frame/mod.rs
@@ -2,6 +2,7 @@
 
 mod crash_report;
 mod frame;
+mod leaving_report;
 mod load_report;
 mod part_answer;
 mod peer;
@@ -12,6 +13,7 @@
 
 pub use crash_report::CrashReport;
 pub use frame::Frame;
+pub use leaving_report::LeavingReport;
 pub use load_report::LoadReport;
 pub use part_answer::PartAnswer;
 pub use peer::Peer;
--- a/crates/comfreyroad_router/src/note/mod.rs
+++ b/crates/comfreyroad_router/src/note/mod.rs
@@ -60,8 +60,12 @@
     UPSTREAM_LIMITED = 1408, Warn, "upstream states a rate limit";
     /// An upstream that stated a rate limit states none any more.
     UPSTREAM_UNLIMITED = 1409, Info, "upstream has no rate limit any more";
-    /// An upstream states a rate limit that cannot be read, which is ignored.
-    RATE_LIMIT_UNREADABLE = 1410, Warn, "rate limit unreadable";
+    /// An upstream states something about itself that cannot be read, which is ignored.
+    STATEMENT_UNREADABLE = 1410, Warn, "statement of upstream unreadable";
+    /// An upstream states that it is about to leave. It gets no requests that another one can take, and soon none.
+    UPSTREAM_LEAVING = 1411, Info, "upstream states that it leaves";
+    /// An upstream that stated that it leaves states so no more, and gets requests again.
+    UPSTREAM_STAYS = 1412, Info, "upstream does not leave";
     /// A request was refused.
     REQUEST_REFUSED = 1501, Info, "request refused";
     /// An upstream rejected a request without running it; the request is placed again.
--- a/crates/comfreyroad_router/src/router.rs
+++ b/crates/comfreyroad_router/src/router.rs
@@ -141,9 +141,9 @@
         let is_own = head.request_id.as_ref() == Some(&request.head().id);
         if is_own && verdict != Verdict::Rejected(Rejection::Misdirected) {
             let stage = request.stage();
-            let (sent, limit) = ((&stage.slot, stage.sent_at), head.rate_limit);
+            let sent = (&stage.slot, stage.sent_at);
             let upstreams = &mut self.state.upstreams;
-            upstreams.on_rate_limit(now.instant, sent, limit, &mut self.out);
+            upstreams.on_statements(now.instant, sent, head, &mut self.out);
         }
         let state = &self.state;
         if verdict == Verdict::Forward
--- a/crates/comfreyroad_router/src/upstream/mod.rs
+++ b/crates/comfreyroad_router/src/upstream/mod.rs
@@ -3,6 +3,7 @@
 mod average;
 mod backlog;
 mod health;
+mod leaving;
 mod load;
 mod prefill_speed;
 mod rate_limit;
@@ -13,6 +14,7 @@
 pub use average::Average;
 pub use backlog::{Backlog, PrefillId};
 pub use health::Health;
+pub use leaving::Leaving;
 pub use load::Load;
 pub use prefill_speed::PrefillSpeed;
 pub use rate_limit::RateLimit;
--- a/crates/comfreyroad_router/src/upstream/upstream.rs
+++ b/crates/comfreyroad_router/src/upstream/upstream.rs
@@ -4,7 +4,7 @@
 
 use comfreyroad::clock;
 
-use super::{Average, Backlog, Health, Load, RateLimit, Registration, Slot, Stage};
+use super::{Average, Backlog, Health, Leaving, Load, RateLimit, Registration, Slot, Stage};
 use crate::id::{Offset, UpstreamId};
 
 /// Maximum age of a load report for its count of requests from other entries to be used.
@@ -30,6 +30,8 @@
     pub load: Option<Load>,
     /// The last statement about its rate limit; `None` if it has stated none.
     pub rate_limit: Option<RateLimit>,
+    /// Its statement that it is about to leave, if it has made one.
+    pub leaving: Option<Leaving>,
     /// Service time: the time per event of a stream, or of a whole plain answer.
     pub service_time: Average,
     /// Passive health check by this entry alone.
@@ -51,6 +53,7 @@
             removal_due_at: None,
             load: None,
             rate_limit: None,
+            leaving: None,
             service_time: Average::default(),
             health: Health::default(),
             failed_at: None,
--- a/crates/comfreyroad_router/tests/decisions/main.rs
+++ b/crates/comfreyroad_router/tests/decisions/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod chain;
 mod cold;
+mod departures;
 mod exchange;
 mod exposure;
 mod lifecycle;
--- a/crates/comfreyroad_router/tests/decisions/rate_limits.rs
+++ b/crates/comfreyroad_router/tests/decisions/rate_limits.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use comfreyroad_router::Request;
-use comfreyroad_router::answer::{Completion, Head, RateLimit};
+use comfreyroad_router::answer::{Completion, Head, Statement};
 use comfreyroad_router::frame::RateLimitReport;
 use comfreyroad_router::record::{Content, Topic};
 use comfreyroad_router::request::Sent;
@@ -100,9 +100,9 @@
         self.served[index] += 1;
         let rate_limit = if index < limited {
             self.heard_at[entry][index].get_or_insert(now);
-            RateLimit::Limited(limit)
+            Statement::Stated(limit)
         } else {
-            RateLimit::Unlimited
+            Statement::Absent
         };
         let answer = Head {
             rate_limit,
@@ -256,7 +256,7 @@
         ..good_answer(sent)
     };
     let (earlier, first) = (send_to_u1(&mut rig), send_to_u1(&mut rig));
-    let stated = limited(&first, RateLimit::Limited(3.0));
+    let stated = limited(&first, Statement::Stated(3.0));
     answer_with(&mut rig, &first, &stated);
     assert_eq!(known_limit(&rig), Some(3.0));
     let answer = good_answer(&earlier);
@@ -277,7 +277,7 @@
         ..good_answer(&later)
     };
     answer_with(&mut rig, &later, &other);
-    let unreadable = limited(&later, RateLimit::Unreadable);
+    let unreadable = limited(&later, Statement::Unreadable);
     answer_with(&mut rig, &later, &unreadable);
     assert_eq!(known_limit(&rig), Some(3.0));
     let answer = good_answer(&later);
--- a/crates/comfreyroad_router/tests/decisions/rig.rs
+++ b/crates/comfreyroad_router/tests/decisions/rig.rs
@@ -144,7 +144,8 @@
         is_rejection: false,
         load: None,
         cold_until: None,
-        rate_limit: answer::RateLimit::Unlimited,
+        rate_limit: answer::Statement::Absent,
+        leaving: answer::Statement::Absent,
         confidence: None,
     }
 }
@@ -317,6 +318,7 @@
         loads: Vec::new(),
         suspicions: Vec::new(),
         rate_limits: Vec::new(),
+        leaving: Vec::new(),
         crashes: Vec::new(),
         answered_parts: Vec::new(),
     }
