An upstream that states a time after which to retry gets no requests until then

Nothing read the header of an upstream's 503. Change: the upstream is not chosen until the end of the longest time that it stated. If all upstreams of a pool are paused, requests are refused at once as not run, with the time to the first end, spread over half a second. Before: with a choice of upstreams that takes no notice, both tests in decisions/pauses.rs and all four in decisions/departures.rs fail (the first of the latter now gives the other upstream more load, as it held without the change). After: they pass.

--- a/crates/comfreyroad_router/src/answer/head.rs
+++ b/crates/comfreyroad_router/src/answer/head.rs
@@ -1,4 +1,4 @@
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::Statement;
 use crate::id::RequestId;
@@ -23,6 +23,8 @@
     pub rate_limit: Statement<f64>,
     /// That the upstream is about to leave.
     pub leaving: Statement<()>,
+    /// Time for which the upstream wants no more requests from this entry.
+    pub retry_after: Statement<Duration>,
     /// The model's confidence in its answer, in percent.
     pub confidence: Option<u8>,
 }
--- a/crates/comfreyroad_router/src/controller/upstreams/mod.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/mod.rs
@@ -5,6 +5,7 @@
 mod limiter;
 mod load_exchange;
 mod outcomes;
+mod pauses;
 mod rate_limits;
 mod requirements;
 mod selection;
--- a/crates/comfreyroad_router/src/controller/upstreams/selection.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/selection.rs
@@ -131,6 +131,7 @@
         registration.pool == *requirements.pool
             && upstream.is_ready(now)
             && !self.has_left(now, upstream)
+            && !upstream.is_paused(now)
             && requirements.versions.allows(&registration.version)
             && requirements.model.is_none_or(has_model)
             && !requirements.tried.contains(&upstream.id)
--- a/crates/comfreyroad_router/src/controller/upstreams/statements.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/statements.rs
@@ -23,6 +23,7 @@
         let unreadable = [
             ("rate limit", head.rate_limit == Statement::Unreadable),
             ("leaving", head.leaving == Statement::Unreadable),
+            ("retry after", head.retry_after == Statement::Unreadable),
         ];
         for (about, _) in unreadable
             .iter()
@@ -33,5 +34,6 @@
         }
         self.on_rate_limit(now, (slot, sent_at), head.rate_limit, out);
         self.on_leaving(now, (slot, sent_at), head.leaving, out);
+        self.on_retry_after(now, slot, head, out);
     }
 }
--- a/crates/comfreyroad_router/src/filter/place.rs
+++ b/crates/comfreyroad_router/src/filter/place.rs
@@ -13,6 +13,8 @@
 
 /// A request waits for a slot for at most this fraction (1/8) of its latency objective before it is refused.
 const WAIT_DIVISOR: u32 = 8;
+/// Time over which callers return to a pool whose upstreams were all paused.
+const RETURN_SPREAD: Duration = Duration::from_millis(500);
 /// Maximum retry-after time for a caller whose request got no slot.
 const MAX_RETRY_AFTER: Duration = Duration::from_millis(1000);
 
@@ -47,6 +49,12 @@
     if let Some(slot) = acquire_slot(request.head(), plan, now, state) {
         return Ok(request.with_slot(slot));
     }
+    if let Some(ends_at) = state.upstreams.pool_paused_until(now, &plan.pool) {
+        let refusal = S::refuse(&request, Code::Overloaded);
+        let spread = RETURN_SPREAD.mul_f64(rendezvous::fraction(&request.head().id, ""));
+        let after = ends_at.saturating_duration_since(now) + spread;
+        return Err(Backpressure::Refuse(refusal.with_retry_after(after)));
+    }
     let until = request.head().received_at + plan.route.latency_objective / WAIT_DIVISOR;
     if until > now && !is_retry {
         return Err(Backpressure::Wait(request, until));
--- a/crates/comfreyroad_router/src/note/mod.rs
+++ b/crates/comfreyroad_router/src/note/mod.rs
@@ -66,6 +66,8 @@
     UPSTREAM_LEAVING = 1411, Info, "upstream states that it leaves";
     /// An upstream that stated that it leaves states so no more, and gets requests again.
     UPSTREAM_STAYS = 1412, Info, "upstream does not leave";
+    /// An upstream wants no requests from this entry for a time.
+    UPSTREAM_PAUSED = 1413, Info, "upstream paused";
     /// A request was refused.
     REQUEST_REFUSED = 1501, Info, "request refused";
     /// An upstream rejected a request without running it; the request is placed again.
--- a/crates/comfreyroad_router/src/upstream/upstream.rs
+++ b/crates/comfreyroad_router/src/upstream/upstream.rs
@@ -32,6 +32,8 @@
     pub rate_limit: Option<RateLimit>,
     /// Its statement that it is about to leave, if it has made one.
     pub leaving: Option<Leaving>,
+    /// Until when it wants no requests from this entry.
+    pub paused_until: Option<Instant>,
     /// Service time: the time per event of a stream, or of a whole plain answer.
     pub service_time: Average,
     /// Passive health check by this entry alone.
@@ -54,6 +56,7 @@
             load: None,
             rate_limit: None,
             leaving: None,
+            paused_until: None,
             service_time: Average::default(),
             health: Health::default(),
             failed_at: None,
@@ -109,6 +112,11 @@
         self.rate_limit.and_then(|limit| limit.rate)
     }
 
+    /// Whether the upstream wants no requests from this entry now.
+    pub fn is_paused(&self, now: Instant) -> bool {
+        self.paused_until.is_some_and(|until| until > now)
+    }
+
     /// Whether the upstream is warming up and takes only a limited request rate.
     pub fn is_cold(&self, now: Instant) -> bool {
         self.cold_until.is_some_and(|until| until > now)
--- a/crates/comfreyroad_router/tests/decisions/departures.rs
+++ b/crates/comfreyroad_router/tests/decisions/departures.rs
@@ -32,6 +32,8 @@
 fn an_upstream_that_states_that_it_leaves_gets_no_request_that_another_can_take() {
     let mut rig = Rig::serving("e1");
     let sent = send_to(&mut rig, "u1").expect("u1 gets requests");
+    // u1 has less load than u2.
+    let _open: Vec<_> = (0..5).map(|_| send_to(&mut rig, "u2")).collect();
     answer_leaving(&mut rig, &sent, Statement::Stated(()));
     assert!(send_to(&mut rig, "u1").is_none());
     assert!(send_to(&mut rig, "u2").is_some());
--- a/crates/comfreyroad_router/tests/decisions/main.rs
+++ b/crates/comfreyroad_router/tests/decisions/main.rs
@@ -10,6 +10,7 @@
 mod load;
 mod members;
 mod models;
+mod pauses;
 mod quarantine;
 mod rate_limits;
 mod relays;
--- a/crates/comfreyroad_router/tests/decisions/rig.rs
+++ b/crates/comfreyroad_router/tests/decisions/rig.rs
@@ -146,6 +146,7 @@
         cold_until: None,
         rate_limit: answer::Statement::Absent,
         leaving: answer::Statement::Absent,
+        retry_after: answer::Statement::Absent,
         confidence: None,
     }
 }
