An entry without a quorum of counts decides nothing about a rollout

Cause: entries that only follow the relays compared the few answers they count themselves, each with its own chance of error. Change: only entries with the counts of a quorum find a version bad; the others follow. Before: relays::an_entry_without_a_quorum_of_counts_finds_no_version_bad_by_a_few_answers fails. After: passes.

--- a/crates/comfreyroad_router/src/controller/rollouts/rollout/decisions.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/rollout/decisions.rs
@@ -47,12 +47,15 @@
         self.update_pending_status(now);
     }
 
-    /// Rolls back or enters the next phase if the evidence and the exposure limit demand or admit it.
+    /// Rolls back or enters the next phase if the evidence and the exposure limit demand or admit it. An entry without the counts of
+    /// a quorum follows the others: its own answers are too few, and it would decide for all entries.
     fn decide(&mut self, now: Instant, evidence: Evidence, snapshot: Snapshot, out: &mut Outbox) {
-        if evidence.is_bad() {
+        let has_quorum = self.ramp.has_quorum();
+        if evidence.is_bad() && has_quorum {
             self.roll_back(now, Reason::Evidence, out);
         }
         match self.phase {
+            Phase::Cutover(_) if !has_quorum => {}
             Phase::Canary(canary) => self.decide_cutover(now, canary, snapshot, out),
             Phase::Cutover(cutover) => self.decide_completion(now, cutover, snapshot, out),
             Phase::Rollback(_) | Phase::Completion(_) => {}
--- a/crates/comfreyroad_router/tests/decisions/relays.rs
+++ b/crates/comfreyroad_router/tests/decisions/relays.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use comfreyroad_router::answer::{Completion, Fault};
 use comfreyroad_router::controller::members::Fleet;
 use comfreyroad_router::frame::{Frame, Progress};
 use comfreyroad_router::record::{Content, Record, Topic};
@@ -279,6 +280,41 @@
     assert_eq!(target_percent(&mut rig, 1000), 100);
 }
 
+/// Regression (four of 66 entries found a version bad by two answers of their own): one such entry rolls back the whole fleet.
+#[test]
+fn an_entry_without_a_quorum_of_counts_finds_no_version_bad_by_a_few_answers() {
+    let (mut rig, relays) = with_rollout();
+    run_with_relays(&mut rig, &relays, 17 * SECOND);
+    for number in 0..60 {
+        rig.advance(10 * MS);
+        let sent = rig.send(head(rig.now, "once", &format!("good{number}")));
+        let completion = Completion {
+            is_success: true,
+            first_event_after: None,
+            service_time: None,
+        };
+        rig.router.on_finished(rig.now, &sent.unwrap(), completion);
+    }
+    let mut frame = gossip(&relays[0], 100_000);
+    frame.rollouts.push(Progress {
+        pool: "pool".into(),
+        order_offset: rig.offset,
+        age: 18 * SECOND,
+        is_target_bad: false,
+        trial_share: Some(0.02),
+        target_share: Some(1.0),
+    });
+    rig.receive(frame);
+    rig.run_for(200 * MS);
+    for number in 0..6 {
+        let sent = rig.send(head(rig.now, "once", &format!("once{number}")));
+        let failed = rig.router.on_failed(rig.now, sent.unwrap(), Fault::Failed);
+        assert!(failed.is_err(), "it may not be retried");
+        rig.run_for(200 * MS);
+    }
+    assert_eq!(target_percent(&mut rig, 0), 100);
+}
+
 /// Regression (126 of 614 requests reached a bad version while packets passed one way only): entries without a quorum all cut over
 /// at the last moment, without an answer that spoke for the version.
 #[test]
