Entries exchange counts more often while a rollout is decided

Change: rounds are urgent in the last 2.5 s of an open rollout, not only on entries that have cut over. Before: rollouts::entries_exchange_counts_more_often_when_a_rollout_is_decided fails.

--- a/crates/comfreyroad_router/src/controller/rollouts/mod.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/mod.rs
@@ -205,8 +205,7 @@
     fn on_tick(&mut self, now: Instant, out: &mut Outbox) {
         for rollout in self.rollouts.values_mut() {
             rollout.advance(now, &self.fleet, out);
-            if rollout.is_cutover() {
-                // There is little time to find a version bad after the cutover.
+            if rollout.is_decision_near(now) {
                 out.raise(Event::GossipUrgent);
             }
             let key = rollout.writer_key();
--- a/crates/comfreyroad_router/src/controller/rollouts/rollout.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/rollout.rs
@@ -20,6 +20,8 @@
 use crate::outbox::Outbox;
 use crate::rollout::{Order, State, Status, Tally};
 
+/// Time before the end of a rollout in which it is decided.
+const DECISION_TIME: Duration = Duration::from_millis(2500);
 /// Requests to a pool below which a rollout needs no proof: a bad version could not give as many bad answers either.
 const MIN_REQUESTS_TO_PROVE: f64 = 30.0;
 
@@ -136,9 +138,11 @@
         is_idle || !self.ramp.has_quorum() || evidence.is_sound()
     }
 
-    /// Whether all requests go to the new version, which is not completed yet.
-    pub(super) fn is_cutover(&self) -> bool {
-        matches!(self.phase, Phase::Cutover(_))
+    /// Whether the cutover or the completion is near: there is little time then for entries to learn of the cutover, and of answers
+    /// that speak against it.
+    pub(super) fn is_decision_near(&self, now: Instant) -> bool {
+        let ends_at = clock::after(self.started_at, self.order.duration);
+        !self.is_over() && ends_at <= now + DECISION_TIME
     }
 
     fn is_canary(&self) -> bool {
--- a/crates/comfreyroad_router/tests/decisions/rollouts.rs
+++ b/crates/comfreyroad_router/tests/decisions/rollouts.rs
@@ -357,6 +357,27 @@
     assert_eq!(state(&rig), Some(State::RolledBack));
 }
 
+/// Regression (a version that is bad under load was completed on 66 entries): relays knew of 60 of 140 requests after the cutover.
+#[test]
+fn entries_exchange_counts_more_often_when_a_rollout_is_decided() {
+    let mut rig = with_rollout();
+    rig.receive(super::rig::frame("e2"));
+    let rounds = |rig: &mut Rig, time: Duration| {
+        let exchanges = |rig: &Rig| {
+            let is_exchange = |it: &&Action| matches!(it, Action::Gossip { .. });
+            rig.actions.iter().filter(is_exchange).count()
+        };
+        let before = exchanges(rig);
+        rig.run_for(time);
+        exchanges(rig) - before
+    };
+    rig.run_for(DURATION - 8 * SECOND);
+    let usual = rounds(&mut rig, 2 * SECOND);
+    rig.run_for(3 * SECOND);
+    let near = rounds(&mut rig, 2 * SECOND);
+    assert!(near >= 2 * usual, "{near} exchanges, {usual} as usual");
+}
+
 #[test]
 fn status_writes_are_conditional_on_the_known_end_of_the_topic() {
     let mut rig = with_rollout();
