A cutover is judged by the limit itself and alike by all entries

Cause: a fifth more requests were reserved after the cutover, for the repeats of a bad version, which is now found within the second; and the jitter of gossip passed for a higher request rate. Change: no reserve; a recent rate counts from 1.4 times the mean; an entry that is too late to cut over follows others that have.

--- a/crates/comfreyroad_router/src/controller/rollouts/exposure.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/exposure.rs
@@ -9,8 +9,9 @@
 const TRIAL_SAFETY_FACTOR: f64 = 0.9;
 /// As above, at the cutover: the trial has ended by then, and reports of its requests have arrived.
 const CUTOVER_SAFETY_FACTOR: f64 = 0.95;
-/// Factor on the request rate after the cutover: failed and slow answers of a bad version are requested again.
-const MOVED_RATE_FACTOR: f64 = 1.2;
+/// Recent request rate, as a factor of the mean, from which it counts as a burst. Less than this is the jitter of gossip, in which the
+/// counts of many entries arrive at a time.
+const BURST_FACTOR: f64 = 1.4;
 /// Fraction of the rollout's duration before which sessions in progress do not move to the new version.
 const MIN_CANARY_FRACTION: f64 = 0.52;
 /// Time before the end of a rollout after which requests can no longer move so that it finishes within its duration.
@@ -45,10 +46,14 @@
         self.target + self.others
     }
 
-    /// Requests per second: the mean so far, or the recent rate if it is higher.
+    /// Requests per second: the mean so far, or the recent rate during a burst.
     pub(super) fn rate(&self) -> f64 {
         let mean = self.total() / self.age.as_secs_f64().max(1.0);
-        mean.max(self.recent_rate)
+        if self.recent_rate > mean * BURST_FACTOR {
+            self.recent_rate
+        } else {
+            mean
+        }
     }
 
     fn remaining(&self) -> Duration {
@@ -81,7 +86,7 @@
     /// cutover: a version that shows no bad answers until then must stay within the limit too.
     pub(super) fn canary_limit(self, usage: Usage) -> f64 {
         let moved = usage.rate() * LATEST_CUTOVER_BEFORE_END.as_secs_f64();
-        self.allowed(usage) * TRIAL_SAFETY_FACTOR - moved * MOVED_RATE_FACTOR
+        self.allowed(usage) * TRIAL_SAFETY_FACTOR - moved
     }
 
     /// Requests that the trial may send: those before the cutover, less those that follow the trial.
@@ -92,7 +97,7 @@
     /// Whether all requests may move now. If requests keep arriving at the rate seen so far, the new version stays within the
     /// exposure limit for the whole duration of the rollout, even if it turns out to be bad.
     pub(super) fn may_cut_over(self, usage: Usage) -> bool {
-        let after = usage.target + usage.expected() * MOVED_RATE_FACTOR;
+        let after = usage.target + usage.expected();
         usage.age >= usage.duration.mul_f64(MIN_CANARY_FRACTION)
             && after <= self.allowed(usage) * CUTOVER_SAFETY_FACTOR
     }
--- a/crates/comfreyroad_router/src/controller/rollouts/ramp.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/ramp.rs
@@ -126,6 +126,11 @@
         if self.has_quorum {
             return self.exposure.may_cut_over(snapshot.usage);
         }
+        self.have_others_cut_over()
+    }
+
+    /// Whether another entry has reported that all requests move.
+    pub(super) fn have_others_cut_over(&self) -> bool {
         self.reported_share.is_some_and(|share| share >= 1.0)
     }
 }
--- a/crates/comfreyroad_router/src/controller/rollouts/rate.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/rate.rs
@@ -2,7 +2,7 @@
 use std::time::{Duration, Instant};
 
 /// Time over which the rate is measured. Counts of other entries arrive with gossip, some rounds of which it must span.
-const WINDOW: Duration = Duration::from_secs(2);
+const WINDOW: Duration = Duration::from_millis(1500);
 
 /// The recent rate of a counter.
 #[derive(Debug, Default)]
--- a/crates/comfreyroad_router/src/controller/rollouts/rollout/decisions.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/rollout/decisions.rs
@@ -70,11 +70,14 @@
         snapshot: Snapshot,
         out: &mut Outbox,
     ) {
-        let may_cut_over = self.ramp.may_cut_over(snapshot);
+        let is_too_late = Exposure::is_too_late_to_cut_over(snapshot.usage);
+        // Entries whose counts differ a little decide at different moments, but must not decide differently.
+        let may_cut_over =
+            self.ramp.may_cut_over(snapshot) || (is_too_late && self.ramp.have_others_cut_over());
         if may_cut_over && snapshot.is_proved {
             out.note(self.describe(&note::ROLLOUT_CUT_OVER, now));
             self.phase = Phase::Cutover(canary.cut_over(now));
-        } else if Exposure::is_too_late_to_cut_over(snapshot.usage) && self.ramp.has_quorum() {
+        } else if is_too_late && self.ramp.has_quorum() {
             let reason = if may_cut_over {
                 Reason::Unproved
             } else {
--- a/crates/comfreyroad_router/tests/decisions/exposure.rs
+++ b/crates/comfreyroad_router/tests/decisions/exposure.rs
@@ -111,7 +111,33 @@
     seed: u64,
     answer: impl Fn(&Situation, &mut Rng) -> Answer,
 ) -> Outcome {
-    let mut rig = with_rollout_of(duration);
+    let plan = Plan {
+        exposure_share: EXPOSURE_SHARE,
+        duration,
+        seed,
+    };
+    play_plan(plan, interval, answer)
+}
+
+/// A rollout to play.
+#[derive(Clone, Copy)]
+struct Plan {
+    exposure_share: f64,
+    duration: Duration,
+    seed: u64,
+}
+
+fn play_plan(
+    plan: Plan,
+    interval: impl Fn(Duration) -> Duration,
+    answer: impl Fn(&Situation, &mut Rng) -> Answer,
+) -> Outcome {
+    let Plan {
+        exposure_share,
+        duration,
+        seed,
+    } = plan;
+    let mut rig = with_rollout_of(duration, exposure_share);
     let mut rng = Rng::with_seed(seed);
     let ends_at = rig.now.instant + duration;
     let mut next_tick_at = rig.now.instant;
@@ -295,6 +321,34 @@
     });
 }
 
+/// Regression (good versions on large deployments were rolled back): the limit of the large deployments leaves little more than the
+/// requests that move at the latest cutover.
+#[test]
+fn a_sound_version_is_completed_with_the_limit_of_a_large_deployment() {
+    for seed in 1..=SEEDS {
+        for (interval, duration) in [(6, 16), (6, 18), (3, 16), (3, 18)] {
+            let sound = |situation: &Situation, rng: &mut Rng| {
+                if situation.is_doomed {
+                    Answer::failure()
+                } else {
+                    Answer::success(rng)
+                }
+            };
+            let plan = Plan {
+                exposure_share: 0.12,
+                duration: duration * SECOND,
+                seed,
+            };
+            let outcome = play_plan(plan, |_| interval * MS, sound);
+            assert_eq!(
+                outcome.state,
+                Some(State::Completed),
+                "{interval} ms, {duration} s, seed {seed}: {outcome:?}"
+            );
+        }
+    }
+}
+
 /// A version as good as the old one is completed in time, whether or not some answers of both fail.
 #[test]
 fn a_sound_version_is_completed_at_any_rate() {
--- a/crates/comfreyroad_router/tests/decisions/rig.rs
+++ b/crates/comfreyroad_router/tests/decisions/rig.rs
@@ -154,8 +154,12 @@
 impl Rig {
     /// A router that has just started, without any records.
     pub(super) fn empty(name: &str) -> Self {
+        Self::empty_with(&settings(name))
+    }
+
+    fn empty_with(settings: &Settings) -> Self {
         let mut rig = Self {
-            router: Router::new(&settings(name)),
+            router: Router::new(settings),
             now: Now {
                 instant: Instant::now(),
                 system: SystemTime::now(),
@@ -169,7 +173,12 @@
 
     /// A router with a configuration and two upstreams, `u1` and `u2`.
     pub(super) fn serving(name: &str) -> Self {
-        let mut rig = Self::empty(name);
+        Self::serving_with(&settings(name))
+    }
+
+    /// As above, with other settings.
+    pub(super) fn serving_with(settings: &Settings) -> Self {
+        let mut rig = Self::empty_with(settings);
         rig.list(Topic::Operator, vec![("config", configuration_content(1))]);
         let upstream = |version| Content::Upstream(Box::new(registration(version)));
         let upstreams = vec![("u1", upstream("v1")), ("u2", upstream("v1"))];
--- a/crates/comfreyroad_router/tests/decisions/rollouts.rs
+++ b/crates/comfreyroad_router/tests/decisions/rollouts.rs
@@ -3,21 +3,24 @@
 use comfreyroad_router::answer::{Completion, Fault, Pace};
 use comfreyroad_router::record::{Content, Topic};
 use comfreyroad_router::rollout::{Order, State, Status};
-use comfreyroad_router::{Action, Event};
+use comfreyroad_router::{Action, Event, Settings};
 use quickcheck::quickcheck;
 
-use super::rig::{MS, Rig, SECOND, head, prompt, registration};
+use super::rig::{MS, Rig, SECOND, head, prompt, registration, settings};
 
 const DURATION: Duration = Duration::from_secs(20);
 
 /// An entry with upstreams of both versions, on which the rollout of `v2` was just ordered.
 fn with_rollout() -> Rig {
-    with_rollout_of(DURATION)
+    with_rollout_of(DURATION, settings("e1").exposure_share)
 }
 
-/// As above, with a duration of the rollout.
-pub(super) fn with_rollout_of(duration: Duration) -> Rig {
-    let mut rig = Rig::serving("e1");
+/// As above, with a duration of the rollout and a share of the requests that the new version may get meanwhile.
+pub(super) fn with_rollout_of(duration: Duration, exposure_share: f64) -> Rig {
+    let mut rig = Rig::serving_with(&Settings {
+        exposure_share,
+        ..settings("e1")
+    });
     rig.read(
         Topic::Upstreams,
         "n1",
