Reports of peers on upstreams are looked up in one place

The reports of load, suspicion, rate limit and departure each repeated the lookup of the upstream, its incarnation and the time of the event. No change of behaviour; the tests of the exchange pass.

--- a/crates/comfreyroad_router/src/controller/rollouts/reason.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/reason.rs
@@ -5,7 +5,7 @@
     Evidence,
     /// The answers do not show that the new version is sound when all requests are to move to it.
     Unproved,
-    /// The exposure limit did not admit a cutover in time.
+    /// The exposure limit admitted no cutover in time, or was used up after it.
     Exposure,
     /// Another entry has rolled it back.
     Peer,
--- a/crates/comfreyroad_router/src/controller/upstreams/departures.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/departures.rs
@@ -69,13 +69,8 @@
         out: &mut Outbox,
     ) {
         for report in reports {
-            let Some(upstream) = self.upstreams.get_mut(&report.upstream) else {
-                continue;
-            };
-            let Some(stated_at) = now.checked_sub(report.age) else {
-                continue;
-            };
-            if upstream.registration.incarnation == report.incarnation {
+            let key = (&report.upstream, report.incarnation, report.age);
+            if let Some((upstream, stated_at)) = self.reported(now, key) {
                 set_leaving(upstream, stated_at, true, out);
             }
         }
--- a/crates/comfreyroad_router/src/controller/upstreams/load_exchange.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/load_exchange.rs
@@ -54,16 +54,14 @@
     /// Takes the reports of a peer that are newer than this entry's own.
     pub(super) fn on_load_reports(&mut self, now: Instant, reports: &[LoadReport]) {
         for report in reports {
-            let Some(upstream) = self.upstreams.get_mut(&report.upstream) else {
-                continue;
-            };
-            let Some(reported_at) = now.checked_sub(report.age) else {
+            let key = (&report.upstream, report.incarnation, report.age);
+            let Some((upstream, reported_at)) = self.reported(now, key) else {
                 continue;
             };
             let is_older = upstream
                 .load
                 .is_some_and(|load| load.reported_at >= reported_at);
-            if is_older || upstream.registration.incarnation != report.incarnation {
+            if is_older {
                 continue;
             }
             upstream.load = Some(Load {
--- a/crates/comfreyroad_router/src/controller/upstreams/outcomes.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/outcomes.rs
@@ -25,6 +25,17 @@
         (upstream.registration.incarnation == slot.incarnation).then_some(upstream)
     }
 
+    /// The upstream that a peer reports on, in the incarnation that the report names, and when the reported event took place.
+    pub(super) fn reported(
+        &mut self,
+        now: Instant,
+        (id, incarnation, age): (&UpstreamId, Incarnation, Duration),
+    ) -> Option<(&mut Upstream, Instant)> {
+        let upstream = self.upstreams.get_mut(id)?;
+        let at = now.checked_sub(age)?;
+        (upstream.registration.incarnation == incarnation).then_some((upstream, at))
+    }
+
     /// Whether an upstream has reported its load to some entry after an instant, in the given incarnation.
     pub(crate) fn has_answered_after(
         &self,
--- a/crates/comfreyroad_router/src/controller/upstreams/rate_limits.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/rate_limits.rs
@@ -80,10 +80,8 @@
         out: &mut Outbox,
     ) {
         for report in reports {
-            let Some(upstream) = self.upstreams.get_mut(&report.upstream) else {
-                continue;
-            };
-            let Some(stated_at) = now.checked_sub(report.age) else {
+            let key = (&report.upstream, report.incarnation, report.age);
+            let Some((upstream, stated_at)) = self.reported(now, key) else {
                 continue;
             };
             let known = upstream.rate_limit;
@@ -91,7 +89,7 @@
             let is_usable = report
                 .rate
                 .is_none_or(|rate| rate.is_finite() && rate >= 0.0);
-            if is_older || !is_usable || upstream.registration.incarnation != report.incarnation {
+            if is_older || !is_usable {
                 continue;
             }
             let statement = RateLimit {
--- a/crates/comfreyroad_router/src/controller/upstreams/suspicions.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/suspicions.rs
@@ -40,15 +40,11 @@
         out: &mut Outbox,
     ) {
         for suspicion in suspicions {
-            let Some(upstream) = self.upstreams.get_mut(&suspicion.upstream) else {
+            let key = (&suspicion.upstream, suspicion.incarnation, suspicion.age);
+            let Some((upstream, failed_at)) = self.reported(now, key) else {
                 continue;
             };
-            let Some(failed_at) = now.checked_sub(suspicion.age) else {
-                continue;
-            };
-            if upstream.registration.incarnation == suspicion.incarnation
-                && upstream.suspect(now, failed_at)
-            {
+            if upstream.suspect(now, failed_at) {
                 let note = Note::new(&note::UPSTREAM_SUSPECTED).with("upstream", &upstream.id);
                 out.note(note.with("failed_ms_ago", suspicion.age.as_millis()));
             }
--- a/crates/comfreyroad_router/tests/decisions/exposure.rs
+++ b/crates/comfreyroad_router/tests/decisions/exposure.rs
@@ -221,6 +221,15 @@
     lines.join("; ")
 }
 
+/// The answer of a sound version.
+fn sound(situation: &Situation, rng: &mut Rng) -> Answer {
+    if situation.is_doomed {
+        Answer::failure()
+    } else {
+        Answer::success(rng)
+    }
+}
+
 /// Plays a version on many seeds, each of which must keep the limits and end in a rollback.
 fn assert_rolled_back(what: &str, answer: impl Fn(&Situation, &mut Rng) -> Answer) {
     for seed in 1..=SEEDS {
@@ -327,13 +336,6 @@
 fn a_sound_version_is_completed_with_the_limit_of_a_large_deployment() {
     for seed in 1..=SEEDS {
         for (interval, duration) in [(6, 16), (6, 18), (3, 16), (3, 18)] {
-            let sound = |situation: &Situation, rng: &mut Rng| {
-                if situation.is_doomed {
-                    Answer::failure()
-                } else {
-                    Answer::success(rng)
-                }
-            };
             let plan = Plan {
                 exposure_share: 0.12,
                 duration: duration * SECOND,
@@ -354,13 +356,6 @@
 fn a_sound_version_is_completed_at_any_rate() {
     for seed in 1..=SEEDS {
         for (interval, duration) in [(100, 24), (50, 18), (31, 16), (31, 18), (10, 18), (3, 24)] {
-            let sound = |situation: &Situation, rng: &mut Rng| {
-                if situation.is_doomed {
-                    Answer::failure()
-                } else {
-                    Answer::success(rng)
-                }
-            };
             let outcome = play(duration * SECOND, interval * MS, seed, sound);
             assert!(
                 outcome.state == Some(State::Completed) && outcome.is_within_limit(),
