--- a/crates/comfreyroad_router/tests/decisions/exposure.rs
+++ b/crates/comfreyroad_router/tests/decisions/exposure.rs
@@ -26,7 +26,7 @@
 /// Fraction of the lookups that the application fails in any version, as on the day of the report.
 const DOOMED_LOOKUPS: f64 = 0.06;
 /// Number of latest requests by which the share of the new version is measured.
-const SHARE_WINDOW: usize = 10;
+const SHARE_WINDOW: usize = 20;
 
 /// Service times of the plain service in the report, in milliseconds: deciles of what one version's answers took.
 const TIMES: [u32; 10] = [8, 10, 12, 14, 15, 17, 19, 21, 26, 34];
