Scores of a rollout are summed by one function

The sums by route before and after the cutover were written twice, with a third loop for the log; the floor of a density was derived from lengths that are always the same; a second impl block held nothing of its own.

--- a/crates/comfreyroad_router/src/controller/rollouts/counts.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/counts.rs
@@ -126,41 +126,37 @@
 
     /// Requests that all entries have sent to the new version, and to the others.
     pub(super) fn requests(&self) -> (f64, f64) {
-        let tallies = self.peers.values().chain([&self.own]);
         let sum = |(target, others): (f64, f64), tally: &Tally| {
             (
                 target + f64::from(tally.target_sent),
                 others + f64::from(tally.others_sent),
             )
         };
-        tallies.fold((0.0, 0.0), sum)
+        self.tallies().fold((0.0, 0.0), sum)
     }
 
     /// Evidence by the answers before the cutover.
     pub(super) fn evidence(&self) -> Evidence {
-        let routes: Vec<Comparison> = self.route_scores().into_values().collect();
-        let times = self.sum_times(|tally| &tally.target_times);
-        self.compare(&routes, &times)
+        let routes = self.route_scores(|score| score.target);
+        self.compare(&routes, |tally| &tally.target_times)
     }
 
     /// Evidence by the answers to requests after the cutover, when the new version has the load that the others had before.
     pub(super) fn evidence_after_cutover(&self) -> Evidence {
-        let mut routes: IndexMap<&RouteId, Comparison> = IndexMap::new();
-        for score in self.tallies().flat_map(|tally| &tally.routes) {
-            let sum = routes.entry(&score.route).or_default();
-            sum.target += score.after_cutover;
-            sum.others += score.others;
-        }
-        let routes: Vec<Comparison> = routes.into_values().collect();
-        let times = self.sum_times(|tally| &tally.times_after_cutover);
-        self.compare(&routes, &times)
+        let routes = self.route_scores(|score| score.after_cutover);
+        self.compare(&routes, |tally| &tally.times_after_cutover)
     }
 
-    fn compare(&self, routes: &[Comparison], times: &Histogram) -> Evidence {
+    fn compare(
+        &self,
+        routes: &IndexMap<RouteId, Comparison>,
+        times: impl Fn(&Tally) -> &Histogram,
+    ) -> Evidence {
+        let routes: Vec<Comparison> = routes.values().copied().collect();
         let others_times = self.sum_times(|tally| &tally.others_times);
         Evidence {
-            failures: evidence::of_failures(routes),
-            times: evidence::of_slowness(times, &others_times),
+            failures: evidence::of_failures(&routes),
+            times: evidence::of_slowness(&self.sum_times(times), &others_times),
         }
     }
 
@@ -172,58 +168,27 @@
         sum
     }
 
-    /// Scores of the new version and of the others by route, summed over all entries.
-    fn route_scores(&self) -> IndexMap<RouteId, Comparison> {
+    /// Scores of the new version, of the given kind, and of the others by route, summed over all entries.
+    fn route_scores(&self, target: impl Fn(&RouteScore) -> Score) -> IndexMap<RouteId, Comparison> {
         let mut routes: IndexMap<RouteId, Comparison> = IndexMap::new();
-        for tally in self.tallies() {
-            for score in &tally.routes {
-                let sum = routes.entry(score.route.clone()).or_default();
-                sum.target += score.target;
-                sum.others += score.others;
-            }
-        }
-        routes
-    }
-
-    /// Scores of the new version and of the others, summed over all entries and routes.
-    fn total_scores(&self) -> (Score, Score) {
-        let (mut target, mut others) = (Score::default(), Score::default());
-        for route in self.route_scores().values() {
-            target += route.target;
-            others += route.others;
-        }
-        (target, others)
-    }
-
-    /// Requests to the new version since the cutover, and those that have not failed.
-    fn score_after_cutover(&self) -> Score {
-        let mut sum = Score::default();
         for score in self.tallies().flat_map(|tally| &tally.routes) {
-            sum += score.after_cutover;
+            let sum = routes.entry(score.route.clone()).or_default();
+            sum.target += target(score);
+            sum.others += score.others;
         }
-        sum
-    }
-
-    /// Good and rated answers of the new version and of the others on each route that the new version has served.
-    fn describe_routes(&self) -> String {
-        let routes = self.route_scores();
-        let tried = routes.iter().filter(|(_, scores)| scores.target.rated > 0);
-        let score = |score: Score| format!("{}/{}", score.good, score.rated);
-        let tried = tried.map(|(route, scores)| {
-            format!("{route}:{}:{}", score(scores.target), score(scores.others))
-        });
-        tried.collect::<Vec<_>>().join(",")
+        routes
     }
 
     /// Adds the scores to a log event.
     pub(super) fn annotate(&self, note: Note) -> Note {
-        let (target, others) = self.total_scores();
+        let routes = self.route_scores(|score| score.target);
+        let (target, others) = total(&routes);
+        let (after_cutover, _) = total(&self.route_scores(|score| score.after_cutover));
         let (target_sent, others_sent) = self.requests();
         let (evidence, loaded) = (self.evidence(), self.evidence_after_cutover());
-        let after_cutover = self.score_after_cutover();
         note.with("sent", target_sent)
             .with("others_sent", others_sent)
-            .with("routes", self.describe_routes())
+            .with("routes", describe_routes(&routes))
             .with("answers", target.rated)
             .with("good", target.good)
             .with("others", others.rated)
@@ -243,6 +208,26 @@
     }
 }
 
+/// The scores of all routes together.
+fn total(routes: &IndexMap<RouteId, Comparison>) -> (Score, Score) {
+    let (mut target, mut others) = (Score::default(), Score::default());
+    for route in routes.values() {
+        target += route.target;
+        others += route.others;
+    }
+    (target, others)
+}
+
+/// Good and rated answers of the new version and of the others on each route that the new version has served.
+fn describe_routes(routes: &IndexMap<RouteId, Comparison>) -> String {
+    let tried = routes.iter().filter(|(_, scores)| scores.target.rated > 0);
+    let score = |score: Score| format!("{}/{}", score.good, score.rated);
+    let tried = tried.map(|(route, scores)| {
+        format!("{route}:{}:{}", score(scores.target), score(scores.others))
+    });
+    tried.collect::<Vec<_>>().join(",")
+}
+
 fn describe(evidence: f64) -> String {
     format!("{evidence:.1}")
 }
--- a/crates/comfreyroad_router/src/controller/upstreams/rate_limits.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/rate_limits.rs
@@ -46,9 +46,7 @@
         };
         set_rate_limit(upstream, statement, out);
     }
-}
 
-impl Upstreams {
     /// The statements for a frame. Relays pass on those of other entries; the others send what they have received themselves.
     pub(super) fn rate_limit_reports(&self, now: Instant) -> Vec<RateLimitReport> {
         let is_relay = self.fleet.is_relay(&self.entry);
--- a/crates/comfreyroad_router/src/rollout/evidence.rs
+++ b/crates/comfreyroad_router/src/rollout/evidence.rs
@@ -116,7 +116,7 @@
             .copied()
             .unwrap_or(0.0)
     };
-    let floor = 1.0 / target.counts().len().max(baseline.len()) as f64 * RATE_MARGIN;
+    let floor = RATE_MARGIN / baseline.len() as f64;
     let log_likelihood = |slow: f64, slow_shift: isize, shift: isize| -> f64 {
         let density = |bucket| (1.0 - slow) * at(bucket, shift) + slow * at(bucket, slow_shift);
         let counts = target.counts().iter().enumerate();
