--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+mod hangup;
 mod parallel;
 mod silence;
 mod tenants;
@@ -12,6 +13,7 @@
 /// Plays a case; `None` if there is none of this name.
 pub fn play(name: &str, trouble: bool, record: &Arc<Record>) -> Option<Verdict> {
     match name {
+        "hangup" => Some(hangup::play(trouble, record)),
         "parallel" => Some(parallel::play(trouble, record)),
         "silence" => Some(silence::play(trouble, record)),
         "tenants" => Some(tenants::play(trouble, record)),
--- a/review/standins/entry.rs
+++ b/review/standins/entry.rs
@@ -140,6 +140,21 @@
         matches!(self.child.try_wait(), Ok(None))
     }
 
+    /// How the program has ended, if it has.
+    pub fn exit_status(&mut self) -> Option<std::process::ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+
+    /// Sends SIGHUP without the delay of a command.
+    pub fn hang_up(&self) {
+        const SIGHUP: i32 = 1;
+        unsafe extern "C" {
+            fn kill(process: i32, signal: i32) -> i32;
+        }
+        // SAFETY: the call takes two numbers, and the process is a child that was not waited for.
+        unsafe { kill(self.child.id() as i32, SIGHUP) };
+    }
+
     /// Sends a signal by its name without `SIG`.
     pub fn signal(&self, name: &str) {
         send_signal(self.child.id(), name);
