--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -1,6 +1,7 @@
 //! The cases.
 
 mod hangup;
+mod memory;
 mod parallel;
 mod silence;
 mod tenants;
@@ -14,6 +15,7 @@
 pub fn play(name: &str, trouble: bool, record: &Arc<Record>) -> Option<Verdict> {
     match name {
         "hangup" => Some(hangup::play(trouble, record)),
+        "memory" => Some(memory::play(trouble, record)),
         "parallel" => Some(parallel::play(trouble, record)),
         "silence" => Some(silence::play(trouble, record)),
         "tenants" => Some(tenants::play(trouble, record)),
--- a/review/standins/client.rs
+++ b/review/standins/client.rs
@@ -53,14 +53,26 @@
 
     /// Sends a request and reads its answer to the end.
     pub fn request(&mut self, path: &str, id: &str, headers: &[(&str, &str)]) -> Answer {
+        self.request_with_body(path, id, headers, b"hello")
+    }
+
+    /// Sends a request with a body and reads its answer to the end.
+    pub fn request_with_body(
+        &mut self,
+        path: &str,
+        id: &str,
+        headers: &[(&str, &str)],
+        body: &[u8],
+    ) -> Answer {
         let mut text = format!(
             "POST {path} HTTP/1.1\r\nHost: host.example\r\nX-Comfreyroad-Request-Id: {id}\r\n"
         );
         for (name, value) in headers {
             text.push_str(&format!("{name}: {value}\r\n"));
         }
-        text.push_str("Content-Length: 5\r\n\r\nhello");
-        let is_sent = self.stream.get_mut().write_all(text.as_bytes()).is_ok();
+        text.push_str(&format!("Content-Length: {}\r\n\r\n", body.len()));
+        let message = [text.as_bytes(), body].concat();
+        let is_sent = self.stream.get_mut().write_all(&message).is_ok();
         let head = is_sent.then(|| read_head(&mut self.stream)).flatten();
         let (mut events, mut is_whole) = (Vec::new(), false);
         if let Some(head) = &head {
--- a/review/standins/engine.rs
+++ b/review/standins/engine.rs
@@ -137,6 +137,14 @@
         }
     }
 
+    /// Writes to the record, except of the many requests that only fill a case.
+    fn say(&self, id: &str, text: &str) {
+        if !id.starts_with('g') {
+            self.record
+                .line(&format!("engine {}: {id} {text}", self.id));
+        }
+    }
+
     fn is_meant(&self, request: &Message) -> bool {
         let target = request.header("x-comfreyroad-target-instance");
         target.is_none_or(|target| target == self.id)
@@ -158,10 +166,7 @@
             .unwrap_or_default()
             .to_owned();
         let (index, before) = self.runs.add(&self.id, &id);
-        let say = |text: &str| {
-            self.record
-                .line(&format!("engine {}: {id} {text}", self.id))
-        };
+        let say = |text: &str| self.say(&id, text);
         let from = request
             .header("last-event-id")
             .and_then(|it| it.parse().ok())
@@ -183,10 +188,7 @@
         (index, from): (usize, u64),
         schedule: &Schedule,
     ) -> Result<(), Dropped> {
-        let say = |text: &str| {
-            self.record
-                .line(&format!("engine {}: {id} {text}", self.id))
-        };
+        let say = |text: &str| self.say(id, text);
         wait(stream, schedule.first_token, || {})?;
         let work = || {
             self.runs
--- a/review/standins/entry.rs
+++ b/review/standins/entry.rs
@@ -41,8 +41,13 @@
 }
 
 impl Entry {
-    /// Starts the program and waits until it is ready.
+    /// Starts the program on a machine with the memory of Inkwell Mona's, and waits until it is ready.
     pub fn start(store: SocketAddr) -> Self {
+        Self::start_with_memory(store, 260)
+    }
+
+    /// Starts the program and waits until it is ready.
+    pub fn start_with_memory(store: SocketAddr, memory_mb: u64) -> Self {
         let [front, ready, control] = free_addresses();
         let settings = format!(
             r#"node_name = "edge-a-1"
@@ -67,7 +72,7 @@
 [limits]
 cpu_share = 0.25
 cores = 1
-memory_mb = 260
+memory_mb = {memory_mb}
 max_fds = 4100
 link_mbps = 1000.0
 disk_mb = 0
@@ -160,6 +165,15 @@
         send_signal(self.child.id(), name);
     }
 
+    /// Memory that the process uses, in KiB; `None` if it has ended.
+    pub fn memory_kib(&self) -> Option<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
+        let line = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmRSS:"))?;
+        line.split_whitespace().next()?.parse().ok()
+    }
+
     /// Copies the warnings that the program has written to the record.
     pub fn copy_warnings(&self, record: &Record) {
         let log = std::fs::read_to_string(self.folder.join("log.txt")).unwrap_or_default();
