review: case 3, an ending entry takes requests that it can't finish (LOST)

Cause: channels without a request yet get 1 s more when an entry stops accepting 2.8 s after SIGTERM, and what comes on them is placed as usual, though the entry ends at 7.7 s.

--- a/review/standins/cases.rs
+++ b/review/standins/cases.rs
@@ -4,6 +4,7 @@
 mod memory;
 mod parallel;
 mod silence;
+mod stop;
 mod tenants;
 
 use std::sync::Arc;
@@ -18,6 +19,7 @@
         "memory" => Some(memory::play(trouble, record)),
         "parallel" => Some(parallel::play(trouble, record)),
         "silence" => Some(silence::play(trouble, record)),
+        "stop" => Some(stop::play(trouble, record)),
         "tenants" => Some(tenants::play(trouble, record)),
         _ => None,
     }
--- a/review/standins/cases/hangup.rs
+++ b/review/standins/cases/hangup.rs
@@ -17,7 +17,7 @@
 /// Time in which the entry gets pairs of signals.
 const DURATION: Duration = Duration::from_secs(60);
 /// Time from one pair to the next.
-const BETWEEN_PAIRS: Duration = Duration::from_millis(100);
+const BETWEEN_PAIRS: Duration = Duration::from_millis(50);
 /// Longest time between the two signals of a pair.
 const MAX_GAP: Duration = Duration::from_micros(1500);
 
