--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2024 -O -o target/review/standins review/standins/main.rs
+rustc --edition 2024 -O -o target/review/standins review/main.rs
--- a/review/standins/cases/hangup.rs
+++ b/review/case_hangup.rs
@@ -53,10 +53,12 @@
         record.line(&format!("the entry runs, after {pairs} pairs of SIGHUP"));
     }
     is_over.store(true, Ordering::SeqCst);
-    let cut: usize = clients
+    let cut = clients
         .into_iter()
-        .map(|client| client.join().expect("a client"))
-        .sum();
+        .filter_map(|client| client.join().expect("a client"));
+    let runs = runs.all();
+    let was_passed_on = |id: &String| runs.iter().any(|run| run.request == *id);
+    let cut = cut.filter(was_passed_on).count();
     record.line(&format!(
         "{cut} channels ended without a complete answer, after their requests had been passed on"
     ));
@@ -88,13 +90,13 @@
     pairs
 }
 
-/// Sends one stream after the other on a kept channel, and returns how many were cut.
+/// Sends one stream after the other on a kept channel, and returns the one that was cut.
 fn send_streams(
     number: usize,
     front: std::net::SocketAddr,
     record: &Record,
     is_over: &AtomicBool,
-) -> usize {
+) -> Option<String> {
     let mut channel = Channel::open(front);
     let mut count = 0;
     while !is_over.load(Ordering::SeqCst) {
@@ -104,9 +106,8 @@
         let answer = channel.request("/stream/1", &id, &borrowed(&headers));
         record.line(&format!("client: {id} got {}", answer.describe()));
         if !answer.is_whole {
-            // Without a head it isn't known here whether the request was passed on.
-            return usize::from(answer.head.is_some());
+            return Some(id);
         }
     }
-    0
+    None
 }
--- a/review/standins/cases/memory.rs
+++ b/review/case_memory.rs
@@ -13,14 +13,16 @@
 use crate::record::Record;
 use crate::store::Store;
 
-/// Memory of a machine of Tahtiaskel's.
-const MEMORY_MB: u64 = 110;
-/// Clients that come one after the other, each with one request, and keep their channels.
-const GUESTS: usize = 700;
-/// Time from one of them to the next: 40 a second at most.
-const BETWEEN_GUESTS: Duration = Duration::from_millis(25);
+/// Memory of a machine of Inkwell Mona's, as in the settings of the entry.
+const MEMORY_MB: u64 = 260;
+/// Clients that come, each with one request, and keep their channels.
+const GUESTS: usize = 1800;
+/// Threads that play them in turn.
+const THREADS: usize = 6;
+/// Time from one client of a thread to the next: 100 a second at most, for all threads together.
+const BETWEEN_GUESTS: Duration = Duration::from_millis(60);
 /// Length of their requests' bodies; the manifest allows 4 MiB.
-const LONG_BODY: usize = 1_000_000;
+const LONG_BODY: usize = 500_000;
 /// Length of the bodies in the installation's sheet.
 const USUAL_BODY: usize = 12_000;
 /// Time for which a channel may stay idle: four fifths of `idle_timeout_ms`.
@@ -47,7 +49,7 @@
         engine::start(id, &store, plan.clone(), &runs, record);
     }
     store.put("keyed.op", "config", &manifest(1, TENANTS));
-    let mut entry = Entry::start_with_memory(address, MEMORY_MB);
+    let mut entry = Entry::start(address);
     record.line("the entry is ready");
     std::thread::sleep(STABLE);
     let is_over = Arc::new(AtomicBool::new(false));
@@ -58,14 +60,16 @@
             std::thread::spawn(move || send_patiently(number, front, &record, &is_over))
         })
         .collect();
-    let guests = std::thread::spawn({
-        let (record, is_over) = (record.clone(), is_over.clone());
-        let length = if trouble { LONG_BODY } else { USUAL_BODY };
-        move || send_guests(front, length, &record, &is_over)
-    });
+    let length = if trouble { LONG_BODY } else { USUAL_BODY };
+    let guests: Vec<_> = (0..THREADS)
+        .map(|thread| {
+            let (record, is_over) = (record.clone(), is_over.clone());
+            std::thread::spawn(move || send_guests(thread, front, length, &record, &is_over))
+        })
+        .collect();
     let mut peak = 0;
     let mut is_killed = false;
-    while !guests.is_finished() && entry.is_running() && !is_killed {
+    while !guests.iter().all(|it| it.is_finished()) && entry.is_running() && !is_killed {
         std::thread::sleep(WATCH);
         let used = entry.memory_kib().unwrap_or(0);
         peak = peak.max(used);
@@ -80,7 +84,10 @@
     }
     record.line(&format!("peak of the process's memory: {peak} KiB"));
     is_over.store(true, Ordering::SeqCst);
-    let count = guests.join().expect("the guests");
+    let count: usize = guests
+        .into_iter()
+        .map(|thread| thread.join().expect("the guests"))
+        .sum();
     let unanswered = patient
         .into_iter()
         .filter_map(|client| client.join().expect("a client"));
@@ -99,12 +106,20 @@
 }
 
 /// Sends one request for each client, whose channel then stays idle until its client closes it.
-fn send_guests(front: SocketAddr, length: usize, record: &Record, is_over: &AtomicBool) -> usize {
+fn send_guests(
+    thread: usize,
+    front: SocketAddr,
+    length: usize,
+    record: &Record,
+    is_over: &AtomicBool,
+) -> usize {
     let body = vec![b'x'; length];
     let mut channels: std::collections::VecDeque<(Instant, Channel)> = Default::default();
-    for number in 0..GUESTS {
+    let share = GUESTS / THREADS;
+    for turn in 0..share {
+        let number = turn * THREADS + thread;
         if is_over.load(Ordering::SeqCst) {
-            return number;
+            return turn;
         }
         while channels
             .front()
@@ -117,7 +132,7 @@
         let headers = headers(&format!("f{number:07}"));
         let mut channel = Channel::open(front);
         let answer = channel.request_with_body("/stream/1", &id, &borrowed(&headers), &body);
-        if number % 50 == 0 || !answer.is_whole {
+        if number % 100 == 0 || !answer.is_whole {
             record.line(&format!(
                 "client: {id} sent {length} bytes and got {}",
                 answer.describe()
@@ -126,7 +141,7 @@
         channels.push_back((Instant::now(), channel));
         std::thread::sleep(next.saturating_duration_since(Instant::now()));
     }
-    GUESTS
+    share
 }
 
 /// Sends one request after the other on a kept channel, and returns the one that got no answer at all.
--- a/review/standins/cases.rs
+++ b/review/cases.rs
@@ -1,10 +1,16 @@
 //! The cases.
 
+#[path = "case_hangup.rs"]
 mod hangup;
+#[path = "case_memory.rs"]
 mod memory;
+#[path = "case_parallel.rs"]
 mod parallel;
+#[path = "case_silence.rs"]
 mod silence;
+#[path = "case_stop.rs"]
 mod stop;
+#[path = "case_tenants.rs"]
 mod tenants;
 
 use std::sync::Arc;
--- a/review/standins/entry.rs
+++ b/review/entry.rs
@@ -41,13 +41,8 @@
 }
 
 impl Entry {
-    /// Starts the program on a machine with the memory of Inkwell Mona's, and waits until it is ready.
-    pub fn start(store: SocketAddr) -> Self {
-        Self::start_with_memory(store, 260)
-    }
-
     /// Starts the program and waits until it is ready.
-    pub fn start_with_memory(store: SocketAddr, memory_mb: u64) -> Self {
+    pub fn start(store: SocketAddr) -> Self {
         let [front, ready, control] = free_addresses();
         let settings = format!(
             r#"node_name = "edge-a-1"
@@ -72,7 +67,7 @@
 [limits]
 cpu_share = 0.25
 cores = 1
-memory_mb = {memory_mb}
+memory_mb = 260
 max_fds = 4100
 link_mbps = 1000.0
 disk_mb = 0
