Requests cut at the end of a shutdown are logged as what they are

Cause: the server reset its connections at the exit deadline; each request then logged E1507, "caller disconnected", at level info, if its task still ran, and E1004 counted what was left after that: 0 or 1. Change: the open requests stand in a registry with their upstream; at the exit deadline each gets E1509 (warn) before the server resets its connection 20 ms later, and E1004 has their number. No decision changes.

--- a/crates/comfreyroad_proxy/src/actions.rs
+++ b/crates/comfreyroad_proxy/src/actions.rs
@@ -21,6 +21,8 @@
 const STORE_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Timeout for all pages of a listing.
 const LIST_TIMEOUT: Duration = Duration::from_secs(4);
+/// Time from the exit deadline to the reset of the connections that are still open, in which their requests are logged.
+const RESET_DELAY: Duration = Duration::from_millis(20);
 /// Timeout of calls to peers.
 const PEER_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -34,7 +36,7 @@
             }
             Action::Close => {
                 let deadline = shared.exit_deadline().unwrap_or_else(Instant::now);
-                shared.stop.stop(deadline);
+                shared.stop.stop(deadline + RESET_DELAY);
             }
             Action::List(topic, call) => spawn(list(shared.clone(), topic, call)),
             Action::Reconnect => shared.store.close_idle_connections(),
--- a/crates/comfreyroad_proxy/src/control.rs
+++ b/crates/comfreyroad_proxy/src/control.rs
@@ -32,7 +32,7 @@
         (&Method::GET, METRICS_PATH) => {
             let text = shared
                 .metrics
-                .encode(&shared.router.borrow(), shared.open_requests.get());
+                .encode(&shared.router.borrow(), shared.registry.len());
             Response::new(Body::full(text))
         }
         _ => empty_response(StatusCode::NOT_FOUND),
--- a/crates/comfreyroad_proxy/src/daemon.rs
+++ b/crates/comfreyroad_proxy/src/daemon.rs
@@ -25,6 +25,8 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval at which the settings file is reread, as it may change without a signal.
 const SETTINGS_INTERVAL: Duration = Duration::from_secs(2);
+/// Time in which the server resets the connections that are open at the exit deadline.
+const RESET_TIME: Duration = Duration::from_millis(100);
 /// Divisor of the file descriptor limit: callers' connections get half, the rest is for upstreams and files.
 const FRONT_FD_DIVISOR: usize = 2;
 
@@ -76,23 +78,24 @@
     compio::runtime::spawn(run_ticks(shared.clone(), limits, max_connections)).detach();
     let handler = Front::new(shared.clone());
     let served = pin!(front.serve(move |request, peer| handler.clone().handle(request, peer)));
-    let ended = pin!(wait_for_exit_deadline(&shared));
+    let ended = pin!(end_at_exit_deadline(&shared));
     select(served, ended).await;
-    logger::write(&Note::new(&note::STOPPED).with("open", shared.open_requests.get()));
+    logger::write(&Note::new(&note::STOPPED).with("open", shared.registry.open_at_end()));
     Ok(())
 }
 
-/// Waits until the exit deadline, at which the process ends even if requests are still open.
-async fn wait_for_exit_deadline(shared: &Rc<Shared>) {
+/// Waits until the exit deadline, logs the requests that are still open, and gives the server time to reset their connections.
+async fn end_at_exit_deadline(shared: &Rc<Shared>) {
     loop {
-        if shared
-            .exit_deadline()
-            .is_some_and(|at| at <= Instant::now())
-        {
-            return;
+        let deadline = shared.exit_deadline();
+        if deadline.is_some_and(|at| at <= Instant::now()) {
+            break;
         }
-        compio::time::sleep(TICK_INTERVAL).await;
+        let next = Instant::now() + TICK_INTERVAL;
+        compio::time::sleep_until(deadline.map_or(next, |at| at.min(next))).await;
     }
+    shared.end();
+    compio::time::sleep(RESET_TIME).await;
 }
 
 async fn serve_ready(shared: Rc<Shared>, server: Server) {
--- a/crates/comfreyroad_proxy/src/front/attempt.rs
+++ b/crates/comfreyroad_proxy/src/front/attempt.rs
@@ -16,6 +16,7 @@
 
 use super::call::Call;
 use super::memory::Share;
+use super::registration::Registration;
 use crate::shared::Shared;
 
 /// Interval at which placement is retried while no upstream has a free slot.
@@ -28,6 +29,7 @@
     pub(super) body: Bytes,
     // Of the body.
     pub(super) _memory: Share,
+    pub(super) registration: Registration,
 }
 
 /// An upstream's response whose status and headers have arrived.
@@ -84,6 +86,9 @@
     let sent = shared.with_router(|router, now| router.send(now, placed));
     let deadline = shared.with_router(|router, now| router.response_deadline(now, &sent));
     let call = Call::new(shared, sent);
+    caller
+        .registration
+        .record_upstream(&call.request.stage().slot.upstream);
     let address = match call.request.stage().slot.address.parse() {
         Ok(address) => address,
         Err(error) => {
--- a/crates/comfreyroad_proxy/src/front/call.rs
+++ b/crates/comfreyroad_proxy/src/front/call.rs
@@ -6,7 +6,8 @@
 
 use crate::shared::Shared;
 
-/// A request that was sent to an upstream. If dropped before [`Call::end`], it counts as abandoned by the caller.
+/// A request that was sent to an upstream. If dropped before [`Call::end`], it counts as abandoned by the caller,
+/// unless the process ends.
 #[derive(Debug)]
 pub(super) struct Call {
     pub(super) request: Request<Sent>,
@@ -43,7 +44,7 @@
 
 impl Drop for Guard {
     fn drop(&mut self) {
-        if self.is_armed {
+        if self.is_armed && !self.shared.registry.has_ended() {
             let shared = self.shared.clone();
             shared.with_router(|router, _| router.on_caller_gone(&self.id, &self.upstream));
         }
--- a/crates/comfreyroad_proxy/src/front/front.rs
+++ b/crates/comfreyroad_proxy/src/front/front.rs
@@ -34,25 +34,6 @@
     shared: Rc<Shared>,
 }
 
-/// Counts a request as open until dropped.
-#[derive(Debug)]
-pub(super) struct Guard(Rc<Shared>);
-
-impl Guard {
-    fn new(shared: &Rc<Shared>) -> Self {
-        shared.open_requests.set(shared.open_requests.get() + 1);
-        Self(shared.clone())
-    }
-}
-
-impl Drop for Guard {
-    fn drop(&mut self) {
-        self.0
-            .open_requests
-            .set(self.0.open_requests.get().saturating_sub(1));
-    }
-}
-
 impl Front {
     /// Creates a handler that follows the shared router's decisions.
     pub fn new(shared: Rc<Shared>) -> Self {
@@ -66,13 +47,11 @@
         peer: SocketAddr,
     ) -> Response<Body> {
         let received = Instant::now();
-        let guard = Guard::new(&self.shared);
         let (parts, body) = request.into_parts();
         let mut response = match platform::request::decode(&parts, received) {
             Ok(head) => {
                 let request = Request::new(head);
-                self.serve_or_refuse(request, parts, (body, peer), guard)
-                    .await
+                self.serve_or_refuse(request, parts, (body, peer)).await
             }
             Err(error) => {
                 log::debug!("invalid request of {peer}: {error}");
@@ -93,9 +72,9 @@
         request: Request<Received>,
         parts: http::request::Parts,
         (body, peer): (Incoming, SocketAddr),
-        guard: Guard,
     ) -> Response<Body> {
         let id = request.head().id.clone();
+        let registration = self.shared.registry.register(&id);
         let received = request.head().received_at;
         let served = match self.read_body(&request, body, peer).await {
             Ok((body, memory)) => {
@@ -103,8 +82,9 @@
                     parts,
                     body,
                     _memory: memory,
+                    registration,
                 };
-                self.serve(request, message, guard).await
+                self.serve(request, message).await
             }
             Err(refusal) => Err(refusal),
         };
@@ -173,7 +153,6 @@
         &self,
         request: Request<Received>,
         caller: Message,
-        guard: Guard,
     ) -> Result<Response<Body>, Refusal> {
         let shared = &self.shared;
         self.wait_for_configuration(request.head().received_at)
@@ -190,7 +169,7 @@
             let failure = match attempt::send(shared, &caller, placed).await {
                 Ok(response) if is_event_stream(&response) => {
                     match stream::start(shared, response).await {
-                        Ok(started) => return Ok(started.forward(caller, guard)),
+                        Ok(started) => return Ok(started.forward(caller)),
                         Err(failure) => failure,
                     }
                 }
--- a/crates/comfreyroad_proxy/src/front/mod.rs
+++ b/crates/comfreyroad_proxy/src/front/mod.rs
@@ -5,7 +5,10 @@
 mod events;
 mod front;
 mod memory;
+mod registration;
+mod registry;
 mod stream;
 
 pub use front::Front;
 pub use memory::Memory;
+pub use registry::{Open, Registry};
--- a/crates/comfreyroad_proxy/src/front/stream.rs
+++ b/crates/comfreyroad_proxy/src/front/stream.rs
@@ -17,7 +17,6 @@
 use super::attempt::{self, Failure, Message};
 use super::call::Call;
 use super::events::Events;
-use super::front::Guard;
 use crate::clock;
 use crate::shared::Shared;
 
@@ -62,7 +61,8 @@
 
 impl Stream {
     /// Returns the response for the caller, and spawns a task that forwards the events.
-    pub(super) fn forward(self, caller: Message, guard: Guard) -> Response<Body> {
+    pub(super) fn forward(self, caller: Message) -> Response<Body> {
+        caller.registration.record_start();
         let (sender, body) = Body::channel();
         let response = platform::response::forward(&self.parts, body);
         let request = &self.call.request;
@@ -75,7 +75,6 @@
             format: Format::of(&self.parts),
             caller,
             sender,
-            _open_request: guard,
         };
         compio::runtime::spawn(forwarder.run(self.call, self.events, self.first)).detach();
         response
@@ -89,7 +88,6 @@
     format: Format,
     caller: Message,
     sender: Sender,
-    _open_request: Guard,
 }
 
 /// What the head of a response says about its body.
--- a/crates/comfreyroad_proxy/src/shared.rs
+++ b/crates/comfreyroad_proxy/src/shared.rs
@@ -1,6 +1,6 @@
 //! State shared by the tasks of the event loop.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -13,7 +13,7 @@
 
 use crate::actions;
 use crate::clock;
-use crate::front::Memory;
+use crate::front::{Memory, Registry};
 use crate::metrics::Metrics;
 
 /// Timeout for connecting to an upstream, a peer or the store, all of which are milliseconds away.
@@ -38,8 +38,8 @@
     pub metrics: Metrics,
     /// Memory of the bodies that are being forwarded.
     pub memory: Memory,
-    /// Number of requests in progress.
-    pub open_requests: Cell<usize>,
+    /// Open requests of callers.
+    pub registry: Registry,
     /// Stops the server for callers.
     pub stop: server::Handle,
 }
@@ -64,7 +64,7 @@
             store,
             metrics: Metrics::default(),
             memory: Memory::of_vm(vm_memory),
-            open_requests: Cell::new(0),
+            registry: Registry::default(),
             stop,
         }
     }
@@ -86,6 +86,15 @@
         output
     }
 
+    /// Logs the requests that are open when the process ends, and whose answers it cuts.
+    pub fn end(self: &Rc<Self>) {
+        for open in self.registry.end() {
+            self.with_router(|router, _| {
+                router.on_cut(&open.id, open.upstream.as_ref(), open.has_started);
+            });
+        }
+    }
+
     /// Whether the process is shutting down, so that each connection closes after its next response.
     pub fn is_draining(&self) -> bool {
         self.router.borrow().state().lifecycle.is_draining()
--- a/crates/comfreyroad_proxy/tests/process/engine.rs
+++ b/crates/comfreyroad_proxy/tests/process/engine.rs
@@ -52,6 +52,17 @@
                 let same = |it: &&Message| it.header("x-comfreyroad-request-id") == id;
                 state.requests.iter().filter(same).count()
             };
+            if request.path().contains("rejects-second") && attempt == 2 {
+                let refusal = refusal(request.header("x-comfreyroad-request-id"));
+                if stream.get_mut().write_all(refusal.as_bytes()).is_err() {
+                    return;
+                }
+                continue;
+            }
+            let later = millis(&request, "second-waits-").filter(|_| attempt > 1);
+            if let Some(wait) = millis(&request, "waits-").or(later) {
+                std::thread::sleep(wait);
+            }
             if !self.respond(&mut stream, &request, attempt) {
                 return;
             }
@@ -126,7 +137,8 @@
         stream.get_mut().write_all(response.as_bytes()).is_ok()
     }
 
-    /// Sends ten events. Breaks off inside the fifth event on the first attempt if the path contains `breaks`, on every
+    /// Sends ten events, by default one every 20 ms; `every-MS` in the path sets another interval, and with `pauses-MS` each
+    /// attempt pauses once after its third event. Breaks off inside the fifth event on the first attempt if the path contains `breaks`, on every
     /// attempt if it contains `always`. If the path contains `unframed`, the stream has neither a length nor chunks and ends with
     /// the connection; if it contains `empty`, the first attempt ends after the head.
     fn stream(
@@ -149,6 +161,8 @@
             .filter(|_| attempt == 1);
         let breaks =
             request.path().contains("breaks") && attempt == 1 || request.path().contains("always");
+        let interval = millis(request, "every-").unwrap_or(Duration::from_millis(20));
+        let pause = millis(request, "pauses-");
         let socket = stream.get_mut();
         let is_unframed = request.path().contains("unframed");
         let framing = if is_unframed {
@@ -190,12 +204,21 @@
                 self.state.lock().unwrap().cancelled += 1;
                 return false;
             }
-            std::thread::sleep(Duration::from_millis(20));
+            let is_pause = number == from + 3;
+            std::thread::sleep(pause.filter(|_| is_pause).unwrap_or(interval));
         }
         !is_unframed && socket.write_all(b"0\r\n\r\n").is_ok()
     }
 }
 
+/// A time in milliseconds that a segment of the path states after a name. With `waits-MS`, an answer begins so much later, and with
+/// `second-waits-MS` those of later attempts do.
+fn millis(request: &Message, name: &str) -> Option<Duration> {
+    let mut segments = request.path().split('/');
+    let value = segments.find_map(|it| it.strip_prefix(name))?;
+    Some(Duration::from_millis(value.parse().unwrap()))
+}
+
 /// The rejection of a request that has not run.
 fn refusal(id: &str) -> String {
     format!(
--- a/crates/comfreyroad_proxy/tests/process/environment.rs
+++ b/crates/comfreyroad_proxy/tests/process/environment.rs
@@ -2,7 +2,7 @@
 
 use std::io::{PipeReader, PipeWriter, Write};
 use std::net::SocketAddr;
-use std::process::{Child, Command};
+use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
 use comfreyroad_fakes::port;
@@ -17,6 +17,8 @@
 
 /// File with the daemon's standard error, which has nothing but panics.
 const ERRORS: &str = "errors.txt";
+/// File with the daemon's log, if it is kept.
+const LOG: &str = "log.txt";
 
 /// A daemon process, a fake store and a fake engine.
 #[derive(Debug)]
@@ -27,8 +29,8 @@
     ready: SocketAddr,
     child: Child,
     _ports: [port::Lease; 3],
-    // The read end of the daemon's standard output, which is never read.
-    _log: PipeReader,
+    // The read end of the daemon's standard output, which is never read, unless the log is kept.
+    _log: Option<PipeReader>,
     folder: std::path::PathBuf,
 }
 
@@ -62,7 +64,16 @@
     /// Starts a daemon with a configuration. The engine is registered under two names, so that a broken stream has a
     /// second upstream to resume at.
     pub(super) fn start_configured() -> Self {
-        let env = Self::start_unconfigured();
+        Self::start_unconfigured().configured()
+    }
+
+    /// Starts a daemon with a configuration, and keeps its log. The engine is registered under the given names.
+    pub(super) fn start_logged(upstreams: &[&str]) -> Self {
+        Self::start(upstreams, true).configured()
+    }
+
+    fn configured(self) -> Self {
+        let env = self;
         env.store.put("keyed.op", "config", CONFIG);
         env.wait_for("readiness", |env| env.is_ready());
         let has_engine = |env: &Self| env.request("GET", "/public/ok", "").status() == 200;
@@ -72,9 +83,13 @@
 
     /// Starts a daemon without a configuration.
     pub(super) fn start_unconfigured() -> Self {
+        Self::start(&["i-1", "i-2"], false)
+    }
+
+    fn start(upstreams: &[&str], keeps_log: bool) -> Self {
         let (store, address) = Store::start();
         let (engine, upstream) = Engine::start();
-        for name in ["i-1", "i-2"] {
+        for name in upstreams {
             let registration = format!(
                 r#"{{"service":"pool","address":"{upstream}","zone":"a","version":"v1","slots":8,"state":"ready",
                 "cold_left_ms":0,"seq":1,"born":1}}"#
@@ -91,7 +106,13 @@
         std::fs::create_dir_all(&folder).unwrap();
         let path = folder.join("boot.toml");
         std::fs::write(&path, settings).unwrap();
-        let (reader, log) = full_pipe();
+        let (reader, log) = if keeps_log {
+            let file = std::fs::File::create(folder.join(LOG)).unwrap();
+            (None, Stdio::from(file))
+        } else {
+            let (reader, log) = full_pipe();
+            (Some(reader), Stdio::from(log))
+        };
         let child = Command::new(env!("CARGO_BIN_EXE_comfreyroad-proxy"))
             .arg("--settings")
             .arg(&path)
@@ -152,6 +173,13 @@
         std::fs::read_to_string(self.folder.join(ERRORS)).unwrap()
     }
 
+    /// The lines of the log that contain a text. The log must be kept.
+    pub(super) fn log_lines(&self, text: &str) -> Vec<String> {
+        let log = std::fs::read_to_string(self.folder.join(LOG)).unwrap();
+        let lines = log.lines().filter(|line| line.contains(text));
+        lines.map(str::to_owned).collect()
+    }
+
     pub(super) fn is_running(&mut self) -> bool {
         self.child.try_wait().unwrap().is_none()
     }
--- a/crates/comfreyroad_proxy/tests/process/main.rs
+++ b/crates/comfreyroad_proxy/tests/process/main.rs
@@ -6,5 +6,6 @@
 mod http;
 mod lifecycle;
 mod responses;
+mod stops;
 mod store;
 mod streams;
--- a/crates/comfreyroad_router/src/note/mod.rs
+++ b/crates/comfreyroad_router/src/note/mod.rs
@@ -84,6 +84,8 @@
     CALLER_GONE = 1507, Info, "caller disconnected";
     /// A small model had low confidence in its answer, and the largest model is asked.
     ESCALATED = 1508, Info, "escalated to larger model";
+    /// The process ends before the end of an answer.
+    ANSWER_CUT = 1509, Warn, "answer cut at exit";
     /// A rollout has started.
     ROLLOUT_STARTED = 1601, Info, "rollout started";
     /// All requests go to the new version.
--- a/crates/comfreyroad_router/src/router.rs
+++ b/crates/comfreyroad_router/src/router.rs
@@ -303,6 +303,13 @@
         self.out.note(note.with("upstream", upstream));
     }
 
+    /// Logs that the process ends before the end of an answer.
+    pub fn on_cut(&mut self, id: &RequestId, upstream: Option<&UpstreamId>, has_started: bool) {
+        let note = Note::new(&note::ANSWER_CUT).with("request", id);
+        let note = note.with("upstream", upstream.map_or("-", |it| it));
+        self.out.note(note.with("started", has_started));
+    }
+
     /// Whether a failed answer may be retried instead of being forwarded.
     pub fn may_retry(&self, now: Now, request: &Request<Sent>) -> bool {
         let plan = request.stage().plan();
