A stream that goes on elsewhere is first cancelled at its upstream

Callers saw: nothing wrong in their answers; two engines worked on one request, and its tokens were made twice (TWICE). Cause: the forwarder kept the events of the upstream that it had given up, and so its connection, until the first event of the next one: seconds, if that one was slow to begin. Ruled out: attempts before the first event; their connections are dropped with the future that waits for them. Why: dropping the events closes the connection before the request is placed again.

--- a/crates/comfreyroad_proxy/src/front/stream.rs
+++ b/crates/comfreyroad_proxy/src/front/stream.rs
@@ -152,6 +152,8 @@
             next = match self.until_caller_gone(events.next(deadline)).await? {
                 Ok(next) => next,
                 Err(fault) => {
+                    // Closes the connection, so that this upstream stops before another one goes on.
+                    drop(events);
                     let resumed = self.until_caller_gone(self.resume(call, fault)).await?;
                     let started = resumed.map_err(Stop::Broken)?;
                     (call, events) = (started.call, started.events);
