A stream that has begun waits for an upstream rather than being aborted

Callers saw: a stream that was to go on at another engine was reset as soon as that engine rejected it, or all were full. Cause: placement treated it like a request of which nothing has reached the caller: refused if no upstream that it had not tried had a free slot at that moment. For a stream that has begun, a refusal is a reset, and what the caller has is lost. Evidence: a_stream_whose_next_upstream_rejects_it_goes_on failed on (E1503 stalled, E1502 full, E1505 overloaded) and passes. Why: such a request is placed again every 0.1 s until its deadline, also at an upstream that it was at before, as long as attempts are left and an upstream of its version is there. The retry budget holds as before. The interval between placements is now decided with them.

--- a/crates/comfreyroad_router/src/controller/upstreams/requirements.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/requirements.rs
@@ -17,8 +17,8 @@
     pub prompt_tokens: u32,
     /// Tokens of the prompt that a cache may hold.
     pub cacheable_tokens: u32,
-    /// Upstreams that were already tried and are excluded.
-    pub tried: &'a [UpstreamId],
+    /// Upstreams that are excluded, as they were already tried.
+    pub excluded: &'a [UpstreamId],
     /// Hash that breaks ties between upstreams for requests without affinity.
     pub salt: u64,
 }
--- a/crates/comfreyroad_router/src/controller/upstreams/selection.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/selection.rs
@@ -117,6 +117,17 @@
         }
     }
 
+    /// Whether some upstream meets the requirements of a request, even if it has no capacity or wants no requests now.
+    pub(crate) fn has_match(
+        &self,
+        now: Instant,
+        requirements: &Requirements<'_>,
+        evacuations: &Evacuations,
+    ) -> bool {
+        let mut upstreams = self.upstreams.values();
+        upstreams.any(|it| self.is_match(now, it, requirements, evacuations))
+    }
+
     /// Whether an upstream meets the requirements of a request and accepts new ones, regardless of its load.
     fn is_usable(
         &self,
@@ -124,6 +135,16 @@
         upstream: &Upstream,
         requirements: &Requirements<'_>,
         evacuations: &Evacuations,
+    ) -> bool {
+        self.is_match(now, upstream, requirements, evacuations) && !upstream.is_paused(now)
+    }
+
+    fn is_match(
+        &self,
+        now: Instant,
+        upstream: &Upstream,
+        requirements: &Requirements<'_>,
+        evacuations: &Evacuations,
     ) -> bool {
         let registration = &upstream.registration;
         let has_model =
@@ -131,10 +152,9 @@
         registration.pool == *requirements.pool
             && upstream.is_ready(now)
             && !self.has_left(now, upstream)
-            && !upstream.is_paused(now)
             && requirements.versions.allows(&registration.version)
             && requirements.model.is_none_or(has_model)
-            && !requirements.tried.contains(&upstream.id)
+            && !requirements.excluded.contains(&upstream.id)
             && !evacuations.is_evacuated(&registration.zone)
     }
 
--- a/crates/comfreyroad_router/src/filter/place.rs
+++ b/crates/comfreyroad_router/src/filter/place.rs
@@ -8,9 +8,15 @@
 use crate::Refusal;
 use crate::controller::Controllers;
 use crate::controller::upstreams::{Requirements, Versions};
+use crate::id::UpstreamId;
 use crate::refusal::Code;
 use crate::request::{Head, Placed, Plan, Request, Unplaced};
+use crate::upstream::Slot;
 
+/// Interval at which a request that waits for its first slot is placed again.
+const WAIT_INTERVAL: Duration = Duration::from_millis(10);
+/// Interval at which a request whose answer has begun is placed again.
+const RESUME_INTERVAL: Duration = Duration::from_millis(100);
 /// A request waits for a slot for at most this fraction (1/8) of its latency objective before it is refused.
 const WAIT_DIVISOR: u32 = 8;
 /// Time over which callers return to a pool whose upstreams were all paused.
@@ -21,7 +27,7 @@
 /// What happens to a request that gets no slot.
 #[derive(Debug)]
 pub enum Backpressure<S> {
-    /// It waits for a slot until a given time.
+    /// It waits for a slot, and is placed again at a given time.
     Wait(Request<S>, Instant),
     /// It is refused.
     Refuse(Refusal),
@@ -43,12 +49,19 @@
         return Err(Backpressure::Refuse(refusal));
     }
     let is_retry = plan.is_retry();
-    if is_retry && !(plan.has_attempts_left() && state.retry_budgets.may_retry(now, &plan.pool)) {
+    if is_retry && !plan.has_attempts_left() {
         return Err(Backpressure::Refuse(overloaded(&request, now)));
     }
-    if let Some(slot) = acquire_slot(request.head(), plan, now, state) {
+    let is_in_budget = !is_retry || state.retry_budgets.may_retry(now, &plan.pool);
+    if is_in_budget && let Some(slot) = find_slot(request.head(), plan, now, state) {
         return Ok(request.with_slot(slot));
     }
+    if plan.is_begun() && has_upstream(request.head(), plan, now, state) {
+        return Err(Backpressure::Wait(request, now + RESUME_INTERVAL));
+    }
+    if !is_in_budget {
+        return Err(Backpressure::Refuse(overloaded(&request, now)));
+    }
     if let Some(ends_at) = state.upstreams.pool_paused_until(now, &plan.pool) {
         let refusal = S::refuse(&request, Code::Overloaded);
         let spread = RETURN_SPREAD.mul_f64(rendezvous::fraction(&request.head().id, ""));
@@ -57,7 +70,7 @@
     }
     let until = request.head().received_at + plan.route.latency_objective / WAIT_DIVISOR;
     if until > now && !is_retry {
-        return Err(Backpressure::Wait(request, until));
+        return Err(Backpressure::Wait(request, until.min(now + WAIT_INTERVAL)));
     }
     Err(Backpressure::Refuse(overloaded(&request, now)))
 }
@@ -69,23 +82,26 @@
     refusal.with_retry_after(MAX_RETRY_AFTER.min(left / 4))
 }
 
-fn acquire_slot(
+/// A slot at an upstream that was not tried, or at any if the caller has a part of the answer, which is lost unless some upstream
+/// continues it.
+fn find_slot(head: &Head, plan: &Plan, now: Instant, state: &mut Controllers) -> Option<Slot> {
+    let untried = acquire_slot(head, plan, &plan.tried_upstreams, now, state);
+    if untried.is_some() || !plan.is_begun() {
+        return untried;
+    }
+    acquire_slot(head, plan, &[], now, state)
+}
+
+/// A slot at an upstream that is not among the excluded ones.
+pub(super) fn acquire_slot(
     head: &Head,
     plan: &Plan,
+    excluded: &[UpstreamId],
     now: Instant,
     state: &mut Controllers,
-) -> Option<crate::upstream::Slot> {
+) -> Option<Slot> {
     let versions = allowed_versions(head, plan, now, state);
-    let requirements = |versions: Versions| Requirements {
-        pool: &plan.pool,
-        model: plan.model.as_ref(),
-        versions,
-        affinity: affinity(head, plan),
-        prompt_tokens: head.prompt_tokens(),
-        cacheable_tokens: head.shared_tokens(),
-        tried: &plan.tried_upstreams,
-        salt: rendezvous::hash(&head.id, ""),
-    };
+    let requirements = |versions| requirements(head, plan, excluded, versions);
     let evacuations = &state.evacuations;
     let slot = state
         .upstreams
@@ -98,6 +114,33 @@
         .acquire_slot(now, &requirements(Versions::Any), evacuations)
 }
 
+/// Whether an upstream is there that could serve the request once it has a free slot.
+fn has_upstream(head: &Head, plan: &Plan, now: Instant, state: &Controllers) -> bool {
+    let versions = allowed_versions(head, plan, now, state);
+    let requirements = requirements(head, plan, &[], versions);
+    state
+        .upstreams
+        .has_match(now, &requirements, &state.evacuations)
+}
+
+fn requirements<'a>(
+    head: &Head,
+    plan: &'a Plan,
+    excluded: &'a [UpstreamId],
+    versions: Versions,
+) -> Requirements<'a> {
+    Requirements {
+        pool: &plan.pool,
+        model: plan.model.as_ref(),
+        versions,
+        affinity: affinity(head, plan),
+        prompt_tokens: head.prompt_tokens(),
+        cacheable_tokens: head.shared_tokens(),
+        excluded,
+        salt: rendezvous::hash(&head.id, ""),
+    }
+}
+
 /// The key of requests that benefit from the same cache: the last shared part of the prompt, and the model.
 fn affinity(head: &Head, plan: &Plan) -> Option<Arc<str>> {
     let part = head.shared_prefix()?;
--- a/crates/comfreyroad_router/src/request/plan.rs
+++ b/crates/comfreyroad_router/src/request/plan.rs
@@ -41,6 +41,11 @@
         self.runs < most && (self.tried_upstreams.len() as u32) < most + MAX_REJECTIONS
     }
 
+    /// Whether the caller has a part of the answer.
+    pub fn is_begun(&self) -> bool {
+        self.required_version.is_some()
+    }
+
     /// Whether the request was sent to an upstream before.
     pub fn is_retry(&self) -> bool {
         self.runs > 0 || !self.tried_upstreams.is_empty()
