A request leaves a silent upstream only if another one takes it over

Cause: an attempt was given up for silence, and only then was another upstream looked for. With few engines left there was none, or no retry budget. Class of fault: what is under way is given up before it is known that something takes its place. It acted at three places: before the head of an answer, before the first event of a stream, and between events. Ruled out: longer limits; an engine may be silent for as long as its memory is short. Why: `hand_over` finds the other slot first. An entry that exits too soon for another first event moves nothing. Opening a connection keeps its earlier deadline, so that an unreachable upstream has certainly not run it. The load simulation of the tests hands over in the same way as the front.

--- a/crates/comfreyroad_net/src/client/mod.rs
+++ b/crates/comfreyroad_net/src/client/mod.rs
@@ -2,6 +2,7 @@
 //! the peer.
 
 mod connection;
+mod deadlines;
 mod error;
 mod json;
 mod limits;
@@ -26,6 +27,7 @@
 use self::{connection::Connection, pool::Pool};
 use crate::body::Body;
 
+pub use deadlines::Deadlines;
 pub use error::{Cause, Error, Sent, Step};
 pub use limits::Limits;
 pub use reader::{Reader, read_all};
@@ -66,16 +68,31 @@
     pub async fn call(
         &self,
         address: SocketAddr,
-        mut request: Request<Body>,
+        request: Request<Body>,
         deadline: Instant,
     ) -> Result<Response<Incoming>, Error> {
+        let deadlines = Deadlines {
+            connect: deadline,
+            response: deadline,
+        };
+        self.call_within(address, request, deadlines).await
+    }
+
+    /// Sends a request like [`Client::call`], with an earlier deadline for opening a connection.
+    pub async fn call_within(
+        &self,
+        address: SocketAddr,
+        mut request: Request<Body>,
+        deadlines: Deadlines,
+    ) -> Result<Response<Incoming>, Error> {
+        let deadline = deadlines.response;
         add_host(&mut request, address)?;
         loop {
             let pooled = self.pool.borrow_mut().take(address);
             let reused = pooled.is_some();
             let connection = match pooled {
                 Some(connection) => connection,
-                None => self.connect(address, deadline).await?,
+                None => self.connect(address, deadlines.connect).await?,
             };
             request = match self.exchange(address, connection, request, deadline).await {
                 Ok(response) => return Ok(response),
--- a/crates/comfreyroad_proxy/src/front/attempt.rs
+++ b/crates/comfreyroad_proxy/src/front/attempt.rs
@@ -1,16 +1,18 @@
 //! One attempt: a request is placed at an upstream, sent, and the response headers are checked.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bytes::Bytes;
-use comfreyroad_net::client::{Reader, Sent as PeerSaw};
+use comfreyroad_net::client::{Deadlines, Reader, Sent as PeerSaw};
 use comfreyroad_platform as platform;
 use comfreyroad_router::answer::{Fault, Verdict};
 use comfreyroad_router::filter::place::Backpressure;
 use comfreyroad_router::request::{Placed, Rejection, Returned, Unplaced};
 use comfreyroad_router::{Refusal, Request};
+use compio::time::timeout_at;
 use http::request::Parts;
 use hyper::body::Incoming;
 
@@ -19,9 +21,6 @@
 use super::registration::Registration;
 use crate::shared::Shared;
 
-/// Interval at which placement is retried while no upstream has a free slot.
-const PLACE_RETRY_INTERVAL: Duration = Duration::from_millis(10);
-
 /// A caller's request as received, kept so that it can be sent more than once.
 #[derive(Debug)]
 pub(super) struct Message {
@@ -46,6 +45,8 @@
 pub(super) enum Failure {
     /// The request is to be placed again.
     Retry(Returned),
+    /// The request was moved to another upstream, to which it is to be sent.
+    Moved(Request<Placed>),
     /// The request is refused.
     Refused(Refusal),
 }
@@ -70,13 +71,25 @@
             Ok(placed) => return Ok(placed),
             Err(Backpressure::Refuse(refusal)) => return Err(refusal),
             Err(Backpressure::Wait(request, until)) => {
-                compio::time::sleep_until(until.min(Instant::now() + PLACE_RETRY_INTERVAL)).await;
+                compio::time::sleep_until(until).await;
                 request
             }
         };
     }
 }
 
+/// Places a request for its next attempt.
+pub(super) async fn place_again(
+    shared: &Rc<Shared>,
+    failure: Failure,
+) -> Result<Request<Placed>, Refusal> {
+    match failure {
+        Failure::Retry(returned) => place(shared, returned).await,
+        Failure::Moved(placed) => Ok(placed),
+        Failure::Refused(refusal) => Err(refusal),
+    }
+}
+
 /// Sends a placed request and waits for the response headers.
 pub(super) async fn send(
     shared: &Rc<Shared>,
@@ -84,8 +97,8 @@
     placed: Request<Placed>,
 ) -> Result<Response, Failure> {
     let sent = shared.with_router(|router, now| router.send(now, placed));
-    let deadline = shared.with_router(|router, now| router.response_deadline(now, &sent));
-    let call = Call::new(shared, sent);
+    let mut silent_at = shared.router.borrow().response_deadline(&sent);
+    let mut call = Call::new(shared, sent);
     caller
         .registration
         .record_upstream(&call.request.stage().slot.upstream);
@@ -98,7 +111,24 @@
     };
     let (parts, body) = (&caller.parts, &caller.body);
     let request = platform::request::encode(parts, body, &call.request, Instant::now());
-    match shared.upstreams.call(address, request, deadline).await {
+    let deadlines = Deadlines {
+        connect: silent_at,
+        response: call.request.stage().plan().deadline,
+    };
+    let mut response = pin!(shared.upstreams.call_within(address, request, deadlines));
+    let result = loop {
+        match timeout_at(silent_at, response.as_mut()).await {
+            Ok(result) => break result,
+            Err(_) => match on_fault(shared, call, Fault::TimedOut) {
+                Ok(waiting) => (call, silent_at) = waiting,
+                Err(failure) => {
+                    shared.upstreams.close_idle(address);
+                    return Err(failure);
+                }
+            },
+        }
+    };
+    match result {
         Ok(response) => check_response(shared, call, response, address),
         Err(error) => {
             log::debug!("call to an upstream failed: {error}");
@@ -150,6 +180,26 @@
     }
 }
 
+/// Handles a fault of an attempt. If the upstream is only silent, and no other one can take over, the attempt goes on; then the time
+/// is returned at which another one is looked for again.
+pub(super) fn on_fault(
+    shared: &Rc<Shared>,
+    call: Call,
+    fault: Fault,
+) -> Result<(Call, Instant), Failure> {
+    if !fault.is_silence() || call.request.stage().plan().deadline <= Instant::now() {
+        return Err(fail(shared, call, fault));
+    }
+    let request = call.end();
+    match shared.with_router(|router, now| router.hand_over(now, request, fault)) {
+        Ok(placed) => Err(Failure::Moved(placed)),
+        Err(request) => {
+            let search_at = shared.with_router(|router, now| router.next_search(now, &request));
+            Ok((Call::new(shared, request), search_at))
+        }
+    }
+}
+
 /// Handles a failed attempt that the upstream may have run.
 pub(super) fn fail(shared: &Rc<Shared>, call: Call, fault: Fault) -> Failure {
     let request = call.end();
--- a/crates/comfreyroad_proxy/src/front/front.rs
+++ b/crates/comfreyroad_proxy/src/front/front.rs
@@ -158,14 +158,10 @@
         self.wait_for_configuration(request.head().received_at)
             .await;
         let planned = shared.with_router(|router, now| router.admit(now, request))?;
-        let mut returned = Returned::Planned(planned);
+        let mut placed = attempt::place(shared, Returned::Planned(planned)).await?;
         // The last response in which an upstream reports a failure; forwarded if no other attempt succeeds.
         let mut failure_response = None;
         loop {
-            let placed = match attempt::place(shared, returned).await {
-                Ok(placed) => placed,
-                Err(refusal) => return failure_response.ok_or(refusal),
-            };
             let failure = match attempt::send(shared, &caller, placed).await {
                 Ok(response) if is_event_stream(&response) => {
                     match stream::start(shared, response).await {
@@ -182,9 +178,9 @@
                 },
                 Err(failure) => failure,
             };
-            returned = match failure {
-                Failure::Retry(returned) => returned,
-                Failure::Refused(refusal) => return failure_response.ok_or(refusal),
+            placed = match attempt::place_again(shared, failure).await {
+                Ok(placed) => placed,
+                Err(refusal) => return failure_response.ok_or(refusal),
             };
         }
     }
--- a/crates/comfreyroad_proxy/src/front/stream.rs
+++ b/crates/comfreyroad_proxy/src/front/stream.rs
@@ -42,21 +42,22 @@
         ..
     } = response;
     let after = call.request.stage().plan().last_event_id;
-    let deadline = shared.with_router(|router, now| router.response_deadline(now, &call.request));
+    let mut silent_at = shared.router.borrow().response_deadline(&call.request);
     let mut events = Events::new(reader, &parts.headers, after);
-    match events.next(deadline).await {
-        Ok(first) => {
-            shared.with_router(|router, now| router.on_first_event(now, &mut call.request));
-            Ok(Stream {
-                shared: shared.clone(),
-                call,
-                parts,
-                events,
-                first,
-            })
+    let first = loop {
+        match events.next(silent_at).await {
+            Ok(first) => break first,
+            Err(fault) => (call, silent_at) = attempt::on_fault(shared, call, fault)?,
         }
-        Err(fault) => Err(attempt::fail(shared, call, fault)),
-    }
+    };
+    shared.with_router(|router, now| router.on_first_event(now, &mut call.request));
+    Ok(Stream {
+        shared: shared.clone(),
+        call,
+        parts,
+        events,
+        first,
+    })
 }
 
 impl Stream {
@@ -148,22 +149,35 @@
                     .with_router(|router, _| router.on_pace(&mut call.request, pace));
             }
             self.deliver(&mut call, event).await?;
-            let deadline = self.next_event_deadline(&call);
-            next = match self.until_caller_gone(events.next(deadline)).await? {
-                Ok(next) => next,
-                Err(fault) => {
-                    // Closes the connection, so that this upstream stops before another one goes on.
-                    drop(events);
-                    let resumed = self.until_caller_gone(self.resume(call, fault)).await?;
-                    let started = resumed.map_err(Stop::Broken)?;
-                    (call, events) = (started.call, started.events);
-                    started.first
-                }
-            };
+            (call, events, next) = self.next(call, events).await?;
         }
     }
 
-    /// When waiting for the next event times out.
+    /// Waits for the next event, from another upstream if this one fails or another one takes over.
+    async fn next(
+        &self,
+        mut call: Call,
+        mut events: Events,
+    ) -> Result<(Call, Events, Option<Event>), Stop> {
+        let mut silent_at = self.next_event_deadline(&call);
+        let failure = loop {
+            let fault = match self.until_caller_gone(events.next(silent_at)).await? {
+                Ok(next) => return Ok((call, events, next)),
+                Err(fault) => fault,
+            };
+            match attempt::on_fault(&self.shared, call, fault) {
+                Ok(waiting) => (call, silent_at) = waiting,
+                Err(failure) => break failure,
+            }
+        };
+        // Closes the connection, so that this upstream stops before another one goes on.
+        drop(events);
+        let resumed = self.until_caller_gone(self.resume(failure)).await?;
+        let started = resumed.map_err(Stop::Broken)?;
+        Ok((started.call, started.events, started.first))
+    }
+
+    /// When the upstream counts as silent if the next event has not arrived.
     fn next_event_deadline(&self, call: &Call) -> Instant {
         let router = self.shared.router.borrow();
         router.next_event_deadline(clock::now(), &call.request)
@@ -189,15 +203,10 @@
     }
 
     /// Resumes the stream after the last delivered event.
-    async fn resume(&self, call: Call, fault: Fault) -> Result<Stream, Refusal> {
+    async fn resume(&self, mut failure: Failure) -> Result<Stream, Refusal> {
         let shared = &self.shared;
-        let mut failure = attempt::fail(shared, call, fault);
         loop {
-            let returned = match failure {
-                Failure::Retry(returned) => returned,
-                Failure::Refused(refusal) => return Err(refusal),
-            };
-            let placed = attempt::place(shared, returned).await?;
+            let placed = attempt::place_again(shared, failure).await?;
             failure = match attempt::send(shared, &self.caller, placed).await {
                 Ok(response) if Format::of(&response.parts) == self.format => {
                     match start(shared, response).await {
--- a/crates/comfreyroad_router/src/answer/fault.rs
+++ b/crates/comfreyroad_router/src/answer/fault.rs
@@ -16,6 +16,11 @@
 }
 
 impl Fault {
+    /// Whether nothing has arrived for a time, so that the upstream may still be at work.
+    pub fn is_silence(self) -> bool {
+        matches!(self, Self::TimedOut | Self::Stalled)
+    }
+
     /// The name used in logs.
     pub fn name(self) -> &'static str {
         match self {
--- /dev/null
+++ b/crates/comfreyroad_router/src/filter/hand_over.rs
@@ -0,0 +1,36 @@
+//! Hand-over: gives a request whose upstream is silent a slot at another one.
+//!
+//! Answers the load pattern in which few engines are left and short of memory: they preempt requests for seconds and then go on
+//! with them. An attempt that is under way is worth more than none, so it ends only when another upstream takes the request.
+
+use std::time::Instant;
+
+use super::place;
+use crate::controller::Controllers;
+use crate::request::{Request, Sent};
+use crate::upstream::Slot;
+
+/// A slot at an upstream that the request has not tried; `None` if none can take it now.
+pub(crate) fn find_slot(
+    request: &Request<Sent>,
+    now: Instant,
+    state: &mut Controllers,
+) -> Option<Slot> {
+    let (head, plan) = (request.head(), request.stage().plan());
+    // The other upstream needs time for its first event, which an entry that is about to exit does not have.
+    let first_event_at = now + plan.route.latency_objective;
+    let exits_before = state
+        .lifecycle
+        .exit_deadline()
+        .is_some_and(|at| at < first_event_at);
+    let may_move = plan.route.idempotency.may_retry()
+        && plan.has_attempts_left()
+        && plan.deadline > now
+        && !exits_before
+        && state.retry_budgets.may_retry(now, &plan.pool)
+        && state.quarantine.ends_at(now, head).is_none();
+    if !may_move {
+        return None;
+    }
+    place::acquire_slot(head, plan, &plan.tried_upstreams, now, state)
+}
--- a/crates/comfreyroad_router/src/filter/mod.rs
+++ b/crates/comfreyroad_router/src/filter/mod.rs
@@ -4,6 +4,7 @@
 pub mod chain;
 pub(crate) mod escalate;
 pub mod find_route;
+pub(crate) mod hand_over;
 pub mod place;
 pub mod plan;
 
--- a/crates/comfreyroad_router/src/note/mod.rs
+++ b/crates/comfreyroad_router/src/note/mod.rs
@@ -86,6 +86,8 @@
     ESCALATED = 1508, Info, "escalated to larger model";
     /// The process ends before the end of an answer.
     ANSWER_CUT = 1509, Warn, "answer cut at exit";
+    /// An upstream is silent, and no other one can take over its request, which stays where it is.
+    UPSTREAM_SILENT = 1510, Info, "upstream silent, request stays";
     /// A rollout has started.
     ROLLOUT_STARTED = 1601, Info, "rollout started";
     /// All requests go to the new version.
--- a/crates/comfreyroad_router/src/request/placed.rs
+++ b/crates/comfreyroad_router/src/request/placed.rs
@@ -59,6 +59,7 @@
                 sent_at: now,
                 has_started: false,
                 has_sampled_service_time: false,
+                is_silent: false,
             }
         })
     }
--- a/crates/comfreyroad_router/src/request/sent.rs
+++ b/crates/comfreyroad_router/src/request/sent.rs
@@ -18,6 +18,8 @@
     pub has_started: bool,
     /// Whether the time per event of the answer was taken before its end.
     pub has_sampled_service_time: bool,
+    /// Whether the upstream was found silent.
+    pub is_silent: bool,
 }
 
 impl Sent {
@@ -67,6 +69,11 @@
         !std::mem::replace(&mut self.stage.has_sampled_service_time, true)
     }
 
+    /// Records that the upstream is silent. Returns whether it was not known before.
+    pub(crate) fn record_silence(&mut self) -> bool {
+        !std::mem::replace(&mut self.stage.is_silent, true)
+    }
+
     /// Records an event that the caller has received. Only an upstream of the same version can resume after it.
     pub(crate) fn record_delivery(&mut self, event: EventId, version: &VersionId) {
         let plan = self.stage.origin.plan_mut();
--- a/crates/comfreyroad_router/src/router.rs
+++ b/crates/comfreyroad_router/src/router.rs
@@ -12,7 +12,7 @@
 use crate::controller::rollouts::Attempt;
 use crate::controller::upstreams::Prefill;
 use crate::filter::place::{self, Backpressure};
-use crate::filter::{Context, chain, escalate};
+use crate::filter::{Context, chain, escalate, hand_over};
 use crate::frame::Frame;
 use crate::id::{EventId, RequestId, UpstreamId};
 use crate::note::{self, Note};
@@ -181,6 +181,30 @@
         request.reject(rejection)
     }
 
+    /// Moves a request whose upstream is silent to another one. Returns the request if none can take it now, so that it stays
+    /// where it is.
+    pub fn hand_over(
+        &mut self,
+        now: Now,
+        mut request: Request<Sent>,
+        fault: Fault,
+    ) -> Result<Request<Placed>, Request<Sent>> {
+        if let Some(slot) = hand_over::find_slot(&request, now.instant, &mut self.state) {
+            self.record_failure(now, &request, fault);
+            return Ok(request.fail()?.with_slot(slot));
+        }
+        if request.record_silence() {
+            let slot = &request.stage().slot;
+            let note = Note::new(&note::UPSTREAM_SILENT).with("request", &request.head().id);
+            let note = note.with("upstream", &slot.upstream);
+            self.out
+                .note(note.with("started", request.stage().has_started));
+            let upstreams = &mut self.state.upstreams;
+            upstreams.on_failure(now.instant, slot, &mut self.out);
+        }
+        Err(request)
+    }
+
     /// Handles a failed attempt that the upstream may have run.
     pub fn on_failed(
         &mut self,
@@ -188,6 +212,18 @@
         request: Request<Sent>,
         fault: Fault,
     ) -> Result<Request<Retrying>, Refusal> {
+        self.record_failure(now, &request, fault);
+        let is_late = request.stage().plan().deadline <= now.instant;
+        let code = if is_late {
+            Code::Deadline
+        } else {
+            Code::Failed
+        };
+        let retried = request.fail();
+        retried.map_err(|request| Refusal::may_have_run(&request, code))
+    }
+
+    fn record_failure(&mut self, now: Now, request: &Request<Sent>, fault: Fault) {
         let slot = &request.stage().slot;
         let note = Note::new(&note::ATTEMPT_FAILED).with("request", &request.head().id);
         let note = note
@@ -197,9 +233,10 @@
             .with("parts", request.head().shared_part_ids());
         self.out
             .note(note.with("runs", request.stage().plan().runs));
-        self.state
-            .upstreams
-            .on_failure(now.instant, slot, &mut self.out);
+        if !(fault.is_silence() && request.stage().is_silent) {
+            let upstreams = &mut self.state.upstreams;
+            upstreams.on_failure(now.instant, slot, &mut self.out);
+        }
         let is_broken = matches!(fault, Fault::Broken | Fault::Truncated);
         if is_broken && !request.stage().has_started {
             let Controllers {
@@ -207,18 +244,10 @@
                 upstreams,
                 ..
             } = &mut self.state;
-            quarantine.on_crash(now.instant, &request);
+            quarantine.on_crash(now.instant, request);
             quarantine.update(now.instant, upstreams, &mut self.out);
         }
-        self.count_answer(&request, false);
-        let is_late = request.stage().plan().deadline <= now.instant;
-        let code = if is_late {
-            Code::Deadline
-        } else {
-            Code::Failed
-        };
-        let retried = request.fail();
-        retried.map_err(|request| Refusal::may_have_run(&request, code))
+        self.count_answer(request, false);
     }
 
     /// Records the arrival of the first event of a stream.
--- /dev/null
+++ b/crates/comfreyroad_router/tests/decisions/hand_over.rs
@@ -0,0 +1,132 @@
+//! Requests whose upstream is silent.
+
+use comfreyroad_router::answer::Fault;
+use comfreyroad_router::filter::place::Backpressure;
+use comfreyroad_router::record::{Content, Topic};
+use comfreyroad_router::request::{Rejection, Returned, Sent};
+use comfreyroad_router::upstream::Stage;
+use comfreyroad_router::{Event, Request};
+
+use super::rig::{MS, Rig, SECOND, head, registration, settings};
+
+fn send(rig: &mut Rig, route: &str, id: &str) -> Request<Sent> {
+    rig.send(head(rig.now, route, id)).expect("a slot")
+}
+
+/// Drains an upstream.
+fn drain(rig: &mut Rig, name: &str) {
+    let mut draining = registration("v1");
+    draining.stage = Stage::Draining;
+    draining.sequence = 2;
+    rig.read(
+        Topic::Upstreams,
+        name,
+        Content::Upstream(Box::new(draining)),
+    );
+}
+
+fn other(name: &str) -> &'static str {
+    if name == "u1" { "u2" } else { "u1" }
+}
+
+#[test]
+fn a_request_moves_from_a_silent_upstream_to_another_one() {
+    let mut rig = Rig::serving("e1");
+    let sent = send(&mut rig, "stream", "r");
+    let first = sent.stage().slot.upstream.clone();
+    assert_eq!(
+        rig.router.response_deadline(&sent),
+        rig.now.instant + 1500 * MS
+    );
+    rig.run_for(1500 * MS);
+    let placed = rig.router.hand_over(rig.now, sent, Fault::TimedOut);
+    assert_eq!(&*placed.unwrap().stage().slot.upstream, other(&first));
+}
+
+#[test]
+fn a_request_stays_at_a_silent_upstream_while_no_other_is_left() {
+    let mut rig = Rig::serving("e1");
+    let sent = send(&mut rig, "stream", "r");
+    drain(&mut rig, other(&sent.stage().slot.upstream.clone()));
+    let stays = rig.router.hand_over(rig.now, sent, Fault::TimedOut);
+    let sent = stays.unwrap_err();
+    let next = rig.router.next_search(rig.now, &sent);
+    assert!(next > rig.now.instant && next < rig.now.instant + SECOND);
+}
+
+#[test]
+fn a_request_stays_at_a_silent_upstream_without_a_retry_budget() {
+    let mut settings = settings("e1");
+    settings.retry_ratio = 0.0;
+    settings.retry_slack = 0.0;
+    let mut rig = Rig::serving_with(&settings);
+    let sent = send(&mut rig, "stream", "r");
+    let stays = rig.router.hand_over(rig.now, sent, Fault::TimedOut);
+    assert!(stays.is_err());
+}
+
+#[test]
+fn a_request_that_may_run_once_stays_at_a_silent_upstream() {
+    let mut rig = Rig::serving("e1");
+    let sent = send(&mut rig, "once", "r");
+    let limit = sent.stage().plan().deadline;
+    assert_eq!(rig.router.response_deadline(&sent), limit);
+    let stays = rig.router.hand_over(rig.now, sent, Fault::TimedOut);
+    assert!(stays.is_err());
+}
+
+#[test]
+fn a_request_stays_at_a_silent_upstream_if_the_entry_exits_before_another_one_could_answer() {
+    let mut rig = Rig::serving("e1");
+    rig.raise(Event::Shutdown);
+    let exit = rig.router.state().lifecycle.exit_deadline().unwrap();
+    let sent = send(&mut rig, "stream", "early");
+    let moves = rig.router.hand_over(rig.now, sent, Fault::TimedOut);
+    assert!(moves.is_ok());
+    let sent = send(&mut rig, "stream", "late");
+    while rig.now.instant + SECOND <= exit {
+        rig.run_for(100 * MS);
+    }
+    let stays = rig.router.hand_over(rig.now, sent, Fault::TimedOut);
+    assert!(stays.is_err());
+}
+
+/// The caller's part of the answer was lost when the next upstream rejected the stream.
+#[test]
+fn a_stream_that_has_begun_goes_back_to_a_tried_upstream_rather_than_being_refused() {
+    let mut rig = Rig::serving("e1");
+    let mut sent = send(&mut rig, "stream", "r");
+    rig.router.on_first_event(rig.now, &mut sent);
+    rig.router.on_event_delivered(&mut sent, 1);
+    let placed = rig.router.hand_over(rig.now, sent, Fault::Stalled).unwrap();
+    let sent = rig.router.send(rig.now, placed);
+    let returned = rig.router.on_rejected(rig.now, sent, Rejection::Full);
+    let Returned::Retrying(request) = returned else {
+        panic!("an upstream may have run the request");
+    };
+    assert!(rig.router.place(rig.now, request).is_ok());
+}
+
+#[test]
+fn a_stream_that_has_begun_waits_for_an_upstream_that_is_paused_or_full() {
+    let mut rig = Rig::serving("e1");
+    let mut sent = send(&mut rig, "stream", "r");
+    rig.router.on_first_event(rig.now, &mut sent);
+    rig.router.on_event_delivered(&mut sent, 1);
+    // Takes all other connections.
+    let mut open = Vec::new();
+    while let Some(placed) = rig.place(head(rig.now, "stream", &format!("o{}", open.len()))) {
+        open.push(placed);
+    }
+    let failed = rig.router.on_failed(rig.now, sent, Fault::Broken);
+    let request = failed.unwrap();
+    // The slot of the failed attempt is free again.
+    open.extend(rig.place(head(rig.now, "stream", "last")));
+    let waiting = match rig.router.place(rig.now, request) {
+        Err(Backpressure::Wait(request, _)) => request,
+        other => panic!("{other:?}"),
+    };
+    drop(open);
+    rig.run_for(100 * MS);
+    assert!(rig.router.place(rig.now, waiting).is_ok());
+}
--- a/crates/comfreyroad_router/tests/decisions/load/fleet.rs
+++ b/crates/comfreyroad_router/tests/decisions/load/fleet.rs
@@ -3,7 +3,7 @@
 use comfreyroad_router::answer::{Completion, Fault, Verdict};
 use comfreyroad_router::filter::place::Backpressure;
 use comfreyroad_router::record::{Content, Record, Topic};
-use comfreyroad_router::request::{Rejection, Returned, Sent, Unplaced};
+use comfreyroad_router::request::{Placed, Rejection, Returned, Sent, Unplaced};
 use comfreyroad_router::{Action, Event, Request};
 use fastrand::Rng;
 use indexmap::IndexSet;
@@ -239,28 +239,7 @@
         let call = &mut self.calls[number];
         let rig = &mut self.entries[call.entry];
         match rig.router.place(rig.now, request) {
-            Ok(placed) => {
-                let sent = rig.router.send(rig.now, placed);
-                let stage = sent.stage();
-                let engine: usize = stage.slot.upstream[1..].parse().expect("an engine's name");
-                let work = Work {
-                    prefix: &call.prefix,
-                    shared_tokens: call.kind.shared_tokens,
-                    own_tokens: call.kind.own_tokens,
-                    events: call.kind.events,
-                    is_large: stage.plan().model.as_deref() == Some("large"),
-                };
-                if self.engines[engine].down_until.is_some() {
-                    let returned = rig.router.on_rejected(rig.now, sent, Rejection::NotSent);
-                    call.state = State::Waiting(returned);
-                    return;
-                }
-                if call.is_deadly {
-                    self.summary.deadly_sends.push(rig.now.instant);
-                }
-                self.engines[engine].accept(number, stage.plan().priority, &work);
-                call.state = State::Sent(sent, engine);
-            }
+            Ok(placed) => self.send(number, placed),
             Err(Backpressure::Wait(request, _)) => call.state = State::Waiting(returned(request)),
             Err(Backpressure::Refuse(_)) => {
                 let now = rig.now.instant;
@@ -272,6 +251,31 @@
         }
     }
 
+    fn send(&mut self, number: usize, placed: Request<Placed>) {
+        let call = &mut self.calls[number];
+        let rig = &mut self.entries[call.entry];
+        let sent = rig.router.send(rig.now, placed);
+        let stage = sent.stage();
+        let engine: usize = stage.slot.upstream[1..].parse().expect("an engine's name");
+        let work = Work {
+            prefix: &call.prefix,
+            shared_tokens: call.kind.shared_tokens,
+            own_tokens: call.kind.own_tokens,
+            events: call.kind.events,
+            is_large: stage.plan().model.as_deref() == Some("large"),
+        };
+        if self.engines[engine].down_until.is_some() {
+            let returned = rig.router.on_rejected(rig.now, sent, Rejection::NotSent);
+            call.state = State::Waiting(returned);
+            return;
+        }
+        if call.is_deadly {
+            self.summary.deadly_sends.push(rig.now.instant);
+        }
+        self.engines[engine].accept(number, stage.plan().priority, &work);
+        call.state = State::Sent(sent, engine);
+    }
+
     fn step(&mut self) {
         self.steps += 1;
         for entry in &mut self.entries {
@@ -431,18 +435,31 @@
         rig.router.on_finished(rig.now, &sent, completion);
     }
 
-    /// Ends an attempt without a first event within the time that the router grants.
+    /// Hands a request over whose first event has not arrived within the time that the router grants, or ends it at its deadline.
     fn check_deadline(&mut self, number: usize) {
         let call = &mut self.calls[number];
         let rig = &mut self.entries[call.entry];
         let State::Sent(sent, engine) = &call.state else {
             return;
         };
-        if rig.router.response_deadline(rig.now, sent) > rig.now.instant {
+        let engine = *engine;
+        if rig.router.response_deadline(sent) > rig.now.instant {
             return;
         }
-        let engine = *engine;
-        self.engines[engine].cancel(number);
-        self.on_failed(number, Fault::TimedOut);
+        if sent.stage().plan().deadline <= rig.now.instant {
+            self.engines[engine].cancel(number);
+            self.on_failed(number, Fault::TimedOut);
+            return;
+        }
+        let State::Sent(sent, _) = std::mem::replace(&mut call.state, State::Over) else {
+            return;
+        };
+        match rig.router.hand_over(rig.now, sent, Fault::TimedOut) {
+            Ok(placed) => {
+                self.engines[engine].cancel(number);
+                self.send(number, placed);
+            }
+            Err(sent) => call.state = State::Sent(sent, engine),
+        }
     }
 }
--- a/crates/comfreyroad_router/tests/decisions/main.rs
+++ b/crates/comfreyroad_router/tests/decisions/main.rs
@@ -6,6 +6,7 @@
 mod departures;
 mod exchange;
 mod exposure;
+mod hand_over;
 mod lifecycle;
 mod load;
 mod members;
