An entry that shuts down refuses requests that it might not finish

Cause: a connection without a request yet gets 1 s more when the entry stops accepting, 2.8 s after SIGTERM, and what came on it was placed as at any time, whatever its deadline. Ruled out: closing such connections at 2.8 s; a request that crosses the close would be lost. Once the balancer has noticed, a request is taken only if its deadline comes first, so that it has its final answer in time; others get 503 `Retry-After: 0`, which is true of them: they have not run.

--- a/crates/comfreyroad_router/src/controller/lifecycle.rs
+++ b/crates/comfreyroad_router/src/controller/lifecycle.rs
@@ -127,6 +127,17 @@
         }
     }
 
+    /// Whether a request that ends at `deadline` at the latest is taken. Once the load balancer has noticed a shutdown, only a
+    /// request whose deadline comes before the exit is.
+    pub fn takes_request(&self, now: Instant, deadline: Instant) -> bool {
+        match &self.phase {
+            Phase::Draining(draining) => {
+                now < draining.stops_accepting_at || deadline <= draining.exit_deadline
+            }
+            Phase::Starting(_) | Phase::Serving(_) => true,
+        }
+    }
+
     fn on_starting(&mut self, now: Now, event: &Event, out: &mut Outbox) {
         let Phase::Starting(starting) = &mut self.phase else {
             return;
--- a/crates/comfreyroad_router/src/refusal.rs
+++ b/crates/comfreyroad_router/src/refusal.rs
@@ -8,9 +8,12 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[non_exhaustive]
 pub enum Code {
-    /// No configuration is known yet, or the entry is shutting down.
+    /// No configuration is known yet.
     #[error("not ready")]
     NotReady,
+    /// The entry is shutting down, and ends before the request would.
+    #[error("stopping")]
+    Stopping,
     /// No route matches the request.
     #[error("no route")]
     NoRoute,
--- a/crates/comfreyroad_router/tests/decisions/lifecycle.rs
+++ b/crates/comfreyroad_router/tests/decisions/lifecycle.rs
@@ -1,9 +1,10 @@
 use std::time::Duration;
 
 use comfreyroad_router::record::Topic;
+use comfreyroad_router::refusal::{Code, Ran};
 use comfreyroad_router::{Action, Event};
 
-use super::rig::{MS, Rig, SECOND, configuration_content};
+use super::rig::{MS, Rig, SECOND, configuration_content, head};
 
 #[test]
 fn an_entry_is_ready_once_it_has_listed_every_topic() {
@@ -60,6 +61,24 @@
     assert_eq!(closes(&rig), 1);
 }
 
+/// A request that came late in a shutdown was taken, and its answer cut at the exit.
+#[test]
+fn once_the_load_balancer_has_noticed_a_shutdown_only_requests_that_end_before_the_exit_are_taken()
+{
+    let mut rig = Rig::serving("e1");
+    rig.raise(Event::Shutdown);
+    let exit = rig.router.state().lifecycle.exit_deadline().unwrap();
+    rig.run_for(2 * SECOND);
+    assert!(rig.admit(head(rig.now, "stream", "r1")).is_ok());
+    rig.run_for(SECOND);
+    let refusal = rig.admit(head(rig.now, "stream", "r2")).unwrap_err();
+    assert_eq!((refusal.code(), refusal.ran()), (Code::Stopping, Ran::No));
+    assert_eq!(refusal.retry_after(), Some(Duration::ZERO));
+    let mut short = head(rig.now, "once", "r3");
+    short.deadline = Some(exit);
+    assert!(rig.admit(short).is_ok());
+}
+
 /// Regression (larger Tahtiaskel deployment): after a power failure, requests that arrived in the tenth of a second
 /// before the first configuration were refused, and some of their callers had no time left to retry.
 #[test]
