A request without an answer at the exit of its entry gets one

Cause: at the exit deadline the server reset every connection, also those on which no answer had begun. Why: the registry holds a handle for the task that works on each open request. At the exit deadline they are aborted: a request without an answer gets 502, since an upstream may have run it; a stream of which the caller has a part is reset, as before, and logged.

--- a/crates/comfreyroad_proxy/src/actions.rs
+++ b/crates/comfreyroad_proxy/src/actions.rs
@@ -21,8 +21,8 @@
 const STORE_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Timeout for all pages of a listing.
 const LIST_TIMEOUT: Duration = Duration::from_secs(4);
-/// Time from the exit deadline to the reset of the connections that are still open, in which their requests are logged.
-const RESET_DELAY: Duration = Duration::from_millis(20);
+/// Time from the exit deadline to the reset of connections that are still open, in which they end by themselves.
+const RESET_DELAY: Duration = Duration::from_millis(100);
 /// Timeout of calls to peers.
 const PEER_TIMEOUT: Duration = Duration::from_millis(700);
 
--- a/crates/comfreyroad_proxy/src/daemon.rs
+++ b/crates/comfreyroad_proxy/src/daemon.rs
@@ -25,8 +25,8 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval at which the settings file is reread, as it may change without a signal.
 const SETTINGS_INTERVAL: Duration = Duration::from_secs(2);
-/// Time in which the server resets the connections that are open at the exit deadline.
-const RESET_TIME: Duration = Duration::from_millis(100);
+/// Time in which the server closes the connections that are open at the exit deadline.
+const CLOSE_TIME: Duration = Duration::from_millis(150);
 /// Divisor of the file descriptor limit: callers' connections get half, the rest is for upstreams and files.
 const FRONT_FD_DIVISOR: usize = 2;
 
@@ -84,7 +84,7 @@
     Ok(())
 }
 
-/// Waits until the exit deadline, logs the requests that are still open, and gives the server time to reset their connections.
+/// Waits until the exit deadline, ends the requests that are still open, and gives the server time to close their connections.
 async fn end_at_exit_deadline(shared: &Rc<Shared>) {
     loop {
         let deadline = shared.exit_deadline();
@@ -95,7 +95,7 @@
         compio::time::sleep_until(deadline.map_or(next, |at| at.min(next))).await;
     }
     shared.end();
-    compio::time::sleep(RESET_TIME).await;
+    compio::time::sleep(CLOSE_TIME).await;
 }
 
 async fn serve_ready(shared: Rc<Shared>, server: Server) {
--- a/crates/comfreyroad_proxy/src/front/front.rs
+++ b/crates/comfreyroad_proxy/src/front/front.rs
@@ -12,6 +12,7 @@
 use comfreyroad_router::refusal::Code;
 use comfreyroad_router::request::{Received, Returned};
 use comfreyroad_router::{Refusal, Request};
+use futures_util::future::Abortable;
 use http::{Response, StatusCode};
 use hyper::body::{Body as _, Incoming};
 
@@ -74,21 +75,21 @@
         (body, peer): (Incoming, SocketAddr),
     ) -> Response<Body> {
         let id = request.head().id.clone();
-        let registration = self.shared.registry.register(&id);
+        let (registration, aborted) = self.shared.registry.register(&id);
         let received = request.head().received_at;
-        let served = match self.read_body(&request, body, peer).await {
-            Ok((body, memory)) => {
-                let message = Message {
-                    parts,
-                    body,
-                    _memory: memory,
-                    registration,
-                };
-                self.serve(request, message).await
-            }
-            Err(refusal) => Err(refusal),
+        let stopping = Refusal::may_have_run(&request, Code::Stopping);
+        let served = async {
+            let (body, memory) = self.read_body(&request, body, peer).await?;
+            let message = Message {
+                parts,
+                body,
+                _memory: memory,
+                registration,
+            };
+            self.serve(request, message).await
         };
-        served.unwrap_or_else(|refusal| {
+        let served = Abortable::new(served, aborted).await;
+        served.unwrap_or(Err(stopping)).unwrap_or_else(|refusal| {
             self.shared
                 .with_router(|router, _| router.on_refused(&id, &refusal));
             let response = platform::response::encode_refusal(&refusal);
--- a/crates/comfreyroad_proxy/src/front/registration.rs
+++ b/crates/comfreyroad_proxy/src/front/registration.rs
@@ -1,4 +1,5 @@
 use comfreyroad_router::id::UpstreamId;
+use futures_util::future::AbortRegistration;
 
 use super::registry::{Key, Registry};
 
@@ -16,14 +17,13 @@
 
     /// Records the upstream to which the request is sent.
     pub(super) fn record_upstream(&self, upstream: &UpstreamId) {
-        self.registry
-            .update(self.key, |open| open.upstream = Some(upstream.clone()));
+        self.registry.record_upstream(self.key, upstream);
     }
 
-    /// Records that the caller gets the head of its answer.
-    pub(super) fn record_start(&self) {
-        self.registry
-            .update(self.key, |open| open.has_started = true);
+    /// Records that the caller gets the head of its answer. The returned value aborts the forwarding of the rest at the end of the
+    /// process.
+    pub(super) fn record_start(&self) -> AbortRegistration {
+        self.registry.record_start(self.key)
     }
 }
 
--- a/crates/comfreyroad_proxy/src/front/registry.rs
+++ b/crates/comfreyroad_proxy/src/front/registry.rs
@@ -2,6 +2,7 @@
 use std::rc::Rc;
 
 use comfreyroad_router::id::{RequestId, UpstreamId};
+use futures_util::future::{AbortHandle, AbortRegistration};
 use indexmap::IndexMap;
 
 use super::registration::Registration;
@@ -29,13 +30,20 @@
 #[derive(Debug, Default)]
 struct State {
     next: Key,
-    open: IndexMap<Key, Open>,
+    open: IndexMap<Key, Entry>,
     ended: Option<usize>,
 }
 
+#[derive(Debug)]
+struct Entry {
+    open: Open,
+    // Ends the task that works on the answer.
+    abort: AbortHandle,
+}
+
 impl Registry {
-    /// Adds a request, until the registration is dropped.
-    pub(super) fn register(&self, id: &RequestId) -> Registration {
+    /// Adds a request, until its registration is dropped. The second value aborts the work on it at the end of the process.
+    pub(super) fn register(&self, id: &RequestId) -> (Registration, AbortRegistration) {
         let mut state = self.state.borrow_mut();
         let key = state.next;
         state.next += 1;
@@ -44,15 +52,24 @@
             upstream: None,
             has_started: false,
         };
-        state.open.insert(key, open);
-        Registration::new(self.clone(), key)
+        let (abort, aborted) = AbortHandle::new_pair();
+        state.open.insert(key, Entry { open, abort });
+        (Registration::new(self.clone(), key), aborted)
+    }
+
+    pub(super) fn record_upstream(&self, key: Key, upstream: &UpstreamId) {
+        if let Some(entry) = self.state.borrow_mut().open.get_mut(&key) {
+            entry.open.upstream = Some(upstream.clone());
+        }
     }
 
-    /// Changes an open request.
-    pub(super) fn update(&self, key: Key, change: impl FnOnce(&mut Open)) {
-        if let Some(open) = self.state.borrow_mut().open.get_mut(&key) {
-            change(open);
+    pub(super) fn record_start(&self, key: Key) -> AbortRegistration {
+        let (abort, aborted) = AbortHandle::new_pair();
+        if let Some(entry) = self.state.borrow_mut().open.get_mut(&key) {
+            entry.open.has_started = true;
+            entry.abort = abort;
         }
+        aborted
     }
 
     pub(super) fn remove(&self, key: Key) {
@@ -69,11 +86,17 @@
         self.len() == 0
     }
 
-    /// Marks the end of the process, and returns the requests that are still open.
+    /// Ends the work on the requests that are still open, and returns them. Those without an answer get one that says so.
     pub fn end(&self) -> Vec<Open> {
         let mut state = self.state.borrow_mut();
         state.ended = Some(state.open.len());
-        state.open.values().cloned().collect()
+        let entries = state.open.values();
+        entries
+            .map(|entry| {
+                entry.abort.abort();
+                entry.open.clone()
+            })
+            .collect()
     }
 
     /// Whether the process ends, so that answers end although their callers are there.
--- a/crates/comfreyroad_proxy/src/front/stream.rs
+++ b/crates/comfreyroad_proxy/src/front/stream.rs
@@ -10,7 +10,7 @@
 use comfreyroad_router::answer::Completion;
 use comfreyroad_router::answer::Fault;
 use comfreyroad_wire::sse::Event;
-use futures_util::future::{Either, select};
+use futures_util::future::{Abortable, Either, select};
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Response, StatusCode};
 
@@ -63,7 +63,7 @@
 impl Stream {
     /// Returns the response for the caller, and spawns a task that forwards the events.
     pub(super) fn forward(self, caller: Message) -> Response<Body> {
-        caller.registration.record_start();
+        let aborted = caller.registration.record_start();
         let (sender, body) = Body::channel();
         let response = platform::response::forward(&self.parts, body);
         let request = &self.call.request;
@@ -77,7 +77,8 @@
             caller,
             sender,
         };
-        compio::runtime::spawn(forwarder.run(self.call, self.events, self.first)).detach();
+        let run = forwarder.run(self.call, self.events, self.first);
+        compio::runtime::spawn(Abortable::new(run, aborted)).detach();
         response
     }
 }
--- a/crates/comfreyroad_proxy/src/shared.rs
+++ b/crates/comfreyroad_proxy/src/shared.rs
@@ -86,12 +86,10 @@
         output
     }
 
-    /// Logs the requests that are open when the process ends, and whose answers it cuts.
+    /// Ends all open requests, and logs those whose answers are cut.
     pub fn end(self: &Rc<Self>) {
-        for open in self.registry.end() {
-            self.with_router(|router, _| {
-                router.on_cut(&open.id, open.upstream.as_ref(), open.has_started);
-            });
+        for open in self.registry.end().iter().filter(|it| it.has_started) {
+            self.with_router(|router, _| router.on_cut(&open.id, open.upstream.as_ref()));
         }
     }
 
--- a/crates/comfreyroad_router/src/router.rs
+++ b/crates/comfreyroad_router/src/router.rs
@@ -333,10 +333,10 @@
     }
 
     /// Logs that the process ends before the end of an answer.
-    pub fn on_cut(&mut self, id: &RequestId, upstream: Option<&UpstreamId>, has_started: bool) {
+    pub fn on_cut(&mut self, id: &RequestId, upstream: Option<&UpstreamId>) {
         let note = Note::new(&note::ANSWER_CUT).with("request", id);
-        let note = note.with("upstream", upstream.map_or("-", |it| it));
-        self.out.note(note.with("started", has_started));
+        self.out
+            .note(note.with("upstream", upstream.map_or("-", |it| it)));
     }
 
     /// Whether a failed answer may be retried instead of being forwarded.
