A request moves only to an upstream with a free slot, and no rejection ends a stream

A slot counted as found if the entry's own share of connections had room, though the last load report said that all slots of that engine were taken; it rejected the request. A begun stream was then aborted after as many rejections as a request that has not begun may have. Two tests of `hand_over` failed before. Why: a hand-over asks for a free slot, as far as loads are known. Rejections of a begun stream no longer count as attempts; it goes back to an upstream that it has tried 0.5 s after the last one, within the retry budget. The test of going back to a tried upstream now waits for these 0.5 s; it still fails if the stream is refused.

--- a/crates/comfreyroad_router/src/controller/upstreams/selection.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/selection.rs
@@ -97,6 +97,7 @@
         let usable = |upstream: &&Upstream| {
             self.is_usable(now, upstream, requirements, evacuations)
                 && self.has_capacity(now, upstream, service)
+                && (!requirements.needs_free_slot || upstream.has_free_slot(now))
         };
         let usable: Vec<&Upstream> = self.upstreams.values().filter(usable).collect();
         let usable = prefer(usable, |it| it.leaving.is_none());
--- a/crates/comfreyroad_router/src/filter/hand_over.rs
+++ b/crates/comfreyroad_router/src/filter/hand_over.rs
@@ -5,7 +5,7 @@
 
 use std::time::Instant;
 
-use super::place;
+use super::place::{self, Scope};
 use crate::controller::Controllers;
 use crate::request::{Request, Sent};
 use crate::upstream::Slot;
@@ -32,5 +32,10 @@
     if !may_move {
         return None;
     }
-    place::acquire_slot(head, plan, &plan.tried_upstreams, now, state)
+    // An upstream that is full rejects the request, which has then left the other one in vain.
+    let scope = Scope {
+        needs_free_slot: true,
+        ..Scope::untried(plan)
+    };
+    place::acquire_slot(head, plan, scope, now, state)
 }
--- a/crates/comfreyroad_router/src/filter/place.rs
+++ b/crates/comfreyroad_router/src/filter/place.rs
@@ -85,23 +85,43 @@
 /// A slot at an upstream that was not tried, or at any if the caller has a part of the answer, which is lost unless some upstream
 /// continues it.
 fn find_slot(head: &Head, plan: &Plan, now: Instant, state: &mut Controllers) -> Option<Slot> {
-    let untried = acquire_slot(head, plan, &plan.tried_upstreams, now, state);
-    if untried.is_some() || !plan.is_begun() {
+    let untried = acquire_slot(head, plan, Scope::untried(plan), now, state);
+    let may_return = plan.is_begun() && plan.returns_at.is_none_or(|at| at <= now);
+    if untried.is_some() || !may_return {
         return untried;
     }
-    acquire_slot(head, plan, &[], now, state)
+    acquire_slot(head, plan, Scope::default(), now, state)
 }
 
-/// A slot at an upstream that is not among the excluded ones.
+/// The upstreams among which one is selected.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Scope<'a> {
+    /// Upstreams that are excluded.
+    pub(super) excluded: &'a [UpstreamId],
+    /// Whether only upstreams with a free slot are considered.
+    pub(super) needs_free_slot: bool,
+}
+
+impl<'a> Scope<'a> {
+    /// The upstreams that a request has not tried.
+    pub(super) fn untried(plan: &'a Plan) -> Self {
+        Self {
+            excluded: &plan.tried_upstreams,
+            needs_free_slot: false,
+        }
+    }
+}
+
+/// A slot at the best upstream of a scope.
 pub(super) fn acquire_slot(
     head: &Head,
     plan: &Plan,
-    excluded: &[UpstreamId],
+    scope: Scope<'_>,
     now: Instant,
     state: &mut Controllers,
 ) -> Option<Slot> {
     let versions = allowed_versions(head, plan, now, state);
-    let requirements = |versions| requirements(head, plan, excluded, versions);
+    let requirements = |versions| requirements(head, plan, scope, versions);
     let evacuations = &state.evacuations;
     let slot = state
         .upstreams
@@ -117,7 +137,7 @@
 /// Whether an upstream is there that could serve the request once it has a free slot.
 fn has_upstream(head: &Head, plan: &Plan, now: Instant, state: &Controllers) -> bool {
     let versions = allowed_versions(head, plan, now, state);
-    let requirements = requirements(head, plan, &[], versions);
+    let requirements = requirements(head, plan, Scope::default(), versions);
     state
         .upstreams
         .has_match(now, &requirements, &state.evacuations)
@@ -126,7 +146,7 @@
 fn requirements<'a>(
     head: &Head,
     plan: &'a Plan,
-    excluded: &'a [UpstreamId],
+    scope: Scope<'a>,
     versions: Versions,
 ) -> Requirements<'a> {
     Requirements {
@@ -136,7 +156,8 @@
         affinity: affinity(head, plan),
         prompt_tokens: head.prompt_tokens(),
         cacheable_tokens: head.shared_tokens(),
-        excluded,
+        excluded: scope.excluded,
+        needs_free_slot: scope.needs_free_slot,
         salt: rendezvous::hash(&head.id, ""),
     }
 }
--- a/crates/comfreyroad_router/src/request/plan.rs
+++ b/crates/comfreyroad_router/src/request/plan.rs
@@ -29,16 +29,19 @@
     pub runs: u32,
     /// Whether an attempt has failed.
     pub has_failed: bool,
+    /// When the request may go back to an upstream that has rejected it; `None` if none has.
+    pub returns_at: Option<Instant>,
 }
 
-/// Rejected attempts that a request may have beyond the maximum number of attempts of its route.
+/// Rejected attempts that a request may have beyond the maximum number of attempts of its route, unless its answer has begun.
 const MAX_REJECTIONS: u32 = 2;
 
 impl Plan {
     /// Whether the request may be sent to one more upstream.
     pub fn has_attempts_left(&self) -> bool {
         let most = self.route.max_attempts.max(1);
-        self.runs < most && (self.tried_upstreams.len() as u32) < most + MAX_REJECTIONS
+        let attempts = self.tried_upstreams.len() as u32;
+        self.runs < most && (self.is_begun() || attempts < most + MAX_REJECTIONS)
     }
 
     /// Whether the caller has a part of the answer.
--- a/crates/comfreyroad_router/src/request/sent.rs
+++ b/crates/comfreyroad_router/src/request/sent.rs
@@ -1,10 +1,13 @@
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::{Head, Origin, Plan, Planned, Rejection, Request, Retrying, Stage};
 use crate::id::{EventId, VersionId};
 use crate::upstream::Slot;
 
+/// Time after a rejection in which a request does not go back to an upstream that it was at before.
+const RETURN_INTERVAL: Duration = Duration::from_millis(500);
+
 /// The request was sent to an upstream.
 #[derive(Debug)]
 pub struct Sent {
@@ -82,10 +85,11 @@
     }
 
     /// Returns to the stage before placement, because the upstream has not run the request.
-    pub(crate) fn reject(self, rejection: Rejection) -> Returned {
+    pub(crate) fn reject(self, now: Instant, rejection: Rejection) -> Returned {
         let mut origin = self.stage.origin;
         let plan = origin.plan_mut();
         plan.runs = plan.runs.saturating_sub(1);
+        plan.returns_at = Some(now + RETURN_INTERVAL);
         Returned::new(self.head, origin, rejection)
     }
 
--- a/crates/comfreyroad_router/src/router.rs
+++ b/crates/comfreyroad_router/src/router.rs
@@ -178,7 +178,7 @@
             let upstreams = &mut self.state.upstreams;
             upstreams.on_unreachable(now.instant, slot, &mut self.out);
         }
-        request.reject(rejection)
+        request.reject(now.instant, rejection)
     }
 
     /// Moves a request whose upstream is silent to another one. Returns the request if none can take it now, so that it stays
--- a/crates/comfreyroad_router/src/upstream/upstream.rs
+++ b/crates/comfreyroad_router/src/upstream/upstream.rs
@@ -132,6 +132,12 @@
         self.recent_load(now).map(|load| load.other_requests())
     }
 
+    /// Whether it has a slot that neither this entry nor, as far as is known, another one uses.
+    pub fn has_free_slot(&self, now: Instant) -> bool {
+        let others = self.other_requests(now).unwrap_or_default();
+        self.open_requests() + others < self.registration.slots
+    }
+
     /// The last load report, unless it is out of date.
     pub fn recent_load(&self, now: Instant) -> Option<Load> {
         self.load
--- a/crates/comfreyroad_router/tests/decisions/hand_over.rs
+++ b/crates/comfreyroad_router/tests/decisions/hand_over.rs
@@ -4,10 +4,10 @@
 use comfreyroad_router::filter::place::Backpressure;
 use comfreyroad_router::record::{Content, Topic};
 use comfreyroad_router::request::{Rejection, Returned, Sent};
-use comfreyroad_router::upstream::Stage;
+use comfreyroad_router::upstream::{Load, Stage};
 use comfreyroad_router::{Event, Request};
 
-use super::rig::{MS, Rig, SECOND, head, registration, settings};
+use super::rig::{MS, Rig, SECOND, good_answer, head, registration, settings};
 
 fn send(rig: &mut Rig, route: &str, id: &str) -> Request<Sent> {
     rig.send(head(rig.now, route, id)).expect("a slot")
@@ -104,6 +104,10 @@
     let Returned::Retrying(request) = returned else {
         panic!("an upstream may have run the request");
     };
+    let Err(Backpressure::Wait(request, _)) = rig.router.place(rig.now, request) else {
+        panic!("both upstreams were tried just now");
+    };
+    rig.run_for(500 * MS);
     assert!(rig.router.place(rig.now, request).is_ok());
 }
 
@@ -130,3 +134,70 @@
     rig.run_for(100 * MS);
     assert!(rig.router.place(rig.now, waiting).is_ok());
 }
+
+/// Makes an upstream report that all its slots are taken.
+fn fill(rig: &mut Rig, name: &str) {
+    let request = loop {
+        let sent = send(rig, "again", "fill");
+        if &*sent.stage().slot.upstream == name {
+            break sent;
+        }
+    };
+    let mut answer = good_answer(&request);
+    answer.load = Some(Load {
+        running: 64,
+        waiting: 3,
+        slots: 64,
+        reported_at: rig.now.instant,
+        own_requests: 0,
+        is_relayed: false,
+    });
+    rig.router.judge_answer(rig.now, &request, &answer);
+}
+
+/// A stream left an engine that was short of memory for others that were full, rejected it, and so ended it.
+#[test]
+fn a_request_stays_at_a_silent_upstream_if_all_slots_of_the_other_one_are_taken() {
+    let mut rig = Rig::serving("e1");
+    let sent = send(&mut rig, "stream", "r");
+    fill(&mut rig, other(&sent.stage().slot.upstream.clone()));
+    let stays = rig.router.hand_over(rig.now, sent, Fault::TimedOut);
+    assert!(stays.is_err());
+}
+
+/// A stream was aborted after its fifth rejection, though its callers would have waited.
+#[test]
+fn a_stream_that_has_begun_is_placed_again_however_often_it_is_rejected() {
+    let mut rig = Rig::serving("e1");
+    let mut sent = send(&mut rig, "stream", "r");
+    rig.router.on_first_event(rig.now, &mut sent);
+    rig.router.on_event_delivered(&mut sent, 1);
+    let mut request = rig
+        .router
+        .on_failed(rig.now, sent, Fault::Broken)
+        .expect("it may be resumed");
+    let mut rejections = 0;
+    let started = rig.now.instant;
+    while rejections < 10 {
+        request = match rig.router.place(rig.now, request) {
+            Ok(placed) => {
+                rejections += 1;
+                let sent = rig.router.send(rig.now, placed);
+                match rig.router.on_rejected(rig.now, sent, Rejection::Full) {
+                    Returned::Retrying(request) => request,
+                    Returned::Planned(_) => panic!("an upstream has run the request"),
+                }
+            }
+            Err(Backpressure::Wait(request, until)) => {
+                assert!(until > rig.now.instant);
+                rig.run_for(until - rig.now.instant);
+                request
+            }
+            Err(Backpressure::Refuse(refusal)) => {
+                panic!("{refusal} after {rejections} rejections")
+            }
+        };
+    }
+    // Rejections that follow each other without a pause would use up the retry budget.
+    assert!(rig.now.instant - started > 3 * SECOND);
+}
