net: signals that follow each other closely neither end nor stall the process

Beside it, a signal that came while the loop was busy could make it lose tasks, which then never went on.

Cause of the first: each wait made a new future of compio's, whose handler is installed from the first poll until the future completes or is dropped. From the arrival of a signal to the next wait, at the end of each round of `watch_settings`, and from the start of the process to the first poll, the default action was in force. Cause of the second: compio's handler calls the waker of the task. On the loop's own thread this relinks the loop's queue of tasks without a lock, also when the signal has interrupted a change of this queue.

Now a `signal::Listener` holds two registrations of each signal: one completes, the other keeps the handler installed until the next one is made. The listeners exist before the sockets are bound, and a wait that is given up keeps its registrations. The waker that the handler calls only writes a byte to a socket, for whose other end the task waits. An error of a wait is logged and the wait is repeated; it ended the task without a line.

The older daemon uses the same listener: its second SIGTERM still cuts what is open (E102), and its test is unchanged.

Ruled out: SIGPIPE (Rust ignores it, and the sink takes the error).

--- a/crates/comfreyroad_bench/src/main.rs
+++ b/crates/comfreyroad_bench/src/main.rs
@@ -7,7 +7,8 @@
 use comfreyroad_bench::options::Command;
 use comfreyroad_bench::router::Router;
 use comfreyroad_bench::{Error, Result};
-use comfreyroad_net::{runtime, signal};
+use comfreyroad_net::runtime;
+use comfreyroad_net::signal::{self, Signal};
 use futures_util::future::{Either, select};
 use serde_json::json;
 
@@ -31,8 +32,9 @@
         source,
     };
     runtime::run(async {
+        let mut signals = signal::Listener::new(&Signal::SHUTDOWN).map_err(fail)?;
         let work = pin!(execute(command));
-        let signal = pin!(signal::shutdown());
+        let signal = pin!(signals.next());
         // Dropping `work` terminates every process that it has started.
         match select(work, signal).await {
             Either::Left((result, _)) => result,
--- a/crates/comfreyroad_entry/src/daemon.rs
+++ b/crates/comfreyroad_entry/src/daemon.rs
@@ -8,7 +8,8 @@
 use comfreyroad::clock::Now;
 use comfreyroad::controller::lifecycle::Phase;
 use comfreyroad::{Action, Entry, Event};
-use comfreyroad_net::{listener::Listener, runtime, server, signal};
+use comfreyroad_net::signal::{self, Signal};
+use comfreyroad_net::{listener::Listener, runtime, server};
 use futures_channel::mpsc::{
     Receiver, Sender, UnboundedReceiver, UnboundedSender, channel, unbounded,
 };
@@ -84,6 +85,11 @@
 }
 
 async fn serve(settings: Settings) -> Result<(), Error> {
+    let signals = signal::Listener::new(&Signal::SHUTDOWN).map_err(|source| Error {
+        step: "handle",
+        subject: "signals".into(),
+        source,
+    })?;
     let to_error = |source| Error {
         step: "listen",
         subject: settings.listen.to_string(),
@@ -107,7 +113,7 @@
         server.serve(move |request, peer| handler.clone().answer(request, peer)),
     );
     compio::runtime::spawn(send_ticks(shared.clone(), wake)).detach();
-    compio::runtime::spawn(forward_signals(shared.clone())).detach();
+    compio::runtime::spawn(forward_signals(shared.clone(), signals)).detach();
     shared.queue(Event::Started);
     let mut executor = Executor::new(shared.clone());
     process_events(&shared, &mut queue, &mut executor).await;
@@ -132,9 +138,16 @@
     }
 }
 
-async fn forward_signals(shared: Shared) {
-    while signal::shutdown().await.is_ok() {
-        shared.queue(Event::Shutdown);
+/// Queues a shutdown for each signal. A second one cuts the calls that are still open.
+async fn forward_signals(shared: Shared, mut signals: signal::Listener) {
+    loop {
+        match signals.next().await {
+            Ok(_) => shared.queue(Event::Shutdown),
+            Err(error) => {
+                log::error!("signals not received: {error}");
+                compio::time::sleep(TICK_INTERVAL).await;
+            }
+        }
     }
 }
 
--- a/crates/comfreyroad_net/src/lib.rs
+++ b/crates/comfreyroad_net/src/lib.rs
@@ -11,7 +11,7 @@
 //!   complete one.
 //! - [`platform`] has clients of the platform's services, [`upstream`] has clients of engines and plain services, and
 //!   [`peer`] has a client of other entries.
-//! - [`signal`] waits for the signals that end the process.
+//! - [`signal`] receives the signals that ask the process to shut down or to reload its settings.
 //!
 //! A deadline is an instant that the caller passes in, and it covers everything that a call waits for. The error of a
 //! call contains the step that failed, the address of the peer, and whether any part of the request may have reached
--- a/crates/comfreyroad_net/tests/net/main.rs
+++ b/crates/comfreyroad_net/tests/net/main.rs
@@ -4,5 +4,6 @@
 mod calls;
 mod log;
 mod services;
+mod signals;
 mod stop;
 mod support;
--- a/crates/comfreyroad_net/tests/one_thread.rs
+++ b/crates/comfreyroad_net/tests/one_thread.rs
@@ -35,7 +35,8 @@
         let task = compio::runtime::spawn(
             server.serve(|request, _| async move { answer(request.uri().path()) }),
         );
-        let signalled = compio::runtime::spawn(signal::shutdown());
+        let mut signals = signal::Listener::new(&Signal::SHUTDOWN).unwrap();
+        let signalled = compio::runtime::spawn(async move { signals.next().await });
 
         let client = Client::default();
         make_all_calls(&client, address).await;
--- a/crates/comfreyroad_proxy/src/daemon.rs
+++ b/crates/comfreyroad_proxy/src/daemon.rs
@@ -8,13 +8,14 @@
 use std::time::{Duration, Instant};
 
 use comfreyroad_net::listener::Listener;
+use comfreyroad_net::runtime;
 use comfreyroad_net::server::{self, Server};
-use comfreyroad_net::{runtime, signal};
+use comfreyroad_net::signal::{self, Signal};
 use comfreyroad_platform::ready;
 use comfreyroad_platform::settings::Settings;
 use comfreyroad_router::Event;
 use comfreyroad_router::note::{self, Note};
-use futures_util::future::select;
+use futures_util::future::{Either, select};
 
 use crate::clock::Watchdog;
 use crate::front::Front;
@@ -37,6 +38,14 @@
     source: std::io::Error,
 }
 
+fn listen(signals: &[Signal]) -> Result<signal::Listener, Error> {
+    signal::Listener::new(signals).map_err(|source| Error {
+        step: "handle",
+        subject: "signals".into(),
+        source,
+    })
+}
+
 fn bind(address: SocketAddr) -> Result<Listener, Error> {
     Listener::bind(address).map_err(|source| Error {
         step: "listen",
@@ -56,6 +65,9 @@
 }
 
 async fn serve(path: &Path, settings: &Settings) -> Result<(), Error> {
+    // No request is accepted before signals are handled, as their default action ends the process.
+    let shutdown = listen(&Signal::SHUTDOWN)?;
+    let hangup = listen(&[Signal::Hangup])?;
     let front = Server::new(bind(settings.listen.front)?);
     let ready = Server::new(bind(settings.listen.ready)?);
     let control = Server::new(bind(settings.listen.control)?);
@@ -69,8 +81,8 @@
     );
     compio::runtime::spawn(serve_ready(shared.clone(), ready)).detach();
     compio::runtime::spawn(serve_control(shared.clone(), control)).detach();
-    compio::runtime::spawn(handle_signals(shared.clone())).detach();
-    compio::runtime::spawn(watch_settings(path.to_owned(), settings.clone())).detach();
+    compio::runtime::spawn(handle_signals(shared.clone(), shutdown)).detach();
+    compio::runtime::spawn(watch_settings(path.to_owned(), settings.clone(), hangup)).detach();
     shared.handle_event(Event::Started);
     let max_connections = settings.limits.max_fds as usize / FRONT_FD_DIVISOR;
     compio::runtime::spawn(run_ticks(shared.clone(), limits, max_connections)).detach();
@@ -141,18 +153,30 @@
     });
 }
 
-async fn handle_signals(shared: Rc<Shared>) {
-    while signal::shutdown().await.is_ok() {
-        shared.handle_event(Event::Shutdown);
+async fn handle_signals(shared: Rc<Shared>, mut signals: signal::Listener) {
+    loop {
+        match signals.next().await {
+            Ok(_) => shared.handle_event(Event::Shutdown),
+            Err(error) => {
+                log::error!(target: logger::TARGET, "signals not received: {error}");
+                compio::time::sleep(TICK_INTERVAL).await;
+            }
+        }
     }
 }
 
 /// Rereads the settings file on `SIGHUP` and periodically. A change is only logged: it takes effect at the next start.
-async fn watch_settings(path: std::path::PathBuf, mut settings: Settings) {
+async fn watch_settings(
+    path: std::path::PathBuf,
+    mut settings: Settings,
+    mut hangup: signal::Listener,
+) {
     loop {
-        let hangup = pin!(signal::hangup());
         let period = pin!(compio::time::sleep(SETTINGS_INTERVAL));
-        select(hangup, period).await;
+        if let Either::Left((Err(error), period)) = select(pin!(hangup.next()), period).await {
+            log::error!(target: logger::TARGET, "signals not received: {error}");
+            period.await;
+        }
         match Settings::read(&path) {
             Ok(read) if read != settings => {
                 logger::write(&Note::new(&note::SETTINGS_RELOADED).with("path", path.display()));
--- a/crates/comfreyroad_proxy/tests/process/environment.rs
+++ b/crates/comfreyroad_proxy/tests/process/environment.rs
@@ -7,6 +7,7 @@
 
 use comfreyroad_fakes::port;
 use rustix::fs::{OFlags, fcntl_getfl, fcntl_setfl};
+use rustix::process::{Pid, Signal, kill_process, test_kill_process};
 
 use super::engine::Engine;
 use super::http::{self, Message};
@@ -15,6 +16,12 @@
 /// Timeout of waits; the daemon needs less than a second on an idle machine.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Number of pairs of signals, and the pause after each.
+const SIGNAL_PAIRS: usize = 3000;
+const SIGNAL_PAUSE: Duration = Duration::from_micros(100);
+/// Longest gap in a pair, in system calls of less than a microsecond.
+const MAX_SIGNAL_GAP: usize = 300;
+
 /// File with the daemon's standard error, which has nothing but panics.
 const ERRORS: &str = "errors.txt";
 
@@ -147,6 +154,20 @@
         assert!(status.success());
     }
 
+    /// Sends pairs of signals, with gaps from none to the time that the daemon needs to handle the first of the two.
+    pub(super) fn signal_in_pairs(&self, signal: Signal) {
+        let id = Pid::from_child(&self.child);
+        for pair in 0..SIGNAL_PAIRS {
+            kill_process(id, signal).unwrap();
+            // Sleeping takes longer than the gap.
+            for _ in 0..pair % MAX_SIGNAL_GAP {
+                test_kill_process(id).unwrap();
+            }
+            kill_process(id, signal).unwrap();
+            std::thread::sleep(SIGNAL_PAUSE);
+        }
+    }
+
     /// What the daemon has written to its standard error.
     pub(super) fn errors(&self) -> String {
         std::fs::read_to_string(self.folder.join(ERRORS)).unwrap()
--- a/crates/comfreyroad_proxy/tests/process/lifecycle.rs
+++ b/crates/comfreyroad_proxy/tests/process/lifecycle.rs
@@ -1,15 +1,31 @@
-use std::io::Write;
+use std::io::{BufReader, Write};
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
+use rustix::process::Signal;
+
 use super::environment::{CONFIG, Environment, request_text};
 use super::http;
 
+/// Sends a request that the engine answers late, and waits until the engine has it.
+fn send_slow_request(env: &Environment) -> BufReader<TcpStream> {
+    let mut slow = http::connect(env.front);
+    slow.get_mut()
+        .write_all(request_text("POST", "/once/slow", "").as_bytes())
+        .unwrap();
+    env.wait_for("request", |env| {
+        env.engine
+            .requests()
+            .iter()
+            .any(|it| it.path().ends_with("slow"))
+    });
+    slow
+}
+
 #[test]
 fn unconfigured_entry_responds_503_and_is_not_ready() {
     let env = Environment::start_unconfigured();
-    env.wait_for("listener", |env| {
-        std::net::TcpStream::connect(env.front).is_ok()
-    });
+    env.wait_for("listener", |env| TcpStream::connect(env.front).is_ok());
     let response = env.request("GET", "/again/ok", "");
     assert_eq!(response.status(), 503);
     assert_ne!(response.header("retry-after"), "");
@@ -33,16 +49,7 @@
 #[test]
 fn shutdown_fails_readiness_first_and_completes_open_requests() {
     let mut env = Environment::start_configured();
-    let mut slow = http::connect(env.front);
-    slow.get_mut()
-        .write_all(request_text("POST", "/once/slow", "").as_bytes())
-        .unwrap();
-    env.wait_for("request", |env| {
-        env.engine
-            .requests()
-            .iter()
-            .any(|it| it.path().ends_with("slow"))
-    });
+    let mut slow = send_slow_request(&env);
     env.signal("-TERM");
     let signalled = Instant::now();
     env.wait_for("failing readiness check", |env| !env.is_ready());
@@ -59,6 +66,28 @@
     assert!(signalled.elapsed() < Duration::from_secs(6));
 }
 
+/// A handler that is installed anew for each signal leaves the default action in force in between.
+#[test]
+fn signals_that_follow_closely_do_not_end_the_process() {
+    let mut env = Environment::start_configured();
+    let mut slow = send_slow_request(&env);
+    env.signal_in_pairs(Signal::HUP);
+    assert!(env.is_running());
+    let response = http::read_message(&mut slow).unwrap();
+    assert_eq!((response.status(), response.text()), (200, "ok".into()));
+}
+
+/// The same for the signal that starts the shutdown.
+#[test]
+fn repeated_shutdown_signal_does_not_cut_open_requests() {
+    let mut env = Environment::start_configured();
+    let mut slow = send_slow_request(&env);
+    env.signal_in_pairs(Signal::TERM);
+    let response = http::read_message(&mut slow).unwrap();
+    assert_eq!((response.status(), response.text()), (200, "ok".into()));
+    assert!(env.wait_for_exit().success());
+}
+
 #[test]
 fn stalled_log_reader_does_not_block_requests() {
     let env = Environment::start_configured();
