proxy: lost log lines are counted and reported

Operators: when the reader of the log stalled, lines were lost and nothing told of it: an incident's log looked whole. Also lines were written in pieces, so that a pipe that filled in the middle joined the halves of two lines.

Cause: the sink answered every failed write with success, and fern writes a line with two or more calls.

The sink now collects a line and writes it with one call, which a pipe takes whole or not at all up to 4096 bytes; a longer one that was cut is ended before the next. Each line that fails is counted, and the next one for which there is room has E1007 with the count before it. The total is `comfreyroad_log_lines_lost_total`. Nothing waits: the report is one more non-blocking write, and a report that fails is tried again with the next line. So a process that has nothing to log reports late.

Evidence: lost_log_lines_are_counted_and_reported fails on the code before (no E1007 in the log) and passes now, as do the other tests of the process and the test of the page of events.

--- a/crates/comfreyroad_proxy/src/logger.rs
+++ b/crates/comfreyroad_proxy/src/logger.rs
@@ -1,8 +1,11 @@
 //! Writes log events to standard output, one per line. Lines are dropped when the reader of the output does not keep
-//! up, so that a stalled reader never delays requests.
+//! up, so that a stalled reader never delays requests, and the number of lost lines is written when there is room again.
+
+mod sink;
 
 use std::cell::RefCell;
-use std::io::{self, Write};
+use std::fmt;
+use std::io::Write;
 use std::time::{Duration, Instant, SystemTime};
 
 use comfreyroad::note::{Level, Note};
@@ -11,6 +14,8 @@
 use rustix::fs::{OFlags, fcntl_getfl, fcntl_setfl};
 use rustix::stdio::stdout;
 
+use self::sink::Sink;
+
 /// Log target of numbered events.
 pub const TARGET: &str = "comfreyroad";
 /// Lines per window for one kind of event; further lines are counted but not written.
@@ -47,22 +52,15 @@
     }
 }
 
-/// Non-blocking sink on standard output; drops what the reader has no room for.
-#[derive(Debug)]
-struct Sink;
-
-impl Write for Sink {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        match rustix::io::write(stdout(), bytes) {
-            Ok(written) => Ok(written),
-            // The log itself cannot be written, so the error cannot be reported.
-            Err(_) => Ok(bytes.len()),
-        }
-    }
+/// Lines lost since the start of the process, because the reader of the output had no room for them.
+pub fn lost_lines() -> u64 {
+    sink::lost_lines()
+}
 
-    fn flush(&mut self) -> io::Result<()> {
-        Ok(())
-    }
+/// Formats a log line without its end.
+fn line(level: log::Level, message: fmt::Arguments<'_>) -> String {
+    let at = humantime::format_rfc3339_millis(SystemTime::now());
+    format!("{at} {level} {message}")
 }
 
 /// Initializes logging to standard output.
@@ -75,10 +73,9 @@
         .level(LevelFilter::Warn)
         .level_for(TARGET, level)
         .format(move |out, message, record| {
-            let at = humantime::format_rfc3339_millis(SystemTime::now());
-            out.finish(format_args!("{at} {} {message}", record.level()));
+            out.finish(format_args!("{}", line(record.level(), *message)));
         })
-        .chain(Box::new(Sink) as Box<dyn Write + Send>)
+        .chain(Box::new(Sink::default()) as Box<dyn Write + Send>)
         .apply()
 }
 
--- a/crates/comfreyroad_proxy/src/metrics.rs
+++ b/crates/comfreyroad_proxy/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Prometheus metrics: counters of log events and responses, latency histograms, and gauges that are set from the
 //! router's state on each scrape.
 
+use std::sync::atomic::Ordering;
 use std::time::Instant;
 
 use comfreyroad::note::Note;
@@ -12,6 +13,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Registry, Unit};
 
+use crate::logger;
+
 type Labels = Vec<(&'static str, String)>;
 
 /// Upper bounds of the histogram buckets in seconds: from a call within a zone to the longest response.
@@ -39,6 +42,7 @@
     limited_upstreams: Gauge,
     ready: Gauge,
     store_lost: Gauge,
+    log_lines_lost: Counter,
 }
 
 impl Default for Metrics {
@@ -57,6 +61,7 @@
             limited_upstreams: Gauge::default(),
             ready: Gauge::default(),
             store_lost: Gauge::default(),
+            log_lines_lost: Counter::default(),
         };
         metrics.register();
         metrics
@@ -90,6 +95,8 @@
         registry.register("ready", "Whether the entry is ready", self.ready.clone());
         let text = "Whether the store does not answer";
         registry.register("store_lost", text, self.store_lost.clone());
+        let text = "Log lines for which the reader of the log had no room";
+        registry.register("log_lines_lost", text, self.log_lines_lost.clone());
     }
 
     /// Counts a log event.
@@ -138,6 +145,8 @@
         self.ready.set(state.lifecycle.is_ready().into());
         self.store_lost
             .set(state.subscriptions.is_store_lost().into());
+        let lost = logger::lost_lines();
+        self.log_lines_lost.inner().store(lost, Ordering::Relaxed);
         let mut text = String::new();
         if let Err(error) = encode(&mut text, &self.registry) {
             log::warn!("cannot encode metrics: {error}");
--- a/crates/comfreyroad_proxy/tests/process/environment.rs
+++ b/crates/comfreyroad_proxy/tests/process/environment.rs
@@ -1,6 +1,6 @@
 //! Test environment: a daemon process with a fake store and a fake engine.
 
-use std::io::{PipeReader, PipeWriter, Write};
+use std::io::{PipeReader, PipeWriter, Read, Write};
 use std::net::SocketAddr;
 use std::process::{Child, Command};
 use std::time::{Duration, Instant};
@@ -34,8 +34,9 @@
     ready: SocketAddr,
     child: Child,
     _ports: [port::Lease; 3],
-    // The read end of the daemon's standard output, which is never read.
-    _log: PipeReader,
+    control: SocketAddr,
+    // The read end of the daemon's standard output, which is full until a test reads it.
+    log: PipeReader,
     folder: std::path::PathBuf,
 }
 
@@ -113,7 +114,8 @@
             ready,
             child,
             _ports: ports,
-            _log: reader,
+            control,
+            log: reader,
             folder,
         }
     }
@@ -140,6 +142,25 @@
         http::send_request(self.front, &request_text(method, path, headers)).expect("a response")
     }
 
+    /// Reads what the daemon's standard output has, which makes room for further lines.
+    pub(super) fn read_log(&self) -> String {
+        let flags = fcntl_getfl(&self.log).unwrap();
+        fcntl_setfl(&self.log, flags | OFlags::NONBLOCK).unwrap();
+        let mut text = Vec::new();
+        let error = (&self.log).read_to_end(&mut text).unwrap_err();
+        assert_eq!(error.kind(), std::io::ErrorKind::WouldBlock);
+        String::from_utf8(text).unwrap()
+    }
+
+    /// Value of a counter or gauge without labels.
+    pub(super) fn metric(&self, name: &str) -> u64 {
+        let request = "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n";
+        let response = http::send_request(self.control, request).unwrap();
+        let text = response.text();
+        let value = text.lines().find_map(|line| line.strip_prefix(name));
+        value.unwrap_or(&text).trim().parse().unwrap()
+    }
+
     /// Largest resident memory of the daemon so far, in KiB.
     pub(super) fn peak_memory_kib(&self) -> u64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
--- a/crates/comfreyroad_proxy/tests/process/lifecycle.rs
+++ b/crates/comfreyroad_proxy/tests/process/lifecycle.rs
@@ -103,6 +103,27 @@
     assert_eq!(env.request("GET", "/again/ok", "").status(), 200);
 }
 
+/// Lines for which the reader had no room were lost without a trace.
+#[test]
+fn lost_log_lines_are_counted_and_reported() {
+    let env = Environment::start_configured();
+    for _ in 0..5 {
+        assert_eq!(env.request("GET", "/nowhere/x", "").status(), 404);
+    }
+    let mut log = env.read_log();
+    assert_eq!(env.request("GET", "/nowhere/x", "").status(), 404);
+    log += &env.read_log();
+    let lines: Vec<_> = log.trim_start().lines().collect();
+    let (_, count) = lines[0]
+        .split_once(" WARN E1007 log lines lost count=")
+        .unwrap();
+    let count: u64 = count.parse().unwrap();
+    assert!(count >= 5, "{log}");
+    assert!(lines[1..].iter().all(|it| !it.contains("E1007")), "{log}");
+    assert!(log.contains("E1501 request refused"), "{log}");
+    assert_eq!(env.metric("comfreyroad_log_lines_lost_total"), count);
+}
+
 #[test]
 fn rollout_status_is_written() {
     let env = Environment::start_configured();
--- a/crates/comfreyroad_router/src/note/mod.rs
+++ b/crates/comfreyroad_router/src/note/mod.rs
@@ -24,6 +24,8 @@
     SETTINGS_RELOADED = 1005, Info, "settings reloaded";
     /// The process was paused.
     PROCESS_PAUSED = 1006, Warn, "process was paused";
+    /// The reader of the log did not keep up, so that lines were lost.
+    LOG_LINES_LOST = 1007, Warn, "log lines lost";
     /// A new configuration is in force.
     CONFIGURATION_APPLIED = 1101, Info, "configuration in force";
     /// A zone is evacuated: its upstreams get no requests.
