net: no error of an accept ends a server or resets waiting connections

Callers: in a planned stop of a process that has no file descriptor left, connections that the kernel had established and that waited to be accepted were reset, with their requests, when the listener closed.

Cause: the last accepts ended at the first error, and dropped the listener. Beside it, by reading: an error of the wait for a connection (epoll out of memory or of watches) ended `Server::serve`; for the front server the daemon then stopped with all its open requests, said E1004 and exit code 0, and for the control and readiness servers they stayed away until a restart.

`Listener::accept` now tries again after every error, as it did after those of accept(2), with a line and a pause of 50 ms, and so has no error to return; `Server::serve` has none either. The last accepts go on until the deadline of the stop, as requests that end before it free descriptors, and log what they leave behind. A connection that was lost before its accept is skipped there too. New attempts to connect are ignored meanwhile, as before.

Evidence: lack_of_file_descriptors_at_shutdown_resets_no_connection takes all descriptors away, connects, sends SIGTERM, and gives them back 0.5 s after the close. The error of the wait for a connection was not provoked.

--- a/crates/comfreyroad_bench/src/router/router.rs
+++ b/crates/comfreyroad_bench/src/router/router.rs
@@ -55,8 +55,8 @@
         let router = self.clone();
         Server::new(listener)
             .serve(move |request, peer| router.clone().answer(request, peer))
-            .await
-            .map_err(fail)
+            .await;
+        Ok(())
     }
 
     async fn answer(self, request: Request<Incoming>, peer: SocketAddr) -> Response<Body> {
--- a/crates/comfreyroad_net/src/lib.rs
+++ b/crates/comfreyroad_net/src/lib.rs
@@ -39,7 +39,7 @@
 //!     assert!(response.status().is_success());
 //!
 //!     handle.stop(deadline);
-//!     served.await.expect("the server was not cancelled")?;
+//!     served.await.expect("the server was not cancelled");
 //!     Ok(())
 //! }
 //!
--- a/crates/comfreyroad_net/src/listener.rs
+++ b/crates/comfreyroad_net/src/listener.rs
@@ -15,7 +15,7 @@
 const BACKLOG: i32 = 1024;
 
 /// Pause after a failed accept. Errors such as a lack of file descriptors would otherwise repeat at once.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// A listening TCP socket.
 #[derive(Debug)]
@@ -45,17 +45,18 @@
         self.address
     }
 
-    /// Waits for the next connection. Dropping the future loses no connection.
-    pub async fn accept(&self) -> io::Result<(Stream, SocketAddr)> {
+    /// Waits for the next connection. Dropping the future loses no connection. After an error it tries again, as the
+    /// connections that wait in the kernel would otherwise be lost.
+    pub async fn accept(&self) -> (Stream, SocketAddr) {
         loop {
-            match self.try_accept() {
-                Ok(Some(accepted)) => return Ok(accepted),
-                Ok(None) => self.socket.accept_ready().await?,
-                Err(error) if is_connection_error(&error) => {}
-                Err(error) => {
-                    log::warn!("accept on {} failed: {error}", self.address);
-                    compio::time::sleep_until(Instant::now() + ACCEPT_PAUSE).await;
-                }
+            let result = match self.try_accept() {
+                Ok(Some(accepted)) => return accepted,
+                Ok(None) => self.socket.accept_ready().await,
+                Err(error) => Err(error),
+            };
+            if let Err(error) = result {
+                log::warn!("accept on {} failed: {error}", self.address);
+                compio::time::sleep_until(Instant::now() + ACCEPT_PAUSE).await;
             }
         }
     }
@@ -86,10 +87,13 @@
 
     /// Accepts a connection if one is already waiting.
     pub fn try_accept(&self) -> io::Result<Option<(Stream, SocketAddr)>> {
-        let (socket, peer) = match self.socket.accept() {
-            Ok(accepted) => accepted,
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(None),
-            Err(error) => return Err(error),
+        let (socket, peer) = loop {
+            match self.socket.accept() {
+                Ok(accepted) => break accepted,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(None),
+                Err(error) if is_connection_error(&error) => {}
+                Err(error) => return Err(error),
+            }
         };
         socket.set_nonblocking(true)?;
         let peer = peer.as_socket().ok_or(io::ErrorKind::AddrNotAvailable)?;
--- a/crates/comfreyroad_net/src/server/mod.rs
+++ b/crates/comfreyroad_net/src/server/mod.rs
@@ -8,7 +8,6 @@
 use std::{
     cell::{Cell, RefCell},
     future::{Future, poll_fn},
-    io,
     net::SocketAddr,
     pin::pin,
     rc::Rc,
@@ -24,7 +23,11 @@
     connection::Connection,
     state::{Registration, State},
 };
-use crate::{body::Body, listener::Listener, stream::Stream};
+use crate::{
+    body::Body,
+    listener::{ACCEPT_PAUSE, Listener},
+    stream::Stream,
+};
 
 pub use handle::Handle;
 pub use limits::Limits;
@@ -68,7 +71,7 @@
 
     /// Passes each request and the address of its peer to `handler`, until the server is stopped and its last
     /// connection is closed. When a caller disconnects, the future of its request is dropped.
-    pub async fn serve<H, F>(self, handler: H) -> io::Result<()>
+    pub async fn serve<H, F>(self, handler: H)
     where
         H: Fn(Request<Incoming>, SocketAddr) -> F + 'static,
         F: Future<Output = Response<Body>> + 'static,
@@ -84,7 +87,7 @@
             let accepted = pin!(self.listener.accept());
             match select(stopped, accepted).await {
                 Either::Left(_) => break,
-                Either::Right((accepted, _)) => self.spawn(accepted?, &handler),
+                Either::Right((accepted, _)) => self.spawn(accepted, &handler),
             }
         }
         self.accept_remaining(&handler).await;
@@ -98,7 +101,6 @@
                 .poll_until(cx, |state| state.connections() == 0)
         })
         .await;
-        Ok(())
     }
 
     /// Accepts the connections that callers consider established, so that closing the listener resets none.
@@ -111,17 +113,26 @@
             let address = self.listener.address();
             log::warn!("connections to {address} during its close may be reset: {error}");
         }
+        let deadline = self.state.borrow().deadline();
         let handshakes_end = Instant::now() + HANDSHAKE_TIME;
-        let until = self
-            .state
-            .borrow()
-            .deadline()
-            .map_or(handshakes_end, |deadline| deadline.min(handshakes_end));
-        while let Ok(Ok(accepted)) = timeout_at(until, self.listener.accept()).await {
+        let until = deadline.map_or(handshakes_end, |deadline| deadline.min(handshakes_end));
+        while let Ok(accepted) = timeout_at(until, self.listener.accept()).await {
             self.spawn(accepted, handler);
         }
-        while let Ok(Some(accepted)) = self.listener.try_accept() {
-            self.spawn(accepted, handler);
+        loop {
+            match self.listener.try_accept() {
+                Ok(Some(accepted)) => self.spawn(accepted, handler),
+                Ok(None) => return,
+                // Connections that end until the deadline may free what is lacking.
+                Err(_) if deadline.is_some_and(|deadline| Instant::now() < deadline) => {
+                    compio::time::sleep_until(Instant::now() + ACCEPT_PAUSE).await;
+                }
+                Err(error) => {
+                    let address = self.listener.address();
+                    log::warn!("connections to {address} are reset by its close: {error}");
+                    return;
+                }
+            }
         }
     }
 
--- a/crates/comfreyroad_net/tests/net/aborts.rs
+++ b/crates/comfreyroad_net/tests/net/aborts.rs
@@ -19,7 +19,7 @@
     let listener = listener();
     let address = listener.address();
     let peer = compio::runtime::spawn(async move {
-        let (mut stream, _) = listener.accept().await.unwrap();
+        let (mut stream, _) = listener.accept().await;
         read(&mut stream).await.unwrap();
         write(&mut stream, head).await;
         sleep_ms(5).await;
--- a/crates/comfreyroad_net/tests/net/calls.rs
+++ b/crates/comfreyroad_net/tests/net/calls.rs
@@ -80,7 +80,7 @@
         let error = error.unwrap_err();
         assert!(error.is_timeout());
         assert_eq!((error.step, error.sent), (Step::Head, Sent::Maybe));
-        let (mut stream, _) = accepted.unwrap();
+        let (mut stream, _) = accepted;
         assert!(
             read(&mut stream)
                 .await
@@ -122,7 +122,7 @@
             .unwrap();
     };
     let peer = async {
-        let (mut stream, _) = listener.accept().await.unwrap();
+        let (mut stream, _) = listener.accept().await;
         read(&mut stream).await.unwrap();
         write(
             &mut stream,
--- a/crates/comfreyroad_net/tests/net/stop.rs
+++ b/crates/comfreyroad_net/tests/net/stop.rs
@@ -51,7 +51,7 @@
             let body = read_all(address, response.into_body(), 100, deadline()).await;
             assert_eq!(body.unwrap(), "one two");
         }
-        task.await.unwrap().unwrap();
+        task.await.unwrap();
         assert!(handle.is_stopping());
         assert!(client.call(address, get("/"), deadline()).await.is_err());
     });
@@ -67,7 +67,7 @@
             .write_all(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
             .unwrap();
         handle.stop(deadline());
-        task.await.unwrap().unwrap();
+        task.await.unwrap();
         let mut text = String::new();
         stream.read_to_string(&mut text).unwrap();
         assert!(text.ends_with("hello"), "{text}");
@@ -90,7 +90,7 @@
         assert!(text.ends_with("hello"), "{text:?}");
         assert!(text.contains("connection: close"), "{text}");
         end.unwrap();
-        task.await.unwrap().unwrap();
+        task.await.unwrap();
     });
 }
 
@@ -131,7 +131,7 @@
             tasks.push(task);
         }
         for task in tasks {
-            task.await.unwrap().unwrap();
+            task.await.unwrap();
         }
     });
     for caller in callers {
@@ -155,7 +155,7 @@
         let mut reader = Reader::new(address, response.into_body());
         handle.stop(Instant::now() + Duration::from_millis(20));
         reader.next_chunk(deadline()).await.unwrap_err();
-        task.await.unwrap().unwrap();
+        task.await.unwrap();
     });
 }
 
--- a/crates/comfreyroad_net/tests/net/support.rs
+++ b/crates/comfreyroad_net/tests/net/support.rs
@@ -48,7 +48,7 @@
     Request::builder().uri(path).body(Body::default()).unwrap()
 }
 
-pub(crate) type ServerTask = JoinHandle<io::Result<()>>;
+pub(crate) type ServerTask = JoinHandle<()>;
 
 pub(crate) fn serve<H, F>(handler: H) -> (SocketAddr, Handle, ServerTask)
 where
--- a/crates/comfreyroad_net/tests/one_thread.rs
+++ b/crates/comfreyroad_net/tests/one_thread.rs
@@ -57,7 +57,7 @@
         );
 
         handle.stop(deadline());
-        task.await.unwrap().unwrap();
+        task.await.unwrap();
         let pid = std::process::id().to_string();
         let killed = Command::new("kill").args(["-TERM", &pid]).status();
         assert!(killed.unwrap().success());
--- a/crates/comfreyroad_proxy/src/daemon.rs
+++ b/crates/comfreyroad_proxy/src/daemon.rs
@@ -112,16 +112,12 @@
         let is_ready = shared.router.borrow().state().lifecycle.is_ready();
         std::future::ready(ready::respond(&request, is_ready))
     };
-    if let Err(error) = server.serve(handler).await {
-        log::error!("readiness server failed: {error}");
-    }
+    server.serve(handler).await;
 }
 
 async fn serve_control(shared: Rc<Shared>, server: Server) {
     let handler = move |request, peer| control::handle(shared.clone(), request, peer);
-    if let Err(error) = server.serve(handler).await {
-        log::error!("control server failed: {error}");
-    }
+    server.serve(handler).await;
 }
 
 async fn run_ticks(shared: Rc<Shared>, limits: Rc<Cell<server::Limits>>, max_connections: usize) {
--- a/crates/comfreyroad_proxy/tests/process/environment.rs
+++ b/crates/comfreyroad_proxy/tests/process/environment.rs
@@ -7,7 +7,9 @@
 
 use comfreyroad_fakes::port;
 use rustix::fs::{OFlags, fcntl_getfl, fcntl_setfl};
-use rustix::process::{Pid, Signal, kill_process, test_kill_process};
+use rustix::process::{
+    Pid, Resource, Rlimit, Signal, getrlimit, kill_process, prlimit, test_kill_process,
+};
 
 use super::engine::Engine;
 use super::http::{self, Message};
@@ -189,6 +191,16 @@
         }
     }
 
+    /// Sets the number of file descriptors that the daemon may have open, or restores it, and returns how many it has.
+    pub(super) fn limit_files(&self, maximum: Option<u64>) -> u64 {
+        let id = Pid::from_child(&self.child);
+        let own = getrlimit(Resource::Nofile);
+        let current = maximum.or(own.current);
+        prlimit(Some(id), Resource::Nofile, Rlimit { current, ..own }).unwrap();
+        let open = std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap();
+        open.count() as u64
+    }
+
     /// What the daemon has written to its standard error.
     pub(super) fn errors(&self) -> String {
         std::fs::read_to_string(self.folder.join(ERRORS)).unwrap()
--- a/crates/comfreyroad_proxy/tests/process/lifecycle.rs
+++ b/crates/comfreyroad_proxy/tests/process/lifecycle.rs
@@ -124,6 +124,25 @@
     assert_eq!(env.metric("comfreyroad_log_lines_lost_total"), count);
 }
 
+/// An error of the last accepts closed the listener, which resets the connections that still wait to be accepted.
+#[test]
+fn lack_of_file_descriptors_at_shutdown_resets_no_connection() {
+    let mut env = Environment::start_configured();
+    env.limit_files(Some(1));
+    let mut waiting = http::connect(env.front);
+    waiting
+        .get_mut()
+        .write_all(request_text("GET", "/again/ok", "").as_bytes())
+        .unwrap();
+    env.signal("-TERM");
+    // The listener is closed to new connections after 2.8 s.
+    std::thread::sleep(Duration::from_millis(3300));
+    env.limit_files(None);
+    let response = http::read_message(&mut waiting).unwrap();
+    assert_ne!(response.header("connection"), "");
+    assert!(env.wait_for_exit().success());
+}
+
 #[test]
 fn rollout_status_is_written() {
     let env = Environment::start_configured();
