--- a/crates/comfreyroad_proxy/tests/process/environment.rs
+++ b/crates/comfreyroad_proxy/tests/process/environment.rs
@@ -1,12 +1,15 @@
 //! Test environment: a daemon process with a fake store and a fake engine.
 
-use std::io::{PipeReader, PipeWriter, Write};
+use std::io::{PipeReader, PipeWriter, Read, Write};
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
 use comfreyroad_fakes::port;
 use rustix::fs::{OFlags, fcntl_getfl, fcntl_setfl};
+use rustix::process::{
+    Pid, Resource, Rlimit, Signal, getrlimit, kill_process, prlimit, test_kill_process,
+};
 
 use super::engine::Engine;
 use super::http::{self, Message};
@@ -15,6 +18,12 @@
 /// Timeout of waits; the daemon needs less than a second on an idle machine.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Number of pairs of signals, and the pause after each.
+const SIGNAL_PAIRS: usize = 3000;
+const SIGNAL_PAUSE: Duration = Duration::from_micros(100);
+/// Longest gap in a pair, in system calls of less than a microsecond.
+const MAX_SIGNAL_GAP: usize = 300;
+
 /// File with the daemon's standard error, which has nothing but panics.
 const ERRORS: &str = "errors.txt";
 /// File with the daemon's log, if it is kept.
@@ -29,8 +38,9 @@
     ready: SocketAddr,
     child: Child,
     _ports: [port::Lease; 3],
-    // The read end of the daemon's standard output, which is never read, unless the log is kept.
-    _log: Option<PipeReader>,
+    control: SocketAddr,
+    // The read end of the daemon's standard output, which is full until a test reads it; `None` if a file keeps the log.
+    log: Option<PipeReader>,
     folder: std::path::PathBuf,
 }
 
@@ -127,7 +137,8 @@
             ready,
             child,
             _ports: ports,
-            _log: reader,
+            control,
+            log: reader,
             folder,
         }
     }
@@ -154,6 +165,26 @@
         http::send_request(self.front, &request_text(method, path, headers)).expect("a response")
     }
 
+    /// Reads what the daemon's standard output has, which makes room for further lines.
+    pub(super) fn read_log(&self) -> String {
+        let mut log = self.log.as_ref().expect("the log is not kept");
+        let flags = fcntl_getfl(log).unwrap();
+        fcntl_setfl(log, flags | OFlags::NONBLOCK).unwrap();
+        let mut text = Vec::new();
+        let error = log.read_to_end(&mut text).unwrap_err();
+        assert_eq!(error.kind(), std::io::ErrorKind::WouldBlock);
+        String::from_utf8(text).unwrap()
+    }
+
+    /// Value of a counter or gauge without labels.
+    pub(super) fn metric(&self, name: &str) -> u64 {
+        let request = "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n";
+        let response = http::send_request(self.control, request).unwrap();
+        let text = response.text();
+        let value = text.lines().find_map(|line| line.strip_prefix(name));
+        value.unwrap_or(&text).trim().parse().unwrap()
+    }
+
     /// Largest resident memory of the daemon so far, in KiB.
     pub(super) fn peak_memory_kib(&self) -> u64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
@@ -168,6 +199,30 @@
         assert!(status.success());
     }
 
+    /// Sends pairs of signals, with gaps from none to the time that the daemon needs to handle the first of the two.
+    pub(super) fn signal_in_pairs(&self, signal: Signal) {
+        let id = Pid::from_child(&self.child);
+        for pair in 0..SIGNAL_PAIRS {
+            kill_process(id, signal).unwrap();
+            // Sleeping takes longer than the gap.
+            for _ in 0..pair % MAX_SIGNAL_GAP {
+                test_kill_process(id).unwrap();
+            }
+            kill_process(id, signal).unwrap();
+            std::thread::sleep(SIGNAL_PAUSE);
+        }
+    }
+
+    /// Sets the number of file descriptors that the daemon may have open, or restores it, and returns how many it has.
+    pub(super) fn limit_files(&self, maximum: Option<u64>) -> u64 {
+        let id = Pid::from_child(&self.child);
+        let own = getrlimit(Resource::Nofile);
+        let current = maximum.or(own.current);
+        prlimit(Some(id), Resource::Nofile, Rlimit { current, ..own }).unwrap();
+        let open = std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap();
+        open.count() as u64
+    }
+
     /// What the daemon has written to its standard error.
     pub(super) fn errors(&self) -> String {
         std::fs::read_to_string(self.folder.join(ERRORS)).unwrap()
