An event without end takes no more than the memory of all bodies

Callers saw: with fifty streams at once whose engines sent one event that never ended, before the first event or after it, the process grew by tens of MB; on a small machine the process, and every other request with it, would have ended (LOST). Cause: the splitter of a stream keeps up to 1 MiB of an unfinished event, and `Memory`, which bounds the bodies of requests and plain answers together, did not count it; the comments that wait for the next event neither. Ruled out, each by a test that held before the change: heads, header lines and informational heads without end on stream and repeatable routes; bodies and chunks without end on a repeatable route; chunk extensions and trailers without end (hyper limits them); comments without end before the first event; whole events without end, which stop at the request's time limit; trickles in the head, the body, a chunk's size, a trailer, an event; bytes behind a complete answer, at once or on a resting connection. Why it works: a stream takes a share for what has arrived and is no complete event, and gives it back with the event; a stream that gets none breaks like one that is malformed. Events up to 32 KB need no share, as before with bodies.

--- a/crates/comfreyroad_proxy/src/front/events.rs
+++ b/crates/comfreyroad_proxy/src/front/events.rs
@@ -7,6 +7,8 @@
 use http::HeaderMap;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 
+use super::memory::Share;
+
 /// Maximum number of bytes between two events that belong to neither: comments, and events that the caller already has. A
 /// stream that is resumed from its start may repeat as much.
 const MAX_IDLE_BYTES: usize = 1024 * 1024;
@@ -24,6 +26,8 @@
     comments: BytesMut,
     // Bytes that have arrived since the last event and belong to none.
     idle_bytes: usize,
+    // Of what has arrived and is no complete event yet.
+    memory: Share,
     first: Option<Instant>,
     last: Option<Instant>,
     count: u32,
@@ -31,7 +35,12 @@
 
 impl Events {
     /// Reads the events of a response after a given one.
-    pub(super) fn new(reader: Reader, headers: &HeaderMap, after: Option<u64>) -> Self {
+    pub(super) fn new(
+        reader: Reader,
+        headers: &HeaderMap,
+        after: Option<u64>,
+        memory: Share,
+    ) -> Self {
         let framing = [CONTENT_LENGTH, TRANSFER_ENCODING];
         Self {
             has_marked_end: framing.iter().any(|name| headers.contains_key(name)),
@@ -40,6 +49,7 @@
             after,
             comments: BytesMut::new(),
             idle_bytes: 0,
+            memory,
             first: None,
             last: None,
             count: 0,
@@ -50,8 +60,10 @@
     /// already has are no progress and do not extend the deadline.
     pub(super) async fn next(&mut self, deadline: Instant) -> Result<Option<Event>, Fault> {
         loop {
-            if let Some(event) = self.next_buffered()? {
-                return Ok(Some(event));
+            let event = self.next_buffered()?;
+            self.count_buffered()?;
+            if event.is_some() {
+                return Ok(event);
             }
             match self.reader.next_chunk(deadline).await {
                 Ok(Some(chunk)) => self.splitter.feed(&chunk),
@@ -91,6 +103,16 @@
         Ok(None)
     }
 
+    /// Counts the buffered bytes as taken from the memory of all bodies. Fails if there is none left.
+    fn count_buffered(&mut self) -> Result<(), Fault> {
+        let bytes = self.splitter.buffered_bytes() + self.comments.len();
+        if self.memory.resize_to(bytes) {
+            return Ok(());
+        }
+        log::debug!("reading an event stream failed: no memory left for an event");
+        Err(Fault::Broken)
+    }
+
     /// Takes a new event, with the comments before it.
     fn accept(&mut self, event: Event) -> Event {
         self.record_arrival();
--- a/crates/comfreyroad_proxy/src/front/memory.rs
+++ b/crates/comfreyroad_proxy/src/front/memory.rs
@@ -45,16 +45,19 @@
 impl Share {
     /// Extends the share to the length of a body. Returns false if there is no memory left.
     pub fn extend_to(&mut self, length: usize) -> bool {
-        let wanted = (length * BUFFER_FACTOR).saturating_sub(FREE_BYTES);
+        bytes_taken(length) <= self.bytes || self.resize_to(length)
+    }
+
+    /// Changes the share to the length of what is left of a body. Returns false if it grows and there is no memory left.
+    pub fn resize_to(&mut self, length: usize) -> bool {
+        let wanted = bytes_taken(length);
         let taken = &self.memory.taken;
         let others = taken.get() - self.bytes;
-        if wanted > self.bytes {
-            if others + wanted > self.memory.max_bytes {
-                return false;
-            }
-            taken.set(others + wanted);
-            self.bytes = wanted;
+        if wanted > self.bytes && others + wanted > self.memory.max_bytes {
+            return false;
         }
+        taken.set(others + wanted);
+        self.bytes = wanted;
         true
     }
 }
@@ -65,3 +68,8 @@
         taken.set(taken.get() - self.bytes);
     }
 }
+
+/// Bytes that a body of a length takes beyond those that are always admitted.
+fn bytes_taken(length: usize) -> usize {
+    (length * BUFFER_FACTOR).saturating_sub(FREE_BYTES)
+}
--- a/crates/comfreyroad_proxy/src/front/stream.rs
+++ b/crates/comfreyroad_proxy/src/front/stream.rs
@@ -44,7 +44,7 @@
     } = response;
     let after = call.request.stage().plan().last_event_id;
     let deadline = shared.with_router(|router, now| router.response_deadline(now, &call.request));
-    let mut events = Events::new(reader, &parts.headers, after);
+    let mut events = Events::new(reader, &parts.headers, after, shared.memory.share());
     match events.next(deadline).await {
         Ok(first) => {
             shared.with_router(|router, now| router.on_first_event(now, &mut call.request));
--- a/crates/comfreyroad_proxy/tests/process/engine.rs
+++ b/crates/comfreyroad_proxy/tests/process/engine.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use super::flood::Flood;
 use super::http::{self, Message};
 
 /// A fake engine; clones share its state.
@@ -75,8 +76,8 @@
         let ok = head("200 OK", "Content-Length: 2\r\n\r\nok");
         let path = request.path().split('?').next().unwrap_or_default();
         let name = path.rsplit('/').next().unwrap_or_default();
-        if let Some((start, text)) = endless(name, head) {
-            return send_endlessly(stream, &start, &text);
+        if send_fault(stream, name, head) {
+            return false;
         }
         let response = match name {
             "ok" => ok,
@@ -239,6 +240,22 @@
     ))
 }
 
+/// Sends the fault of that name, if there is one.
+fn send_fault(
+    stream: &mut BufReader<TcpStream>,
+    name: &str,
+    head: impl Fn(&str, &str) -> String,
+) -> bool {
+    if let Some((start, text)) = endless(name, &head) {
+        send_endlessly(stream, &start, &text);
+    } else if let Some(flood) = Flood::of(name, &head) {
+        flood.send(stream.get_mut());
+    } else {
+        return false;
+    }
+    true
+}
+
 /// The start of a response without end, and the text that follows again and again.
 fn endless(name: &str, head: impl Fn(&str, &str) -> String) -> Option<(String, String)> {
     let block = "x".repeat(4096);
@@ -256,12 +273,11 @@
 }
 
 /// Sends a head and then the same text until the peer closes the connection.
-fn send_endlessly(stream: &mut BufReader<TcpStream>, head: &str, text: &str) -> bool {
+fn send_endlessly(stream: &mut BufReader<TcpStream>, head: &str, text: &str) {
     let socket = stream.get_mut();
     if socket.write_all(head.as_bytes()).is_ok() {
         while socket.write_all(text.as_bytes()).is_ok() {}
     }
-    false
 }
 
 /// What a stream that stalls after its third event sends instead of events, and how often.
--- a/crates/comfreyroad_proxy/tests/process/main.rs
+++ b/crates/comfreyroad_proxy/tests/process/main.rs
@@ -3,6 +3,8 @@
 mod endless;
 mod engine;
 mod environment;
+mod flood;
+mod floods;
 mod http;
 mod lifecycle;
 mod responses;
--- a/crates/comfreyroad_wire/src/sse.rs
+++ b/crates/comfreyroad_wire/src/sse.rs
@@ -100,6 +100,11 @@
         !self.buffer.is_empty()
     }
 
+    /// Number of bytes in the buffer.
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Finds the end of the first event, which is after an empty line. Lines end with LF or CRLF.
     fn find_end(&mut self) -> Option<usize> {
         const MAX_TERMINATOR_BYTES: usize = 3;
