A chunk size without end no longer holds the event loop

Callers saw: nothing any more, on the whole machine. One engine that sent zeros as the size of a chunk, or spaces behind it, held the one thread: no request was answered, no time limit passed, the readiness page was mute. Cause: hyper reads on inside one poll as long as bytes arrive that yield neither data nor an error; the size of a chunk has no limit on leading zeros or spaces. An engine that writes as fast as hyper reads never lets the task go. Ruled out: the limit on heads, which also ends a flood that comes with the head (within 0.2 s); chunk extensions and trailers, which hyper limits. Evidence: `floods::a_chunk_size_*` without the change: six requests with a time limit of 1.5 s got no answer in 22 s, when the test's callers gave up, and another client's request none either; with it the test passes, in all runs of `process`. Why it works: a stream lets the other tasks run after four successive reads, so the time limit of the request is seen and closes the connection. It holds for engines, callers, peers and the store alike, as all use this stream. Until the time limit such an engine still takes processor time.

--- a/crates/comfreyroad_net/src/stream.rs
+++ b/crates/comfreyroad_net/src/stream.rs
@@ -17,6 +17,10 @@
 /// Maximum number of bytes per read.
 pub(crate) const READ_BYTES: usize = 64 * 1024;
 
+/// Reads in succession after which a stream lets other tasks run: hyper reads on for as long as bytes arrive that it skips, such as
+/// the zeros before the size of a chunk.
+const MAX_SUCCESSIVE_READS: u32 = 4;
+
 /// Linux error number of a connect that is in progress; the standard library has no stable name for it.
 const EINPROGRESS: i32 = 115;
 
@@ -116,12 +120,19 @@
         cx: &mut Context<'_>,
         mut cursor: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.shared.must_yield() {
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         BUFFER.with_borrow_mut(|buffer| {
             let wanted = cursor.remaining().min(buffer.len());
             let buffer = &mut buffer[..wanted];
             let read = self.poll_io(cx, PollFd::poll_read_ready, |mut socket| {
                 socket.read(buffer)
             });
+            if read.is_pending() {
+                self.shared.reads.set(0);
+            }
             let count = ready!(read)?;
             self.shared.count_read(count)?;
             cursor.put_slice(&buffer[..count]);
@@ -177,6 +188,8 @@
 #[derive(Debug, Default)]
 struct Shared {
     written: Cell<u64>,
+    // Reads since the stream last had no bytes or let other tasks run.
+    reads: Cell<u32>,
     // Bytes that may still be read before reads fail, if there is a limit.
     readable: Cell<Option<usize>>,
     is_reset: Cell<bool>,
@@ -185,6 +198,14 @@
 }
 
 impl Shared {
+    /// Counts a read. Returns true, and starts anew, if other tasks must run before it.
+    fn must_yield(&self) -> bool {
+        let reads = self.reads.get();
+        let is_due = reads >= MAX_SUCCESSIVE_READS;
+        self.reads.set(if is_due { 0 } else { reads + 1 });
+        is_due
+    }
+
     /// Counts bytes that were read. Fails if they exceed the limit.
     fn count_read(&self, bytes: usize) -> io::Result<()> {
         let Some(readable) = self.readable.get() else {
--- a/crates/comfreyroad_proxy/tests/process/floods.rs
+++ b/crates/comfreyroad_proxy/tests/process/floods.rs
@@ -93,6 +93,15 @@
     }
 }
 
+/// A chunk size of endless zeros or spaces held the event loop: no other request was served and no time limit ended it.
+#[test]
+fn a_chunk_size_without_end_is_a_failure() {
+    for name in ["chunk-size", "chunk-space"] {
+        assert_failure("POST", &format!("/once/flood-{name}"), FEW);
+        assert_failure("POST", &format!("/once/flood-late-{name}"), FEW);
+    }
+}
+
 #[test]
 fn a_chunk_extension_or_trailers_without_end_are_a_failure() {
     for name in ["chunk-extension", "trailer-line", "trailers"] {
