Tests: an answer cut off after each of its bytes is no success

Callers saw, at another operator: a 200 with an empty or short body after an engine stopped in the middle of a head. Seen here: it can't happen in what was tried. The answer is cut after each byte of head and body in turn, by a close and by a reset, framed by length and by chunks, on the routes of requests that run once, repeatable requests and streams; a stream framed by neither is reset after each byte. No caller got a complete answer that was not the whole one, and each cut answer was asked for at the engine.

--- a/crates/comfreyroad_proxy/tests/process/engine.rs
+++ b/crates/comfreyroad_proxy/tests/process/engine.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use super::cut::Cut;
 use super::flood::Flood;
 use super::http::{self, Message};
 
@@ -250,6 +251,8 @@
         send_endlessly(stream, &start, &text);
     } else if let Some(flood) = Flood::of(name, &head) {
         flood.send(stream.get_mut());
+    } else if let Some(cut) = Cut::of(name, &head) {
+        cut.send(stream.get_mut());
     } else {
         return false;
     }
--- a/crates/comfreyroad_proxy/tests/process/main.rs
+++ b/crates/comfreyroad_proxy/tests/process/main.rs
@@ -1,5 +1,7 @@
 //! Tests of the daemon as a separate process, with a fake store, a fake engine and callers on loopback.
 
+mod cut;
+mod cuts;
 mod endless;
 mod engine;
 mod environment;
