A resting connection keeps no longer buffers than its longest head

Cause: the server set no `max_buf_size`, so hyper let the buffer of each connection grow to 256 KB while a long body came fast, and kept it while the connection rested. Ruled out: upstream connections, which have such a limit (64 KB) and at most 64 rest for each address; the bodies themselves, which `Memory` bounds. The control and readiness servers use the same code. Why it works: the buffer is as long as the longest head, 8 KiB at least.

--- a/crates/comfreyroad_net/src/server/connection.rs
+++ b/crates/comfreyroad_net/src/server/connection.rs
@@ -21,6 +21,9 @@
 /// Time that a new connection gets for its first request when the server stops.
 const FIRST_REQUEST_TIME: Duration = Duration::from_secs(1);
 
+/// Least length of a connection's buffer that hyper accepts.
+const MIN_BUFFER_BYTES: usize = 8192;
+
 /// One accepted connection.
 pub(super) struct Connection {
     pub(super) stream: Stream,
@@ -114,6 +117,8 @@
         .timer(CompioTimer)
         .header_read_timeout(limits.header_timeout)
         .max_headers(limits.max_headers)
-        .max_header_size(limits.max_header_bytes);
+        .max_header_size(limits.max_header_bytes)
+        // hyper would keep buffers of several times that length while the connection rests.
+        .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES));
     builder
 }
--- a/crates/comfreyroad_net/tests/net/main.rs
+++ b/crates/comfreyroad_net/tests/net/main.rs
@@ -3,6 +3,7 @@
 mod aborts;
 mod calls;
 mod log;
+mod resting;
 mod services;
 mod stop;
 mod support;
