--- a/crates/comfreyroad_proxy/src/front/stream.rs
+++ b/crates/comfreyroad_proxy/src/front/stream.rs
@@ -43,7 +43,7 @@
     } = response;
     let after = call.request.stage().plan().last_event_id;
     let mut silent_at = shared.router.borrow().response_deadline(&call.request);
-    let mut events = Events::new(reader, &parts.headers, after);
+    let mut events = Events::new(reader, &parts.headers, after, shared.memory.share());
     let first = loop {
         match events.next(silent_at).await {
             Ok(first) => break first,
