Soak: planned stops beside engines that pause, and what may not be cut

What changed: engines record when they began, last worked, noticed a close and finished; they pause requests up to 3 s before their first token, their first event or in the middle. Callers keep up to four connections open, also unused, until these close. Signals come in series within 2 ms. A scenario of its own (grace 8 s, limit 20 s) holds planned work only, and shrinks the pool to one or two engines. Checks: a request that reached a sound engine gets a complete answer (excuses: the last engine broke off, the time limit, unfinished in the last sixth of the grace and sent in its first three eighths; at other times also a silence of 4 s); no engine works on 400 ms after another one has begun; a process ends only after SIGTERM and with success. The slack for scheduling is 200 ms. The old check excused a cut if any run had been cut, and any request beside a second disturbance of the entry; it is replaced by the stricter one in both scenarios. Harness faults corrected: a drain of an engine that is draining was recorded although its restart ended it; an entry that had been restarted could be killed by the restart planned for an earlier shutdown; a signal could go to a process id that was already reaped.

--- a/crates/comfreyroad_proxy/tests/soak/caller.rs
+++ b/crates/comfreyroad_proxy/tests/soak/caller.rs
@@ -7,11 +7,16 @@
 use std::time::{Duration, Instant};
 
 use super::http::{self, Message};
+use super::scenario::Scenario;
 
-/// Deadline of a request.
-const REQUEST_DEADLINE: Duration = Duration::from_secs(4);
-/// Timeout of a caller's reads, a little longer than the deadline.
-const READ_TIMEOUT: Duration = Duration::from_secs(5);
+/// Id of all probes, which the engines do not pause.
+pub(super) const PROBE_ID: &str = "probe";
+/// Timeout of a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(4);
+/// Time after the time limit of a request for which a caller still reads.
+const READ_MARGIN: Duration = Duration::from_secs(1);
+/// Number of open connections that a caller keeps.
+const MAX_OPEN_CONNECTIONS: usize = 4;
 /// Timeout for connecting.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -51,35 +56,46 @@
     pub(super) fronts: Vec<SocketAddr>,
     pub(super) outcomes: Arc<Mutex<Vec<Outcome>>>,
     pub(super) is_finished: Arc<AtomicBool>,
+    pub(super) scenario: Scenario,
     next_id: Arc<AtomicU64>,
 }
 
 impl Callers {
-    pub(super) fn new(fronts: Vec<SocketAddr>) -> Self {
+    pub(super) fn new(fronts: Vec<SocketAddr>, scenario: Scenario) -> Self {
         Self {
             fronts,
             outcomes: Arc::default(),
             is_finished: Arc::default(),
+            scenario,
             next_id: Arc::default(),
         }
     }
 
     /// Sends one request after the other until the run is finished.
+    ///
+    /// Connections stay open, also unused, and are used until they close or say that they will.
     pub(super) fn run(&self, seed: u64) {
         let mut rng = fastrand::Rng::with_seed(seed);
-        let mut idle: Option<(usize, BufReader<TcpStream>)> = None;
+        let mut open: Vec<(usize, BufReader<TcpStream>)> = Vec::new();
         while !self.is_finished.load(Ordering::Relaxed) {
-            std::thread::sleep(Duration::from_millis(rng.u64(10..40)));
-            let entry = rng.usize(..self.fronts.len());
-            let open = || Some((entry, connect(self.fronts[entry])?));
-            let Some((entry, mut stream)) = idle.take().or_else(open) else {
+            std::thread::sleep(self.scenario.caller_pause(&mut rng));
+            if open.is_empty() || open.len() < MAX_OPEN_CONNECTIONS && rng.u32(..100) < 40 {
+                let entry = rng.usize(..self.fronts.len());
+                open.extend(connect(self.fronts[entry]).map(|stream| (entry, stream)));
+                if rng.bool() {
+                    continue;
+                }
+            }
+            if open.is_empty() {
                 continue;
-            };
+            }
+            let (entry, mut stream) = open.swap_remove(rng.usize(..open.len()));
             let kind = [Kind::Once, Kind::Retryable, Kind::Events][rng.usize(..3)];
-            let outcome = self.send(&mut stream, entry, kind);
+            let work = self.scenario.work(kind, &mut rng);
+            let outcome = self.send(&mut stream, entry, kind, work);
             let response = outcome.response.as_ref().filter(|it| it.is_complete);
             if response.is_some_and(|it| it.header("connection") != "close") {
-                idle = Some((entry, stream));
+                open.push((entry, stream));
             }
             self.outcomes.lock().unwrap().push(outcome);
         }
@@ -91,17 +107,25 @@
         stream: &mut BufReader<TcpStream>,
         entry: usize,
         kind: Kind,
+        work: Duration,
     ) -> Outcome {
         let id = format!("r{}", self.next_id.fetch_add(1, Ordering::Relaxed));
-        let target = match kind {
-            Kind::Once => "POST /once/x",
-            Kind::Retryable => "GET /again/x",
-            Kind::Events => "POST /events/x",
+        let route = match kind {
+            Kind::Once => "POST /once",
+            Kind::Retryable => "GET /again",
+            Kind::Events => "POST /events",
         };
+        let target = format!("{route}/{}", work.as_millis());
+        let timeout = self.scenario.request_timeout();
         let sent = Instant::now();
+        let stream_timeout = Some(timeout + READ_MARGIN);
         let written = stream
             .get_mut()
-            .write_all(request_text(target, &id).as_bytes());
+            .set_read_timeout(stream_timeout)
+            .and_then(|()| {
+                let request = request_text(&target, &id, timeout);
+                stream.get_mut().write_all(request.as_bytes())
+            });
         let response = written.ok().and_then(|()| http::read_message(stream));
         Outcome {
             id,
@@ -117,20 +141,20 @@
 /// Opens a connection; `None` if this fails.
 pub(super) fn connect(address: SocketAddr) -> Option<BufReader<TcpStream>> {
     let stream = TcpStream::connect_timeout(&address, CONNECT_TIMEOUT).ok()?;
-    stream.set_read_timeout(Some(READ_TIMEOUT)).ok()?;
+    stream.set_read_timeout(Some(PROBE_TIMEOUT)).ok()?;
     Some(BufReader::new(stream))
 }
 
 /// Requests a path on a new connection and returns the status.
 pub(super) fn status(address: SocketAddr, path: &str) -> Option<u16> {
     let mut stream = connect(address)?;
-    let request = request_text(&format!("GET {path}"), "probe");
+    let request = request_text(&format!("GET {path}"), PROBE_ID, PROBE_TIMEOUT);
     stream.get_mut().write_all(request.as_bytes()).ok()?;
     Some(http::read_message(&mut stream)?.status())
 }
 
-fn request_text(target: &str, id: &str) -> String {
-    let deadline = REQUEST_DEADLINE.as_millis();
+fn request_text(target: &str, id: &str, timeout: Duration) -> String {
+    let deadline = timeout.as_millis();
     format!(
         "{target} HTTP/1.1\r\nHost: h\r\nX-Comfreyroad-Request-Id: {id}\r\nX-Comfreyroad-Deadline-Ms: {deadline}\r\n\
          X-Comfreyroad-Key: key\r\nX-Comfreyroad-Tenant: forged\r\nContent-Length: 0\r\n\r\n"
--- a/crates/comfreyroad_proxy/tests/soak/cluster.rs
+++ b/crates/comfreyroad_proxy/tests/soak/cluster.rs
@@ -6,23 +6,26 @@
 use std::time::{Duration, Instant};
 
 use fastrand::Rng;
+use rustix::process::Signal;
 
 use super::caller::{self, Callers, Kind};
 use super::disturbances::{Disturbances, Scope};
 use super::engine::{Engine, Runs};
-use super::entry::{Entry, GRACE_S, Ports};
+use super::entry::{Entry, Ports};
 use super::fault::{DRAIN_DURATION, Fault};
 use super::invariants::{CONFIGURATION_TIMEOUT, Observations};
+use super::lifetime::Lifetime;
 use super::link::{Link, Mode};
+use super::scenario::Scenario;
+use super::signals::Signals;
 use super::store::Store;
 
 const ENTRIES: usize = 4;
 const ENGINES: usize = 4;
-const CALLERS: u64 = 8;
-/// Duration of the phase in which faults are injected.
-const FAULT_PHASE: Duration = Duration::from_secs(12);
 /// Time for the cluster to recover after the last fault.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(12);
+/// Time that an engine works on a request with which the recovery is checked.
+const RECOVERY_WORK: Duration = Duration::from_millis(100);
 /// Interval of checks for conditions and due actions.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -34,6 +37,7 @@
     RestartEngine(usize),
     ResumeEntry(usize),
     StartEntry(usize),
+    ShutDownEntry(usize, Signals),
     /// Checks that all entries apply a configuration.
     CheckApplied(u64, Instant),
 }
@@ -41,6 +45,7 @@
 /// A cluster of entries with fake engines, a fake store and callers.
 #[derive(Debug)]
 pub(super) struct Cluster {
+    scenario: Scenario,
     rng: Rng,
     store: Store,
     engines: Vec<Engine>,
@@ -51,28 +56,32 @@
     configuration_version: u64,
     scheduled: Vec<(Instant, Action)>,
     drains: Vec<(usize, Instant, Instant)>,
-    shutdowns: Vec<(usize, Instant)>,
     violations: Vec<String>,
     folder: PathBuf,
 }
 
 impl Cluster {
-    pub(super) fn start(seed: u64) -> Self {
+    pub(super) fn start(scenario: Scenario, seed: u64) -> Self {
         let mut rng = Rng::with_seed(seed);
         let folder =
             std::env::temp_dir().join(format!("comfreyroad-soak-{}-{seed}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
         let (store, address) = Store::start();
         let runs = Runs::default();
-        let engine = |number| Engine::start(number, store.clone(), runs.clone(), rng.u64(..));
+        let engine =
+            |number| Engine::start(number, store.clone(), runs.clone(), scenario, rng.u64(..));
         let engines: Vec<Engine> = (0..ENGINES).map(engine).collect();
         let ports: Vec<Ports> = (0..ENTRIES).map(|_| Ports::acquire()).collect();
         let seeds: Vec<_> = ports.iter().take(3).map(|it| it.control.address).collect();
-        let entry =
-            |(number, ports)| Entry::start(number, ports, &seeds, Link::to(address), &folder);
+        let grace = scenario.grace();
+        let entry = |(number, ports)| {
+            Entry::start(number, ports, &seeds, Link::to(address), grace, &folder)
+        };
         let entries: Vec<Entry> = ports.into_iter().enumerate().map(entry).collect();
-        let callers = Callers::new(entries.iter().map(|it| it.ports.front.address).collect());
+        let fronts = entries.iter().map(|it| it.ports.front.address).collect();
+        let callers = Callers::new(fronts, scenario);
         let mut cluster = Self {
+            scenario,
             rng,
             store,
             engines,
@@ -83,7 +92,6 @@
             configuration_version: 0,
             scheduled: Vec::new(),
             drains: Vec::new(),
-            shutdowns: Vec::new(),
             violations: Vec::new(),
             folder,
         };
@@ -96,28 +104,33 @@
     /// Injects faults, then waits for the recovery. Returns the violations of invariants.
     pub(super) fn run(mut self) -> Vec<String> {
         let threads = self.start_callers();
-        let end = Instant::now() + FAULT_PHASE;
+        let end = Instant::now() + self.scenario.fault_phase();
         while Instant::now() < end {
-            let fault = Fault::random(&mut self.rng, ENTRIES, ENGINES);
+            let fault = self.scenario.fault(&mut self.rng, ENTRIES, ENGINES);
             println!("{fault:?}");
             self.inject(fault);
-            let pause = Duration::from_millis(self.rng.u64(100..1500));
-            self.advance(Instant::now() + pause);
+            let interval = self.scenario.fault_interval(&mut self.rng);
+            self.advance(Instant::now() + interval);
         }
         while let Some(last) = self.scheduled.iter().map(|(at, _)| *at).max() {
             self.advance(last + CHECK_INTERVAL);
         }
+        if self.scenario == Scenario::PlannedStops {
+            self.callers.is_finished.store(true, Ordering::Relaxed);
+        }
         self.check_recovery();
         self.callers.is_finished.store(true, Ordering::Relaxed);
         for thread in threads {
             thread.join().unwrap();
         }
+        let lifetimes = self.lifetimes();
         let observations = Observations {
             outcomes: self.callers.outcomes.lock().unwrap().clone(),
             runs: self.runs.lock().unwrap().clone(),
             disturbances: self.disturbances.clone(),
             drains: std::mem::take(&mut self.drains),
-            shutdowns: std::mem::take(&mut self.shutdowns),
+            lifetimes,
+            scenario: self.scenario,
         };
         let served = observations.outcomes.iter().filter(|it| it.status() == 200);
         println!(
@@ -140,7 +153,7 @@
             let (callers, seed) = (self.callers.clone(), self.rng.u64(..));
             std::thread::spawn(move || callers.run(seed))
         };
-        (0..CALLERS).map(caller).collect()
+        (0..self.scenario.callers()).map(caller).collect()
     }
 
     /// Waits until an instant and runs the scheduled actions that become due.
@@ -154,12 +167,35 @@
             self.scheduled = remaining;
             let due: Vec<(Instant, Action)> = due;
             due.into_iter().for_each(|(_, it)| self.run_action(it));
+            self.watch_entries();
             if now >= until {
                 return;
             }
         }
     }
 
+    /// Notes which entries are ready, and restarts those that ended by themselves.
+    fn watch_entries(&mut self) {
+        for number in 0..ENTRIES {
+            let is_start = |(_, action): &(Instant, Action)| matches!(action, Action::StartEntry(it) if *it == number);
+            let entry = &mut self.entries[number];
+            if !entry.is_terminated() {
+                entry.handles_signals();
+            }
+            if !entry.is_running() && !self.scheduled.iter().any(is_start) {
+                self.schedule(Duration::ZERO, Action::StartEntry(number));
+            }
+        }
+    }
+
+    fn lifetimes(&mut self) -> Vec<Lifetime> {
+        let lifetimes = |entry: &mut Entry| {
+            entry.is_running();
+            entry.lifetimes.clone()
+        };
+        self.entries.iter_mut().flat_map(lifetimes).collect()
+    }
+
     fn schedule(&mut self, delay: Duration, action: Action) {
         self.scheduled.push((Instant::now() + delay, action));
     }
@@ -190,15 +226,10 @@
                 self.engines[number].crash();
                 self.schedule(duration, Action::RestartEngine(number));
             }
-            Fault::Drain(number) => {
-                self.engines[number].drain();
-                let now = Instant::now();
-                self.drains.push((number, now, now + DRAIN_DURATION));
-                self.schedule(DRAIN_DURATION, Action::RestartEngine(number));
-            }
+            Fault::Drain(number) => self.drain(number, DRAIN_DURATION),
             Fault::Pause(number, duration) => {
                 self.disturbances.add(entry(number), duration);
-                self.entries[number].signal("-STOP");
+                self.entries[number].signal(Signal::STOP);
                 self.schedule(duration, Action::ResumeEntry(number));
             }
             Fault::Kill(number) => {
@@ -207,14 +238,23 @@
                 self.entries[number].kill();
                 self.schedule(duration, Action::StartEntry(number));
             }
-            Fault::Shutdown(number) => {
-                let duration = Duration::from_secs(GRACE_S);
-                let started = self.disturbances.add(entry(number), duration);
-                self.shutdowns.push((number, started));
-                self.entries[number].signal("-TERM");
-                self.schedule(duration, Action::StartEntry(number));
+            Fault::Shutdown(number) => self.shut_down(number, Signals::ONE),
+            Fault::Shutdowns(first, count, interval, signals) => {
+                for index in 0..count {
+                    let action = Action::ShutDownEntry((first + index) % ENTRIES, signals);
+                    self.schedule(interval * index as u32, action);
+                }
+            }
+            Fault::Reload(number, signals) => {
+                if self.may_signal(number) {
+                    self.entries[number].signal_in_series(Signal::HUP, signals);
+                }
+            }
+            Fault::Shrink(count, duration) => {
+                for number in count..ENGINES {
+                    self.drain(number, duration);
+                }
             }
-            Fault::Reload(number) => self.entries[number].signal("-HUP"),
             Fault::Configure => self.publish_configuration(),
         }
     }
@@ -224,23 +264,62 @@
             Action::RestoreStoreLink(number) => self.entries[number].store.set(Mode::Pass),
             Action::RestoreEngineLink(number) => self.engines[number].link.set(Mode::Pass),
             Action::RestartEngine(number) => self.engines[number].restart(),
-            Action::ResumeEntry(number) => self.entries[number].signal("-CONT"),
+            Action::ResumeEntry(number) => self.entries[number].signal(Signal::CONT),
             Action::StartEntry(number) => {
-                self.entries[number].signal("-CONT");
-                self.entries[number].wait_or_kill(Duration::from_secs(1));
+                self.entries[number].signal(Signal::CONT);
+                if self.entries[number].is_terminated() {
+                    self.entries[number].wait_or_kill(Duration::from_secs(1));
+                }
                 self.entries[number].spawn();
                 self.disturbances
-                    .add(Scope::Entry(number), Duration::from_millis(500));
+                    .add_planned(Scope::Entry(number), Duration::from_millis(500));
             }
+            Action::ShutDownEntry(number, signals) => self.shut_down(number, signals),
             Action::CheckApplied(version, published) => self.check_applied(version, published),
         }
     }
 
+    /// Drains an engine, which restarts after some time, unless it is draining already.
+    fn drain(&mut self, number: usize, duration: Duration) {
+        let now = Instant::now();
+        let is_current = |(engine, _, end): &(usize, Instant, Instant)| {
+            *engine == number && now < *end + CHECK_INTERVAL
+        };
+        if self.drains.iter().any(is_current) {
+            return;
+        }
+        self.engines[number].drain();
+        self.drains.push((number, now, now + duration));
+        self.schedule(duration, Action::RestartEngine(number));
+    }
+
+    /// Whether an entry may get a signal that it handles.
+    fn may_signal(&mut self, number: usize) -> bool {
+        let is_planned = self.scenario == Scenario::PlannedStops;
+        !is_planned || self.entries[number].handles_signals()
+    }
+
+    /// Shuts an entry down, or tells it again.
+    fn shut_down(&mut self, number: usize, signals: Signals) {
+        if !self.may_signal(number) || !self.entries[number].is_running() {
+            return;
+        }
+        if !self.entries[number].is_terminated() {
+            let grace = self.scenario.grace();
+            self.disturbances.add_planned(Scope::Entry(number), grace);
+            self.schedule(grace, Action::StartEntry(number));
+        }
+        self.entries[number].signal_in_series(Signal::TERM, signals);
+    }
+
     /// Publishes a configuration with a route that no other configuration has.
     fn publish_configuration(&mut self) {
         self.configuration_version += 1;
         let version = self.configuration_version;
-        let text = CONFIG.replace("VERSION", &version.to_string());
+        let timeout = self.scenario.request_timeout().as_millis();
+        let text = CONFIG
+            .replace("VERSION", &version.to_string())
+            .replace("TIMEOUT", &timeout.to_string());
         self.store.put("keyed.op", "config", &text);
         let published = Instant::now();
         self.schedule(
@@ -277,7 +356,8 @@
                 let callers = self.callers.clone();
                 let request = || {
                     let mut stream = caller::connect(callers.fronts[number])?;
-                    Some(callers.send(&mut stream, number, kind).status())
+                    let work = RECOVERY_WORK;
+                    Some(callers.send(&mut stream, number, kind, work).status())
                 };
                 while request() != Some(200) {
                     if Instant::now() > until {
@@ -308,13 +388,13 @@
 /// Routes for requests that run once, for requests that may be retried and for resumable streams, and a route that
 /// identifies the configuration.
 const CONFIG: &str = r#"{"version":VERSION,"routes":[
- {"name":"once","host":"h","path_prefix":"/once/","kind":"non_idempotent","timeout_ms":4000,"target_latency_ms":1000,
+ {"name":"once","host":"h","path_prefix":"/once/","kind":"non_idempotent","timeout_ms":TIMEOUT,"target_latency_ms":1000,
   "service":"pool","max_attempts":1},
- {"name":"again","host":"h","path_prefix":"/again/","kind":"idempotent","timeout_ms":4000,"target_latency_ms":1000,
+ {"name":"again","host":"h","path_prefix":"/again/","kind":"idempotent","timeout_ms":TIMEOUT,"target_latency_ms":1000,
   "service":"pool","max_attempts":3},
- {"name":"events","host":"h","path_prefix":"/events/","kind":"streaming","timeout_ms":4000,"target_latency_ms":1000,
+ {"name":"events","host":"h","path_prefix":"/events/","kind":"streaming","timeout_ms":TIMEOUT,"target_latency_ms":1000,
   "service":"pool","max_attempts":3,"resumable":true,"target_gap_ms":500},
- {"name":"v","host":"h","path_prefix":"/vVERSION/","kind":"idempotent","timeout_ms":4000,"target_latency_ms":1000,
+ {"name":"v","host":"h","path_prefix":"/vVERSION/","kind":"idempotent","timeout_ms":TIMEOUT,"target_latency_ms":1000,
   "service":"pool"}],
  "services":[{"name":"pool","max_conns":200}],
  "limits":{"max_header_bytes":16384,"max_body_bytes":1000,"header_timeout_ms":3000,"idle_timeout_ms":15000},
--- a/crates/comfreyroad_proxy/tests/soak/disturbances.rs
+++ b/crates/comfreyroad_proxy/tests/soak/disturbances.rs
@@ -15,43 +15,63 @@
     Entry(usize),
 }
 
+/// One disturbance.
+#[derive(Clone, Copy, Debug)]
+struct Interval {
+    scope: Scope,
+    started: Instant,
+    ends: Instant,
+    /// Whether it is planned work, such as a shutdown, and no fault.
+    is_planned: bool,
+}
+
 /// The disturbances of a run; clones share the data.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Disturbances {
-    intervals: Arc<Mutex<Vec<(Scope, Instant, Instant)>>>,
+    intervals: Arc<Mutex<Vec<Interval>>>,
 }
 
 impl Disturbances {
-    /// Records a disturbance that starts now, and returns its start.
-    pub(super) fn add(&self, scope: Scope, duration: Duration) -> Instant {
+    /// Records a fault that starts now.
+    pub(super) fn add(&self, scope: Scope, duration: Duration) {
+        self.push(scope, duration, false);
+    }
+
+    /// Records planned work that starts now.
+    pub(super) fn add_planned(&self, scope: Scope, duration: Duration) {
+        self.push(scope, duration, true);
+    }
+
+    fn push(&self, scope: Scope, duration: Duration, is_planned: bool) {
         let now = Instant::now();
-        self.intervals
-            .lock()
-            .unwrap()
-            .push((scope, now, now + duration));
-        now
+        self.intervals.lock().unwrap().push(Interval {
+            scope,
+            started: now,
+            ends: now + duration,
+            is_planned,
+        });
     }
 
     /// Whether an entry was undisturbed between two instants, and for [`SETTLE_TIME`] before the first.
     pub(super) fn is_undisturbed(&self, entry: usize, from: Instant, to: Instant) -> bool {
-        self.is_undisturbed_except(entry, from, to, None)
+        !self.has_any(entry, from, to, |_| true)
+    }
+
+    /// Like [`Self::is_undisturbed`], but allows for planned work.
+    pub(super) fn is_without_fault(&self, entry: usize, from: Instant, to: Instant) -> bool {
+        !self.has_any(entry, from, to, |it| !it.is_planned)
     }
 
-    /// Like [`Self::is_undisturbed`], but ignores a disturbance that started at the given instant.
-    pub(super) fn is_undisturbed_except(
+    fn has_any(
         &self,
         entry: usize,
         from: Instant,
         to: Instant,
-        ignored_start: Option<Instant>,
+        counts: impl Fn(&Interval) -> bool,
     ) -> bool {
-        let intervals = self.intervals.lock().unwrap();
         let affects = |scope: Scope| scope == Scope::All || scope == Scope::Entry(entry);
-        let mut intervals = intervals
-            .iter()
-            .filter(|(_, started, _)| Some(*started) != ignored_start);
-        !intervals.any(|(scope, started, ended)| {
-            affects(*scope) && *started <= to && *ended + SETTLE_TIME >= from
+        self.intervals.lock().unwrap().iter().any(|it| {
+            counts(it) && affects(it.scope) && it.started <= to && it.ends + SETTLE_TIME >= from
         })
     }
 }
--- a/crates/comfreyroad_proxy/tests/soak/engine.rs
+++ b/crates/comfreyroad_proxy/tests/soak/engine.rs
@@ -5,16 +5,15 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use super::caller::PROBE_ID;
 use super::http::{self, Message};
 use super::link::Link;
+use super::scenario::Scenario;
 use super::store::Store;
+use super::work::Work;
 
 /// Number of events in a stream.
 pub(super) const EVENTS: u64 = 10;
-/// Interval between two events.
-const EVENT_INTERVAL: Duration = Duration::from_millis(15);
-/// Time to produce a response that is not a stream.
-const RESPONSE_TIME: Duration = Duration::from_millis(8);
 
 /// One run of a request.
 #[derive(Clone, Debug)]
@@ -26,6 +25,38 @@
     pub(super) has_key: bool,
     /// Whether the engine cut its response.
     pub(super) is_cut: bool,
+    /// When the engine began to work on the request, which a pause may delay.
+    pub(super) began: Option<Instant>,
+    /// When the engine last worked on the request.
+    pub(super) last_worked: Option<Instant>,
+    /// When the engine last sent an event or the end of the response.
+    pub(super) last_sent: Option<Instant>,
+    /// Longest time between two parts of the response.
+    pub(super) longest_silence: Duration,
+    /// When the engine noticed that the connection was closed.
+    pub(super) closed: Option<Instant>,
+    /// When the engine sent the end of the response.
+    pub(super) finished: Option<Instant>,
+}
+
+impl Run {
+    /// Notes that a part of the response is sent.
+    pub(super) fn send(&mut self) {
+        let now = Instant::now();
+        self.note_silence(now);
+        self.last_sent = Some(now);
+    }
+
+    /// Notes that nothing has been sent until an instant.
+    pub(super) fn note_silence(&mut self, until: Instant) {
+        let silence = until - self.last_sent.unwrap_or(self.at);
+        self.longest_silence = self.longest_silence.max(silence);
+    }
+
+    /// When the engine stopped to hold the request; `None` if it still does.
+    pub(super) fn ended(&self) -> Option<Instant> {
+        self.finished.or(self.closed)
+    }
 }
 
 /// The runs of all engines; clones share the data.
@@ -47,11 +78,18 @@
     pub(super) link: Link,
     store: Store,
     state: Arc<Mutex<State>>,
-    runs: Runs,
+    pub(super) runs: Runs,
+    scenario: Scenario,
 }
 
 impl Engine {
-    pub(super) fn start(number: usize, store: Store, runs: Runs, seed: u64) -> Self {
+    pub(super) fn start(
+        number: usize,
+        store: Store,
+        runs: Runs,
+        scenario: Scenario,
+        seed: u64,
+    ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let engine = Self {
             number,
@@ -65,6 +103,7 @@
                 rng: fastrand::Rng::with_seed(seed),
             })),
             runs,
+            scenario,
         };
         let served = engine.clone();
         std::thread::spawn(move || {
@@ -126,7 +165,7 @@
         self.register();
     }
 
-    fn is_crashed(&self) -> bool {
+    pub(super) fn is_crashed(&self) -> bool {
         self.state.lock().unwrap().is_crashed
     }
 
@@ -145,50 +184,37 @@
         if request.header("x-comfreyroad-target-instance") != self.name() {
             return send(stream, &head(&id, "421 X", "Content-Length: 0\r\n\r\n"));
         }
-        let sample = self.state.lock().unwrap().rng.u32(..1000);
+        let (sample, pause) = {
+            let mut state = self.state.lock().unwrap();
+            (state.rng.u32(..1000), self.scenario.pause(&mut state.rng))
+        };
+        let pause = pause.filter(|_| id != PROBE_ID);
         if sample < 10 {
             let rejection = "X-Comfreyroad-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
             return send(stream, &head(&id, "503 X", rejection));
         }
-        // One percent of responses is lost after the request has run.
-        let is_cut = sample < 20;
-        self.runs.lock().unwrap().push(Run {
-            id: id.clone(),
+        let run = Run {
+            id,
             engine: self.number,
             at: Instant::now(),
             customer: request.header("x-comfreyroad-tenant").to_owned(),
             has_key: !request.header("x-comfreyroad-key").is_empty(),
-            is_cut,
-        });
-        if request.path().starts_with("/events/") {
-            return self.stream(stream, request, &id, is_cut);
-        }
-        std::thread::sleep(RESPONSE_TIME);
-        if is_cut || self.is_crashed() {
-            return false;
-        }
-        let body = format!("ok {id}");
-        let length = format!("Content-Length: {}\r\n\r\n{body}", body.len());
-        send(stream, &head(&id, "200 OK", &length))
-    }
-
-    fn stream(&self, stream: &mut TcpStream, request: &Message, id: &str, is_cut: bool) -> bool {
-        let from: u64 = request.header("last-event-id").parse().unwrap_or(0);
-        let headers = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-        if !send(stream, &head(id, "200 OK", headers)) {
-            return false;
-        }
-        for number in from + 1..=EVENTS {
-            let event = event(id, number);
-            if self.is_crashed() || (is_cut && number > EVENTS / 2) {
-                return false;
-            }
-            if !send(stream, &format!("{:x}\r\n{event}\r\n", event.len())) {
-                return false;
-            }
-            std::thread::sleep(EVENT_INTERVAL);
-        }
-        send(stream, "0\r\n\r\n")
+            is_cut: false,
+            began: None,
+            last_worked: None,
+            last_sent: None,
+            longest_silence: Duration::ZERO,
+            closed: None,
+            finished: None,
+        };
+        let index = {
+            let mut runs = self.runs.lock().unwrap();
+            runs.push(run);
+            runs.len() - 1
+        };
+        // One percent of responses is lost after the request has run.
+        let breaks_off = sample < 20;
+        Work::new(self, stream, index, pause, breaks_off).respond(request)
     }
 }
 
@@ -197,12 +223,12 @@
     format!("id: {number}\ndata: {id} {number}\n\n")
 }
 
-fn head(id: &str, status: &str, rest: &str) -> String {
+pub(super) fn head(id: &str, status: &str, rest: &str) -> String {
     format!(
         "HTTP/1.1 {status}\r\nX-Comfreyroad-Request-Id: {id}\r\nX-Comfreyroad-Server-Signature: s\r\n{rest}"
     )
 }
 
-fn send(stream: &mut TcpStream, text: &str) -> bool {
+pub(super) fn send(stream: &mut TcpStream, text: &str) -> bool {
     stream.write_all(text.as_bytes()).is_ok()
 }
--- a/crates/comfreyroad_proxy/tests/soak/entry.rs
+++ b/crates/comfreyroad_proxy/tests/soak/entry.rs
@@ -7,12 +7,15 @@
 use std::time::{Duration, Instant};
 
 use comfreyroad_fakes::port;
+use rustix::process::{Pid, Signal, kill_process};
 
 use super::caller;
+use super::lifetime::Lifetime;
 use super::link::Link;
+use super::signals::Signals;
 
-/// Grace period of a shutdown, in seconds.
-pub(super) const GRACE_S: u64 = 4;
+/// Interval between two rounds of signals.
+const ROUND_INTERVAL: Duration = Duration::from_millis(50);
 
 /// An entry, which keeps its addresses across restarts.
 #[derive(Debug)]
@@ -22,6 +25,10 @@
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
+    number: usize,
+    is_paused: bool,
+    /// All lifetimes of the process, the present one last.
+    pub(super) lifetimes: Vec<Lifetime>,
 }
 
 /// Ports that an entry listens on.
@@ -49,15 +56,17 @@
         ports: Ports,
         seeds: &[SocketAddr],
         store: Link,
+        grace: Duration,
         folder: &Path,
     ) -> Self {
         let zone = ["a", "b"][number % 2];
         let [front, ready, control] =
             [&ports.front, &ports.ready, &ports.control].map(|port| port.address);
+        let grace_s = grace.as_secs();
         let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
         let text = format!(
             "node_name = \"e{number}\"\nzone = \"{zone}\"\nseeds = [{}]\n[zones]\na = \"r\"\nb = \"r\"\n[listen]\n\
-             front = \"{front}\"\nready = \"{ready}\"\ncontrol = \"{control}\"\n[bounds]\ngrace_s = {GRACE_S}\n\
+             front = \"{front}\"\nready = \"{ready}\"\ncontrol = \"{control}\"\n[bounds]\ngrace_s = {grace_s}\n\
              retry_ratio = 0.9\nretry_slack = 200\n[platform]\naddress = \"{}\"\n",
             seeds.join(","),
             store.address
@@ -70,6 +79,9 @@
             settings,
             log: folder.join(format!("e{number}.log")),
             child: None,
+            number,
+            is_paused: false,
+            lifetimes: Vec::new(),
         };
         entry.spawn();
         entry
@@ -88,19 +100,77 @@
             .stderr(log.try_clone().unwrap())
             .stdout(log)
             .spawn();
+        self.is_paused = false;
+        self.lifetimes.push(Lifetime::new(self.number));
         self.child = Some(child.unwrap());
     }
 
+    /// Whether the process is running. Records its end.
     pub(super) fn is_running(&mut self) -> bool {
-        let child = self.child.as_mut();
-        child.is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+        let Some(child) = &mut self.child else {
+            return false;
+        };
+        let Some(status) = child.try_wait().unwrap() else {
+            return true;
+        };
+        // The id of a process that was waited for may belong to another one.
+        self.child = None;
+        self.lifetime().end = Some((Instant::now(), status));
+        false
     }
 
-    pub(super) fn signal(&self, name: &str) {
-        if let Some(child) = &self.child {
-            let id = child.id().to_string();
-            // Fails if the process has exited meanwhile.
-            let _ = Command::new("kill").args([name, &id]).status();
+    fn lifetime(&mut self) -> &mut Lifetime {
+        self.lifetimes.last_mut().expect("an entry has started")
+    }
+
+    /// Whether the process runs and has been ready, so that it handles signals.
+    pub(super) fn handles_signals(&mut self) -> bool {
+        if !self.is_running() {
+            return false;
+        }
+        let is_ready = self.lifetime().was_ready || !self.is_paused && self.is_ready();
+        self.lifetime().was_ready = is_ready;
+        is_ready
+    }
+
+    /// Whether the process was told to shut down.
+    pub(super) fn is_terminated(&self) -> bool {
+        let lifetime = self.lifetimes.last();
+        lifetime.is_some_and(|it| it.terminated.is_some())
+    }
+
+    pub(super) fn signal(&mut self, signal: Signal) {
+        self.signal_in_series(signal, Signals::ONE);
+    }
+
+    pub(super) fn signal_in_series(&mut self, signal: Signal, signals: Signals) {
+        if !self.is_running() {
+            return;
+        }
+        match signal {
+            Signal::STOP => self.is_paused = true,
+            Signal::CONT => self.is_paused = false,
+            _ => {
+                let lifetime = self.lifetime();
+                lifetime.is_signaled_early |= !lifetime.was_ready;
+                if signal == Signal::TERM && lifetime.terminated.is_none() {
+                    lifetime.terminated = Some(Instant::now());
+                }
+            }
+        }
+        let child = self.child.as_ref().expect("the process is running");
+        let id = Pid::from_child(child);
+        for round in 0..signals.rounds {
+            for number in 0..signals.count {
+                if number > 0 {
+                    std::thread::sleep(signals.interval);
+                }
+                // Until it is waited for, a process that has exited still accepts signals.
+                kill_process(id, signal).unwrap();
+            }
+            if round + 1 < signals.rounds {
+                std::thread::sleep(ROUND_INTERVAL);
+            }
         }
     }
 
@@ -118,9 +188,14 @@
     }
 
     pub(super) fn kill(&mut self) {
+        if !self.is_running() {
+            return;
+        }
+        self.lifetime().is_killed = true;
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
-            let _ = child.wait();
+            let status = child.wait().unwrap();
+            self.lifetime().end = Some((Instant::now(), status));
         }
     }
 
--- a/crates/comfreyroad_proxy/tests/soak/fault.rs
+++ b/crates/comfreyroad_proxy/tests/soak/fault.rs
@@ -5,6 +5,7 @@
 use fastrand::Rng;
 
 use super::link::Mode;
+use super::signals::Signals;
 
 /// One fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -27,8 +28,12 @@
     Kill(usize),
     /// Shuts down an entry, which then restarts.
     Shutdown(usize),
+    /// Shuts down some entries at an interval, starting with the given one, each by a series of signals.
+    Shutdowns(usize, usize, Duration, Signals),
     /// Has an entry reload its settings.
-    Reload(usize),
+    Reload(usize, Signals),
+    /// Drains all engines but some, which restart after some time.
+    Shrink(usize, Duration),
     /// Publishes a configuration.
     Configure,
 }
@@ -53,7 +58,23 @@
             56..66 => Self::Pause(entry, duration),
             66..74 => Self::Kill(entry),
             74..84 => Self::Shutdown(entry),
-            84..88 => Self::Reload(entry),
+            84..88 => Self::Reload(entry, Signals::random(rng, 1)),
+            _ => Self::Configure,
+        }
+    }
+
+    /// Returns a random fault that is planned work.
+    pub(super) fn random_planned(rng: &mut Rng, entries: usize, engines: usize) -> Self {
+        let entry = rng.usize(..entries);
+        match rng.u32(..100) {
+            0..30 => {
+                let interval = Duration::from_millis([0, rng.u64(1..1000)][rng.usize(..2)]);
+                let signals = Signals::random(rng, 1);
+                Self::Shutdowns(entry, rng.usize(1..=2), interval, signals)
+            }
+            30..60 => Self::Reload(entry, Signals::random(rng, 5)),
+            60..75 => Self::Shrink(rng.usize(1..=2), Duration::from_millis(rng.u64(4000..8000))),
+            75..85 => Self::Drain(rng.usize(..engines)),
             _ => Self::Configure,
         }
     }
--- a/crates/comfreyroad_proxy/tests/soak/invariants.rs
+++ b/crates/comfreyroad_proxy/tests/soak/invariants.rs
@@ -6,11 +6,20 @@
 use super::caller::{Kind, Outcome};
 use super::disturbances::Disturbances;
 use super::engine::{EVENTS, Run, event};
+use super::lifetime::Lifetime;
+use super::scenario::Scenario;
 
 /// Time after which a draining engine must receive no more requests.
 pub(super) const DRAIN_TIMEOUT: Duration = Duration::from_millis(2000);
 /// Time after which a published configuration must be in force.
 pub(super) const CONFIGURATION_TIMEOUT: Duration = Duration::from_millis(2000);
+/// Longest gap that callers bear: two seconds, four times the latency objective or eight times the event gap, whichever is
+/// longest.
+const BEARABLE_SILENCE: Duration = Duration::from_secs(4);
+/// Time after which no other engine may work on a request that an engine has begun.
+const HANDOVER_TIMEOUT: Duration = Duration::from_millis(400);
+/// Allowance for the scheduling of callers, links and engines.
+const SLACK: Duration = Duration::from_millis(200);
 /// Statuses that promise that a request has not run and never will.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
@@ -22,8 +31,8 @@
     pub(super) disturbances: Disturbances,
     /// Engines that drained, with the start and the end of draining.
     pub(super) drains: Vec<(usize, Instant, Instant)>,
-    /// Entries that were told to shut down, and when.
-    pub(super) shutdowns: Vec<(usize, Instant)>,
+    pub(super) lifetimes: Vec<Lifetime>,
+    pub(super) scenario: Scenario,
 }
 
 impl Observations {
@@ -38,9 +47,12 @@
         for outcome in &self.outcomes {
             let runs = runs.get(&*outcome.id).unwrap_or(&none);
             violations.extend(self.check_outcome(outcome, runs));
+            violations.extend(self.check_cut(outcome, runs));
+            violations.extend(self.check_handover(outcome, runs));
         }
         violations.extend(self.runs.iter().filter_map(check_identity));
         violations.extend(self.late_requests_to_draining());
+        violations.extend(self.lifetimes.iter().filter_map(check_end));
         violations
     }
 
@@ -59,29 +71,75 @@
         if [400, 401, 404, 413, 431].contains(&outcome.status()) {
             return violation("a valid request was refused as invalid");
         }
-        self.is_cut_by_shutdown(outcome, runs).then(|| {
-            format!(
-                "{id} at e{}: response cut by a graceful shutdown, {outcome:?}",
-                outcome.entry
-            )
-        })
+        None
     }
 
-    /// Whether a response was cut and only the shutdown of the entry can be the cause.
-    fn is_cut_by_shutdown(&self, outcome: &Outcome, runs: &[&Run]) -> bool {
-        let is_cut = outcome.status() == 0 || !outcome.is_complete();
-        let is_engine_fault = runs.is_empty() || runs.iter().any(|run| run.is_cut);
+    /// Checks that a request that has reached a sound engine gets a complete response.
+    ///
+    /// Around a shutdown the only excuses are that the engine broke off, that the time limit was reached, or that a request
+    /// sent in the first three eighths of the grace period was still unfinished in its last sixth. At other times a
+    /// response may also be cut if its engine is silent for longer than callers bear.
+    fn check_cut(&self, outcome: &Outcome, runs: &[&Run]) -> Option<String> {
+        if outcome.status() != 0 && outcome.is_complete() {
+            return None;
+        }
         let (sent, ended) = (outcome.sent, outcome.ended);
-        let mut shutdowns = self.shutdowns.iter();
-        is_cut
-            && !is_engine_fault
-            && shutdowns.any(|(entry, at)| {
-                let disturbances = &self.disturbances;
-                *entry == outcome.entry
-                    && *at <= ended
-                    && *at + Duration::from_secs(1) >= sent
-                    && disturbances.is_undisturbed_except(*entry, sent, ended, Some(*at))
-            })
+        let last = runs.iter().max_by_key(|run| run.at)?;
+        let has_timed_out = ended + SLACK >= sent + self.scenario.request_timeout();
+        let is_without_fault = self
+            .disturbances
+            .is_without_fault(outcome.entry, sent, ended);
+        if last.is_cut || has_timed_out || !is_without_fault {
+            return None;
+        }
+        let lifetime = self.lifetime(outcome)?;
+        let grace = self.scenario.grace();
+        let shutdown = lifetime.terminated.filter(|it| *it <= ended);
+        let (cause, origin) = if let Some(shutdown) = shutdown {
+            let is_sent_early = sent <= shutdown + grace * 3 / 8 + SLACK;
+            let last_sixth = shutdown + grace * 5 / 6;
+            let is_unfinished = last.ended().is_none_or(|it| it + SLACK >= last_sixth);
+            if is_sent_early && is_unfinished {
+                return None;
+            }
+            ("response cut by a graceful shutdown", shutdown)
+        } else {
+            let last_sent = runs.iter().filter_map(|run| run.last_sent).max();
+            let silence = last
+                .longest_silence
+                .max(ended - last_sent.unwrap_or(sent).min(ended));
+            if silence >= BEARABLE_SILENCE {
+                return None;
+            }
+            ("response cut though its engine was sound", sent)
+        };
+        Some(describe(outcome, runs, lifetime, cause, origin))
+    }
+
+    /// Checks that an engine stops to work on a request soon after another one has begun.
+    fn check_handover(&self, outcome: &Outcome, runs: &[&Run]) -> Option<String> {
+        let lifetime = self.lifetime(outcome)?;
+        let is_late = |first: &Run, next: &Run| {
+            let (Some(began), Some(worked)) = (next.began, first.last_worked) else {
+                return false;
+            };
+            first.at < next.at
+                && worked > began + HANDOVER_TIMEOUT + SLACK
+                && self
+                    .disturbances
+                    .is_without_fault(outcome.entry, first.at, worked)
+        };
+        let has_late = runs
+            .iter()
+            .any(|first| runs.iter().any(|next| is_late(first, next)));
+        let cause = "an engine works on a request that another one has begun";
+        has_late.then(|| describe(outcome, runs, lifetime, cause, outcome.sent))
+    }
+
+    /// The lifetime of the entry's process that got a request.
+    fn lifetime(&self, outcome: &Outcome) -> Option<&Lifetime> {
+        let mut lifetimes = self.lifetimes.iter();
+        lifetimes.find(|it| it.entry == outcome.entry && it.contains(outcome.sent))
     }
 
     /// Requests that reached a draining engine after [`DRAIN_TIMEOUT`].
@@ -133,3 +191,73 @@
     let is_correct = run.customer == "customer" && !run.has_key;
     (!is_correct).then(|| format!("{}: customer {}, key {}", run.id, run.customer, run.has_key))
 }
+
+/// Checks that a process ended only after it was told to, and with success.
+fn check_end(lifetime: &Lifetime) -> Option<String> {
+    let (ended, status) = lifetime.end?;
+    let is_allowed = lifetime.terminated.is_some() && status.success();
+    if is_allowed || lifetime.is_killed || lifetime.is_signaled_early {
+        return None;
+    }
+    let entry = lifetime.entry;
+    Some(match lifetime.terminated {
+        Some(at) => {
+            let since = seconds(ended, at);
+            format!("e{entry}: ended with {status}, {since} after SIGTERM")
+        }
+        None => {
+            let since = seconds(ended, lifetime.started);
+            format!("e{entry}: ended with {status} without SIGTERM, {since} after its start")
+        }
+    })
+}
+
+/// Describes a request and its runs, with times relative to an instant.
+fn describe(
+    outcome: &Outcome,
+    runs: &[&Run],
+    lifetime: &Lifetime,
+    cause: &str,
+    origin: Instant,
+) -> String {
+    let at = |it: Instant| seconds(it, origin);
+    let maybe = |it: Option<Instant>| it.map_or("-".to_owned(), at);
+    let runs: Vec<String> = runs
+        .iter()
+        .map(|run| {
+            format!(
+                "engine {} (received {}, began {}, last worked {}, last sent {}, closed {}, finished {}, broke off {})",
+                run.engine,
+                at(run.at),
+                maybe(run.began),
+                maybe(run.last_worked),
+                maybe(run.last_sent),
+                maybe(run.closed),
+                maybe(run.finished),
+                run.is_cut
+            )
+        })
+        .collect();
+    format!(
+        "{} {:?} at e{}: {cause}; sent {}, ended {}, status {}; SIGTERM {}, process ended {}; {}",
+        outcome.id,
+        outcome.kind,
+        outcome.entry,
+        at(outcome.sent),
+        at(outcome.ended),
+        outcome.status(),
+        maybe(lifetime.terminated),
+        maybe(lifetime.end.map(|(it, _)| it)),
+        runs.join(", ")
+    )
+}
+
+/// Time of an instant relative to another one.
+fn seconds(at: Instant, origin: Instant) -> String {
+    let (sign, time) = if at < origin {
+        ('-', origin - at)
+    } else {
+        ('+', at - origin)
+    };
+    format!("{sign}{:.3}s", time.as_secs_f64())
+}
--- a/crates/comfreyroad_proxy/tests/soak/main.rs
+++ b/crates/comfreyroad_proxy/tests/soak/main.rs
@@ -5,8 +5,12 @@
 //! restarted. Engines crash, drain and come back. Configurations change. A seed determines the sequence of faults,
 //! which may overlap. What callers and engines observe is checked against the [`invariants`].
 //!
-//! `COMFREYROAD_SOAK_SEEDS=1..51 cargo test -p comfreyroad_proxy --test soak seeds` runs fifty seeds. Each seed
-//! that has failed is recorded in [`FAILED_SEEDS`] with the cause.
+//! A run of planned stops injects no faults but planned work: shutdowns, reloads, configurations and drains, in series and
+//! overlapping, while engines pause long requests.
+//!
+//! `COMFREYROAD_SOAK_SEEDS=1..51 cargo test -p comfreyroad_proxy --test soak environment` runs fifty seeds of each kind;
+//! `planned_stops_with` instead of `environment` runs those of planned stops only. Each seed that has failed is recorded
+//! in [`FAILED_SEEDS`] with the cause.
 
 mod caller;
 mod cluster;
@@ -18,45 +22,73 @@
 #[expect(dead_code, reason = "fully used by the process tests")]
 mod http;
 mod invariants;
+mod lifetime;
 mod link;
+mod pause;
+mod scenario;
+mod signals;
 #[path = "../process/store.rs"]
 #[expect(dead_code, reason = "fully used by the process tests")]
 mod store;
+mod work;
 
 use cluster::Cluster;
+use scenario::Scenario;
 
 /// Seeds that have failed, each with the cause.
 const FAILED_SEEDS: &[(u64, &str)] = &[];
 
-fn run(seed: u64) {
-    let violations = Cluster::start(seed).run();
+fn run(scenario: Scenario, seed: u64) {
+    let violations = Cluster::start(scenario, seed).run();
     assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
 }
 
 /// The run of one seed in CI.
 #[test]
 fn short_run_holds_all_invariants() {
-    run(20_261_204);
+    run(Scenario::Faults, 20_261_204);
 }
 
 #[test]
 fn previously_failed_seeds_hold_all_invariants() {
     for (seed, cause) in FAILED_SEEDS {
         println!("seed {seed}: {cause}");
-        run(*seed);
+        run(Scenario::Faults, *seed);
     }
 }
 
+/// The run of one seed in CI.
+#[test]
+fn planned_stops_cut_no_responses() {
+    run(Scenario::PlannedStops, 20_261_204);
+}
+
 /// Runs the seeds of the environment variable, which is set for manual runs only and not in CI.
 #[test]
 fn seeds_from_the_environment_hold_all_invariants() {
+    run_seeds_from_the_environment(Scenario::Faults);
+}
+
+/// Like [`seeds_from_the_environment_hold_all_invariants`], for planned stops.
+#[test]
+fn planned_stops_with_seeds_from_the_environment_cut_no_responses() {
+    run_seeds_from_the_environment(Scenario::PlannedStops);
+}
+
+fn run_seeds_from_the_environment(scenario: Scenario) {
     let Ok(range) = std::env::var("COMFREYROAD_SOAK_SEEDS") else {
         return;
     };
     let (from, to) = range.split_once("..").expect("expected a range like 1..51");
     let bound = |text: &str| text.parse::<u64>().expect("expected a number");
+    let mut failures = Vec::new();
     for seed in bound(from)..bound(to) {
         println!("seed {seed}");
-        run(seed);
+        let violations = Cluster::start(scenario, seed).run();
+        if !violations.is_empty() {
+            println!("seed {seed}: {violations:#?}");
+            failures.push(seed);
+        }
     }
+    assert!(failures.is_empty(), "seeds that failed: {failures:?}");
 }
