Soak: stop sending signals to an entry that has ended

Guards against a late record of the end, and against signals to a process that no longer runs. Seen: an end by SIGHUP was noticed up to 0.25 s late, after the rounds that were left.

--- a/crates/comfreyroad_proxy/tests/soak/entry.rs
+++ b/crates/comfreyroad_proxy/tests/soak/entry.rs
@@ -158,9 +158,12 @@
                 }
             }
         }
-        let child = self.child.as_ref().expect("the process is running");
-        let id = Pid::from_child(child);
         for round in 0..signals.rounds {
+            if !self.is_running() {
+                return;
+            }
+            let child = self.child.as_ref().expect("the process is running");
+            let id = Pid::from_child(child);
             for number in 0..signals.count {
                 if number > 0 {
                     std::thread::sleep(signals.interval);
