--- a/crates/comfreyroad_proxy/tests/soak/cluster.rs
+++ b/crates/comfreyroad_proxy/tests/soak/cluster.rs
@@ -63,8 +63,10 @@
 impl Cluster {
     pub(super) fn start(scenario: Scenario, seed: u64) -> Self {
         let mut rng = Rng::with_seed(seed);
-        let folder =
-            std::env::temp_dir().join(format!("comfreyroad-soak-{}-{seed}", std::process::id()));
+        let folder = std::env::temp_dir().join(format!(
+            "comfreyroad-soak-{}-{scenario:?}-{seed}",
+            std::process::id()
+        ));
         std::fs::create_dir_all(&folder).unwrap();
         let (store, address) = Store::start();
         let runs = Runs::default();
