A request moves only to a sound upstream of its version, and then waits there

Callers saw: 502 for requests whose silent upstream would have answered, after the next one had rejected them; streams of an old version that went on at the new one during its trial; requests of engines that were all silent that changed places, each read anew. Cause: the search for another upstream was that of a request which has none: it fell back to other versions and took suspected upstreams, which is right only if nothing is lost by a bad choice. A request that had moved was refused like any other. Three tests of `hand_over`. Why: a move is optional, and says so. It asks for an upstream that is not suspected, ejected or leaving, has a free slot, and has the version that the request should have. A request that has moved is then placed like a begun stream: it waits, and is not refused. The load simulation searches as often as the front does.

--- a/crates/comfreyroad_router/src/controller/upstreams/requirements.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/requirements.rs
@@ -19,8 +19,9 @@
     pub cacheable_tokens: u32,
     /// Upstreams that are excluded, as they were already tried.
     pub excluded: &'a [UpstreamId],
-    /// Whether the upstream must have a free slot, as far as its load is known.
-    pub needs_free_slot: bool,
+    /// Whether the request is well placed where it is, so that only an upstream will do that is healthy and has a free slot, as far as
+    /// its load is known.
+    pub is_optional: bool,
     /// Hash that breaks ties between upstreams for requests without affinity.
     pub salt: u64,
 }
--- a/crates/comfreyroad_router/src/controller/upstreams/selection.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/selection.rs
@@ -97,7 +97,7 @@
         let usable = |upstream: &&Upstream| {
             self.is_usable(now, upstream, requirements, evacuations)
                 && self.has_capacity(now, upstream, service)
-                && (!requirements.needs_free_slot || upstream.has_free_slot(now))
+                && (!requirements.is_optional || Self::is_promising(now, upstream))
         };
         let usable: Vec<&Upstream> = self.upstreams.values().filter(usable).collect();
         let usable = prefer(usable, |it| it.leaving.is_none());
@@ -129,6 +129,14 @@
         upstreams.any(|it| self.is_match(now, it, requirements, evacuations))
     }
 
+    /// Whether an upstream is expected to answer a request that it takes over.
+    fn is_promising(now: Instant, upstream: &Upstream) -> bool {
+        upstream.has_free_slot(now)
+            && upstream.leaving.is_none()
+            && !upstream.health.is_ejected(now)
+            && !upstream.is_suspected(now)
+    }
+
     /// Whether an upstream meets the requirements of a request and accepts new ones, regardless of its load.
     fn is_usable(
         &self,
--- a/crates/comfreyroad_router/src/filter/hand_over.rs
+++ b/crates/comfreyroad_router/src/filter/hand_over.rs
@@ -32,9 +32,8 @@
     if !may_move {
         return None;
     }
-    // An upstream that is full rejects the request, which has then left the other one in vain.
     let scope = Scope {
-        needs_free_slot: true,
+        is_optional: true,
         ..Scope::untried(plan)
     };
     place::acquire_slot(head, plan, scope, now, state)
--- a/crates/comfreyroad_router/src/filter/place.rs
+++ b/crates/comfreyroad_router/src/filter/place.rs
@@ -15,7 +15,7 @@
 
 /// Interval at which a request that waits for its first slot is placed again.
 const WAIT_INTERVAL: Duration = Duration::from_millis(10);
-/// Interval at which a request whose answer has begun is placed again.
+/// Interval at which a request that has progress is placed again.
 const RESUME_INTERVAL: Duration = Duration::from_millis(100);
 /// A request waits for a slot for at most this fraction (1/8) of its latency objective before it is refused.
 const WAIT_DIVISOR: u32 = 8;
@@ -56,7 +56,7 @@
     if is_in_budget && let Some(slot) = find_slot(request.head(), plan, now, state) {
         return Ok(request.with_slot(slot));
     }
-    if plan.is_begun() && has_upstream(request.head(), plan, now, state) {
+    if plan.has_progress() && has_upstream(request.head(), plan, now, state) {
         return Err(Backpressure::Wait(request, now + RESUME_INTERVAL));
     }
     if !is_in_budget {
@@ -82,11 +82,11 @@
     refusal.with_retry_after(MAX_RETRY_AFTER.min(left / 4))
 }
 
-/// A slot at an upstream that was not tried, or at any if the caller has a part of the answer, which is lost unless some upstream
-/// continues it.
+/// A slot at an upstream that was not tried, or at any if the request has progress, which is lost unless some upstream goes on
+/// with it.
 fn find_slot(head: &Head, plan: &Plan, now: Instant, state: &mut Controllers) -> Option<Slot> {
     let untried = acquire_slot(head, plan, Scope::untried(plan), now, state);
-    let may_return = plan.is_begun() && plan.returns_at.is_none_or(|at| at <= now);
+    let may_return = plan.has_progress() && plan.returns_at.is_none_or(|at| at <= now);
     if untried.is_some() || !may_return {
         return untried;
     }
@@ -98,8 +98,9 @@
 pub(super) struct Scope<'a> {
     /// Upstreams that are excluded.
     pub(super) excluded: &'a [UpstreamId],
-    /// Whether only upstreams with a free slot are considered.
-    pub(super) needs_free_slot: bool,
+    /// Whether the request is well placed where it is, so that only an upstream will do that is healthy and has a free slot, and none of
+    /// another version than it should have.
+    pub(super) is_optional: bool,
 }
 
 impl<'a> Scope<'a> {
@@ -107,7 +108,7 @@
     pub(super) fn untried(plan: &'a Plan) -> Self {
         Self {
             excluded: &plan.tried_upstreams,
-            needs_free_slot: false,
+            is_optional: false,
         }
     }
 }
@@ -126,7 +127,8 @@
     let slot = state
         .upstreams
         .acquire_slot(now, &requirements(versions.clone()), evacuations);
-    if slot.is_some() || !state.rollouts.may_fall_back(&plan.pool, &versions) {
+    let may_fall_back = !scope.is_optional && state.rollouts.may_fall_back(&plan.pool, &versions);
+    if slot.is_some() || !may_fall_back {
         return slot;
     }
     state
@@ -157,7 +159,7 @@
         prompt_tokens: head.prompt_tokens(),
         cacheable_tokens: head.shared_tokens(),
         excluded: scope.excluded,
-        needs_free_slot: scope.needs_free_slot,
+        is_optional: scope.is_optional,
         salt: rendezvous::hash(&head.id, ""),
     }
 }
--- a/crates/comfreyroad_router/src/filter/plan.rs
+++ b/crates/comfreyroad_router/src/filter/plan.rs
@@ -58,6 +58,7 @@
             tried_upstreams: Vec::new(),
             runs: 0,
             has_failed: false,
+            has_moved: false,
             returns_at: None,
         }))
     }
--- a/crates/comfreyroad_router/src/request/plan.rs
+++ b/crates/comfreyroad_router/src/request/plan.rs
@@ -29,11 +29,13 @@
     pub runs: u32,
     /// Whether an attempt has failed.
     pub has_failed: bool,
+    /// Whether it has left a silent upstream, which would have gone on, for another one.
+    pub has_moved: bool,
     /// When the request may go back to an upstream that has rejected it; `None` if none has.
     pub returns_at: Option<Instant>,
 }
 
-/// Rejected attempts that a request may have beyond the maximum number of attempts of its route, unless its answer has begun.
+/// Rejected attempts that a request may have beyond the maximum number of attempts of its route, unless it has progress.
 const MAX_REJECTIONS: u32 = 2;
 
 impl Plan {
@@ -41,12 +43,12 @@
     pub fn has_attempts_left(&self) -> bool {
         let most = self.route.max_attempts.max(1);
         let attempts = self.tried_upstreams.len() as u32;
-        self.runs < most && (self.is_begun() || attempts < most + MAX_REJECTIONS)
+        self.runs < most && (self.has_progress() || attempts < most + MAX_REJECTIONS)
     }
 
-    /// Whether the caller has a part of the answer.
-    pub fn is_begun(&self) -> bool {
-        self.required_version.is_some()
+    /// Whether a refusal would throw work away: the caller has a part of the answer, or an upstream that worked on it was left.
+    pub fn has_progress(&self) -> bool {
+        self.required_version.is_some() || self.has_moved
     }
 
     /// Whether the request was sent to an upstream before.
--- a/crates/comfreyroad_router/src/request/sent.rs
+++ b/crates/comfreyroad_router/src/request/sent.rs
@@ -79,6 +79,7 @@
 
     /// Records an event that the caller has received. Only an upstream of the same version can resume after it.
     pub(crate) fn record_delivery(&mut self, event: EventId, version: &VersionId) {
+        self.stage.is_silent = false;
         let plan = self.stage.origin.plan_mut();
         plan.last_event_id = Some(event);
         plan.required_version = Some(version.clone());
@@ -103,6 +104,13 @@
         Ok(request)
     }
 
+    /// Leaves a silent upstream for another one.
+    pub(crate) fn leave(self) -> Result<Request<Retrying>, Self> {
+        let mut request = self.fail()?;
+        request.stage.plan.has_moved = true;
+        Ok(request)
+    }
+
     /// Prepares a retry after a failed attempt, which may have run.
     pub(crate) fn fail(self) -> Result<Request<Retrying>, Self> {
         let mut request = self.into_retry()?;
--- a/crates/comfreyroad_router/src/router.rs
+++ b/crates/comfreyroad_router/src/router.rs
@@ -191,7 +191,7 @@
     ) -> Result<Request<Placed>, Request<Sent>> {
         if let Some(slot) = hand_over::find_slot(&request, now.instant, &mut self.state) {
             self.record_failure(now, &request, fault);
-            return Ok(request.fail()?.with_slot(slot));
+            return Ok(request.leave()?.with_slot(slot));
         }
         if request.record_silence() {
             let slot = &request.stage().slot;
--- a/crates/comfreyroad_router/tests/decisions/hand_over.rs
+++ b/crates/comfreyroad_router/tests/decisions/hand_over.rs
@@ -4,6 +4,7 @@
 use comfreyroad_router::filter::place::Backpressure;
 use comfreyroad_router::record::{Content, Topic};
 use comfreyroad_router::request::{Rejection, Returned, Sent};
+use comfreyroad_router::rollout::Order;
 use comfreyroad_router::upstream::{Load, Stage};
 use comfreyroad_router::{Event, Request};
 
@@ -201,3 +202,69 @@
     // Rejections that follow each other without a pause would use up the retry budget.
     assert!(rig.now.instant - started > 3 * SECOND);
 }
+
+/// Requests of engines that were all silent changed places.
+#[test]
+fn a_request_stays_at_a_silent_upstream_if_the_other_one_is_suspected() {
+    let mut rig = Rig::serving("e1");
+    for name in ["u1", "u2"] {
+        let mut engine = registration("v1");
+        engine.models = vec!["small".into(), "large".into()];
+        engine.sequence = 2;
+        rig.read(Topic::Upstreams, name, Content::Upstream(Box::new(engine)));
+    }
+    let first = send(&mut rig, "stream", "r1");
+    let name = first.stage().slot.upstream.clone();
+    let second = loop {
+        let sent = send(&mut rig, "again", "r2");
+        if sent.stage().slot.upstream != name {
+            break sent;
+        }
+    };
+    let _ = rig.router.on_failed(rig.now, second, Fault::TimedOut);
+    let stays = rig.router.hand_over(rig.now, first, Fault::TimedOut);
+    assert!(stays.is_err());
+}
+
+/// A request left an engine that would have answered it, and was refused when the next one rejected it.
+#[test]
+fn a_request_that_has_moved_waits_for_a_slot_rather_than_being_refused() {
+    let mut rig = Rig::serving("e1");
+    let sent = send(&mut rig, "again", "r");
+    let placed = rig
+        .router
+        .hand_over(rig.now, sent, Fault::TimedOut)
+        .unwrap();
+    let sent = rig.router.send(rig.now, placed);
+    let returned = rig.router.on_rejected(rig.now, sent, Rejection::Full);
+    let Returned::Retrying(request) = returned else {
+        panic!("an upstream may have run the request");
+    };
+    let waits = rig.router.place(rig.now, request);
+    assert!(matches!(waits, Err(Backpressure::Wait(..))), "{waits:?}");
+}
+
+/// Streams of the old version moved to the new one during its trial.
+#[test]
+fn a_request_does_not_move_to_another_version_during_a_rollout() {
+    let mut rig = Rig::serving("e1");
+    let mut sent = send(&mut rig, "stream", "r");
+    rig.router.on_first_event(rig.now, &mut sent);
+    rig.router.on_event_delivered(&mut sent, 1);
+    let mut other_version = registration("v2");
+    other_version.sequence = 2;
+    let name = other(&sent.stage().slot.upstream.clone());
+    rig.read(
+        Topic::Upstreams,
+        name,
+        Content::Upstream(Box::new(other_version)),
+    );
+    let order = Order {
+        pool: "pool".into(),
+        target: "v2".into(),
+        duration: 20 * SECOND,
+    };
+    rig.read(Topic::Operator, "rollout/pool", Content::Rollout(order));
+    let stays = rig.router.hand_over(rig.now, sent, Fault::Stalled);
+    assert!(stays.is_err());
+}
--- a/crates/comfreyroad_router/tests/decisions/load/fleet.rs
+++ b/crates/comfreyroad_router/tests/decisions/load/fleet.rs
@@ -75,6 +75,8 @@
     arrived_at: Instant,
     state: State,
     is_answered: bool,
+    // When another engine is looked for again, after none could take over.
+    next_search: Option<Instant>,
 }
 
 #[derive(Debug)]
@@ -214,6 +216,7 @@
             arrived_at,
             state: State::Waiting(Returned::Planned(planned)),
             is_answered: false,
+            next_search: None,
         });
         self.place(number);
     }
@@ -273,6 +276,7 @@
             self.summary.deadly_sends.push(rig.now.instant);
         }
         self.engines[engine].accept(number, stage.plan().priority, &work);
+        call.next_search = None;
         call.state = State::Sent(sent, engine);
     }
 
@@ -443,7 +447,10 @@
             return;
         };
         let engine = *engine;
-        if rig.router.response_deadline(sent) > rig.now.instant {
+        let due_at = call
+            .next_search
+            .unwrap_or_else(|| rig.router.response_deadline(sent));
+        if due_at > rig.now.instant {
             return;
         }
         if sent.stage().plan().deadline <= rig.now.instant {
@@ -459,7 +466,10 @@
                 self.engines[engine].cancel(number);
                 self.send(number, placed);
             }
-            Err(sent) => call.state = State::Sent(sent, engine),
+            Err(sent) => {
+                call.next_search = Some(rig.router.next_search(rig.now, &sent));
+                call.state = State::Sent(sent, engine);
+            }
         }
     }
 }
