An answer is dropped for a larger model only if that finds a slot

Callers saw: 502 in place of the answer of a smaller model that was arriving. Why: the step-up asks for the slot before it is decided; it is taken in the same turn of the loop.

--- a/crates/comfreyroad_router/src/controller/upstreams/selection.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/selection.rs
@@ -129,6 +129,21 @@
         upstreams.any(|it| self.is_match(now, it, requirements, evacuations))
     }
 
+    /// Whether an upstream would be selected for a request.
+    pub(crate) fn has_slot(
+        &self,
+        now: Instant,
+        requirements: &Requirements<'_>,
+        evacuations: &Evacuations,
+    ) -> bool {
+        let configuration = self.configuration.as_ref();
+        let service = configuration.and_then(|it| it.services.get(requirements.pool));
+        service.is_some_and(|service| {
+            let selected = self.select(now, requirements, evacuations, service);
+            selected.is_some()
+        })
+    }
+
     /// Whether an upstream is expected to answer a request that it takes over.
     fn is_promising(now: Instant, upstream: &Upstream) -> bool {
         upstream.has_free_slot(now)
--- a/crates/comfreyroad_router/src/filter/escalate.rs
+++ b/crates/comfreyroad_router/src/filter/escalate.rs
@@ -3,7 +3,7 @@
 //! Answers the load pattern in which all traffic jumps: a larger model takes several times as long, so that engines that have
 //! room for some of its answers run out of slots when they get all of them, and then every answer is late.
 
-use super::Context;
+use super::{Context, place};
 use crate::answer;
 use crate::request::{Request, Sent};
 
@@ -38,9 +38,18 @@
         && plan.route.idempotency.may_retry()
         && plan.has_attempts_left()
         && is_in_time(request, context)
+        && has_slot(request, context)
         && context.state.retry_budgets.may_step_up(now, &plan.pool)
 }
 
+/// Whether an upstream can take the request for the larger model at once. The answer of the smaller one is dropped for it.
+fn has_slot(request: &Request<Sent>, context: Context<'_>) -> bool {
+    let (head, plan) = (request.head(), request.stage().plan());
+    let now = context.now.instant;
+    let larger = plan.larger_model();
+    larger.is_some_and(|model| place::has_slot(head, plan, model, now, context.state))
+}
+
 /// The confidence in percent below which an answer is escalated. A pool whose utilization is unknown counts as idle.
 fn min_confidence(utilization: Option<f64>) -> f64 {
     let room = FULL_UTILIZATION - utilization.unwrap_or_default();
--- a/crates/comfreyroad_router/src/filter/place.rs
+++ b/crates/comfreyroad_router/src/filter/place.rs
@@ -8,7 +8,7 @@
 use crate::Refusal;
 use crate::controller::Controllers;
 use crate::controller::upstreams::{Requirements, Versions};
-use crate::id::UpstreamId;
+use crate::id::{ModelId, UpstreamId};
 use crate::refusal::Code;
 use crate::request::{Head, Placed, Plan, Request, Unplaced};
 use crate::upstream::Slot;
@@ -136,6 +136,24 @@
         .acquire_slot(now, &requirements(Versions::Any), evacuations)
 }
 
+/// Whether a request finds a slot at once if it is placed anew with a model.
+pub(super) fn has_slot(
+    head: &Head,
+    plan: &Plan,
+    model: &ModelId,
+    now: Instant,
+    state: &Controllers,
+) -> bool {
+    let versions = allowed_versions(head, plan, now, state);
+    let requirements = Requirements {
+        model: Some(model),
+        ..requirements(head, plan, Scope::default(), versions)
+    };
+    state
+        .upstreams
+        .has_slot(now, &requirements, &state.evacuations)
+}
+
 /// Whether an upstream is there that could serve the request once it has a free slot.
 fn has_upstream(head: &Head, plan: &Plan, now: Instant, state: &Controllers) -> bool {
     let versions = allowed_versions(head, plan, now, state);
--- a/crates/comfreyroad_router/tests/decisions/hand_over.rs
+++ b/crates/comfreyroad_router/tests/decisions/hand_over.rs
@@ -1,6 +1,6 @@
 //! Requests whose upstream is silent.
 
-use comfreyroad_router::answer::Fault;
+use comfreyroad_router::answer::{Fault, Verdict};
 use comfreyroad_router::filter::place::Backpressure;
 use comfreyroad_router::record::{Content, Topic};
 use comfreyroad_router::request::{Rejection, Returned, Sent};
@@ -268,3 +268,21 @@
     let stays = rig.router.hand_over(rig.now, sent, Fault::Stalled);
     assert!(stays.is_err());
 }
+
+/// An answer was dropped for that of a larger model, which no upstream could give.
+#[test]
+fn an_answer_is_not_dropped_for_a_larger_model_without_a_slot() {
+    let mut rig = Rig::serving("e1");
+    for name in ["u1", "u2"] {
+        let mut small = registration("v1");
+        small.models = vec!["small".into()];
+        small.sequence = 2;
+        rig.read(Topic::Upstreams, name, Content::Upstream(Box::new(small)));
+    }
+    let sent = send(&mut rig, "stream", "r");
+    assert_eq!(sent.stage().plan().model.as_deref(), Some("small"));
+    let mut answer = good_answer(&sent);
+    answer.confidence = Some(5);
+    let verdict = rig.router.judge_answer(rig.now, &sent, &answer);
+    assert_eq!(verdict, Verdict::Forward);
+}
