A request that was not sent on by the exit has not run

Callers saw: 502, "may have run", at the exit of an entry, also for requests that no upstream had been sent; a request that may not be repeated was then not repeated. Cause: the refusal was made before anything was known of the request. Why: the registration knows whether the request was sent to an upstream, and outlives the work that is aborted.

--- a/crates/comfreyroad_proxy/src/front/front.rs
+++ b/crates/comfreyroad_proxy/src/front/front.rs
@@ -77,7 +77,9 @@
         let id = request.head().id.clone();
         let (registration, aborted) = self.shared.registry.register(&id);
         let received = request.head().received_at;
-        let stopping = Refusal::may_have_run(&request, Code::Stopping);
+        let was_sent = registration.was_sent();
+        let not_run = Refusal::not_run(&request, Code::Stopping);
+        let may_have_run = Refusal::may_have_run(&request, Code::Stopping);
         let served = async {
             let (body, memory) = self.read_body(&request, body, peer).await?;
             let message = Message {
@@ -88,8 +90,15 @@
             };
             self.serve(request, message).await
         };
-        let served = Abortable::new(served, aborted).await;
-        served.unwrap_or(Err(stopping)).unwrap_or_else(|refusal| {
+        let served = Abortable::new(served, aborted).await.unwrap_or_else(|_| {
+            let refusal = if was_sent.get() {
+                may_have_run
+            } else {
+                not_run.with_retry_after(Duration::ZERO)
+            };
+            Err(refusal)
+        });
+        served.unwrap_or_else(|refusal| {
             self.shared
                 .with_router(|router, _| router.on_refused(&id, &refusal));
             let response = platform::response::encode_refusal(&refusal);
--- a/crates/comfreyroad_proxy/tests/process/stops.rs
+++ b/crates/comfreyroad_proxy/tests/process/stops.rs
@@ -171,6 +171,22 @@
     assert!(stopped[0].ends_with("open=1"), "{stopped:?}");
 }
 
+/// A request that had not been sent to any engine was said to have run perhaps, so that its caller could not send it again.
+#[test]
+fn a_request_that_was_not_sent_on_by_the_exit_deadline_has_not_run() {
+    let mut env = Environment::start_logged(&["i-1"]);
+    env.signal("-TERM");
+    std::thread::sleep(Duration::from_secs(1));
+    let mut stream = http::connect(env.front);
+    let head = "POST /once/ok HTTP/1.1\r\nHost: h\r\nX-Comfreyroad-Request-Id: half\r\n\
+                X-Comfreyroad-Deadline-Ms: 20000\r\nX-Comfreyroad-Key: key\r\nContent-Length: 10\r\n\r\nhalf";
+    stream.get_mut().write_all(head.as_bytes()).unwrap();
+    let answer = http::read_message(&mut stream).expect("a refusal");
+    assert_eq!(answer.status(), 503);
+    assert_eq!(attempts(&env, "half"), 0);
+    assert!(env.wait_for_exit().success());
+}
+
 /// Of the streams that were cut at once, forty had a line in the log, and nothing told of the others.
 #[test]
 fn cut_answers_beyond_the_limit_of_the_log_are_counted() {
