Without any customer left, no API key is accepted

Cause: an empty list of customers was taken for a configuration without customers, in which no request needs a key. Why: the list is now absent or there, and an empty one refuses all keys.

--- a/crates/comfreyroad_router/src/configuration/configuration.rs
+++ b/crates/comfreyroad_router/src/configuration/configuration.rs
@@ -17,8 +17,8 @@
     pub services: IndexMap<PoolId, Arc<Service>>,
     /// Limits on requests.
     pub limits: Limits,
-    /// The customers; if there are none, no request needs a key.
-    pub customers: Vec<Customer>,
+    /// The customers, whose keys requests need; `None` if no request needs a key.
+    pub customers: Option<Vec<Customer>>,
 }
 
 impl Configuration {
@@ -30,7 +30,7 @@
 
     /// The customer that owns an API key.
     pub fn customer(&self, key: &str) -> Option<&Customer> {
-        let mut customers = self.customers.iter();
+        let mut customers = self.customers.iter().flatten();
         customers.find(|customer| customer.api_keys.iter().any(|owned| **owned == *key))
     }
 }
--- a/crates/comfreyroad_router/src/filter/authenticate.rs
+++ b/crates/comfreyroad_router/src/filter/authenticate.rs
@@ -20,7 +20,7 @@
         let Some(configuration) = context.state.configuration.active() else {
             return Err(Refusal::not_run(&request, Code::NotReady));
         };
-        let is_key_optional = configuration.customers.is_empty() || request.stage().route.is_public;
+        let is_key_optional = configuration.customers.is_none() || request.stage().route.is_public;
         let key = request.head().key.as_deref();
         let customer = key.and_then(|key| configuration.customer(key));
         match customer {
--- a/crates/comfreyroad_router/tests/decisions/chain.rs
+++ b/crates/comfreyroad_router/tests/decisions/chain.rs
@@ -1,4 +1,5 @@
 use comfreyroad_router::configuration::{Configuration, Idempotency, Split};
+use comfreyroad_router::record::{Content, Topic};
 use comfreyroad_router::refusal::{Code, Ran};
 use std::sync::Arc;
 
@@ -39,6 +40,29 @@
     assert_eq!(refusal.code(), Code::UnknownKey);
 }
 
+/// Once the last customer was taken away, requests with any key ran.
+#[test]
+fn without_any_customer_left_no_key_is_accepted() {
+    let mut rig = Rig::serving("e1");
+    let mut emptied = configuration(2);
+    emptied.customers = Some(Vec::new());
+    rig.read(
+        Topic::Operator,
+        "config",
+        Content::Configuration(Arc::new(emptied)),
+    );
+    let refusal = rig.admit(head(rig.now, "once", "r")).unwrap_err();
+    assert_eq!(refusal.code(), Code::UnknownKey);
+    let mut keyless = configuration(3);
+    keyless.customers = None;
+    rig.read(
+        Topic::Operator,
+        "config",
+        Content::Configuration(Arc::new(keyless)),
+    );
+    assert!(rig.admit(head(rig.now, "once", "r")).is_ok());
+}
+
 #[test]
 fn the_deadline_is_the_earlier_one_of_caller_and_route() {
     let mut rig = Rig::serving("e1");
--- a/crates/comfreyroad_router/tests/decisions/rig.rs
+++ b/crates/comfreyroad_router/tests/decisions/rig.rs
@@ -89,11 +89,11 @@
         ],
         services: [("pool".into(), Arc::new(service))].into_iter().collect(),
         limits: Limits::default(),
-        customers: vec![Customer {
+        customers: Some(vec![Customer {
             id: "customer".into(),
             api_keys: vec!["key".into()],
             priority: None,
-        }],
+        }]),
     }
 }
 
