--- a/crates/comfreyroad_proxy/src/front/attempt.rs
+++ b/crates/comfreyroad_proxy/src/front/attempt.rs
@@ -70,8 +70,8 @@
         request = match shared.with_router(|router, now| router.place(now, request)) {
             Ok(placed) => return Ok(placed),
             Err(Backpressure::Refuse(refusal)) => return Err(refusal),
-            Err(Backpressure::Wait(request, until)) => {
-                compio::time::sleep_until(until).await;
+            Err(Backpressure::Wait(request, again_at)) => {
+                compio::time::sleep_until(again_at).await;
                 request
             }
         };
--- a/crates/comfreyroad_proxy/src/front/mod.rs
+++ b/crates/comfreyroad_proxy/src/front/mod.rs
@@ -5,10 +5,12 @@
 mod events;
 mod front;
 mod memory;
+mod open;
 mod registration;
 mod registry;
 mod stream;
 
 pub use front::Front;
 pub use memory::Memory;
-pub use registry::{Open, Registry};
+pub use open::Open;
+pub use registry::Registry;
--- a/crates/comfreyroad_proxy/src/front/registry.rs
+++ b/crates/comfreyroad_proxy/src/front/registry.rs
@@ -5,22 +5,12 @@
 use futures_util::future::{AbortHandle, AbortRegistration};
 use indexmap::IndexMap;
 
+use super::open::Open;
 use super::registration::Registration;
 
 /// Key of an open request. Callers may use one id for several requests.
 pub(super) type Key = u64;
 
-/// A request that is open: it has been read, and its answer has not ended.
-#[derive(Clone, Debug)]
-pub struct Open {
-    /// The id that the caller sent.
-    pub id: RequestId,
-    /// The upstream to which it was sent last.
-    pub upstream: Option<UpstreamId>,
-    /// Whether the caller has the head of its answer.
-    pub has_started: bool,
-}
-
 /// The open requests of callers. Clones share one state.
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
