--- a/crates/comfreyroad_router/src/router.rs
+++ b/crates/comfreyroad_router/src/router.rs
@@ -1,5 +1,6 @@
 //! The router: all controllers, and the entry points for requests and events.
 
+mod attempts;
 mod deadlines;
 
 use std::rc::Rc;
@@ -12,15 +13,13 @@
 use crate::controller::rollouts::Attempt;
 use crate::controller::upstreams::Prefill;
 use crate::filter::place::{self, Backpressure};
-use crate::filter::{Context, chain, escalate, hand_over};
+use crate::filter::{Context, chain, escalate};
 use crate::frame::Frame;
 use crate::id::{EventId, RequestId, UpstreamId};
 use crate::note::{self, Note};
 use crate::outbox::Outbox;
 use crate::refusal::{Code, Ran};
-use crate::request::{
-    Placed, Planned, Received, Rejection, Request, Retrying, Returned, Sent, Unplaced,
-};
+use crate::request::{Placed, Planned, Received, Rejection, Request, Retrying, Sent, Unplaced};
 use crate::{Action, Event, Refusal, Settings};
 
 /// Number of gaps between events from which the pace of a stream is representative.
@@ -163,93 +162,6 @@
         retried.map_err(|request| Refusal::may_have_run(&request, Code::Failed))
     }
 
-    /// Handles a rejection: the upstream has not run the request.
-    pub fn on_rejected(
-        &mut self,
-        now: Now,
-        request: Request<Sent>,
-        rejection: Rejection,
-    ) -> Returned {
-        let slot = &request.stage().slot;
-        let note = Note::new(&note::REQUEST_REJECTED).with("request", &request.head().id);
-        let note = note.with("upstream", &slot.upstream);
-        self.out.note(note.with("why", rejection.name()));
-        if rejection != Rejection::Full {
-            let upstreams = &mut self.state.upstreams;
-            upstreams.on_unreachable(now.instant, slot, &mut self.out);
-        }
-        request.reject(now.instant, rejection)
-    }
-
-    /// Moves a request whose upstream is silent to another one. Returns the request if none can take it now, so that it stays
-    /// where it is.
-    pub fn hand_over(
-        &mut self,
-        now: Now,
-        mut request: Request<Sent>,
-        fault: Fault,
-    ) -> Result<Request<Placed>, Request<Sent>> {
-        if let Some(slot) = hand_over::find_slot(&request, now.instant, &mut self.state) {
-            self.record_failure(now, &request, fault);
-            return Ok(request.leave()?.with_slot(slot));
-        }
-        if request.record_silence() {
-            let slot = &request.stage().slot;
-            let note = Note::new(&note::UPSTREAM_SILENT).with("request", &request.head().id);
-            let note = note.with("upstream", &slot.upstream);
-            self.out
-                .note(note.with("started", request.stage().has_started));
-            let upstreams = &mut self.state.upstreams;
-            upstreams.on_failure(now.instant, slot, &mut self.out);
-        }
-        Err(request)
-    }
-
-    /// Handles a failed attempt that the upstream may have run.
-    pub fn on_failed(
-        &mut self,
-        now: Now,
-        request: Request<Sent>,
-        fault: Fault,
-    ) -> Result<Request<Retrying>, Refusal> {
-        self.record_failure(now, &request, fault);
-        let is_late = request.stage().plan().deadline <= now.instant;
-        let code = if is_late {
-            Code::Deadline
-        } else {
-            Code::Failed
-        };
-        let retried = request.fail();
-        retried.map_err(|request| Refusal::may_have_run(&request, code))
-    }
-
-    fn record_failure(&mut self, now: Now, request: &Request<Sent>, fault: Fault) {
-        let slot = &request.stage().slot;
-        let note = Note::new(&note::ATTEMPT_FAILED).with("request", &request.head().id);
-        let note = note
-            .with("upstream", &slot.upstream)
-            .with("why", fault.name())
-            .with("started", request.stage().has_started)
-            .with("parts", request.head().shared_part_ids());
-        self.out
-            .note(note.with("runs", request.stage().plan().runs));
-        if !(fault.is_silence() && request.stage().is_silent) {
-            let upstreams = &mut self.state.upstreams;
-            upstreams.on_failure(now.instant, slot, &mut self.out);
-        }
-        let is_broken = matches!(fault, Fault::Broken | Fault::Truncated);
-        if is_broken && !request.stage().has_started {
-            let Controllers {
-                quarantine,
-                upstreams,
-                ..
-            } = &mut self.state;
-            quarantine.on_crash(now.instant, request);
-            quarantine.update(now.instant, upstreams, &mut self.out);
-        }
-        self.count_answer(request, false);
-    }
-
     /// Records the arrival of the first event of a stream.
     pub fn on_first_event(&mut self, now: Now, request: &mut Request<Sent>) {
         request.record_start();
