Comments without end no longer keep the event loop busy past time limits

Callers saw: answers over a second after their time limit, while an engine sent comments of three bytes without end. Cause: a megabyte may pass between two events, which is 350,000 such comments, and each takes processor time. Why: a stream has failed after 4,096 comments without an event.

--- a/crates/comfreyroad_proxy/src/front/events.rs
+++ b/crates/comfreyroad_proxy/src/front/events.rs
@@ -13,6 +13,9 @@
 /// stream that is resumed from its start may repeat as much.
 const MAX_IDLE_BYTES: usize = 1024 * 1024;
 
+/// Maximum number of comments between two events. Each takes processor time, however short it is.
+const MAX_COMMENTS: u32 = 4096;
+
 /// Reads the event stream of an upstream's response.
 #[derive(Debug)]
 pub(super) struct Events {
@@ -26,6 +29,8 @@
     comments: BytesMut,
     // Bytes that have arrived since the last event and belong to none.
     idle_bytes: usize,
+    // Comments among them.
+    idle_comments: u32,
     // Of what has arrived and is no complete event yet.
     memory: Share,
     first: Option<Instant>,
@@ -49,6 +54,7 @@
             after,
             comments: BytesMut::new(),
             idle_bytes: 0,
+            idle_comments: 0,
             memory,
             first: None,
             last: None,
@@ -93,7 +99,8 @@
                 return Ok(Some(self.accept(event)));
             }
             self.idle_bytes += event.bytes.len();
-            if self.idle_bytes > MAX_IDLE_BYTES {
+            self.idle_comments += u32::from(event.is_comment());
+            if self.idle_bytes > MAX_IDLE_BYTES || self.idle_comments > MAX_COMMENTS {
                 return Err(broken(&"too many bytes without a new event"));
             }
             if event.is_comment() {
@@ -118,6 +125,7 @@
         self.record_arrival();
         self.after = event.id.or(self.after);
         self.idle_bytes = 0;
+        self.idle_comments = 0;
         if self.comments.is_empty() {
             return event;
         }
--- a/crates/comfreyroad_proxy/tests/process/floods.rs
+++ b/crates/comfreyroad_proxy/tests/process/floods.rs
@@ -151,7 +151,9 @@
 
 #[test]
 fn comments_without_end_before_the_first_event_are_a_failure() {
-    assert_failure("POST", "/events/flood-comments", FEW);
+    for count in [FEW, MANY] {
+        assert_failure("POST", "/events/flood-comments", count);
+    }
 }
 
 /// Events that are always there already were forwarded beyond the time limit of the request.
