A shutdown counts from its signal, even if that is handled late

What callers saw: streams that were sent more than 3 s after the SIGTERM of their entry were taken and reset in the middle at its exit, 7.7 s after the signal.

What was left: the filter and the exit counted from the moment at which the loop handled the signal. A process that gets no processor handles it late, so that it took requests later than 3 s after the signal and would exit after the supervisor's kill. The shutdown now counts from the tick before the last one, which is older than the signal however late that is handled; E1003 has the delay.

With the entry stopped for 0.6 s around the signal, a stream sent 3.1 s after it was taken. Ruled out: requests whose body comes late (the filter runs after the body), a second signal, first requests on connections that are kept for them.

Tests: `lifecycle::the_time_of_a_shutdown_counts_from_its_signal_even_if_that_is_handled_late` and `stops::a_request_late_in_a_shutdown_is_refused_although_its_signal_was_handled_late` both failed before (the request was taken, 200 instead of 503).

--- a/crates/comfreyroad_proxy/tests/process/stops.rs
+++ b/crates/comfreyroad_proxy/tests/process/stops.rs
@@ -135,6 +135,29 @@
     assert!(env.wait_for_exit().success());
 }
 
+/// An entry that was slow to handle the signal took requests later, and was killed in the middle of their answers.
+#[test]
+fn a_request_late_in_a_shutdown_is_refused_although_its_signal_was_handled_late() {
+    let mut env = Environment::start_logged(&["i-1"]);
+    let mut long = http::connect(env.front);
+    env.wait_for("readiness", Environment::is_ready);
+    env.signal("-STOP");
+    env.signal("-TERM");
+    let signalled_at = Instant::now();
+    std::thread::sleep(Duration::from_millis(600));
+    env.signal("-CONT");
+    let sent_at = signalled_at + Duration::from_millis(3100);
+    std::thread::sleep(sent_at.saturating_duration_since(Instant::now()));
+    send(&mut long, "long", "/events/every-700/stream");
+    let refused = http::read_message(&mut long).expect("a refusal");
+    let draining = env.log_lines("E1003");
+    assert_eq!(refused.status(), 503, "{draining:?}");
+    assert!(refused.is_complete);
+    assert_eq!(attempts(&env, "long"), 0);
+    assert!(env.wait_for_exit().success());
+    assert!(signalled_at.elapsed() < Duration::from_secs(8));
+}
+
 /// Requests whose answers had not begun at the end of a shutdown got a reset.
 #[test]
 fn a_request_without_an_answer_at_the_exit_deadline_gets_one() {
--- a/crates/comfreyroad_router/src/controller/lifecycle.rs
+++ b/crates/comfreyroad_router/src/controller/lifecycle.rs
@@ -60,6 +60,8 @@
 pub struct Lifecycle {
     drain_timeout: Duration,
     phase: Phase,
+    // The last two ticks, the earlier one first. The start counts as one.
+    ticks: [Option<Instant>; 2],
 }
 
 impl Starting {
@@ -71,10 +73,10 @@
 }
 
 impl Draining {
-    fn new(now: Instant, drain_timeout: Duration) -> Self {
+    fn new(requested_at: Instant, drain_timeout: Duration) -> Self {
         Self {
-            stops_accepting_at: now + DRAIN_NOTICE.min(drain_timeout / 2),
-            exit_deadline: now + drain_timeout.saturating_sub(EXIT_MARGIN),
+            stops_accepting_at: requested_at + DRAIN_NOTICE.min(drain_timeout / 2),
+            exit_deadline: requested_at + drain_timeout.saturating_sub(EXIT_MARGIN),
             has_stopped_accepting: false,
         }
     }
@@ -90,6 +92,7 @@
                 has_configuration: false,
                 unlisted_topics: vec![Topic::Operator, Topic::Upstreams, Topic::Status],
             }),
+            ticks: [None; 2],
         }
     }
 
@@ -166,8 +169,18 @@
         if self.is_draining() {
             return;
         }
-        out.note(Note::new(&note::DRAINING).with("grace_ms", self.drain_timeout.as_millis()));
-        self.phase = Phase::Draining(Draining::new(now.instant, self.drain_timeout));
+        let requested_at = self.earliest_request(now.instant);
+        let delay = now.instant.saturating_duration_since(requested_at);
+        let note = Note::new(&note::DRAINING).with("grace_ms", self.drain_timeout.as_millis());
+        out.note(note.with("delay_ms", delay.as_millis()));
+        self.phase = Phase::Draining(Draining::new(requested_at, self.drain_timeout));
+    }
+
+    /// The earliest time at which a shutdown that is handled now may have been requested. A signal waits while the process gets
+    /// no processor, and the supervisor counts from its sending. The tick before the last one is certainly older than the signal:
+    /// after a delay, the last tick may be handled before the signal.
+    fn earliest_request(&self, now: Instant) -> Instant {
+        self.ticks.iter().flatten().copied().next().unwrap_or(now)
     }
 }
 
@@ -176,6 +189,9 @@
         if matches!(event, Event::Shutdown) {
             self.on_shutdown(now, out);
         }
+        if matches!(event, Event::Started | Event::Tick) {
+            self.ticks = [self.ticks[1], Some(now.instant)];
+        }
         self.on_starting(now, event, out);
         if let Phase::Draining(draining) = &mut self.phase
             && draining.stops_accepting_at <= now.instant
--- a/crates/comfreyroad_router/tests/decisions/lifecycle.rs
+++ b/crates/comfreyroad_router/tests/decisions/lifecycle.rs
@@ -79,6 +79,28 @@
     assert!(rig.admit(short).is_ok());
 }
 
+/// A process that got no processor handled its signal late, counted the time of its shutdown from then on, and took requests that
+/// it could not finish before it was killed.
+#[test]
+fn the_time_of_a_shutdown_counts_from_its_signal_even_if_that_is_handled_late() {
+    for handles_tick_first in [false, true] {
+        let mut rig = Rig::serving("e1");
+        rig.run_for(SECOND);
+        let signal = rig.now.instant + 10 * MS;
+        rig.advance(700 * MS);
+        if handles_tick_first {
+            rig.raise(Event::Tick);
+        }
+        rig.raise(Event::Shutdown);
+        let exit = rig.router.state().lifecycle.exit_deadline().unwrap();
+        assert!(exit < signal + 8 * SECOND);
+        rig.run_for(2300 * MS);
+        assert!(rig.now.instant <= signal + 3 * SECOND);
+        let refusal = rig.admit(head(rig.now, "stream", "r1")).unwrap_err();
+        assert_eq!((refusal.code(), refusal.ran()), (Code::Stopping, Ran::No));
+    }
+}
+
 /// Regression (larger Tahtiaskel deployment): after a power failure, requests that arrived in the tenth of a second
 /// before the first configuration were refused, and some of their callers had no time left to retry.
 #[test]
