Decode what requests and engines say of the work that they mean

The router knew neither the size of an answer nor how long work takes at an engine now: the fourth figure of the load header, the length hint and the maximum number of output tokens were not read. Nothing decides by them yet.

--- a/crates/comfreyroad_router/src/controller/upstreams/load_exchange.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/load_exchange.rs
@@ -30,6 +30,7 @@
                 running: load.running,
                 waiting: load.waiting,
                 slots: load.slots,
+                work_time_percent: load.work_time_percent,
                 age,
             })
         };
@@ -68,6 +69,7 @@
                 running: report.running,
                 waiting: report.waiting,
                 slots: report.slots,
+                work_time_percent: report.work_time_percent,
                 reported_at,
                 own_requests: upstream.open_requests(),
                 is_relayed: true,
--- a/crates/comfreyroad_router/src/frame/load_report.rs
+++ b/crates/comfreyroad_router/src/frame/load_report.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::id::{Incarnation, UpstreamId};
+use crate::upstream::Load;
 
 /// The load that an upstream has reported to some entry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -17,6 +18,13 @@
     pub waiting: u32,
     /// Requests that the upstream can process concurrently.
     pub slots: u32,
+    /// Time that work takes there, in percent of the usual. Absent in reports of versions that do not know it.
+    #[serde(default = "usual_work_time")]
+    pub work_time_percent: u32,
     /// Time since the upstream reported it. It is sent as an age, because the clocks of entries differ.
     pub age: Duration,
 }
+
+fn usual_work_time() -> u32 {
+    Load::USUAL_WORK_TIME
+}
--- a/crates/comfreyroad_router/src/request/head.rs
+++ b/crates/comfreyroad_router/src/request/head.rs
@@ -23,6 +23,10 @@
     pub model: Option<ModelId>,
     /// The parts of the prompt, in order. The last one belongs to this request or its session, the others may be shared.
     pub prompt: Vec<Part>,
+    /// The caller's estimate of the number of tokens that the answer will have. It is right at the median, and often far off.
+    pub expected_output_tokens: Option<u32>,
+    /// Maximum number of tokens that the answer may have.
+    pub max_output_tokens: Option<u32>,
     /// The last event that the caller has received, if it resumes a broken stream.
     pub last_event_id: Option<EventId>,
     /// The session id that the caller sent.
--- a/crates/comfreyroad_router/src/upstream/load.rs
+++ b/crates/comfreyroad_router/src/upstream/load.rs
@@ -9,6 +9,8 @@
     pub waiting: u32,
     /// Requests that the upstream can process concurrently.
     pub slots: u32,
+    /// Time that work takes there at this moment, in percent of the usual. It changes within a second.
+    pub work_time_percent: u32,
     /// When the report arrived.
     pub reported_at: Instant,
     /// Open requests of this entry at that time.
@@ -18,6 +20,9 @@
 }
 
 impl Load {
+    /// The usual time that work takes, in percent of itself.
+    pub const USUAL_WORK_TIME: u32 = 100;
+
     /// Requests running and waiting.
     pub fn requests(&self) -> u32 {
         self.running.saturating_add(self.waiting)
--- a/crates/comfreyroad_router/tests/decisions/exchange.rs
+++ b/crates/comfreyroad_router/tests/decisions/exchange.rs
@@ -17,6 +17,7 @@
         running: 64,
         waiting: 30,
         slots: 64,
+        work_time_percent: 100,
         age,
     });
     incoming
@@ -127,6 +128,7 @@
         running: u32::MAX,
         waiting: u32::MAX,
         slots: u32::MAX,
+        work_time_percent: u32::MAX,
         age,
     };
     incoming.loads = vec![report(Duration::MAX), report(Duration::ZERO)];
--- a/crates/comfreyroad_router/tests/decisions/hand_over.rs
+++ b/crates/comfreyroad_router/tests/decisions/hand_over.rs
@@ -149,6 +149,7 @@
         running: 64,
         waiting: 3,
         slots: 64,
+        work_time_percent: Load::USUAL_WORK_TIME,
         reported_at: rig.now.instant,
         own_requests: 0,
         is_relayed: false,
--- a/crates/comfreyroad_router/tests/decisions/load/engine.rs
+++ b/crates/comfreyroad_router/tests/decisions/load/engine.rs
@@ -89,6 +89,7 @@
             running: self.running.len() as u32,
             waiting: self.waiting.len() as u32,
             slots: SLOTS as u32,
+            work_time_percent: Load::USUAL_WORK_TIME,
             reported_at: now,
             own_requests: 0,
             is_relayed: false,
--- a/crates/comfreyroad_router/tests/decisions/quarantine.rs
+++ b/crates/comfreyroad_router/tests/decisions/quarantine.rs
@@ -245,6 +245,7 @@
         running: 1,
         waiting: 0,
         slots: 64,
+        work_time_percent: 100,
         age,
     }
 }
--- a/crates/comfreyroad_router/tests/decisions/rig.rs
+++ b/crates/comfreyroad_router/tests/decisions/rig.rs
@@ -122,6 +122,8 @@
         deadline: Some(now.instant + 10 * SECOND),
         model: (route == "stream").then(|| "*".into()),
         prompt: Vec::new(),
+        expected_output_tokens: None,
+        max_output_tokens: None,
         last_event_id: None,
         session: None,
     }
