The most urgent requests keep their larger models longest

Cause: the confidence that is asked of an answer fell for all requests alike as a pool filled.

Change: requests have a rank, from the priorities of the routes of their pool. Those of the first rank ask for more confidence, keep their room longer, and ask the largest model first where the smallest one's answers are mostly dropped (filter `choose_model`, controller `models`). Nothing changes where all routes of a pool are equally urgent.

--- a/crates/comfreyroad_router/src/controller/mod.rs
+++ b/crates/comfreyroad_router/src/controller/mod.rs
@@ -7,6 +7,7 @@
 pub mod evacuations;
 pub mod lifecycle;
 pub mod members;
+pub mod models;
 pub mod quarantine;
 pub mod retry;
 pub mod rollouts;
@@ -43,6 +44,8 @@
     pub evacuations: evacuations::Evacuations,
     /// The other entries.
     pub members: members::Members,
+    /// What models say of their answers.
+    pub models: models::Models,
     /// The upstreams.
     pub upstreams: upstreams::Upstreams,
     /// The parts of prompts that crash engines.
@@ -65,6 +68,7 @@
             configuration: configuration::Tracker::default(),
             evacuations: evacuations::Evacuations::default(),
             members: members::Members::new(settings),
+            models: models::Models::default(),
             upstreams: upstreams::Upstreams::new(settings),
             quarantine: quarantine::Quarantine::default(),
             rollouts: rollouts::Rollouts::new(settings),
@@ -94,12 +98,13 @@
         frame
     }
 
-    fn all(&mut self) -> [&mut dyn Controller; 10] {
+    fn all(&mut self) -> [&mut dyn Controller; 11] {
         [
             &mut self.subscriptions,
             &mut self.configuration,
             &mut self.evacuations,
             &mut self.members,
+            &mut self.models,
             &mut self.upstreams,
             &mut self.quarantine,
             &mut self.rollouts,
--- a/crates/comfreyroad_router/src/filter/plan.rs
+++ b/crates/comfreyroad_router/src/filter/plan.rs
@@ -1,4 +1,4 @@
-//! Choice of the pool, the model, the priority and the deadline.
+//! Choice of the pool, the smallest model, the priority and the deadline.
 
 use comfreyroad::rendezvous;
 
@@ -44,12 +44,14 @@
         // The smallest model is cheap and often good enough; its confidence shows when a larger one is needed.
         let is_any_model = head.model.as_deref().is_none_or(|model| model == ANY_MODEL);
         let model = route.models.first().filter(|_| is_any_model).cloned();
+        let rank = context.state.models.rank(&pool, request.stage().priority);
         let last_event_id = head.last_event_id;
         let length_penalty = length_penalty(head.prompt_tokens());
         Ok(request.with_plan(|authenticated| request::Plan {
             route: authenticated.route,
             customer: authenticated.customer,
             priority: authenticated.priority.saturating_add(length_penalty),
+            rank,
             pool,
             model,
             deadline,
--- a/crates/comfreyroad_router/src/request/plan.rs
+++ b/crates/comfreyroad_router/src/request/plan.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use super::Rank;
 use crate::configuration::Route;
 use crate::id::{CustomerId, EventId, ModelId, PoolId, UpstreamId, VersionId};
 
@@ -13,6 +14,8 @@
     pub customer: Option<CustomerId>,
     /// Priority, from the route or customer and the length of the prompt; 0 is the most urgent.
     pub priority: u8,
+    /// What it may claim of the pool's room for a larger model.
+    pub rank: Rank,
     /// The pool that serves the request.
     pub pool: PoolId,
     /// The model that answers, if the router chooses it.
--- a/crates/comfreyroad_router/tests/decisions/load/fleet.rs
+++ b/crates/comfreyroad_router/tests/decisions/load/fleet.rs
@@ -1,17 +1,17 @@
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use comfreyroad_router::answer::{Completion, Fault, Verdict};
+use comfreyroad_router::configuration::Idempotency;
 use comfreyroad_router::filter::place::Backpressure;
 use comfreyroad_router::record::{Content, Record, Topic};
 use comfreyroad_router::request::{Placed, Rejection, Returned, Sent, Unplaced};
 use comfreyroad_router::{Action, Event, Request};
 use fastrand::Rng;
-use indexmap::IndexSet;
+use indexmap::{IndexMap, IndexSet};
 
 use super::engine::{Engine, Output, SLOTS, Work};
-use crate::rig::{
-    Rig, configuration_content, frame, good_answer, head, peer, prompt, registration,
-};
+use crate::rig::{self, Rig, frame, good_answer, head, peer, prompt, registration, route};
 
 /// Time that one step simulates.
 const STEP: Duration = Duration::from_millis(2);
@@ -25,6 +25,7 @@
 /// Sizes of the requests of one kind.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Kind {
+    pub(super) route: &'static str,
     pub(super) shared_tokens: u32,
     pub(super) own_tokens: u32,
     pub(super) events: u32,
@@ -32,6 +33,27 @@
     pub(super) prefixes: u32,
 }
 
+/// What callers of a route got.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Answers {
+    pub(super) in_time: usize,
+    pub(super) late: usize,
+    /// Of the large model.
+    pub(super) large: usize,
+}
+
+impl Answers {
+    /// Fraction of the answers that came from the large model.
+    pub(super) fn share_large(&self) -> f64 {
+        self.large as f64 / (self.in_time + self.late).max(1) as f64
+    }
+
+    /// Fraction of the answers whose first event came within the latency objective.
+    pub(super) fn share_in_time(&self) -> f64 {
+        self.in_time as f64 / (self.in_time + self.late).max(1) as f64
+    }
+}
+
 /// What callers got.
 #[derive(Debug, Default)]
 pub(super) struct Summary {
@@ -41,6 +63,8 @@
     pub(super) failed: usize,
     /// Answers of the large model.
     pub(super) large: usize,
+    /// Answers by route.
+    pub(super) routes: IndexMap<&'static str, Answers>,
     /// Requests without an answer, neither refused nor failed.
     pub(super) open: usize,
     /// When engines crashed.
@@ -107,11 +131,21 @@
     format!("u{number}")
 }
 
+/// The test configuration, and a route like `stream` that is more urgent.
+fn configuration() -> Content {
+    let mut configuration = rig::configuration(1);
+    let mut urgent = route("urgent", Idempotency::Resumable);
+    urgent.models = vec!["small".into(), "large".into()];
+    urgent.priority = 0;
+    configuration.routes.push(Arc::new(urgent));
+    Content::Configuration(Arc::new(configuration))
+}
+
 impl Fleet {
     pub(super) fn new(entries: usize, engines: usize, seed: u64) -> Self {
         let start = |number: usize| {
             let mut rig = Rig::empty(&entry_name(number));
-            rig.list(Topic::Operator, vec![("config", configuration_content(1))]);
+            rig.list(Topic::Operator, vec![("config", configuration())]);
             let names: Vec<String> = (0..engines).map(engine_name).collect();
             let content = || {
                 let mut registration = registration("v1");
@@ -193,7 +227,7 @@
             self.rng.u32(..kind.prefixes)
         };
         let prefix = format!("{}-{prefix}", kind.shared_tokens);
-        let mut head = head(rig.now, "stream", &format!("r{number}"));
+        let mut head = head(rig.now, kind.route, &format!("r{number}"));
         let own_tokens = 1 + self.rng.u32(..kind.own_tokens * 2);
         let own = format!("own{number}");
         let mut parts = vec![
@@ -417,12 +451,14 @@
         }
         rig.router.on_first_event(rig.now, sent);
         call.is_answered = true;
+        let is_late = rig.now.instant - call.arrived_at > OBJECTIVE;
+        let answers = self.summary.routes.entry(call.kind.route).or_default();
+        answers.in_time += usize::from(!is_late);
+        answers.late += usize::from(is_late);
+        answers.large += usize::from(is_large);
         self.summary.large += usize::from(is_large);
-        if rig.now.instant - call.arrived_at <= OBJECTIVE {
-            self.summary.in_time += 1;
-        } else {
-            self.summary.late += 1;
-        }
+        self.summary.in_time += usize::from(!is_late);
+        self.summary.late += usize::from(is_late);
     }
 
     fn on_finished(&mut self, number: usize) {
--- a/crates/comfreyroad_router/tests/decisions/load/mod.rs
+++ b/crates/comfreyroad_router/tests/decisions/load/mod.rs
@@ -18,6 +18,7 @@
 
 /// Long prompts with a large shared prefix.
 const LONG: Kind = Kind {
+    route: "stream",
     shared_tokens: 5_000,
     own_tokens: 6_000,
     events: 70,
@@ -25,6 +26,7 @@
 };
 /// Short prompts with long answers.
 const CHAT: Kind = Kind {
+    route: "stream",
     shared_tokens: 200,
     own_tokens: 600,
     events: 60,
@@ -32,11 +34,17 @@
 };
 /// Short answers.
 const TAG: Kind = Kind {
+    route: "stream",
     shared_tokens: 600,
     own_tokens: 1_800,
     events: 4,
     prefixes: 60,
 };
+/// Short prompts with long answers, whose callers wait for them.
+const URGENT: Kind = Kind {
+    route: "urgent",
+    ..CHAT
+};
 const MIX: [Kind; 4] = [LONG, CHAT, TAG, TAG];
 
 #[test]
@@ -63,6 +71,25 @@
     );
 }
 
+/// When long prompts filled the pool, the most urgent requests lost their larger models as fast as the others.
+#[test]
+fn urgent_requests_keep_their_larger_models_when_long_prompts_fill_the_pool() {
+    let mut fleet = Fleet::new(ENTRIES, ENGINES, SEED);
+    fleet.run(4 * SECOND, USUAL_RATE, &[LONG, URGENT, TAG, TAG]);
+    fleet.summary.routes.clear();
+    fleet.run(8 * SECOND, 1.6 * USUAL_RATE, &[LONG, LONG, URGENT, TAG]);
+    let summary = fleet.finish();
+    let [urgent, others] = ["urgent", "stream"].map(|route| summary.routes[route]);
+    // Most of them, as four in five do while the pool is idle.
+    assert!(urgent.share_large() > 0.5, "{summary:?}");
+    assert!(
+        urgent.share_large() > 2.0 * others.share_large(),
+        "{summary:?}"
+    );
+    assert!(urgent.share_in_time() >= TARGET, "{summary:?}");
+    assert_eq!(summary.failed, 0, "{summary:?}");
+}
+
 /// An engine that accepts requests and answers none must not use up the time of a caller whose route allows another attempt,
 /// whether it gets the first attempt or that of a larger model.
 #[test]
--- a/crates/comfreyroad_router/tests/decisions/models.rs
+++ b/crates/comfreyroad_router/tests/decisions/models.rs
@@ -136,3 +136,65 @@
     let sent = rig.send(named).unwrap();
     assert_eq!(sent.stage().plan().model, None);
 }
+
+/// A router with the route `urgent`, which is more urgent than `stream` and of the same pool.
+fn with_urgent_route() -> Rig {
+    let mut rig = Rig::serving("e1");
+    let mut urgent = route("urgent", Idempotency::Resumable);
+    urgent.models = vec!["small".into(), "large".into()];
+    urgent.priority = 0;
+    let mut changed = configuration(2);
+    changed.routes.push(Arc::new(urgent));
+    let content = Content::Configuration(Arc::new(changed));
+    rig.read(Topic::Operator, "config", content);
+    rig
+}
+
+/// The models that a number of requests of a route ask first, each answered with a confidence.
+fn first_models(rig: &mut Rig, route: &str, confidence: u8, count: usize) -> Vec<String> {
+    let ask = |number| {
+        let sent = rig
+            .send(head(rig.now, route, &format!("r{number}")))
+            .unwrap();
+        let model = sent.stage().plan().model.as_deref().unwrap_or_default();
+        let model = model.to_owned();
+        let mut answer = good_answer(&sent);
+        answer.confidence = Some(confidence);
+        rig.router.judge_answer(rig.now, &sent, &answer);
+        model
+    };
+    (0..count).map(ask).collect()
+}
+
+#[test]
+fn the_most_urgent_requests_ask_for_more_confidence() {
+    let mut rig = with_urgent_route();
+    let verdict = |rig: &mut Rig, route: &str| {
+        let sent = rig.send(head(rig.now, route, "r")).unwrap();
+        let mut answer = good_answer(&sent);
+        answer.confidence = Some(70);
+        rig.router.judge_answer(rig.now, &sent, &answer)
+    };
+    assert_eq!(verdict(&mut rig, "urgent"), Verdict::LowConfidence);
+    assert_eq!(verdict(&mut rig, "stream"), Verdict::Forward);
+}
+
+/// Most answers of the small model to urgent requests were dropped, each of them an attempt of the retry budget.
+#[test]
+fn urgent_requests_ask_the_larger_model_first_where_the_smaller_one_hardly_ever_does() {
+    let mut rig = with_urgent_route();
+    let models = first_models(&mut rig, "urgent", 30, 60);
+    assert!(models[..8].iter().all(|it| it == "small"), "{models:?}");
+    let later = &models[20..];
+    let large = later.iter().filter(|it| *it == "large").count();
+    // Some requests ask the small model all the same, to see whether it does by now.
+    assert!(
+        large * 10 >= later.len() * 7 && large < later.len(),
+        "{models:?}"
+    );
+    let models = first_models(&mut rig, "stream", 30, 40);
+    assert!(models.iter().all(|it| it == "small"), "{models:?}");
+    let mut rig = with_urgent_route();
+    let models = first_models(&mut rig, "urgent", 90, 60);
+    assert!(models.iter().all(|it| it == "small"), "{models:?}");
+}
