Check a configuration before it is published

Cause: entries ignore a configuration that they cannot decode and serve one that contradicts itself as well as they can; the operator hears of neither.

Change: `comfreyroad check-configuration FILE [--in-force FILE]`. The decisions are in `configuration::check` of the router, without I/O: what is wrong (`findings`), whether it would replace the one in force (`superseded`), what differs (`changes`). API keys are never shown. Of several routes with the same host and prefix the last one matches requests, so the earlier ones are reported.

No existing test was changed.

--- a/crates/comfreyroad_cli/src/command/mod.rs
+++ b/crates/comfreyroad_cli/src/command/mod.rs
@@ -2,6 +2,7 @@
 
 mod audit;
 mod check;
+mod check_configuration;
 mod explain;
 mod hash_key;
 mod ledger;
@@ -21,6 +22,8 @@
 pub enum Command {
     /// Check rules files.
     Check,
+    /// Check a configuration of the platform.
+    CheckConfiguration,
     /// Hash a customer's key.
     HashKey,
     /// Publish a rules file.
@@ -39,8 +42,9 @@
 
 impl Command {
     /// All commands.
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 9] = [
         Self::Check,
+        Self::CheckConfiguration,
         Self::HashKey,
         Self::Publish,
         Self::Status,
@@ -65,6 +69,7 @@
     pub fn usage(self) -> &'static str {
         match self {
             Self::Check => "check FILE..",
+            Self::CheckConfiguration => "check-configuration FILE",
             Self::HashKey => "hash-key",
             Self::Publish => "publish FILE --log IP:PORT",
             Self::Status => "status [IP:PORT..]",
@@ -79,6 +84,7 @@
     pub fn summary(self) -> &'static str {
         match self {
             Self::Check => "show all faults of rules files",
+            Self::CheckConfiguration => "show all faults of a configuration, and what it changes",
             Self::HashKey => "read a customer's key from standard input and print its hash",
             Self::Publish => "publish rules, and wait until they are in force on all entries",
             Self::Status => "show the status of the entries",
@@ -98,6 +104,7 @@
     pub(crate) fn flags(self) -> &'static [&'static str] {
         match self {
             Self::Check | Self::HashKey => &[],
+            Self::CheckConfiguration => &["in-force"],
             Self::Publish => &["log", "by", "entries", "vms", "timeout-ms"],
             Self::Status | Self::Explain => &["entries", "vms", "timeout-ms"],
             Self::Audit => &["log", "from", "timeout-ms"],
@@ -123,7 +130,7 @@
         }
         let (expected, is_right) = match (self, arguments) {
             (Self::Check, count) => ("one or more files", count >= 1),
-            (Self::Publish, count) => ("one file", count == 1),
+            (Self::CheckConfiguration | Self::Publish, count) => ("one file", count == 1),
             (Self::Explain, count) => ("one request", count == 1),
             (Self::Status, _) => ("", true),
             (_, count) => ("no arguments", count == 0),
@@ -143,6 +150,7 @@
 ) -> Result<Exit, Error> {
     match settings.command {
         Command::Check => return check::run(settings, out),
+        Command::CheckConfiguration => return check_configuration::run(settings, out),
         Command::HashKey => return hash_key::run(&mut std::io::stdin().lock(), out, err),
         _ => {}
     }
@@ -155,7 +163,7 @@
             Command::Audit => audit::run(settings, out).await,
             Command::Ledger => ledger::run(settings, out).await,
             Command::WindDown => wind_down::run(settings, out).await,
-            Command::Check | Command::HashKey => Ok(Exit::Ok),
+            Command::Check | Command::CheckConfiguration | Command::HashKey => Ok(Exit::Ok),
         }
     })
 }
--- a/crates/comfreyroad_cli/src/settings.rs
+++ b/crates/comfreyroad_cli/src/settings.rs
@@ -1,4 +1,5 @@
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::str::FromStr;
 use std::time::{Duration, Instant};
 
@@ -17,7 +18,7 @@
     pub(crate) help: &'static str,
 }
 
-pub(crate) const FLAGS: [Flag; 7] = [
+pub(crate) const FLAGS: [Flag; 8] = [
     Flag {
         name: "log",
         variable: Some("COMFREYROAD_LOG"),
@@ -60,6 +61,12 @@
         hint: "NAME",
         help: "show this customer only",
     },
+    Flag {
+        name: "in-force",
+        variable: None,
+        hint: "FILE",
+        help: "configuration in force, to show what changes",
+    },
 ];
 
 /// Settings from the command line and the environment.
@@ -85,6 +92,8 @@
     pub from: Offset,
     /// The only customer to show.
     pub customer: Option<String>,
+    /// File with the configuration in force.
+    pub in_force: Option<PathBuf>,
 }
 
 impl Settings {
@@ -137,7 +146,7 @@
 /// Help text of the whole program.
 pub(crate) fn help() -> String {
     let mut help = String::from(
-        "comfreyroad: checks and publishes rules, and shows the state of the system\n\n",
+        "comfreyroad: checks and publishes rules, checks configurations, and shows the state of the system\n\n",
     );
     for command in Command::ALL {
         help += &format!(
@@ -180,6 +189,7 @@
             deadline: now.checked_add(timeout).unwrap_or(now + DEFAULT_TIMEOUT),
             from: self.parse("from", "an offset").unwrap_or_default(),
             customer: self.value("customer"),
+            in_force: self.value("in-force").map(PathBuf::from),
         }
     }
 
--- a/crates/comfreyroad_router/src/configuration/mod.rs
+++ b/crates/comfreyroad_router/src/configuration/mod.rs
@@ -1,5 +1,6 @@
 //! The operators' configuration: routes, services, customers and limits.
 
+pub mod check;
 mod configuration;
 mod customer;
 mod idempotency;
--- a/crates/comfreyroad_router/src/configuration/split.rs
+++ b/crates/comfreyroad_router/src/configuration/split.rs
@@ -30,6 +30,11 @@
         self.weights.iter().map(|(pool, _)| pool)
     }
 
+    /// The pools with their weights.
+    pub fn weights(&self) -> impl Iterator<Item = (&PoolId, u32)> {
+        self.weights.iter().map(|(pool, weight)| (pool, *weight))
+    }
+
     /// The pool for a hash value; the pools divide the hash values in proportion to their weights.
     pub fn pool_at(&self, hash: u64) -> Option<&PoolId> {
         let total: u64 = self
--- a/crates/comfreyroad_router/tests/decisions/main.rs
+++ b/crates/comfreyroad_router/tests/decisions/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod chain;
 mod cold;
+mod configuration_check;
 mod departures;
 mod exchange;
 mod exposure;
