Urgent requests keep their larger models longer, but ask for no more

Cause: asked for more confidence of answers to the most urgent requests also while there was room, and asked the largest model first.

Change: the filter `choose_model` and the controller `models` are gone; a rank only decides how long the larger model is kept. Ranks go by the priorities that requests may have (customers before routes), and long prompts have none.

--- a/crates/comfreyroad_router/src/configuration/configuration.rs
+++ b/crates/comfreyroad_router/src/configuration/configuration.rs
@@ -28,6 +28,16 @@
         matching.max_by_key(|route| route.prefix.len())
     }
 
+    /// The priorities that requests of a route may have: those of the customers that have one, and the route's for the others.
+    pub fn priorities(&self, route: &Route) -> impl Iterator<Item = u8> {
+        let customers = self.customers.iter().flatten().filter(|_| !route.is_public);
+        let own = customers.clone().filter_map(|customer| customer.priority);
+        let is_usual = customers.clone().any(|it| it.priority.is_none())
+            || route.is_public
+            || self.customers.is_none();
+        own.chain(is_usual.then_some(route.priority))
+    }
+
     /// The customer that owns an API key.
     pub fn customer(&self, key: &str) -> Option<&Customer> {
         let mut customers = self.customers.iter().flatten();
--- a/crates/comfreyroad_router/src/controller/lifecycle.rs
+++ b/crates/comfreyroad_router/src/controller/lifecycle.rs
@@ -12,6 +12,9 @@
 
 /// Time for the load balancer to notice a shutdown: two readiness checks, one per second, and a margin.
 const DRAIN_NOTICE: Duration = Duration::from_millis(2800);
+/// Time for which a signal may have waited while the process got no processor. A longer pause is a suspension of the VM, in which
+/// the supervisor's clock stood still as well, or its signal came as likely at the end.
+const MAX_SIGNAL_DELAY: Duration = Duration::from_millis(1000);
 /// Part of the drain timeout that is reserved for the exit of the process.
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
 /// Time after the start within which the first configuration normally arrives, as the store answers in milliseconds.
@@ -37,6 +40,8 @@
 /// The process shuts down gracefully: it finishes its open requests.
 #[derive(Debug)]
 pub struct Draining {
+    /// Until when it takes requests that may end after the exit.
+    pub takes_requests_until: Instant,
     /// When it stops accepting connections.
     pub stops_accepting_at: Instant,
     /// When the process exits at the latest.
@@ -73,9 +78,12 @@
 }
 
 impl Draining {
-    fn new(requested_at: Instant, drain_timeout: Duration) -> Self {
+    fn new(now: Instant, requested_at: Instant, drain_timeout: Duration) -> Self {
+        let notice = DRAIN_NOTICE.min(drain_timeout / 2);
         Self {
-            stops_accepting_at: requested_at + DRAIN_NOTICE.min(drain_timeout / 2),
+            takes_requests_until: requested_at + notice,
+            // The load balancer notices the shutdown by checks that this process answers.
+            stops_accepting_at: now + notice,
             exit_deadline: requested_at + drain_timeout.saturating_sub(EXIT_MARGIN),
             has_stopped_accepting: false,
         }
@@ -135,7 +143,7 @@
     pub fn takes_request(&self, now: Instant, deadline: Instant) -> bool {
         match &self.phase {
             Phase::Draining(draining) => {
-                now < draining.stops_accepting_at || deadline <= draining.exit_deadline
+                now < draining.takes_requests_until || deadline <= draining.exit_deadline
             }
             Phase::Starting(_) | Phase::Serving(_) => true,
         }
@@ -172,15 +180,17 @@
         let requested_at = self.earliest_request(now.instant);
         let delay = now.instant.saturating_duration_since(requested_at);
         let note = Note::new(&note::DRAINING).with("grace_ms", self.drain_timeout.as_millis());
-        out.note(note.with("delay_ms", delay.as_millis()));
-        self.phase = Phase::Draining(Draining::new(requested_at, self.drain_timeout));
+        out.note(note.with("max_delay_ms", delay.as_millis()));
+        self.phase = Phase::Draining(Draining::new(now.instant, requested_at, self.drain_timeout));
     }
 
     /// The earliest time at which a shutdown that is handled now may have been requested. A signal waits while the process gets
     /// no processor, and the supervisor counts from its sending. The tick before the last one is certainly older than the signal:
     /// after a delay, the last tick may be handled before the signal.
     fn earliest_request(&self, now: Instant) -> Instant {
-        self.ticks.iter().flatten().copied().next().unwrap_or(now)
+        let ticked_at = self.ticks.iter().flatten().copied().next();
+        let earliest = now.checked_sub(MAX_SIGNAL_DELAY).unwrap_or(now);
+        ticked_at.unwrap_or(now).max(earliest)
     }
 }
 
--- a/crates/comfreyroad_router/src/controller/mod.rs
+++ b/crates/comfreyroad_router/src/controller/mod.rs
@@ -7,13 +7,13 @@
 pub mod evacuations;
 pub mod lifecycle;
 pub mod members;
-pub mod models;
 pub mod quarantine;
 pub mod retry;
 pub mod rollouts;
 pub mod sessions;
 pub mod subscriptions;
 pub mod upstreams;
+pub mod urgencies;
 
 use comfreyroad::clock::Now;
 
@@ -44,8 +44,8 @@
     pub evacuations: evacuations::Evacuations,
     /// The other entries.
     pub members: members::Members,
-    /// What models say of their answers.
-    pub models: models::Models,
+    /// How urgent the requests of each pool are beside each other.
+    pub urgencies: urgencies::Urgencies,
     /// The upstreams.
     pub upstreams: upstreams::Upstreams,
     /// The parts of prompts that crash engines.
@@ -68,7 +68,7 @@
             configuration: configuration::Tracker::default(),
             evacuations: evacuations::Evacuations::default(),
             members: members::Members::new(settings),
-            models: models::Models::default(),
+            urgencies: urgencies::Urgencies::default(),
             upstreams: upstreams::Upstreams::new(settings),
             quarantine: quarantine::Quarantine::default(),
             rollouts: rollouts::Rollouts::new(settings),
@@ -104,7 +104,7 @@
             &mut self.configuration,
             &mut self.evacuations,
             &mut self.members,
-            &mut self.models,
+            &mut self.urgencies,
             &mut self.upstreams,
             &mut self.quarantine,
             &mut self.rollouts,
--- a/crates/comfreyroad_router/src/filter/chain.rs
+++ b/crates/comfreyroad_router/src/filter/chain.rs
@@ -1,8 +1,7 @@
 //! The order of the filters. Placement at an upstream follows separately, see [`place`](super::place).
 
 use super::{
-    Context, Filter, authenticate::Authenticate, choose_model::ChooseModel, drain::Drain,
-    find_route::FindRoute, plan::Plan,
+    Context, Filter, authenticate::Authenticate, drain::Drain, find_route::FindRoute, plan::Plan,
 };
 use crate::Refusal;
 use crate::request::{Planned, Received, Request};
@@ -12,6 +11,5 @@
     let request = FindRoute::apply(request, context)?;
     let request = Authenticate::apply(request, context)?;
     let request = Plan::apply(request, context)?;
-    let request = ChooseModel::apply(request, context)?;
     Drain::apply(request, context)
 }
--- a/crates/comfreyroad_router/src/filter/escalate.rs
+++ b/crates/comfreyroad_router/src/filter/escalate.rs
@@ -2,20 +2,17 @@
 //!
 //! Answers the load pattern in which all traffic jumps: a larger model takes several times as long, so that engines that have
 //! room for some of its answers run out of slots when they get all of them, and then every answer is late. The room goes to the most
-//! urgent requests first: they ask for more confidence, and keep their larger models when the others have lost theirs.
+//! urgent requests first: they keep their larger models when the others have lost theirs.
 
 use std::ops::Range;
 
 use super::{Context, place};
 use crate::answer;
-use crate::id::ModelId;
-use crate::request::{Head, Plan, Rank, Request, Sent};
+use crate::request::{Rank, Request, Sent};
 
 /// Confidence in percent at which the answer of a small model is accepted. About half of the answers at 50 are good, and the
 /// reported values carry noise of about 20 (docs/DESIGN.md).
 const MIN_CONFIDENCE: f64 = 62.0;
-/// The same for the most urgent requests of a pool: one in fifteen answers at this confidence is not good.
-const FIRST_MIN_CONFIDENCE: f64 = 80.0;
 /// Utilizations of the pool's slots between which that minimum falls to nothing.
 const ROOM: Range<f64> = 0.5..1.0;
 /// The same for the most urgent requests, whose prompts engines admit before those that wait for a slot.
@@ -43,7 +40,7 @@
         && plan.last_event_id.is_none()
         && plan.route.idempotency.may_retry()
         && plan.has_attempts_left()
-        && is_larger_in_time(request, context)
+        && is_in_time(request, context)
         && has_slot(request, context)
         && context.state.retry_budgets.may_step_up(now, &plan.pool)
 }
@@ -57,28 +54,28 @@
 }
 
 /// The confidence in percent below which an answer is escalated. A pool whose utilization is unknown counts as idle.
-pub(super) fn min_confidence(rank: Rank, utilization: Option<f64>) -> f64 {
-    let (min_confidence, room) = match rank {
-        Rank::First => (FIRST_MIN_CONFIDENCE, FIRST_ROOM),
-        Rank::Usual => (MIN_CONFIDENCE, ROOM),
+fn min_confidence(rank: Rank, utilization: Option<f64>) -> f64 {
+    let room = match rank {
+        Rank::First => FIRST_ROOM,
+        Rank::Usual => ROOM,
     };
     let share = (room.end - utilization.unwrap_or_default()) / (room.end - room.start);
-    min_confidence * share.clamp(0.0, 1.0)
+    MIN_CONFIDENCE * share.clamp(0.0, 1.0)
 }
 
-fn is_larger_in_time(request: &Request<Sent>, context: Context<'_>) -> bool {
+/// Whether the first event of the larger model is expected in time.
+fn is_in_time(request: &Request<Sent>, context: Context<'_>) -> bool {
     let (head, plan) = (request.head(), request.stage().plan());
-    let larger = plan.larger_model();
-    larger.is_some_and(|larger| is_in_time(head, plan, larger, context))
-}
-
-/// Whether the first event of a larger model is expected in time.
-pub(super) fn is_in_time(head: &Head, plan: &Plan, larger: &ModelId, context: Context<'_>) -> bool {
+    let Some(larger) = plan.larger_model() else {
+        return false;
+    };
     let cached = f64::from(head.shared_tokens()) * (1.0 - CACHE_MISS_SHARE);
     let tokens = head.prompt_tokens().saturating_sub(cached as u32);
     let now = context.now.instant;
-    let upstreams = &context.state.upstreams;
-    let speed = upstreams.prefill_speed(&plan.pool, Some(larger));
+    let speed = context
+        .state
+        .upstreams
+        .prefill_speed(&plan.pool, Some(larger));
     let latest = head.received_at + plan.route.latency_objective.mul_f64(OBJECTIVE_SHARE);
     now + speed.time_to_first_event(now, tokens) <= latest
 }
--- a/crates/comfreyroad_router/src/filter/mod.rs
+++ b/crates/comfreyroad_router/src/filter/mod.rs
@@ -2,7 +2,6 @@
 
 pub mod authenticate;
 pub mod chain;
-pub mod choose_model;
 pub mod drain;
 pub(crate) mod escalate;
 pub mod find_route;
--- a/crates/comfreyroad_router/src/filter/plan.rs
+++ b/crates/comfreyroad_router/src/filter/plan.rs
@@ -1,4 +1,4 @@
-//! Choice of the pool, the smallest model, the priority and the deadline.
+//! Choice of the pool, the model, the priority and the deadline.
 
 use comfreyroad::rendezvous;
 
@@ -6,7 +6,7 @@
 use crate::Refusal;
 use crate::id::PoolId;
 use crate::refusal::Code;
-use crate::request::{self, Authenticated, Head, Planned, Request};
+use crate::request::{self, Authenticated, Head, Planned, Rank, Request};
 
 /// Model name by which callers leave the choice to the router.
 const ANY_MODEL: &str = "*";
@@ -44,9 +44,9 @@
         // The smallest model is cheap and often good enough; its confidence shows when a larger one is needed.
         let is_any_model = head.model.as_deref().is_none_or(|model| model == ANY_MODEL);
         let model = route.models.first().filter(|_| is_any_model).cloned();
-        let rank = context.state.models.rank(&pool, request.stage().priority);
         let last_event_id = head.last_event_id;
         let length_penalty = length_penalty(head.prompt_tokens());
+        let rank = rank(&pool, request.stage().priority, length_penalty, context);
         Ok(request.with_plan(|authenticated| request::Plan {
             route: authenticated.route,
             customer: authenticated.customer,
@@ -72,6 +72,14 @@
     LEVELS_PER_STEP * steps.count() as u8
 }
 
+/// A prompt that is not short takes more room than its urgency gives it, and engines admit it after others.
+fn rank(pool: &PoolId, priority: u8, length_penalty: u8, context: Context<'_>) -> Rank {
+    if length_penalty > LEVELS_PER_STEP {
+        return Rank::Usual;
+    }
+    context.state.urgencies.rank(pool, priority)
+}
+
 /// Chooses the pool; requests of one session go to the same pool.
 fn pool(head: &Head, route: &crate::configuration::Route) -> Option<PoolId> {
     let key: &str = head.session_key().map_or(&head.id, |key| key);
--- a/crates/comfreyroad_router/src/request/planned.rs
+++ b/crates/comfreyroad_router/src/request/planned.rs
@@ -1,5 +1,4 @@
 use super::{Origin, Placed, Plan, Request, Stage, Unplaced};
-use crate::id::ModelId;
 use crate::refusal::{Code, Refusal};
 use crate::upstream::Slot;
 
@@ -28,17 +27,6 @@
     }
 }
 
-impl Request<Planned> {
-    pub(crate) fn with_model(self, model: Option<ModelId>) -> Self {
-        self.into_stage(|planned| Planned {
-            plan: Plan {
-                model,
-                ..planned.plan
-            },
-        })
-    }
-}
-
 impl<S: Unplaced> Request<S> {
     pub(crate) fn with_slot(self, slot: Slot) -> Request<Placed> {
         self.into_stage(|stage| Placed {
--- a/crates/comfreyroad_router/src/router.rs
+++ b/crates/comfreyroad_router/src/router.rs
@@ -144,7 +144,6 @@
             let upstreams = &mut self.state.upstreams;
             upstreams.on_statements(now.instant, sent, head, &mut self.out);
         }
-        self.record_confidence(request, head, verdict);
         let state = &self.state;
         if verdict == Verdict::Forward
             && escalate::is_worthwhile(request, head, Context { now, state })
@@ -157,20 +156,6 @@
         verdict
     }
 
-    fn record_confidence(
-        &mut self,
-        request: &Request<Sent>,
-        head: &answer::Head,
-        verdict: Verdict,
-    ) {
-        let plan = request.stage().plan();
-        if verdict == Verdict::Forward
-            && let (Some(model), Some(confidence)) = (&plan.model, head.confidence)
-        {
-            self.state.models.record(&plan.route.id, model, confidence);
-        }
-    }
-
     /// Escalates a request to a larger model, after an answer with low confidence.
     pub fn escalate(&mut self, request: Request<Sent>) -> Result<Request<Retrying>, Refusal> {
         let retried = request.escalate();
