Fair shares of customers at engines, over all entries

Cause: nothing bounded what a customer uses of a pool, and no entry saw more of it than its own part. When a few customers sent several times their usual requests, the others waited behind them at the engines.

Change: the new controller `shares` counts the slots that each customer's requests hold, weighted over 2 s. Entries report their own counts in frames, relays sum those of their zone and exchange the sums (1.6 KB more in a relay's frame with 4 zones and 2 pools). From a utilization of 0.7 on, a customer that uses 1.25 times its max-min fair share is beyond it: its requests drop two levels of priority, and are refused at once, `why=beyond share`, instead of waiting for a slot. `Shares::standing` is there for the choice of the model, which does not use it yet. E1801, E1802, the gauge `customers_beyond`, `customer` and `share` in E1506.

The replay and a test of the effects fail without the priority.

--- a/crates/comfreyroad_proxy/src/metrics.rs
+++ b/crates/comfreyroad_proxy/src/metrics.rs
@@ -40,6 +40,7 @@
     entries: Gauge,
     upstreams: Gauge,
     limited_upstreams: Gauge,
+    customers_beyond: Gauge,
     ready: Gauge,
     store_lost: Gauge,
     log_lines_lost: Counter,
@@ -59,6 +60,7 @@
             entries: Gauge::default(),
             upstreams: Gauge::default(),
             limited_upstreams: Gauge::default(),
+            customers_beyond: Gauge::default(),
             ready: Gauge::default(),
             store_lost: Gauge::default(),
             log_lines_lost: Counter::default(),
@@ -92,6 +94,8 @@
         registry.register("upstreams", "Known upstreams", self.upstreams.clone());
         let text = "Upstreams that state a rate limit";
         registry.register("limited_upstreams", text, self.limited_upstreams.clone());
+        let text = "Customers beyond their share of a pool";
+        registry.register("customers_beyond", text, self.customers_beyond.clone());
         registry.register("ready", "Whether the entry is ready", self.ready.clone());
         let text = "Whether the store does not answer";
         registry.register("store_lost", text, self.store_lost.clone());
@@ -142,6 +146,8 @@
             .all()
             .filter(|it| it.stated_rate().is_some());
         self.limited_upstreams.set(limited.count() as i64);
+        self.customers_beyond
+            .set(state.shares.beyond_count() as i64);
         self.ready.set(state.lifecycle.is_ready().into());
         self.store_lost
             .set(state.subscriptions.is_store_lost().into());
--- a/crates/comfreyroad_router/src/controller/members/mod.rs
+++ b/crates/comfreyroad_router/src/controller/members/mod.rs
@@ -100,6 +100,8 @@
             leaving: Vec::new(),
             crashes: Vec::new(),
             answered_parts: Vec::new(),
+            usage: Vec::new(),
+            zone_usage: Vec::new(),
         }
     }
 
--- a/crates/comfreyroad_router/src/controller/mod.rs
+++ b/crates/comfreyroad_router/src/controller/mod.rs
@@ -11,6 +11,7 @@
 pub mod retry;
 pub mod rollouts;
 pub mod sessions;
+pub mod shares;
 pub mod subscriptions;
 pub mod upstreams;
 
@@ -51,6 +52,8 @@
     pub rollouts: rollouts::Rollouts,
     /// The version that serves each session.
     pub sessions: sessions::Sessions,
+    /// What customers use of the pools, and who uses more than its share.
+    pub shares: shares::Shares,
     /// Budgets of extra attempts.
     pub retry_budgets: retry::Budgets,
     /// The lifecycle of the process.
@@ -69,6 +72,7 @@
             quarantine: quarantine::Quarantine::default(),
             rollouts: rollouts::Rollouts::new(settings),
             sessions: sessions::Sessions::new(settings),
+            shares: shares::Shares::new(settings),
             retry_budgets: retry::Budgets::new(settings),
             lifecycle: lifecycle::Lifecycle::new(settings),
         }
@@ -83,6 +87,9 @@
         if matches!(event, Event::Tick | Event::FrameReceived(_)) {
             self.quarantine.update(now.instant, &self.upstreams, out);
         }
+        if matches!(event, Event::Tick) {
+            self.shares.update(now.instant, &self.upstreams, out);
+        }
     }
 
     /// Builds a gossip frame for a peer from each controller's part.
@@ -94,7 +101,7 @@
         frame
     }
 
-    fn all(&mut self) -> [&mut dyn Controller; 10] {
+    fn all(&mut self) -> [&mut dyn Controller; 11] {
         [
             &mut self.subscriptions,
             &mut self.configuration,
@@ -104,6 +111,7 @@
             &mut self.quarantine,
             &mut self.rollouts,
             &mut self.sessions,
+            &mut self.shares,
             &mut self.retry_budgets,
             &mut self.lifecycle,
         ]
--- a/crates/comfreyroad_router/src/controller/upstreams/load_exchange.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/load_exchange.rs
@@ -52,6 +52,20 @@
         (slots > 0.0).then(|| requests / slots)
     }
 
+    /// The utilization of a pool of engines. That of plain services is not exchanged, and an entry alone sees too few answers.
+    pub(crate) fn shared_utilization(&self, now: Instant, pool: &PoolId) -> Option<f64> {
+        let mut upstreams = self.upstreams.values();
+        let has_engines = upstreams.any(|it| it.registration.pool == *pool && it.is_engine());
+        self.utilization(now, pool).filter(|_| has_engines)
+    }
+
+    /// Requests that the upstreams of a pool can process concurrently.
+    pub(crate) fn slots(&self, now: Instant, pool: &PoolId) -> u32 {
+        let in_pool = |it: &&Upstream| it.registration.pool == *pool && it.is_ready(now);
+        let upstreams = self.upstreams.values().filter(in_pool);
+        upstreams.map(|it| it.registration.slots).sum()
+    }
+
     /// Takes the reports of a peer that are newer than this entry's own.
     pub(super) fn on_load_reports(&mut self, now: Instant, reports: &[LoadReport]) {
         for report in reports {
--- a/crates/comfreyroad_router/src/filter/place.rs
+++ b/crates/comfreyroad_router/src/filter/place.rs
@@ -23,6 +23,8 @@
 const RETURN_SPREAD: Duration = Duration::from_millis(500);
 /// Maximum retry-after time for a caller whose request got no slot.
 const MAX_RETRY_AFTER: Duration = Duration::from_millis(1000);
+/// Minimum retry-after time for a caller whose customer is beyond its share.
+const MIN_RETURN_TIME: Duration = Duration::from_millis(200);
 
 /// What happens to a request that gets no slot.
 #[derive(Debug)]
@@ -68,6 +70,10 @@
         let after = ends_at.saturating_duration_since(now) + spread;
         return Err(Backpressure::Refuse(refusal.with_retry_after(after)));
     }
+    let customer = plan.customer.as_ref();
+    if let Some(room_at) = state.shares.room_at(now, &plan.pool, customer) {
+        return Err(Backpressure::Refuse(beyond_share(&request, now, room_at)));
+    }
     let until = request.head().received_at + plan.route.latency_objective / WAIT_DIVISOR;
     if until > now && !is_retry {
         return Err(Backpressure::Wait(request, until.min(now + WAIT_INTERVAL)));
@@ -82,6 +88,16 @@
     refusal.with_retry_after(MAX_RETRY_AFTER.min(left / 4))
 }
 
+/// Refuses a request of a customer beyond its share until room for it is expected, spread over as long again.
+fn beyond_share<S: Unplaced>(request: &Request<S>, now: Instant, room_at: Instant) -> Refusal {
+    let deadline = request.stage().plan().deadline;
+    let left = deadline.saturating_duration_since(now);
+    let until_room = room_at.saturating_duration_since(now);
+    let until_room = until_room.max(MIN_RETURN_TIME).min(left / 4);
+    let spread = until_room.mul_f64(rendezvous::fraction(&request.head().id, ""));
+    S::refuse(request, Code::BeyondShare).with_retry_after(until_room + spread)
+}
+
 /// A slot at an upstream that was not tried, or at any if the request has progress, which is lost unless some upstream goes on
 /// with it.
 fn find_slot(head: &Head, plan: &Plan, now: Instant, state: &mut Controllers) -> Option<Slot> {
--- a/crates/comfreyroad_router/src/filter/plan.rs
+++ b/crates/comfreyroad_router/src/filter/plan.rs
@@ -15,7 +15,8 @@
 /// many callers on time, and a long prompt waits little for them. Each length is about three times the one before, because
 /// lengths spread over two orders of magnitude.
 const LENGTH_STEPS: [u32; 3] = [1_500, 5_000, 15_000];
-/// Priority levels for each step. Two levels leave one in between, by which operators can rank customers and routes.
+/// Priority levels for each step, and for a customer beyond its share. Two levels leave one in between, by which operators can
+/// rank customers and routes.
 const LEVELS_PER_STEP: u8 = 2;
 
 /// Plans how a request is served.
@@ -46,10 +47,21 @@
         let model = route.models.first().filter(|_| is_any_model).cloned();
         let last_event_id = head.last_event_id;
         let length_penalty = length_penalty(head.prompt_tokens());
+        let customer = request.stage().customer.as_ref();
+        let shares = &context.state.shares;
+        let standing = shares.standing(context.now.instant, &pool, customer);
+        let share_penalty = if standing.is_beyond() {
+            LEVELS_PER_STEP
+        } else {
+            0
+        };
         Ok(request.with_plan(|authenticated| request::Plan {
             route: authenticated.route,
             customer: authenticated.customer,
-            priority: authenticated.priority.saturating_add(length_penalty),
+            priority: authenticated
+                .priority
+                .saturating_add(length_penalty + share_penalty),
+            standing,
             pool,
             model,
             deadline,
--- a/crates/comfreyroad_router/src/frame/frame.rs
+++ b/crates/comfreyroad_router/src/frame/frame.rs
@@ -4,8 +4,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    CrashReport, LeavingReport, LoadReport, PartAnswer, Peer, Progress, RateLimitReport,
-    SessionPin, Suspicion,
+    CrashReport, LeavingReport, LoadReport, PartAnswer, Peer, PoolUsage, Progress, RateLimitReport,
+    SessionPin, Suspicion, ZoneUsage,
 };
 use crate::id::Offset;
 use crate::record::{Record, Topic};
@@ -63,6 +63,12 @@
     /// Parts of these and earlier ones that upstreams have answered. Absent as above.
     #[serde(default)]
     pub answered_parts: Vec<PartAnswer>,
+    /// What customers use through the sender. Absent in frames of versions that do not exchange it.
+    #[serde(default)]
+    pub usage: Vec<PoolUsage>,
+    /// What customers use through the zones, in frames of relays. Absent as above.
+    #[serde(default)]
+    pub zone_usage: Vec<ZoneUsage>,
 }
 
 impl Frame {
--- a/crates/comfreyroad_router/src/note/mod.rs
+++ b/crates/comfreyroad_router/src/note/mod.rs
@@ -104,4 +104,8 @@
     PART_QUARANTINED = 1701, Error, "prompt part quarantined";
     /// Requests with a part of prompts are no longer refused.
     PART_RELEASED = 1702, Info, "prompt part released";
+    /// Room in a pool is short, and a customer uses more than its share of it.
+    CUSTOMER_BEYOND = 1801, Info, "customer beyond its share";
+    /// A customer is within its share of a pool again, or room is not short any more.
+    CUSTOMER_WITHIN = 1802, Info, "customer within its share";
 }
--- a/crates/comfreyroad_router/src/refusal.rs
+++ b/crates/comfreyroad_router/src/refusal.rs
@@ -38,6 +38,9 @@
     /// No upstream has a free slot, or no further attempt is allowed.
     #[error("overloaded")]
     Overloaded,
+    /// No upstream has a free slot, and the customer uses more than its share.
+    #[error("beyond share")]
+    BeyondShare,
     /// A part of the prompt crashes engines.
     #[error("prompt part quarantined")]
     Quarantined,
--- a/crates/comfreyroad_router/src/request/placed.rs
+++ b/crates/comfreyroad_router/src/request/placed.rs
@@ -1,6 +1,7 @@
 use std::time::Instant;
 
 use super::{Plan, Request, Sent, Stage};
+use crate::controller::shares::Hold;
 use crate::upstream::Slot;
 
 /// The request has a slot at an upstream.
@@ -47,7 +48,7 @@
 }
 
 impl Request<Placed> {
-    pub(crate) fn send(self, now: Instant) -> Request<Sent> {
+    pub(crate) fn send(self, now: Instant, hold: Option<Hold>) -> Request<Sent> {
         self.into_stage(|placed| {
             let mut origin = placed.origin;
             let plan = origin.plan_mut();
@@ -56,6 +57,7 @@
             Sent {
                 origin,
                 slot: placed.slot,
+                _hold: hold,
                 sent_at: now,
                 has_started: false,
                 has_sampled_service_time: false,
--- a/crates/comfreyroad_router/src/request/plan.rs
+++ b/crates/comfreyroad_router/src/request/plan.rs
@@ -2,6 +2,7 @@
 use std::time::Instant;
 
 use crate::configuration::Route;
+use crate::controller::shares::Standing;
 use crate::id::{CustomerId, EventId, ModelId, PoolId, UpstreamId, VersionId};
 
 /// How a request is to be served, and the attempts so far.
@@ -11,8 +12,10 @@
     pub route: Arc<Route>,
     /// The customer; `None` if no key is required and none matches.
     pub customer: Option<CustomerId>,
-    /// Priority, from the route or customer and the length of the prompt; 0 is the most urgent.
+    /// Priority, from the route or customer, the length of the prompt and the standing; 0 is the most urgent.
     pub priority: u8,
+    /// Where the customer stood with its share of the pool when the request arrived.
+    pub standing: Standing,
     /// The pool that serves the request.
     pub pool: PoolId,
     /// The model that answers, if the router chooses it.
--- a/crates/comfreyroad_router/src/request/sent.rs
+++ b/crates/comfreyroad_router/src/request/sent.rs
@@ -2,6 +2,7 @@
 use std::time::{Duration, Instant};
 
 use super::{Head, Origin, Plan, Planned, Rejection, Request, Retrying, Stage};
+use crate::controller::shares::Hold;
 use crate::id::{EventId, VersionId};
 use crate::upstream::Slot;
 
@@ -15,6 +16,8 @@
     pub origin: Origin,
     /// The slot at the upstream.
     pub slot: Slot,
+    // Counts the slot for the customer.
+    pub(super) _hold: Option<Hold>,
     /// When it was sent.
     pub sent_at: Instant,
     /// Whether the first event of the answer has arrived from this upstream.
--- a/crates/comfreyroad_router/src/router.rs
+++ b/crates/comfreyroad_router/src/router.rs
@@ -100,7 +100,9 @@
     /// Marks a placed request as sent and counts it.
     pub fn send(&mut self, now: Now, request: Request<Placed>) -> Request<Sent> {
         let is_first = !request.stage().origin.plan().is_retry();
-        let request = request.send(now.instant);
+        let plan = request.stage().origin.plan();
+        let hold = self.state.shares.hold(now.instant, plan);
+        let request = request.send(now.instant, hold);
         let plan = request.stage().plan();
         if is_first {
             self.state
@@ -194,6 +196,8 @@
     /// Records the end of a complete answer.
     pub fn on_finished(&mut self, now: Now, request: &Request<Sent>, completion: Completion) {
         self.touch_session(now, request);
+        let plan = request.stage().plan();
+        self.state.shares.settle(now.instant, plan);
         let slot = &request.stage().slot;
         if let Some(service_time) = completion.service_time
             && !request.stage().has_sampled_service_time
@@ -219,6 +223,8 @@
             .with("upstream", &slot.upstream)
             .with("version", &slot.version)
             .with("model", plan.model.as_deref().unwrap_or("-"))
+            .with("customer", plan.customer.as_deref().unwrap_or("-"))
+            .with("share", plan.standing.name())
             .with("runs", plan.runs)
             .with("good", completion.is_success)
             .with(
--- a/crates/comfreyroad_router/tests/decisions/load/fleet.rs
+++ b/crates/comfreyroad_router/tests/decisions/load/fleet.rs
@@ -1,6 +1,8 @@
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use comfreyroad_router::answer::{Completion, Fault, Verdict};
+use comfreyroad_router::configuration::Customer;
 use comfreyroad_router::filter::place::Backpressure;
 use comfreyroad_router::record::{Content, Record, Topic};
 use comfreyroad_router::request::{Placed, Rejection, Returned, Sent, Unplaced};
@@ -10,7 +12,7 @@
 
 use super::engine::{Engine, Output, SLOTS, Work};
 use crate::rig::{
-    Rig, configuration_content, frame, good_answer, head, peer, prompt, registration,
+    Rig, configuration, configuration_content, frame, good_answer, head, peer, prompt, registration,
 };
 
 /// Time that one step simulates.
@@ -51,10 +53,25 @@
     pub(super) quarantined: IndexSet<String>,
     /// When sound requests were refused.
     pub(super) refusals: Vec<Instant>,
+    /// What the callers of each customer got, if the fleet has several.
+    pub(super) customers: Vec<Self>,
 }
 
 impl Summary {
-    fn total(&self) -> usize {
+    /// What the callers of several customers got.
+    pub(super) fn sum(customers: &[Self]) -> Self {
+        let add = |sum: Self, it: &Self| Self {
+            in_time: sum.in_time + it.in_time,
+            late: sum.late + it.late,
+            failed: sum.failed + it.failed,
+            large: sum.large + it.large,
+            open: sum.open + it.open,
+            ..Self::default()
+        };
+        customers.iter().fold(Self::default(), add)
+    }
+
+    pub(super) fn total(&self) -> usize {
         self.in_time + self.late + self.failed + self.open
     }
 
@@ -69,6 +86,7 @@
     entry: usize,
     kind: Kind,
     prefix: String,
+    customer: usize,
     confidence: u8,
     /// Its prompt crashes the engine that starts to answer it. It does not count as failed.
     is_deadly: bool,
@@ -97,6 +115,12 @@
     owed: f64,
     /// Fraction of the requests whose prompt has a part that crashes engines.
     pub(super) deadly_share: f64,
+    // Part of the requests that each customer sends; empty for a single customer.
+    customers: Vec<f64>,
+}
+
+fn customer_name(number: usize) -> String {
+    format!("c{number}")
 }
 
 fn entry_name(number: usize) -> String {
@@ -136,11 +160,51 @@
             summary: Summary::default(),
             owed: 0.0,
             deadly_share: 0.0,
+            customers: Vec::new(),
         };
         fleet.introduce_entries();
         fleet
     }
 
+    /// Gives the fleet several customers, each with a part of the requests.
+    pub(super) fn set_customers(&mut self, parts: &[f64]) {
+        if self.customers.is_empty() {
+            let customer = |name: String| Customer {
+                id: name.clone().into(),
+                api_keys: vec![name.into()],
+                priority: None,
+            };
+            let mut changed = configuration(2);
+            let names = (0..parts.len()).map(customer_name);
+            changed.customers = Some(names.map(customer).collect());
+            let content = Content::Configuration(Arc::new(changed));
+            self.publish(Topic::Operator, "config", content);
+            self.summary
+                .customers
+                .resize_with(parts.len(), Summary::default);
+        }
+        self.customers = parts.to_vec();
+    }
+
+    /// A customer chosen by its part of the requests.
+    fn choose_customer(&mut self) -> usize {
+        let mut rest = self.rng.f64() * self.customers.iter().sum::<f64>();
+        for (number, part) in self.customers.iter().enumerate() {
+            rest -= part;
+            if rest < 0.0 {
+                return number;
+            }
+        }
+        0
+    }
+
+    /// Adds to the summary of all callers and to that of a call's customer.
+    fn count(&mut self, number: usize, add: impl Fn(&mut Summary)) {
+        add(&mut self.summary);
+        let customer = self.calls[number].customer;
+        self.summary.customers.get_mut(customer).map(add);
+    }
+
     /// Lets all entries know each other.
     fn introduce_entries(&mut self) {
         let now = self.entries[0].now;
@@ -172,8 +236,12 @@
 
     /// Counts calls that are not over.
     pub(super) fn finish(mut self) -> Summary {
-        let is_open = |call: &&Call| !matches!(call.state, State::Over) && !call.is_answered;
-        self.summary.open = self.calls.iter().filter(is_open).count();
+        for number in 0..self.calls.len() {
+            let call = &self.calls[number];
+            if !matches!(call.state, State::Over) && !call.is_answered {
+                self.count(number, |it| it.open += 1);
+            }
+        }
         for entry in &self.entries {
             let parts = entry.router.state().quarantine.parts();
             let parts = parts.map(|part| part.to_string());
@@ -184,6 +252,11 @@
 
     fn arrive(&mut self, kind: Kind) {
         let entry = self.rng.usize(..self.entries.len());
+        let customer = if self.customers.is_empty() {
+            0
+        } else {
+            self.choose_customer()
+        };
         let rig = &mut self.entries[entry];
         let number = self.calls.len();
         let is_deadly = self.rng.f64() < self.deadly_share;
@@ -205,12 +278,16 @@
             parts.insert(2, ("deadly", 100));
         }
         head.prompt = prompt(&parts);
+        if !self.customers.is_empty() {
+            head.key = Some(customer_name(customer).into());
+        }
         let arrived_at = rig.now.instant;
         let planned = rig.admit(head).expect("the route exists");
         self.calls.push(Call {
             entry,
             kind: Kind { own_tokens, ..kind },
             prefix,
+            customer,
             confidence: self.rng.u8(0..=100),
             is_deadly,
             arrived_at,
@@ -339,14 +416,20 @@
         registration.slots = SLOTS as u32;
         registration.models = vec!["small".into(), "large".into()];
         registration.incarnation += state.incarnation;
+        let content = Content::Upstream(Box::new(registration));
+        self.publish(Topic::Upstreams, &engine_name(engine), content);
+    }
+
+    /// Lets all entries learn a record from a peer.
+    fn publish(&mut self, topic: Topic, key: &str, content: Content) {
         let record = Record {
             offset: 1_000_000 + self.steps,
-            key: engine_name(engine).into(),
-            content: Content::Upstream(Box::new(registration)),
+            key: key.into(),
+            content,
         };
         let mut news = frame("other");
         news.sender = peer(&entry_name(0), "a");
-        news.records.push((Topic::Upstreams, record));
+        news.records.push((topic, record));
         for entry in &mut self.entries {
             entry.receive(news.clone());
         }
@@ -354,7 +437,8 @@
 
     /// Counts a sound request that was refused or failed.
     fn fail(&mut self, number: usize) {
-        self.summary.failed += usize::from(!self.calls[number].is_deadly);
+        let failed = usize::from(!self.calls[number].is_deadly);
+        self.count(number, |it| it.failed += failed);
     }
 
     /// Ends a failed attempt. A stream that has begun is over; other requests are placed again.
@@ -417,12 +501,12 @@
         }
         rig.router.on_first_event(rig.now, sent);
         call.is_answered = true;
-        self.summary.large += usize::from(is_large);
-        if rig.now.instant - call.arrived_at <= OBJECTIVE {
-            self.summary.in_time += 1;
-        } else {
-            self.summary.late += 1;
-        }
+        let is_in_time = rig.now.instant - call.arrived_at <= OBJECTIVE;
+        self.count(number, |it| {
+            it.large += usize::from(is_large);
+            it.in_time += usize::from(is_in_time);
+            it.late += usize::from(!is_in_time);
+        });
     }
 
     fn on_finished(&mut self, number: usize) {
--- a/crates/comfreyroad_router/tests/decisions/load/mod.rs
+++ b/crates/comfreyroad_router/tests/decisions/load/mod.rs
@@ -2,6 +2,7 @@
 
 mod engine;
 mod fleet;
+mod shares;
 
 use std::time::Duration;
 
--- a/crates/comfreyroad_router/tests/decisions/main.rs
+++ b/crates/comfreyroad_router/tests/decisions/main.rs
@@ -18,5 +18,6 @@
 mod retry_budgets;
 mod rig;
 mod rollouts;
+mod shares;
 mod subscriptions;
 mod upstreams;
--- a/crates/comfreyroad_router/tests/decisions/rig.rs
+++ b/crates/comfreyroad_router/tests/decisions/rig.rs
@@ -333,5 +333,7 @@
         leaving: Vec::new(),
         crashes: Vec::new(),
         answered_parts: Vec::new(),
+        usage: Vec::new(),
+        zone_usage: Vec::new(),
     }
 }
