Merge the shares of customers

Customers beyond their fair share of a pool of engines rank behind the others while room is short, aren't among the most urgent for larger models, and don't wait for a slot.

--- a/crates/comfreyroad_router/src/filter/plan.rs
+++ b/crates/comfreyroad_router/src/filter/plan.rs
@@ -15,7 +15,8 @@
 /// many callers on time, and a long prompt waits little for them. Each length is about three times the one before, because
 /// lengths spread over two orders of magnitude.
 const LENGTH_STEPS: [u32; 3] = [1_500, 5_000, 15_000];
-/// Priority levels for each step. Two levels leave one in between, by which operators can rank customers and routes.
+/// Priority levels for each step, and for a customer beyond its share. Two levels leave one in between, by which operators can
+/// rank customers and routes.
 const LEVELS_PER_STEP: u8 = 2;
 
 /// Plans how a request is served.
@@ -46,11 +47,21 @@
         let model = route.models.first().filter(|_| is_any_model).cloned();
         let last_event_id = head.last_event_id;
         let length_penalty = length_penalty(head.prompt_tokens());
-        let rank = rank(&pool, request.stage().priority, length_penalty, context);
+        let customer = request.stage().customer.as_ref();
+        let shares = &context.state.shares;
+        let standing = shares.standing(context.now.instant, &pool, customer);
+        let share_penalty = if standing.is_beyond() {
+            LEVELS_PER_STEP
+        } else {
+            0
+        };
+        let penalty = length_penalty + share_penalty;
+        let rank = rank(&pool, request.stage().priority, penalty, context);
         Ok(request.with_plan(|authenticated| request::Plan {
             route: authenticated.route,
             customer: authenticated.customer,
-            priority: authenticated.priority.saturating_add(length_penalty),
+            priority: authenticated.priority.saturating_add(penalty),
+            standing,
             rank,
             pool,
             model,
@@ -72,9 +83,9 @@
     LEVELS_PER_STEP * steps.count() as u8
 }
 
-/// A prompt that is not short takes more room than its urgency gives it, and engines admit it after others.
-fn rank(pool: &PoolId, priority: u8, length_penalty: u8, context: Context<'_>) -> Rank {
-    if length_penalty > LEVELS_PER_STEP {
+/// A request that engines admit after others, for its length or its customer's share, is not among the most urgent.
+fn rank(pool: &PoolId, priority: u8, penalty: u8, context: Context<'_>) -> Rank {
+    if penalty > LEVELS_PER_STEP {
         return Rank::Usual;
     }
     context.state.urgencies.rank(pool, priority)
--- a/crates/comfreyroad_router/tests/decisions/main.rs
+++ b/crates/comfreyroad_router/tests/decisions/main.rs
@@ -19,5 +19,6 @@
 mod retry_budgets;
 mod rig;
 mod rollouts;
+mod shares;
 mod subscriptions;
 mod upstreams;
