Read a socket once for each burst of bytes

Cause: each burst cost three reads: the one that takes the bytes, one that finds nothing, and one more after the wait ended at once, because the readiness that was waited for before had not been taken.

Change: a stream takes the readiness when it comes, and waits after a short read without another call. While it waits it still reads when it is polled for another reason, so that a connection which the peer has closed is noticed before a request is sent on it. The shared state has a file of its own.

--- a/crates/comfreyroad_net/src/stream.rs
+++ b/crates/comfreyroad_net/src/stream.rs
@@ -1,12 +1,14 @@
 //! TCP connections of the event loop.
 
+mod shared;
+
 use std::{
-    cell::{Cell, RefCell},
+    cell::RefCell,
     io::{self, IoSlice, Read as _, Write as _},
     net::{Shutdown, SocketAddr},
     pin::Pin,
     rc::{Rc, Weak},
-    task::{Context, Poll, Waker, ready},
+    task::{Context, Poll, ready},
     time::Duration,
 };
 
@@ -14,13 +16,11 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 use socket2::{Domain, Protocol, SockAddr, Socket, Type};
 
+use self::shared::{Direction, Shared};
+
 /// Maximum number of bytes per read.
 pub(crate) const READ_BYTES: usize = 64 * 1024;
 
-/// Reads in succession after which a stream lets other tasks run: hyper reads on for as long as bytes arrive that it skips, such as
-/// the zeros before the size of a chunk.
-const MAX_SUCCESSIVE_READS: u32 = 4;
-
 /// Linux error number of a connect that is in progress; the standard library has no stable name for it.
 const EINPROGRESS: i32 = 115;
 
@@ -95,23 +95,42 @@
     fn poll_io<T>(
         &self,
         cx: &mut Context<'_>,
-        poll_ready: impl Fn(&PollFd<Socket>, &mut Context<'_>) -> Poll<io::Result<()>>,
+        direction: Direction,
         mut call: impl FnMut(&Socket) -> io::Result<T>,
     ) -> Poll<io::Result<T>> {
+        // Takes the readiness that was waited for. The call is made also without it, as a peer may have closed the connection before
+        // the event loop learns of it.
+        if self.shared.is_waiting(direction).replace(false) {
+            let is_ready = self.poll_ready(cx, direction)?.is_ready();
+            self.shared.is_waiting(direction).set(!is_ready);
+        }
         loop {
             if self.shared.is_reset.get() {
                 return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
             }
             match call(&self.socket) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-                    self.shared.waker.replace(Some(cx.waker().clone()));
-                    ready!(poll_ready(&self.socket, cx))?;
+                    ready!(self.poll_until_ready(cx, direction))?;
                 }
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 result => return Poll::Ready(result),
             }
         }
     }
+
+    fn poll_until_ready(&self, cx: &mut Context<'_>, direction: Direction) -> Poll<io::Result<()>> {
+        let ready = self.poll_ready(cx, direction);
+        self.shared.is_waiting(direction).set(ready.is_pending());
+        ready
+    }
+
+    fn poll_ready(&self, cx: &mut Context<'_>, direction: Direction) -> Poll<io::Result<()>> {
+        self.shared.register(cx.waker());
+        match direction {
+            Direction::Read => self.socket.poll_read_ready(cx),
+            Direction::Write => self.socket.poll_write_ready(cx),
+        }
+    }
 }
 
 impl Read for Stream {
@@ -124,16 +143,23 @@
             cx.waker().wake_by_ref();
             return Poll::Pending;
         }
+        // After a short read nothing is left in the socket, so another call would be in vain.
+        if self.shared.is_drained.replace(false) && !self.shared.is_reset.get() {
+            let ready = self.poll_until_ready(cx, Direction::Read);
+            if ready.is_pending() {
+                self.shared.reads.set(0);
+            }
+            ready!(ready)?;
+        }
         BUFFER.with_borrow_mut(|buffer| {
             let wanted = cursor.remaining().min(buffer.len());
             let buffer = &mut buffer[..wanted];
-            let read = self.poll_io(cx, PollFd::poll_read_ready, |mut socket| {
-                socket.read(buffer)
-            });
+            let read = self.poll_io(cx, Direction::Read, |mut socket| socket.read(buffer));
             if read.is_pending() {
                 self.shared.reads.set(0);
             }
             let count = ready!(read)?;
+            self.shared.is_drained.set(count > 0 && count < wanted);
             self.shared.count_read(count)?;
             cursor.put_slice(&buffer[..count]);
             Poll::Ready(Ok(()))
@@ -147,9 +173,7 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let write = self.poll_io(cx, PollFd::poll_write_ready, |mut socket| {
-            socket.write(bytes)
-        });
+        let write = self.poll_io(cx, Direction::Write, |mut socket| socket.write(bytes));
         write.map_ok(|count| self.count_written(count))
     }
 
@@ -158,7 +182,7 @@
         cx: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let write = self.poll_io(cx, PollFd::poll_write_ready, |mut socket| {
+        let write = self.poll_io(cx, Direction::Write, |mut socket| {
             socket.write_vectored(slices)
         });
         write.map_ok(|count| self.count_written(count))
@@ -184,44 +208,6 @@
     }
 }
 
-/// State shared by a stream and its handles.
-#[derive(Debug, Default)]
-struct Shared {
-    written: Cell<u64>,
-    // Reads since the stream last had no bytes or let other tasks run.
-    reads: Cell<u32>,
-    // Bytes that may still be read before reads fail, if there is a limit.
-    readable: Cell<Option<usize>>,
-    is_reset: Cell<bool>,
-    // Wakes the task that waits for the stream.
-    waker: RefCell<Option<Waker>>,
-}
-
-impl Shared {
-    /// Counts a read. Returns true, and starts anew, if other tasks must run before it.
-    fn must_yield(&self) -> bool {
-        let reads = self.reads.get();
-        let is_due = reads >= MAX_SUCCESSIVE_READS;
-        self.reads.set(if is_due { 0 } else { reads + 1 });
-        is_due
-    }
-
-    /// Counts bytes that were read. Fails if they exceed the limit.
-    fn count_read(&self, bytes: usize) -> io::Result<()> {
-        let Some(readable) = self.readable.get() else {
-            return Ok(());
-        };
-        if bytes > readable {
-            return Err(io::Error::new(
-                io::ErrorKind::InvalidData,
-                "the head of the response is too long",
-            ));
-        }
-        self.readable.set(Some(readable - bytes));
-        Ok(())
-    }
-}
-
 /// Inspects or resets a [`Stream`] that hyper owns, without keeping it open.
 #[derive(Clone, Debug)]
 pub struct Handle {
