Keep the timer of a body armed while its deadline moves

Cause: each event of a stream armed and cancelled a timer, with a random choice between body and timer.

Change: a reader has one timer, which stays armed when a chunk arrives and is set again only when it fires before the deadline. A chunk that has arrived is read also just after its deadline, but not two in succession, so that a peer that sends without end still meets it.

--- a/crates/comfreyroad_net/src/client/mod.rs
+++ b/crates/comfreyroad_net/src/client/mod.rs
@@ -8,6 +8,7 @@
 mod limits;
 mod pool;
 mod reader;
+mod timer;
 
 use std::{
     cell::RefCell,
