Wake the process less often while it rests

Cause: a loop that looked for the exit deadline woke the process ten times a second from its start, besides the ticks; each turn of the loop costs four to five system calls in the poller.

Change: the exit deadline is looked for once a shutdown has begun, which sets it; the settings are parsed if the bytes of the file differ from those that were read well last.

--- a/crates/comfreyroad_proxy/src/daemon.rs
+++ b/crates/comfreyroad_proxy/src/daemon.rs
@@ -15,6 +15,7 @@
 use comfreyroad_platform::settings::Settings;
 use comfreyroad_router::Event;
 use comfreyroad_router::note::{self, Note};
+use futures_channel::oneshot;
 use futures_util::future::{Either, select};
 
 use crate::clock::Watchdog;
@@ -83,14 +84,15 @@
     );
     compio::runtime::spawn(serve_ready(shared.clone(), ready)).detach();
     compio::runtime::spawn(serve_control(shared.clone(), control)).detach();
-    compio::runtime::spawn(handle_signals(shared.clone(), shutdown)).detach();
+    let (draining, drains) = oneshot::channel();
+    compio::runtime::spawn(handle_signals(shared.clone(), shutdown, draining)).detach();
     compio::runtime::spawn(watch_settings(path.to_owned(), settings.clone(), hangup)).detach();
     shared.handle_event(Event::Started);
     let max_connections = settings.limits.max_fds as usize / FRONT_FD_DIVISOR;
     compio::runtime::spawn(run_ticks(shared.clone(), limits, max_connections)).detach();
     let handler = Front::new(shared.clone());
     let served = pin!(front.serve(move |request, peer| handler.clone().handle(request, peer)));
-    let ended = pin!(end_at_exit_deadline(&shared));
+    let ended = pin!(end_at_exit_deadline(&shared, drains));
     select(served, ended).await;
     logger::write(&Note::new(&note::STOPPED).with("open", shared.registry.open_at_end()));
     logger::finish();
@@ -98,7 +100,11 @@
 }
 
 /// Waits until the exit deadline, ends the requests that are still open, and gives the server time to close their connections.
-async fn end_at_exit_deadline(shared: &Rc<Shared>) {
+///
+/// Before the shutdown there is no such deadline, and looking for one would wake the process ten times a second.
+async fn end_at_exit_deadline(shared: &Rc<Shared>, drains: oneshot::Receiver<()>) {
+    // The sender lives as long as the loop.
+    let _ = drains.await;
     loop {
         let deadline = shared.exit_deadline();
         if deadline.is_some_and(|at| at <= Instant::now()) {
@@ -153,10 +159,21 @@
     });
 }
 
-async fn handle_signals(shared: Rc<Shared>, mut signals: signal::Listener) {
+async fn handle_signals(
+    shared: Rc<Shared>,
+    mut signals: signal::Listener,
+    draining: oneshot::Sender<()>,
+) {
+    let mut draining = Some(draining);
     loop {
         match signals.next().await {
-            Ok(_) => shared.handle_event(Event::Shutdown),
+            Ok(_) => {
+                shared.handle_event(Event::Shutdown);
+                if let Some(draining) = draining.take() {
+                    // The receiver is gone only if the process ends anyway.
+                    let _ = draining.send(());
+                }
+            }
             Err(error) => {
                 log::error!(target: logger::TARGET, "signals not received: {error}");
                 compio::time::sleep(TICK_INTERVAL).await;
@@ -171,18 +188,25 @@
     mut settings: Settings,
     mut hangup: signal::Listener,
 ) {
+    let mut known = None;
     loop {
         let period = pin!(compio::time::sleep(SETTINGS_INTERVAL));
         if let Either::Left((Err(error), period)) = select(pin!(hangup.next()), period).await {
             log::error!(target: logger::TARGET, "signals not received: {error}");
             period.await;
         }
+        let bytes = std::fs::read(&path).ok();
+        if bytes.is_some() && bytes == known {
+            continue;
+        }
+        known = None;
         match Settings::read(&path) {
             Ok(read) if read != settings => {
                 logger::write(&Note::new(&note::SETTINGS_RELOADED).with("path", path.display()));
                 settings = read;
             }
-            Ok(_) => {}
+            // The same bytes need not be parsed again.
+            Ok(_) => known = bytes,
             Err(error) => log::warn!(target: logger::TARGET, "settings not reloaded: {error}"),
         }
     }
