--- a/crates/comfreyroad_router/src/frame/mod.rs
+++ b/crates/comfreyroad_router/src/frame/mod.rs
@@ -11,6 +11,7 @@
 mod rate_limit_report;
 mod session_pin;
 mod suspicion;
+mod text;
 mod zone_usage;
 
 pub use crash_report::CrashReport;
