--- a/crates/comfreyroad_proxy/src/front/events.rs
+++ b/crates/comfreyroad_proxy/src/front/events.rs
@@ -164,6 +164,11 @@
         Some(first.saturating_duration_since(sent))
     }
 
+    /// Number of events so far.
+    pub(super) fn count(&self) -> u32 {
+        self.count
+    }
+
     /// How fast events have arrived so far; `None` before the second one.
     pub(super) fn pace(&self) -> Option<Pace> {
         let gaps = self.count.checked_sub(1).filter(|gaps| *gaps > 0)?;
--- a/crates/comfreyroad_proxy/src/front/front.rs
+++ b/crates/comfreyroad_proxy/src/front/front.rs
@@ -244,6 +244,7 @@
             .observe_response_end(&route.id, head.received_at);
         let completion = Completion {
             is_success: verdict == Verdict::Forward,
+            events: 0,
             first_event_after: None,
             service_time: (verdict == Verdict::Forward).then(|| stage.sent_at.elapsed()),
         };
--- a/crates/comfreyroad_proxy/src/front/stream.rs
+++ b/crates/comfreyroad_proxy/src/front/stream.rs
@@ -233,6 +233,7 @@
             .observe_response_end(&route.id, request.head().received_at);
         let completion = Completion {
             is_success: true,
+            events: events.count(),
             first_event_after: events.time_to_first(request.stage().sent_at),
             service_time: events.pace().map(|pace| pace.mean_gap),
         };
--- a/crates/comfreyroad_router/src/answer/completion.rs
+++ b/crates/comfreyroad_router/src/answer/completion.rs
@@ -5,6 +5,8 @@
 pub struct Completion {
     /// Whether the answer is a success.
     pub is_success: bool,
+    /// Number of events of a stream.
+    pub events: u32,
     /// Time from sending the request to the first event of a stream.
     pub first_event_after: Option<Duration>,
     /// Time per event of a stream, or of a whole plain answer.
--- a/crates/comfreyroad_router/src/controller/mod.rs
+++ b/crates/comfreyroad_router/src/controller/mod.rs
@@ -4,6 +4,7 @@
 //! controllers. Changes by requests (slots, counts, budgets) are made by method calls of the router.
 
 pub mod configuration;
+pub mod estimates;
 pub mod evacuations;
 pub mod lifecycle;
 pub mod members;
@@ -45,6 +46,8 @@
     pub members: members::Members,
     /// The upstreams.
     pub upstreams: upstreams::Upstreams,
+    /// What requests are likely to cost.
+    pub estimates: estimates::Estimates,
     /// The parts of prompts that crash engines.
     pub quarantine: quarantine::Quarantine,
     /// The rollouts of new versions.
@@ -66,6 +69,7 @@
             evacuations: evacuations::Evacuations::default(),
             members: members::Members::new(settings),
             upstreams: upstreams::Upstreams::new(settings),
+            estimates: estimates::Estimates::default(),
             quarantine: quarantine::Quarantine::default(),
             rollouts: rollouts::Rollouts::new(settings),
             sessions: sessions::Sessions::new(settings),
--- /dev/null
+++ b/crates/comfreyroad_router/src/controller/upstreams/candidate.rs
@@ -0,0 +1,91 @@
+//! What an upstream still has to do, and when it would answer a request.
+//!
+//! Answers the load pattern in which requests that look alike cost very different amounts of work, and servers differ in speed: the
+//! number of open requests alone says little about when the next one is answered.
+
+use std::time::{Duration, Instant};
+
+use crate::upstream::Upstream;
+use crate::work::Demand;
+
+/// Delay of a step by each request that runs beside this one, as the steps of a larger batch take longer.
+const BATCH_COST_PER_REQUEST: Duration = Duration::from_millis(4);
+/// Expected delay of a prompt behind each one whose prefill takes longer than predicted.
+const OVERDUE_PROMPT_COST: Duration = Duration::from_millis(150);
+/// Fraction (1/2) of its work that a request of another entry still has before it, on average.
+const MEAN_PROGRESS_DIVISOR: f64 = 2.0;
+/// Work of a request of which nothing is known.
+const DEFAULT_WORK: Duration = Duration::from_secs(1);
+
+/// An upstream that can serve a request.
+#[derive(Debug)]
+pub(super) struct Candidate<'a> {
+    pub(super) upstream: &'a Upstream,
+    /// Requests there, of all entries.
+    open_requests: f64,
+    /// Time in slots that these still take, if work takes its usual time, in seconds.
+    remaining_work: f64,
+    /// How long work takes there now, as a factor of the usual.
+    slowness: f64,
+}
+
+impl<'a> Candidate<'a> {
+    /// Describes an upstream at which other entries have a number of requests open.
+    pub(super) fn new(
+        now: Instant,
+        upstream: &'a Upstream,
+        others: f64,
+        mean_work: Option<Duration>,
+    ) -> Self {
+        let mean_work = mean_work.unwrap_or(DEFAULT_WORK).as_secs_f64();
+        Self {
+            upstream,
+            open_requests: f64::from(upstream.open_requests()) + others,
+            remaining_work: upstream.remaining_work(now).as_secs_f64()
+                + others * mean_work / MEAN_PROGRESS_DIVISOR,
+            slowness: upstream.work_time.factor(now) * upstream.pace.factor(now),
+        }
+    }
+
+    fn slots(&self) -> f64 {
+        f64::from(self.upstream.registration.slots.max(1))
+    }
+
+    /// Time until a slot is free: the requests before it, at the rate at which slots become free.
+    fn wait(&self) -> Duration {
+        let excess = self.open_requests + 1.0 - self.slots();
+        if excess <= 0.0 {
+            return Duration::ZERO;
+        }
+        let mean_left = self.remaining_work / self.open_requests.max(1.0);
+        seconds(excess * mean_left / self.slots() * self.slowness)
+    }
+
+    /// Expected time to the first event of a request whose prefill takes some time.
+    pub(super) fn first_event(&self, now: Instant, prefill: Duration) -> Duration {
+        let overdue = OVERDUE_PROMPT_COST * self.upstream.overdue_prefills(now) as u32;
+        let batch = BATCH_COST_PER_REQUEST.mul_f64(self.open_requests);
+        let busy = self.upstream.prefill_backlog(now) + overdue + prefill + batch;
+        self.wait() + busy.mul_f64(self.slowness)
+    }
+
+    /// Expected time from the first event to the last. Requests that are finished long before do not slow it down.
+    pub(super) fn decode(&self, demand: &Demand) -> Duration {
+        let window = demand.decode.as_secs_f64().max(f64::MIN_POSITIVE);
+        let beside = self.open_requests.min(self.remaining_work / window);
+        demand
+            .decode
+            .mul_f64(self.slowness * (1.0 + beside / self.slots()))
+    }
+
+    /// Expected time of a plain answer.
+    pub(super) fn plain_answer(&self, demand: &Demand) -> Duration {
+        let queue = (self.open_requests + 1.0 - self.slots()).max(0.0) / self.slots();
+        let load = 1.0 + queue + self.open_requests / (4.0 * self.slots());
+        demand.decode.mul_f64(self.slowness * load)
+    }
+}
+
+fn seconds(seconds: f64) -> Duration {
+    Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX / 4)
+}
--- a/crates/comfreyroad_router/src/controller/upstreams/load_exchange.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/load_exchange.rs
@@ -12,6 +12,8 @@
 
 /// Age up to which a report is passed on. It takes up to five gossip rounds to arrive.
 const MAX_FORWARD_AGE: Duration = Duration::from_millis(1500);
+/// Factor from fractions to percent.
+const PERCENT: f64 = 100.0;
 /// Maximum number of reports in a frame. The newest are sent.
 const MAX_REPORTS_PER_FRAME: usize = 128;
 
@@ -31,6 +33,7 @@
                 waiting: load.waiting,
                 slots: load.slots,
                 work_time_percent: load.work_time_percent,
+                pace: pace_sample(now, upstream),
                 age,
             })
         };
@@ -59,13 +62,18 @@
             let Some((upstream, reported_at)) = self.reported(now, key) else {
                 continue;
             };
+            if let Some((percent, age)) = report.pace
+                && let Some(at) = now.checked_sub(Duration::from_millis(age.into()))
+            {
+                upstream.pace.add(at, f64::from(percent) / PERCENT);
+            }
             let is_older = upstream
                 .load
                 .is_some_and(|load| load.reported_at >= reported_at);
             if is_older {
                 continue;
             }
-            upstream.load = Some(Load {
+            upstream.record_load(Load {
                 running: report.running,
                 waiting: report.waiting,
                 slots: report.slots,
@@ -77,3 +85,10 @@
         }
     }
 }
+
+/// The last sample of an upstream's pace, in percent and with its age in milliseconds, if it is recent.
+fn pace_sample(now: Instant, upstream: &Upstream) -> Option<(u32, u32)> {
+    let (at, factor) = upstream.pace.last()?;
+    let age = now.saturating_duration_since(at);
+    (age <= MAX_FORWARD_AGE).then_some(((factor * PERCENT).round() as u32, age.as_millis() as u32))
+}
--- a/crates/comfreyroad_router/src/controller/upstreams/mod.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/mod.rs
@@ -1,5 +1,6 @@
 //! The upstreams: their registrations, and their health and load as this entry observes them.
 
+mod candidate;
 mod cold_limit;
 mod departures;
 mod limiter;
@@ -8,6 +9,7 @@
 mod pauses;
 mod rate_limits;
 mod requirements;
+mod ring;
 mod selection;
 mod stated_limit;
 mod statements;
@@ -23,6 +25,7 @@
 
 use self::cold_limit::ColdLimit;
 use self::limiter::Limiter;
+use self::ring::Ring;
 use self::store_answers::StoreAnswers;
 use super::Controller;
 use super::members::Fleet;
@@ -59,6 +62,7 @@
     // Time in which all entries must stop sending requests to an upstream that drains.
     drain_propagation: Duration,
     upstreams: IndexMap<UpstreamId, Upstream>,
+    rings: IndexMap<PoolId, Ring>,
     configuration: Option<Arc<Configuration>>,
     fleet: Rc<Fleet>,
     cold_limit: ColdLimit,
@@ -80,6 +84,7 @@
             zone: settings.own.zone.clone(),
             drain_propagation: settings.drain_propagation,
             upstreams: IndexMap::new(),
+            rings: IndexMap::new(),
             configuration: None,
             fleet: Rc::default(),
             cold_limit: ColdLimit::new(settings),
@@ -115,7 +120,9 @@
         registration: &Registration,
         out: &mut Outbox,
     ) {
+        let ring = self.rings.entry(registration.pool.clone()).or_default();
         let Some(known) = self.upstreams.get_mut(&id) else {
+            ring.insert(&id);
             let note = Note::new(&note::UPSTREAM_ADDED).with("upstream", &id);
             let note = note.with("pool", &registration.pool);
             out.note(note.with("version", &registration.version));
@@ -125,6 +132,11 @@
         };
         let was_draining = known.registration.stage == Stage::Draining;
         let was_cold = known.is_cold(now);
+        let old_pool = known.registration.pool.clone();
+        if old_pool != registration.pool {
+            ring.insert(&id);
+            Self::leave_ring(&mut self.rings, &old_pool, &id);
+        }
         known.update(now, offset, registration.clone());
         if registration.stage == Stage::Draining && !was_draining {
             out.note(Note::new(&note::UPSTREAM_DRAINING).with("upstream", &id));
@@ -154,12 +166,20 @@
     }
 
     fn delete(&mut self, id: &UpstreamId, out: &mut Outbox) {
-        self.upstreams.swap_remove(id);
+        if let Some(upstream) = self.upstreams.swap_remove(id) {
+            Self::leave_ring(&mut self.rings, &upstream.registration.pool, id);
+        }
         self.cold_limiter.remove(id);
         self.stated_limiter.remove(id);
         out.note(Note::new(&note::UPSTREAM_REMOVED).with("upstream", id));
     }
 
+    fn leave_ring(rings: &mut IndexMap<PoolId, Ring>, pool: &PoolId, id: &UpstreamId) {
+        if rings.get_mut(pool).is_some_and(|ring| ring.remove(id)) {
+            rings.swap_remove(pool);
+        }
+    }
+
     /// Whether the store answers neither this entry nor, as far as is known, any other.
     fn is_store_down(&self, now: Instant) -> bool {
         self.store_lost_at.is_some_and(|lost| {
--- a/crates/comfreyroad_router/src/controller/upstreams/outcomes.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/outcomes.rs
@@ -57,7 +57,7 @@
         };
         let own_requests = upstream.open_requests();
         if let Some(load) = head.load {
-            upstream.load = Some(crate::upstream::Load {
+            upstream.record_load(crate::upstream::Load {
                 own_requests,
                 ..load
             });
@@ -75,7 +75,7 @@
         model: Option<&ModelId>,
         prefill: Prefill,
     ) {
-        slot.finish_prefill();
+        slot.finish_prefill(now);
         let key = (slot.pool.clone(), model.cloned());
         let prefill_speed = self.prefill_speeds.entry(key).or_default();
         prefill_speed.add(now, prefill.tokens, prefill.latency);
@@ -84,14 +84,16 @@
         }
     }
 
-    /// Records a complete answer and its service time: its time per event, or the duration of an answer without events.
-    pub(crate) fn on_success(&mut self, now: Instant, slot: &Slot, service_time: Option<Duration>) {
+    /// Records a complete answer, with its time per event as a factor of the usual, if both are known.
+    pub(crate) fn on_success(&mut self, now: Instant, slot: &Slot, factor: Option<f64>) {
         let Some(upstream) = self.upstream_of(slot) else {
             return;
         };
         upstream.health.record_success(now);
-        if let Some(service_time) = service_time {
-            upstream.service_time.add(service_time);
+        if let Some(factor) = factor {
+            upstream
+                .pace
+                .add(now, factor / upstream.work_time.factor(now));
         }
     }
 
--- a/crates/comfreyroad_router/src/controller/upstreams/requirements.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/requirements.rs
@@ -1,6 +1,7 @@
-use std::sync::Arc;
+use std::time::Duration;
 
 use crate::id::{ModelId, PoolId, UpstreamId, VersionId};
+use crate::work::Demand;
 
 /// What a request requires of an upstream, and what its choice depends on.
 #[derive(Clone, Debug)]
@@ -11,18 +12,18 @@
     pub model: Option<&'a ModelId>,
     /// The versions that may serve the request.
     pub versions: Versions,
-    /// Key of the requests whose prompts share a prefix, which one upstream's cache can serve.
-    pub affinity: Option<Arc<str>>,
-    /// Length of the prompt in tokens.
-    pub prompt_tokens: u32,
-    /// Tokens of the prompt that a cache may hold.
-    pub cacheable_tokens: u32,
+    /// Hash of the key of the requests whose prompts share a prefix, which one upstream's cache can serve.
+    pub affinity: Option<u64>,
+    /// What it is expected to take.
+    pub demand: Demand,
+    /// Mean work of the pool's requests, if known.
+    pub mean_work: Option<Duration>,
     /// Upstreams that are excluded, as they were already tried.
     pub excluded: &'a [UpstreamId],
     /// Whether the request is well placed where it is, so that only an upstream will do that is healthy and has a free slot, as far as
     /// its load is known.
     pub is_optional: bool,
-    /// Hash that breaks ties between upstreams for requests without affinity.
+    /// Hash of the request, by which it chooses among upstreams that all entries see alike.
     pub salt: u64,
 }
 
--- a/crates/comfreyroad_router/src/controller/upstreams/selection.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/selection.rs
@@ -1,10 +1,8 @@
 //! Load balancing: selects the upstream for a request.
 
-use std::cmp::Reverse;
 use std::time::{Duration, Instant};
 
-use comfreyroad::rendezvous;
-
+use super::candidate::Candidate;
 use super::{Requirements, Upstreams, stated_limit};
 use crate::configuration::Service;
 use crate::controller::evacuations::Evacuations;
@@ -13,23 +11,20 @@
 
 /// Cost of a cache miss beyond the prefill time, as a duration: the compute that another upstream spends on the prompt.
 const CACHE_MISS_COST: Duration = Duration::from_millis(100);
-/// Delay that each open request adds to the others, as the steps of a larger batch take longer.
-const BATCH_COST_PER_REQUEST: Duration = Duration::from_millis(4);
-/// Expected delay of a prompt behind each one whose prefill takes longer than predicted.
-const OVERDUE_PROMPT_COST: Duration = Duration::from_millis(150);
-/// Expected delay by each request that waits at an engine without a free slot.
-const QUEUE_COST_PER_REQUEST: Duration = Duration::from_millis(50);
-/// Number of engines in the order of a key's hash among which a request chooses. Entries that read the same load reports
-/// would otherwise all choose the same idle engine.
-const CHOICES: usize = 4;
-/// Service time of an upstream, as a factor of the median, above which it counts as slow.
-const SLOW_FACTOR: f64 = 2.5;
+/// Usable upstreams in the order of an affinity key among which a request chooses. One of them is likely to hold its prefix.
+const AFFINE_CHOICES: usize = 4;
+/// Usable upstreams in an order of the request's own among which it chooses as well. Entries that read the same load reports would
+/// otherwise all choose the same idle upstream.
+const OWN_CHOICES: usize = 4;
+/// Usable upstreams among which a plain request chooses.
+const PLAIN_CHOICES: usize = 16;
+/// Fraction (1/4) of the time to the last event that counts like the time to the first: callers wait for the first one, and a slot
+/// that is held for less time serves others.
+const LAST_EVENT_DIVISOR: u32 = 4;
 /// Number of entries not yet known for which a share of an upstream's connections is reserved.
 const SPARE_ENTRIES: u32 = 1;
 /// Round-trip time between zones that an upstream in the same zone saves.
 const CROSS_ZONE_COST: Duration = Duration::from_millis(2);
-/// Service time assumed of an upstream that has not answered yet.
-const DEFAULT_SERVICE_TIME: Duration = Duration::from_millis(20);
 
 /// The upstreams that meet a condition, or all if none does.
 fn prefer(all: Vec<&Upstream>, is_preferred: impl Fn(&Upstream) -> bool) -> Vec<&Upstream> {
@@ -38,13 +33,6 @@
     if preferred.is_empty() { all } else { preferred }
 }
 
-/// An upstream that can serve the request, with its load.
-struct Candidate<'a> {
-    upstream: &'a Upstream,
-    open_requests: f64,
-    is_slow: bool,
-}
-
 impl Upstreams {
     /// Takes a slot at the best upstream; `None` if none is usable and has capacity left.
     pub(crate) fn acquire_slot(
@@ -56,10 +44,7 @@
         let configuration = self.configuration.clone()?;
         let service = configuration.services.get(requirements.pool)?;
         let upstream = self.select(now, requirements, evacuations, service)?;
-        let slot = upstream.acquire_slot(
-            now,
-            self.prefill_time(requirements, requirements.prompt_tokens),
-        );
+        let slot = upstream.acquire_slot(now, requirements.demand);
         let upstream = self.upstreams.get(&slot.upstream)?;
         if upstream.is_cold(now) {
             let rate = self.cold_rate(upstream, service);
@@ -99,7 +84,20 @@
                 && self.has_capacity(now, upstream, service)
                 && (!requirements.is_optional || Self::is_promising(now, upstream))
         };
-        let usable: Vec<&Upstream> = self.upstreams.values().filter(usable).collect();
+        let ring = self.rings.get(requirements.pool)?;
+        let choose = |key: u64, count: usize| {
+            let members = ring.order(key).filter_map(|id| self.upstreams.get(id));
+            members.filter(usable).take(count).collect::<Vec<_>>()
+        };
+        let usable = match requirements.affinity {
+            None => choose(requirements.salt, PLAIN_CHOICES),
+            Some(key) => {
+                let mut choices = choose(key, AFFINE_CHOICES);
+                let own = choose(requirements.salt, OWN_CHOICES);
+                choices.extend(own);
+                choices
+            }
+        };
         let usable = prefer(usable, |it| it.leaving.is_none());
         // If more than half of the usable upstreams are ejected or suspected, the fault is more likely elsewhere, and that is
         // ignored.
@@ -111,10 +109,10 @@
         } else {
             usable
         };
-        let candidates = Self::candidates(now, &eligible);
-        match &requirements.affinity {
-            Some(affinity) => self.select_by_first_event(now, requirements, affinity, &candidates),
-            None => self.select_by_load(requirements.salt, &candidates),
+        let candidates = Self::candidates(now, &eligible, requirements.mean_work);
+        match requirements.affinity {
+            Some(_) => self.select_engine(now, requirements, &candidates),
+            None => self.select_service(requirements, &candidates),
         }
     }
 
@@ -198,107 +196,74 @@
         !is_above_cold_rate && stated.is_none_or(|it| self.stated_limiter.allows(now, id, it))
     }
 
-    fn candidates<'a>(now: Instant, upstreams: &[&'a Upstream]) -> Vec<Candidate<'a>> {
-        let mut service_times: Vec<Duration> = upstreams
-            .iter()
-            .filter_map(|it| it.service_time.mean())
-            .collect();
-        service_times.sort_unstable();
-        let median = service_times.get(service_times.len() / 2).copied();
-        let is_slow = |upstream: &Upstream| {
-            let service_time = upstream.service_time.mean().zip(median);
-            service_time.is_some_and(|(own, median)| own > median.mul_f64(SLOW_FACTOR))
-        };
-        // An engine without a recent report is not idle: it counts as loaded as the others.
-        let others: Vec<f64> = upstreams
-            .iter()
-            .filter(|it| it.is_engine())
-            .filter_map(|it| it.other_requests(now))
-            .map(f64::from)
-            .collect();
-        let mean_others = others.iter().sum::<f64>() / others.len().max(1) as f64;
-        let other_requests = |upstream: &Upstream| match upstream.other_requests(now) {
-            Some(others) => f64::from(others),
-            None if upstream.is_engine() => mean_others,
-            None => 0.0,
-        };
-        let candidate = |upstream: &&'a Upstream| Candidate {
-            upstream,
-            open_requests: f64::from(upstream.open_requests()) + other_requests(upstream),
-            is_slow: is_slow(upstream),
+    /// Describes upstreams. An engine without a recent report is not idle: it counts as loaded as the others.
+    fn candidates<'a>(
+        now: Instant,
+        upstreams: &[&'a Upstream],
+        mean_work: Option<Duration>,
+    ) -> Vec<Candidate<'a>> {
+        let others = |it: &Upstream| it.other_requests(now).map(f64::from);
+        let engines = upstreams.iter().filter(|it| it.is_engine());
+        let known: Vec<f64> = engines.filter_map(|it| others(it)).collect();
+        let mean_others = known.iter().sum::<f64>() / known.len().max(1) as f64;
+        let candidate = |upstream: &&'a Upstream| {
+            let default = if upstream.is_engine() {
+                mean_others
+            } else {
+                0.0
+            };
+            let others = others(upstream).unwrap_or(default);
+            Candidate::new(now, upstream, others, mean_work)
         };
         upstreams.iter().map(candidate).collect()
     }
 
-    /// Predicted time for the model to process prompt tokens.
-    fn prefill_time(&self, requirements: &Requirements<'_>, tokens: u32) -> Duration {
-        self.prefill_speed(requirements.pool, requirements.model)
-            .prefill_time(tokens)
-    }
-
     /// The prefill speed measured for a model of a pool.
     pub fn prefill_speed(&self, pool: &PoolId, model: Option<&ModelId>) -> PrefillSpeed {
         let key = (pool.clone(), model.cloned());
         self.prefill_speeds.get(&key).copied().unwrap_or_default()
     }
 
-    /// The upstream with the earliest predicted first event. The preferred upstream of the affinity key has the shared
-    /// prefix in its cache, while others may have a shorter queue.
-    fn select_by_first_event<'a>(
+    /// The upstream with the earliest predicted answer to a prompt. The first one in the order of the affinity key has the shared
+    /// prefix in its cache.
+    fn select_engine<'a>(
         &self,
         now: Instant,
         requirements: &Requirements<'_>,
-        affinity: &str,
         candidates: &[Candidate<'a>],
     ) -> Option<&'a Upstream> {
-        let uncached = self.prefill_time(requirements, requirements.prompt_tokens);
-        let cached = self.prefill_time(
-            requirements,
-            requirements
-                .prompt_tokens
-                .saturating_sub(requirements.cacheable_tokens),
-        );
-        let hash = |it: &&Candidate<'_>| rendezvous::hash(affinity, &it.upstream.id);
-        let mut choices: Vec<&Candidate<'_>> = candidates.iter().collect();
-        choices.sort_by_cached_key(|it| Reverse(hash(it)));
-        choices.truncate(CHOICES);
-        let preferred = *choices.first()?;
+        let demand = &requirements.demand;
+        let preferred = &candidates.first()?.upstream.id;
         let cost = |it: &&Candidate<'_>| {
-            let is_preferred = it.upstream.id == preferred.upstream.id;
-            let prefill = if is_preferred {
-                cached
+            let is_preferred = it.upstream.id == *preferred;
+            let first = if is_preferred {
+                it.first_event(now, demand.cached_prefill)
             } else {
-                uncached + CACHE_MISS_COST
+                it.first_event(now, demand.prefill) + CACHE_MISS_COST
             };
-            let overdue = OVERDUE_PROMPT_COST * it.upstream.overdue_prefills(now) as u32;
-            let batch = BATCH_COST_PER_REQUEST.mul_f64(it.open_requests);
-            let slots = f64::from(it.upstream.registration.slots.max(1));
-            let queue = QUEUE_COST_PER_REQUEST.mul_f64((it.open_requests + 1.0 - slots).max(0.0));
-            let time = it.upstream.prefill_backlog(now) + overdue + prefill + batch + queue;
-            if it.is_slow { time * 4 } else { time }
+            first + it.decode(demand) / LAST_EVENT_DIVISOR
         };
         // Among equal costs, the first in the order of the hash.
-        let best = choices.iter().min_by_key(|it| cost(it));
+        let best = candidates.iter().min_by_key(cost);
         best.map(|it| it.upstream)
     }
 
-    /// The upstream with the earliest predicted answer.
-    fn select_by_load<'a>(&self, salt: u64, candidates: &[Candidate<'a>]) -> Option<&'a Upstream> {
+    /// The upstream with the earliest predicted plain answer. Among equal costs, the first in the order of the request.
+    fn select_service<'a>(
+        &self,
+        requirements: &Requirements<'_>,
+        candidates: &[Candidate<'a>],
+    ) -> Option<&'a Upstream> {
         let cost = |it: &&Candidate<'_>| {
-            let upstream = it.upstream;
-            let service_time = upstream.service_time.mean().unwrap_or(DEFAULT_SERVICE_TIME);
-            let slots = f64::from(upstream.registration.slots.max(1));
-            let queue = (it.open_requests + 1.0 - slots).max(0.0) / slots;
-            let time = service_time.mul_f64(1.0 + queue + it.open_requests / (4.0 * slots));
-            let is_other_zone = upstream.registration.zone != self.zone;
-            time + if is_other_zone {
+            let is_other_zone = it.upstream.registration.zone != self.zone;
+            let distance = if is_other_zone {
                 CROSS_ZONE_COST
             } else {
                 Duration::ZERO
-            }
+            };
+            it.plain_answer(&requirements.demand) + distance
         };
-        let tie_break = |it: &&Candidate<'_>| rendezvous::hash(&salt.to_string(), &it.upstream.id);
-        let best = candidates.iter().min_by_key(|it| (cost(it), tie_break(it)));
+        let best = candidates.iter().min_by_key(cost);
         best.map(|it| it.upstream)
     }
 }
--- a/crates/comfreyroad_router/src/filter/place.rs
+++ b/crates/comfreyroad_router/src/filter/place.rs
@@ -1,6 +1,5 @@
 //! Placement: gives a request a slot at an upstream, for the first attempt and for retries.
 
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use comfreyroad::rendezvous;
@@ -122,7 +121,15 @@
     state: &mut Controllers,
 ) -> Option<Slot> {
     let versions = allowed_versions(head, plan, now, state);
-    let requirements = |versions| requirements(head, plan, scope, versions);
+    let wanted = Requirements {
+        excluded: scope.excluded,
+        is_optional: scope.is_optional,
+        ..requirements(head, plan, plan.model.as_ref(), state)
+    };
+    let requirements = |versions| Requirements {
+        versions,
+        ..wanted.clone()
+    };
     let evacuations = &state.evacuations;
     let slot = state
         .upstreams
@@ -146,8 +153,8 @@
 ) -> bool {
     let versions = allowed_versions(head, plan, now, state);
     let requirements = Requirements {
-        model: Some(model),
-        ..requirements(head, plan, Scope::default(), versions)
+        versions,
+        ..requirements(head, plan, Some(model), state)
     };
     state
         .upstreams
@@ -157,36 +164,40 @@
 /// Whether an upstream is there that could serve the request once it has a free slot.
 fn has_upstream(head: &Head, plan: &Plan, now: Instant, state: &Controllers) -> bool {
     let versions = allowed_versions(head, plan, now, state);
-    let requirements = requirements(head, plan, Scope::default(), versions);
+    let requirements = Requirements {
+        versions,
+        ..requirements(head, plan, plan.model.as_ref(), state)
+    };
     state
         .upstreams
         .has_match(now, &requirements, &state.evacuations)
 }
 
+/// What a request requires if it is answered by a model: any version, any upstream.
 fn requirements<'a>(
     head: &Head,
     plan: &'a Plan,
-    scope: Scope<'a>,
-    versions: Versions,
+    model: Option<&'a ModelId>,
+    state: &Controllers,
 ) -> Requirements<'a> {
+    let speed = state.upstreams.prefill_speed(&plan.pool, model);
     Requirements {
         pool: &plan.pool,
-        model: plan.model.as_ref(),
-        versions,
-        affinity: affinity(head, plan),
-        prompt_tokens: head.prompt_tokens(),
-        cacheable_tokens: head.shared_tokens(),
-        excluded: scope.excluded,
-        is_optional: scope.is_optional,
+        model,
+        versions: Versions::Any,
+        affinity: affinity(head, model),
+        demand: state.estimates.demand((head, plan), model, speed),
+        mean_work: state.estimates.mean_work(&plan.pool),
+        excluded: &[],
+        is_optional: false,
         salt: rendezvous::hash(&head.id, ""),
     }
 }
 
 /// The key of requests that benefit from the same cache: the last shared part of the prompt, and the model.
-fn affinity(head: &Head, plan: &Plan) -> Option<Arc<str>> {
+fn affinity(head: &Head, model: Option<&ModelId>) -> Option<u64> {
     let part = head.shared_prefix()?;
-    let model = plan.model.as_deref().unwrap_or_default();
-    Some(format!("{}/{model}", part.id).into())
+    Some(rendezvous::hash(&part.id, model.map_or("", |it| it)))
 }
 
 /// The acceptable versions: the version that produced a part of the answer or its successor, else the version of the session,
--- a/crates/comfreyroad_router/src/lib.rs
+++ b/crates/comfreyroad_router/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod router;
 pub mod settings;
 pub mod upstream;
+pub mod work;
 
 pub use action::Action;
 pub use event::Event;
--- a/crates/comfreyroad_router/src/router.rs
+++ b/crates/comfreyroad_router/src/router.rs
@@ -194,19 +194,37 @@
     /// Records the end of a complete answer.
     pub fn on_finished(&mut self, now: Now, request: &Request<Sent>, completion: Completion) {
         self.touch_session(now, request);
-        let slot = &request.stage().slot;
         if let Some(service_time) = completion.service_time
             && !request.stage().has_sampled_service_time
         {
             let rollouts = &mut self.state.rollouts;
             rollouts.count_service_time(Attempt::of(request), service_time);
         }
-        let upstreams = &mut self.state.upstreams;
-        upstreams.on_success(now.instant, slot, completion.service_time);
+        self.learn_work(now, request, completion);
         self.count_answer(request, completion.is_success);
         self.log_served(now, request, completion);
     }
 
+    /// Learns from a complete answer what requests take.
+    fn learn_work(&mut self, now: Now, request: &Request<Sent>, completion: Completion) {
+        let (stage, head) = (request.stage(), request.head());
+        let (plan, now) = (stage.plan(), now.instant);
+        let estimates = &mut self.state.estimates;
+        let usual = estimates.pace(&plan.pool, plan.model.as_ref());
+        let factor = completion
+            .service_time
+            .zip(usual)
+            .map(|(own, usual)| own.as_secs_f64() / usual.as_secs_f64());
+        // What was resumed or failed says nothing about the length of an answer.
+        if completion.is_success && head.last_event_id.is_none() && !plan.has_failed {
+            let work = now.saturating_duration_since(stage.sent_at);
+            let times = (completion.service_time, work);
+            estimates.on_finished(now, (head, plan), completion.events, times);
+        }
+        let upstreams = &mut self.state.upstreams;
+        upstreams.on_success(now, &stage.slot, factor);
+    }
+
     fn log_served(&mut self, now: Now, request: &Request<Sent>, completion: Completion) {
         let (plan, slot) = (request.stage().plan(), &request.stage().slot);
         let took = now
--- a/crates/comfreyroad_router/src/upstream/mod.rs
+++ b/crates/comfreyroad_router/src/upstream/mod.rs
@@ -1,6 +1,5 @@
 //! Upstreams: their registrations, load reports, and what this entry observes of them.
 
-mod average;
 mod backlog;
 mod health;
 mod leaving;
@@ -11,8 +10,7 @@
 mod slot;
 mod upstream;
 
-pub use average::Average;
-pub use backlog::{Backlog, PrefillId};
+pub use backlog::{Backlog, JobId};
 pub use health::Health;
 pub use leaving::Leaving;
 pub use load::Load;
--- a/crates/comfreyroad_router/src/upstream/slot.rs
+++ b/crates/comfreyroad_router/src/upstream/slot.rs
@@ -1,9 +1,10 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-use super::{Backlog, PrefillId};
+use super::{Backlog, JobId};
 use crate::id::{Address, Incarnation, PoolId, UpstreamId, VersionId};
+use crate::work::Demand;
 
 /// A request slot at an upstream, released on drop.
 #[derive(Debug)]
@@ -20,19 +21,15 @@
     pub version: VersionId,
     open: Rc<Cell<u32>>,
     backlog: Rc<RefCell<Backlog>>,
-    job: PrefillId,
+    job: JobId,
 }
 
 impl Slot {
-    pub(super) fn acquire(
-        upstream: &super::Upstream,
-        now: Instant,
-        prefill_time: Duration,
-    ) -> Self {
+    pub(super) fn acquire(upstream: &super::Upstream, now: Instant, demand: Demand) -> Self {
         let open = Rc::clone(&upstream.open_requests);
         open.set(open.get() + 1);
-        let backlog = Rc::clone(&upstream.prefill_backlog);
-        let job = backlog.borrow_mut().add(now, prefill_time);
+        let backlog = Rc::clone(&upstream.backlog);
+        let job = backlog.borrow_mut().add(now, demand);
         let registration = &upstream.registration;
         Self {
             upstream: upstream.id.clone(),
@@ -46,15 +43,15 @@
         }
     }
 
-    /// Removes the prompt from the backlog, because its prefill is finished.
-    pub fn finish_prefill(&self) {
-        self.backlog.borrow_mut().remove(self.job);
+    /// Records that the prefill is finished, and the answer begins.
+    pub fn finish_prefill(&self, now: Instant) {
+        self.backlog.borrow_mut().finish_prefill(now, self.job);
     }
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        self.finish_prefill();
+        self.backlog.borrow_mut().remove(self.job);
         self.open.set(self.open.get().saturating_sub(1));
     }
 }
--- a/crates/comfreyroad_router/src/upstream/upstream.rs
+++ b/crates/comfreyroad_router/src/upstream/upstream.rs
@@ -4,8 +4,9 @@
 
 use comfreyroad::clock;
 
-use super::{Average, Backlog, Health, Leaving, Load, RateLimit, Registration, Slot, Stage};
+use super::{Backlog, Health, Leaving, Load, RateLimit, Registration, Slot, Stage};
 use crate::id::{Offset, UpstreamId};
+use crate::work::{Demand, Pace, WorkTime};
 
 /// Maximum age of a load report for its count of requests from other entries to be used.
 const MAX_REPORT_AGE: Duration = Duration::from_secs(2);
@@ -28,20 +29,22 @@
     pub removal_due_at: Option<Instant>,
     /// The last load report.
     pub load: Option<Load>,
+    /// How long work takes there, by the load reports.
+    pub work_time: WorkTime,
+    /// How long its answers take in relation to those of the pool.
+    pub pace: Pace,
     /// The last statement about its rate limit; `None` if it has stated none.
     pub rate_limit: Option<RateLimit>,
     /// Its statement that it is about to leave, if it has made one.
     pub leaving: Option<Leaving>,
     /// Until when it wants no requests from this entry.
     pub paused_until: Option<Instant>,
-    /// Service time: the time per event of a stream, or of a whole plain answer.
-    pub service_time: Average,
     /// Passive health check by this entry alone.
     pub health: Health,
     /// When it last failed to answer this entry or another one.
     pub failed_at: Option<Instant>,
     pub(super) open_requests: Rc<Cell<u32>>,
-    pub(super) prefill_backlog: Rc<RefCell<Backlog>>,
+    pub(super) backlog: Rc<RefCell<Backlog>>,
 }
 
 impl Upstream {
@@ -54,14 +57,15 @@
             offset,
             removal_due_at: None,
             load: None,
+            work_time: WorkTime::default(),
+            pace: Pace::default(),
             rate_limit: None,
             leaving: None,
             paused_until: None,
-            service_time: Average::default(),
             health: Health::default(),
             failed_at: None,
             open_requests: Rc::default(),
-            prefill_backlog: Rc::default(),
+            backlog: Rc::default(),
         }
     }
 
@@ -107,6 +111,13 @@
         })
     }
 
+    /// Takes a load report.
+    pub fn record_load(&mut self, load: Load) {
+        let factor = f64::from(load.work_time_percent) / f64::from(Load::USUAL_WORK_TIME);
+        self.work_time.add(load.reported_at, factor);
+        self.load = Some(load);
+    }
+
     /// Requests per second that the upstream takes from all entries together, if it states a limit.
     pub fn stated_rate(&self) -> Option<f64> {
         self.rate_limit.and_then(|limit| limit.rate)
@@ -146,17 +157,22 @@
 
     /// Expected time until all prefills of this entry are finished.
     pub fn prefill_backlog(&self, now: Instant) -> Duration {
-        self.prefill_backlog.borrow().time_left(now)
+        self.backlog.borrow().time_left(now)
     }
 
     /// Number of prompts of this entry whose prefill takes longer than expected.
     pub fn overdue_prefills(&self, now: Instant) -> usize {
-        self.prefill_backlog.borrow().overdue_prefills(now)
+        self.backlog.borrow().overdue_prefills(now)
+    }
+
+    /// Time in slots that the requests of this entry are still expected to take.
+    pub fn remaining_work(&self, now: Instant) -> Duration {
+        self.backlog.borrow().remaining_work(now)
     }
 
-    /// Acquires a slot for a request with the given prefill time.
-    pub fn acquire_slot(&self, now: Instant, prefill_time: Duration) -> Slot {
-        Slot::acquire(self, now, prefill_time)
+    /// Acquires a slot for a request.
+    pub fn acquire_slot(&self, now: Instant, demand: Demand) -> Slot {
+        Slot::acquire(self, now, demand)
     }
 }
 
--- a/crates/comfreyroad_router/tests/decisions/exchange.rs
+++ b/crates/comfreyroad_router/tests/decisions/exchange.rs
@@ -18,6 +18,7 @@
         waiting: 30,
         slots: 64,
         work_time_percent: 100,
+        pace: None,
         age,
     });
     incoming
@@ -129,6 +130,7 @@
         waiting: u32::MAX,
         slots: u32::MAX,
         work_time_percent: u32::MAX,
+        pace: None,
         age,
     };
     incoming.loads = vec![report(Duration::MAX), report(Duration::ZERO)];
--- a/crates/comfreyroad_router/tests/decisions/exposure.rs
+++ b/crates/comfreyroad_router/tests/decisions/exposure.rs
@@ -197,6 +197,7 @@
     }
     let completion = Completion {
         is_success: answer.is_success,
+        events: 0,
         first_event_after: None,
         service_time: answer.is_success.then(|| answer.millis * MS),
     };
--- a/crates/comfreyroad_router/tests/decisions/load/fleet.rs
+++ b/crates/comfreyroad_router/tests/decisions/load/fleet.rs
@@ -433,6 +433,7 @@
         let rig = &mut self.entries[call.entry];
         let completion = Completion {
             is_success: true,
+            events: 0,
             first_event_after: None,
             service_time: Some(Duration::from_millis(10)),
         };
--- a/crates/comfreyroad_router/tests/decisions/quarantine.rs
+++ b/crates/comfreyroad_router/tests/decisions/quarantine.rs
@@ -246,6 +246,7 @@
         waiting: 0,
         slots: 64,
         work_time_percent: 100,
+        pace: None,
         age,
     }
 }
--- a/crates/comfreyroad_router/tests/decisions/rate_limits.rs
+++ b/crates/comfreyroad_router/tests/decisions/rate_limits.rs
@@ -111,6 +111,7 @@
         rig.router.judge_answer(rig.now, &sent, &answer);
         let completion = Completion {
             is_success: true,
+            events: 0,
             first_event_after: None,
             service_time: Some(15 * MS),
         };
--- a/crates/comfreyroad_router/tests/decisions/relays.rs
+++ b/crates/comfreyroad_router/tests/decisions/relays.rs
@@ -290,6 +290,7 @@
         let sent = rig.send(head(rig.now, "once", &format!("good{number}")));
         let completion = Completion {
             is_success: true,
+            events: 0,
             first_event_after: None,
             service_time: None,
         };
--- a/crates/comfreyroad_router/tests/decisions/retry_budgets.rs
+++ b/crates/comfreyroad_router/tests/decisions/retry_budgets.rs
@@ -5,6 +5,7 @@
 
 const GOOD: Completion = Completion {
     is_success: true,
+    events: 0,
     first_event_after: None,
     service_time: None,
 };
--- a/crates/comfreyroad_router/tests/decisions/rollouts.rs
+++ b/crates/comfreyroad_router/tests/decisions/rollouts.rs
@@ -76,6 +76,7 @@
                 &sent,
                 Completion {
                     is_success: true,
+                    events: 0,
                     first_event_after: None,
                     service_time,
                 },
@@ -205,6 +206,7 @@
             &sent,
             Completion {
                 is_success: true,
+                events: 0,
                 first_event_after: None,
                 service_time,
             },
@@ -233,6 +235,7 @@
         };
         let completion = Completion {
             is_success: true,
+            events: 0,
             first_event_after: None,
             service_time: Some(service_time * MS),
         };
@@ -318,6 +321,7 @@
         };
         let completion = Completion {
             is_success: true,
+            events: 0,
             first_event_after: None,
             service_time: service_time.map(|time| time * MS),
         };
@@ -350,6 +354,7 @@
         } else {
             let completion = Completion {
                 is_success: true,
+                events: 0,
                 first_event_after: None,
                 service_time: Some(mean_gap),
             };
@@ -506,6 +511,7 @@
         bad += u32::from(is_bad && is_new);
         let completion = Completion {
             is_success: !is_bad,
+            events: 0,
             first_event_after: None,
             service_time: None,
         };
@@ -532,6 +538,7 @@
         let is_success = !is_new || new % 3 != 0;
         let completion = Completion {
             is_success,
+            events: 0,
             first_event_after: None,
             service_time: None,
         };
@@ -553,6 +560,7 @@
         let sent = rig.send(head)?;
         let completion = Completion {
             is_success: true,
+            events: 0,
             first_event_after: None,
             service_time: Some(10 * MS),
         };
--- a/crates/comfreyroad_router/tests/decisions/upstreams.rs
+++ b/crates/comfreyroad_router/tests/decisions/upstreams.rs
@@ -151,6 +151,7 @@
         } else {
             let completion = Completion {
                 is_success: true,
+                events: 0,
                 first_event_after: None,
                 service_time: Some(20 * MS),
             };
