--- a/crates/comfreyroad_router/src/controller/upstreams/selection.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/selection.rs
@@ -15,12 +15,12 @@
 const AFFINE_CHOICES: usize = 4;
 /// Usable upstreams in an order of the request's own among which it chooses as well. Entries that read the same load reports would
 /// otherwise all choose the same idle upstream.
-const OWN_CHOICES: usize = 4;
+const OWN_CHOICES: usize = 0;
 /// Usable upstreams among which a plain request chooses.
 const PLAIN_CHOICES: usize = 16;
-/// Fraction (1/4) of the time to the last event that counts like the time to the first: callers wait for the first one, and a slot
+/// Fraction (1/16) of the time to the last event that counts like the time to the first: callers wait for the first one, and a slot
 /// that is held for less time serves others.
-const LAST_EVENT_DIVISOR: u32 = 4;
+const LAST_EVENT_DIVISOR: u32 = 16;
 /// Number of entries not yet known for which a share of an upstream's connections is reserved.
 const SPARE_ENTRIES: u32 = 1;
 /// Round-trip time between zones that an upstream in the same zone saves.
--- a/crates/comfreyroad_router/tests/decisions/load/engine.rs
+++ b/crates/comfreyroad_router/tests/decisions/load/engine.rs
@@ -31,18 +31,34 @@
 }
 
 /// A batching engine: prompts are processed one after the other, events of all running requests side by side.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Engine {
     running: Vec<Job>,
     waiting: Vec<Job>,
     cached: IndexSet<String>,
     /// Accepts requests and produces nothing.
     pub(super) is_mute: bool,
+    /// How long work takes, as a factor of the usual.
+    pub(super) slowness: f64,
     /// Until when it is down after a crash. It accepts no connections.
     pub(super) down_until: Option<Instant>,
     pub(super) incarnation: u64,
 }
 
+impl Default for Engine {
+    fn default() -> Self {
+        Self {
+            running: Vec::new(),
+            waiting: Vec::new(),
+            cached: IndexSet::new(),
+            is_mute: false,
+            slowness: 1.0,
+            down_until: None,
+            incarnation: 0,
+        }
+    }
+}
+
 /// What a request asks of an engine.
 #[derive(Debug)]
 pub(super) struct Work<'a> {
@@ -104,7 +120,7 @@
         while self.running.len() < SLOTS && !self.waiting.is_empty() {
             self.running.push(self.waiting.remove(0));
         }
-        let ms = step.as_secs_f64() * 1000.0;
+        let ms = step.as_secs_f64() * 1000.0 / self.slowness;
         let speed = 1.0 / (1.0 + self.running.len() as f64 / SLOTS as f64);
         let mut outputs = Vec::new();
         let mut prefill_ms = ms;
--- a/crates/comfreyroad_router/tests/decisions/load/fleet.rs
+++ b/crates/comfreyroad_router/tests/decisions/load/fleet.rs
@@ -75,6 +75,8 @@
     arrived_at: Instant,
     state: State,
     is_answered: bool,
+    // When its first event arrived.
+    started_at: Option<Instant>,
     // When another engine is looked for again, after none could take over.
     next_search: Option<Instant>,
 }
@@ -216,6 +218,7 @@
             arrived_at,
             state: State::Waiting(Returned::Planned(planned)),
             is_answered: false,
+            started_at: None,
             next_search: None,
         });
         self.place(number);
@@ -417,6 +420,7 @@
         }
         rig.router.on_first_event(rig.now, sent);
         call.is_answered = true;
+        call.started_at = Some(rig.now.instant);
         self.summary.large += usize::from(is_large);
         if rig.now.instant - call.arrived_at <= OBJECTIVE {
             self.summary.in_time += 1;
@@ -431,11 +435,13 @@
             return;
         };
         let rig = &mut self.entries[call.entry];
+        let events = call.kind.events;
+        let decode = call.started_at.map(|at| rig.now.instant - at);
         let completion = Completion {
             is_success: true,
-            events: 0,
+            events,
             first_event_after: None,
-            service_time: Some(Duration::from_millis(10)),
+            service_time: decode.map(|it| it / events),
         };
         rig.router.on_finished(rig.now, &sent, completion);
     }
--- a/crates/comfreyroad_router/tests/decisions/quarantine.rs
+++ b/crates/comfreyroad_router/tests/decisions/quarantine.rs
@@ -12,6 +12,8 @@
 use super::rig::{MS, Rig, SECOND, frame, head, prompt};
 use super::upstreams::upstream;
 
+const ENGINES: [&str; 6] = ["u1", "u2", "u3", "u4", "u5", "u6"];
+
 /// A router with six engines.
 fn serving() -> Rig {
     let mut rig = Rig::empty("e1");
@@ -20,8 +22,7 @@
         vec![("config", super::rig::configuration_content(1))],
     );
     let engine = || upstream(|it| it.models = vec!["small".into(), "large".into()]);
-    let names = ["u1", "u2", "u3", "u4", "u5", "u6"];
-    let engines = names.map(|name| (name, engine()));
+    let engines = ENGINES.map(|name| (name, engine()));
     rig.list(Topic::Upstreams, engines.into());
     rig.list(Topic::Status, Vec::new());
     rig
@@ -154,7 +155,15 @@
 #[test]
 fn crashes_at_several_entries_count_together_and_are_passed_on() {
     let mut rig = serving();
-    rig.receive(crashes(&["all", "deadly"], &[500, 300]));
+    // The engine that crashes under this entry's own request is none of those that its peer reports.
+    let own = send(&mut rig, &["all", "deadly"]).expect("no part is quarantined");
+    let own = own.stage().slot.upstream.clone();
+    let mut incoming = crashes(&["all", "deadly"], &[500, 300]);
+    let mut others = ENGINES.iter().filter(|name| **name != &*own);
+    for report in &mut incoming.crashes {
+        report.upstream = (*others.next().expect("another engine")).into();
+    }
+    rig.receive(incoming);
     assert!(quarantined(&rig).is_empty());
     crash(&mut rig, &["all", "deadly"]);
     assert_eq!(quarantined(&rig), ["deadly"]);
