--- a/crates/comfreyroad_router/src/controller/estimates/mod.rs
+++ b/crates/comfreyroad_router/src/controller/estimates/mod.rs
@@ -94,26 +94,25 @@
             prefill: speed.prefill_time(prompt),
             cached_prefill: speed.prefill_time(prompt - head.shared_tokens()),
             decode: pace.mul_f64(self.events(head, plan, 0.0)),
+            late_decode: pace.mul_f64(self.events(head, plan, NINE_IN_TEN)),
         }
     }
 
     /// When a request would be answered by a model if it were sent now to the pool's usual upstream.
-    pub(crate) fn estimate(
+    pub fn estimate(
         &self,
         now: Instant,
         (head, plan): (&Head, &Plan),
         model: Option<&ModelId>,
         speed: PrefillSpeed,
     ) -> Estimate {
-        let pace = self.pace(&plan.pool, model).unwrap_or(DEFAULT_PACE);
+        let demand = self.demand((head, plan), model, speed);
         let own = head.prompt_tokens() - head.shared_tokens();
-        let first = speed.time_to_first_event(now, own);
-        let decode = |deviations| pace.mul_f64(self.events(head, plan, deviations));
+        let first_event_at = now + speed.time_to_first_event(now, own);
         Estimate {
-            first_event_at: now + first,
-            last_event_at: now + first + decode(0.0),
-            late_last_event_at: now + first + decode(NINE_IN_TEN),
-            work: first + decode(0.0),
+            first_event_at,
+            last_event_at: first_event_at + demand.decode,
+            late_last_event_at: first_event_at + demand.late_decode,
         }
     }
 }
--- a/crates/comfreyroad_router/src/controller/upstreams/candidate.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/candidate.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use crate::upstream::Upstream;
-use crate::work::Demand;
+use crate::work::{Demand, Estimate};
 
 /// Delay of a step by each request that runs beside this one, as the steps of a larger batch take longer.
 const BATCH_COST_PER_REQUEST: Duration = Duration::from_millis(4);
@@ -14,6 +14,8 @@
 const OVERDUE_PROMPT_COST: Duration = Duration::from_millis(150);
 /// Fraction (1/2) of its work that a request of another entry still has before it, on average.
 const MEAN_PROGRESS_DIVISOR: f64 = 2.0;
+/// Weight (1/8) of a delay of another request's stream, whose pauses may be long, in relation to one of a first event.
+const DISTURBANCE_DIVISOR: u32 = 8;
 /// Work of a request of which nothing is known.
 const DEFAULT_WORK: Duration = Duration::from_secs(1);
 
@@ -61,28 +63,41 @@
         seconds(excess * mean_left / self.slots() * self.slowness)
     }
 
-    /// Expected time to the first event of a request whose prefill takes some time.
-    pub(super) fn first_event(&self, now: Instant, prefill: Duration) -> Duration {
+    /// When a prompt would be answered that takes some time to process here.
+    pub(super) fn estimate(&self, now: Instant, prefill: Duration, demand: &Demand) -> Estimate {
         let overdue = OVERDUE_PROMPT_COST * self.upstream.overdue_prefills(now) as u32;
         let batch = BATCH_COST_PER_REQUEST.mul_f64(self.open_requests);
         let busy = self.upstream.prefill_backlog(now) + overdue + prefill + batch;
-        self.wait() + busy.mul_f64(self.slowness)
+        let first_event_at = now + self.wait() + busy.mul_f64(self.slowness);
+        Estimate {
+            first_event_at,
+            last_event_at: first_event_at + self.decode(demand.decode),
+            late_last_event_at: first_event_at + self.decode(demand.late_decode),
+        }
+    }
+
+    /// Delay that the prefill of a prompt adds to the streams of the requests there, weighed like its own.
+    pub(super) fn disturbance(&self, prefill: Duration) -> Duration {
+        prefill.mul_f64(self.slowness * self.open_requests) / DISTURBANCE_DIVISOR
     }
 
     /// Expected time from the first event to the last. Requests that are finished long before do not slow it down.
-    pub(super) fn decode(&self, demand: &Demand) -> Duration {
-        let window = demand.decode.as_secs_f64().max(f64::MIN_POSITIVE);
+    fn decode(&self, usual: Duration) -> Duration {
+        let window = usual.as_secs_f64().max(f64::MIN_POSITIVE);
         let beside = self.open_requests.min(self.remaining_work / window);
-        demand
-            .decode
-            .mul_f64(self.slowness * (1.0 + beside / self.slots()))
+        usual.mul_f64(self.slowness * (1.0 + beside / self.slots()))
     }
 
-    /// Expected time of a plain answer.
-    pub(super) fn plain_answer(&self, demand: &Demand) -> Duration {
+    /// When a plain request would be answered.
+    pub(super) fn plain_estimate(&self, now: Instant, demand: &Demand) -> Estimate {
         let queue = (self.open_requests + 1.0 - self.slots()).max(0.0) / self.slots();
         let load = 1.0 + queue + self.open_requests / (4.0 * self.slots());
-        demand.decode.mul_f64(self.slowness * load)
+        let answered_at = now + demand.decode.mul_f64(self.slowness * load);
+        Estimate {
+            first_event_at: answered_at,
+            last_event_at: answered_at,
+            late_last_event_at: answered_at,
+        }
     }
 }
 
--- a/crates/comfreyroad_router/src/controller/upstreams/selection.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/selection.rs
@@ -8,6 +8,7 @@
 use crate::controller::evacuations::Evacuations;
 use crate::id::{ModelId, PoolId};
 use crate::upstream::{PrefillSpeed, Slot, Upstream};
+use crate::work::Estimate;
 
 /// Cost of a cache miss beyond the prefill time, as a duration: the compute that another upstream spends on the prompt.
 const CACHE_MISS_COST: Duration = Duration::from_millis(100);
@@ -15,7 +16,7 @@
 const AFFINE_CHOICES: usize = 4;
 /// Usable upstreams in an order of the request's own among which it chooses as well. Entries that read the same load reports would
 /// otherwise all choose the same idle upstream.
-const OWN_CHOICES: usize = 0;
+const OWN_CHOICES: usize = 2;
 /// Usable upstreams among which a plain request chooses.
 const PLAIN_CHOICES: usize = 16;
 /// Fraction (1/16) of the time to the last event that counts like the time to the first: callers wait for the first one, and a slot
@@ -43,8 +44,8 @@
     ) -> Option<Slot> {
         let configuration = self.configuration.clone()?;
         let service = configuration.services.get(requirements.pool)?;
-        let upstream = self.select(now, requirements, evacuations, service)?;
-        let slot = upstream.acquire_slot(now, requirements.demand);
+        let (upstream, estimate) = self.select(now, requirements, evacuations, service)?;
+        let slot = upstream.acquire_slot(now, requirements.demand, estimate);
         let upstream = self.upstreams.get(&slot.upstream)?;
         if upstream.is_cold(now) {
             let rate = self.cold_rate(upstream, service);
@@ -78,7 +79,7 @@
         requirements: &Requirements<'_>,
         evacuations: &Evacuations,
         service: &Service,
-    ) -> Option<&Upstream> {
+    ) -> Option<(&Upstream, Estimate)> {
         let usable = |upstream: &&Upstream| {
             self.is_usable(now, upstream, requirements, evacuations)
                 && self.has_capacity(now, upstream, service)
@@ -112,7 +113,7 @@
         let candidates = Self::candidates(now, &eligible, requirements.mean_work);
         match requirements.affinity {
             Some(_) => self.select_engine(now, requirements, &candidates),
-            None => self.select_service(requirements, &candidates),
+            None => self.select_service(now, requirements, &candidates),
         }
     }
 
@@ -224,46 +225,53 @@
         self.prefill_speeds.get(&key).copied().unwrap_or_default()
     }
 
-    /// The upstream with the earliest predicted answer to a prompt. The first one in the order of the affinity key has the shared
+    /// The upstream with the earliest expected answer to a prompt. The first one in the order of the affinity key has the shared
     /// prefix in its cache.
     fn select_engine<'a>(
         &self,
         now: Instant,
         requirements: &Requirements<'_>,
         candidates: &[Candidate<'a>],
-    ) -> Option<&'a Upstream> {
+    ) -> Option<(&'a Upstream, Estimate)> {
         let demand = &requirements.demand;
         let preferred = &candidates.first()?.upstream.id;
-        let cost = |it: &&Candidate<'_>| {
+        let estimate = |it: &Candidate<'a>| {
             let is_preferred = it.upstream.id == *preferred;
-            let first = if is_preferred {
-                it.first_event(now, demand.cached_prefill)
+            let (prefill, miss_cost) = if is_preferred {
+                (demand.cached_prefill, Duration::ZERO)
             } else {
-                it.first_event(now, demand.prefill) + CACHE_MISS_COST
+                (demand.prefill, CACHE_MISS_COST)
             };
-            first + it.decode(demand) / LAST_EVENT_DIVISOR
+            let estimate = it.estimate(now, prefill, demand);
+            let first = estimate.first_event_at - now;
+            let decode = estimate.last_event_at - estimate.first_event_at;
+            let others = it.disturbance(prefill) + miss_cost;
+            let cost = first + others + decode / LAST_EVENT_DIVISOR;
+            (cost, it.upstream, estimate)
         };
         // Among equal costs, the first in the order of the hash.
-        let best = candidates.iter().min_by_key(cost);
-        best.map(|it| it.upstream)
+        let best = candidates.iter().map(estimate).min_by_key(|it| it.0);
+        best.map(|(_, upstream, estimate)| (upstream, estimate))
     }
 
-    /// The upstream with the earliest predicted plain answer. Among equal costs, the first in the order of the request.
+    /// The upstream with the earliest expected plain answer. Among equal ones, the first in the order of the request.
     fn select_service<'a>(
         &self,
+        now: Instant,
         requirements: &Requirements<'_>,
         candidates: &[Candidate<'a>],
-    ) -> Option<&'a Upstream> {
-        let cost = |it: &&Candidate<'_>| {
+    ) -> Option<(&'a Upstream, Estimate)> {
+        let estimate = |it: &Candidate<'a>| {
             let is_other_zone = it.upstream.registration.zone != self.zone;
             let distance = if is_other_zone {
                 CROSS_ZONE_COST
             } else {
                 Duration::ZERO
             };
-            it.plain_answer(&requirements.demand) + distance
+            let estimate = it.plain_estimate(now, &requirements.demand);
+            (estimate.last_event_at + distance, it.upstream, estimate)
         };
-        let best = candidates.iter().min_by_key(cost);
-        best.map(|it| it.upstream)
+        let best = candidates.iter().map(estimate).min_by_key(|it| it.0);
+        best.map(|(_, upstream, estimate)| (upstream, estimate))
     }
 }
--- a/crates/comfreyroad_router/src/router.rs
+++ b/crates/comfreyroad_router/src/router.rs
@@ -4,7 +4,7 @@
 mod deadlines;
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use comfreyroad::clock::Now;
 
@@ -230,6 +230,8 @@
         let took = now
             .instant
             .saturating_duration_since(request.head().received_at);
+        let sent_at = request.stage().sent_at;
+        let expected = |at: Instant| at.saturating_duration_since(sent_at).as_millis();
         let millis = |time: Option<Duration>| time.unwrap_or_default().as_secs_f64() * 1000.0;
         let note = Note::new(&note::REQUEST_SERVED)
             .with("request", &request.head().id)
@@ -247,7 +249,13 @@
                 "pace_ms",
                 format_args!("{:.2}", millis(completion.service_time)),
             )
-            .with("took_ms", took.as_millis());
+            .with("took_ms", took.as_millis())
+            .with("first_expected_ms", expected(slot.estimate.first_event_at))
+            .with("last_expected_ms", expected(slot.estimate.last_event_at))
+            .with(
+                "late_expected_ms",
+                expected(slot.estimate.late_last_event_at),
+            );
         self.out.note(note);
     }
 
--- a/crates/comfreyroad_router/src/upstream/slot.rs
+++ b/crates/comfreyroad_router/src/upstream/slot.rs
@@ -4,7 +4,7 @@
 
 use super::{Backlog, JobId};
 use crate::id::{Address, Incarnation, PoolId, UpstreamId, VersionId};
-use crate::work::Demand;
+use crate::work::{Demand, Estimate};
 
 /// A request slot at an upstream, released on drop.
 #[derive(Debug)]
@@ -19,13 +19,20 @@
     pub pool: PoolId,
     /// The software version of the upstream.
     pub version: VersionId,
+    /// When the answer was expected as the slot was chosen.
+    pub estimate: Estimate,
     open: Rc<Cell<u32>>,
     backlog: Rc<RefCell<Backlog>>,
     job: JobId,
 }
 
 impl Slot {
-    pub(super) fn acquire(upstream: &super::Upstream, now: Instant, demand: Demand) -> Self {
+    pub(super) fn acquire(
+        upstream: &super::Upstream,
+        now: Instant,
+        demand: Demand,
+        estimate: Estimate,
+    ) -> Self {
         let open = Rc::clone(&upstream.open_requests);
         open.set(open.get() + 1);
         let backlog = Rc::clone(&upstream.backlog);
@@ -37,6 +44,7 @@
             address: registration.address.clone(),
             pool: registration.pool.clone(),
             version: registration.version.clone(),
+            estimate,
             open,
             backlog,
             job,
--- a/crates/comfreyroad_router/src/upstream/upstream.rs
+++ b/crates/comfreyroad_router/src/upstream/upstream.rs
@@ -6,7 +6,7 @@
 
 use super::{Backlog, Health, Leaving, Load, RateLimit, Registration, Slot, Stage};
 use crate::id::{Offset, UpstreamId};
-use crate::work::{Demand, Pace, WorkTime};
+use crate::work::{Demand, Estimate, Pace, WorkTime};
 
 /// Maximum age of a load report for its count of requests from other entries to be used.
 const MAX_REPORT_AGE: Duration = Duration::from_secs(2);
@@ -171,8 +171,8 @@
     }
 
     /// Acquires a slot for a request.
-    pub fn acquire_slot(&self, now: Instant, demand: Demand) -> Slot {
-        Slot::acquire(self, now, demand)
+    pub fn acquire_slot(&self, now: Instant, demand: Demand, estimate: Estimate) -> Slot {
+        Slot::acquire(self, now, demand, estimate)
     }
 }
 
--- a/crates/comfreyroad_router/src/work/demand.rs
+++ b/crates/comfreyroad_router/src/work/demand.rs
@@ -7,6 +7,8 @@
     pub prefill: Duration,
     /// Prefill if a cache holds the shared parts of the prompt.
     pub cached_prefill: Duration,
-    /// From the first event to the last.
+    /// From the first event to the last, or of a plain answer. Half of the answers take longer.
     pub decode: Duration,
+    /// The same, for the longest of ten answers.
+    pub late_decode: Duration,
 }
--- a/crates/comfreyroad_router/tests/decisions/load/mod.rs
+++ b/crates/comfreyroad_router/tests/decisions/load/mod.rs
@@ -132,22 +132,36 @@
 /// entry meets each of them once in many seconds.
 #[test]
 fn callers_are_answered_in_time_by_engines_of_uneven_speed() {
-  for (engines, rate, slow, entries) in [(12, 100.0, 8.0, 24), (48, 300.0, 8.0, 48), (48, 300.0, 20.0, 48),(48, 400.0, 8.0, 48), (24, 200.0, 8.0, 48), (24, 200.0, 15.0, 48)] {
-    let mut fleet = Fleet::new(entries, engines, SEED);
-    let uneven = |number: usize| 0.7 + number as f64 / (engines - 1) as f64;
-    for (number, engine) in fleet.engines.iter_mut().enumerate() {
-        engine.slowness = uneven(number);
+    for (engines, rate, slow, entries) in [
+        (12, 100.0, 8.0, 24),
+        (48, 300.0, 8.0, 48),
+        (48, 300.0, 20.0, 48),
+        (48, 400.0, 8.0, 48),
+        (24, 200.0, 8.0, 48),
+        (24, 200.0, 15.0, 48),
+    ] {
+        let mut fleet = Fleet::new(entries, engines, SEED);
+        let uneven = |number: usize| 0.7 + number as f64 / (engines - 1) as f64;
+        for (number, engine) in fleet.engines.iter_mut().enumerate() {
+            engine.slowness = uneven(number);
+        }
+        fleet.run(6 * SECOND, rate, &MIX);
+        for engine in &mut fleet.engines[..engines / 4] {
+            engine.slowness = slow;
+        }
+        fleet.run(8 * SECOND, rate, &MIX);
+        for (number, engine) in fleet.engines.iter_mut().enumerate() {
+            engine.slowness = uneven(number);
+        }
+        fleet.run(6 * SECOND, rate, &MIX);
+        let summary = fleet.finish();
+        eprintln!(
+            "SH {engines} {rate} {slow} {entries} {:.3} late {} in {} failed {} large {}",
+            summary.share_in_time(),
+            summary.late,
+            summary.in_time,
+            summary.failed,
+            summary.large
+        );
     }
-    fleet.run(6 * SECOND, rate, &MIX);
-    for engine in &mut fleet.engines[..engines / 4] {
-        engine.slowness = slow;
-    }
-    fleet.run(8 * SECOND, rate, &MIX);
-    for (number, engine) in fleet.engines.iter_mut().enumerate() {
-        engine.slowness = uneven(number);
-    }
-    fleet.run(6 * SECOND, rate, &MIX);
-    let summary = fleet.finish();
-    eprintln!("SH {engines} {rate} {slow} {entries} {:.3} late {} in {} failed {} large {}", summary.share_in_time(), summary.late, summary.in_time, summary.failed, summary.large);
-  }
 }
