--- a/crates/comfreyroad_router/src/controller/estimates/mod.rs
+++ b/crates/comfreyroad_router/src/controller/estimates/mod.rs
@@ -8,21 +8,24 @@
 
 use std::time::{Duration, Instant};
 
+use comfreyroad::clock::Now;
 use indexmap::IndexMap;
 
+use crate::Event;
+use crate::configuration::Configuration;
+use crate::controller::Controller;
 use crate::id::{ModelId, PoolId, RouteId};
+use crate::outbox::Outbox;
 use crate::request::{Head, Plan};
 use crate::upstream::PrefillSpeed;
-use crate::work::{Basis, Demand, Estimate, Length};
+use crate::work::{Answer, Basis, Demand, Estimate, Length, bounded};
 
 use self::average::Average;
 use self::pace::Pace;
 
-/// Maximum number of routes, and of pools with their models, whose answers are remembered.
-const MAX_KEYS: usize = 1024;
 /// Standard deviations above the median of the length that nine in ten answers do not exceed.
 const NINE_IN_TEN: f64 = 1.28;
-/// Time per event that is assumed of a model without answers.
+/// Time per event, or of a plain answer, that is assumed of a model without answers.
 const DEFAULT_PACE: Duration = Duration::from_millis(30);
 
 /// Controller of the estimates.
@@ -34,53 +37,35 @@
 }
 
 impl Estimates {
-    /// Records a complete answer: its number of events, its time per event, and the time for which it occupied a slot.
+    /// Learns from a complete answer.
     pub(crate) fn on_finished(
         &mut self,
         now: Instant,
         (head, plan): (&Head, &Plan),
-        events: u32,
-        (pace, work): (Option<Duration>, Duration),
+        answer: Answer,
     ) {
         let (basis, tokens) = Basis::of(head);
-        let key = (plan.route.id.clone(), basis);
-        if self.lengths.len() < MAX_KEYS || self.lengths.contains_key(&key) {
-            let length = self.lengths.entry(key).or_default();
-            length.add(now, events, tokens);
-        }
-        let key = (plan.pool.clone(), plan.model.clone());
-        if let Some(pace) = pace
-            && (self.paces.len() < MAX_KEYS || self.paces.contains_key(&key))
-        {
-            self.paces.entry(key).or_default().add(pace);
-        }
-        self.record_work(plan, work);
-    }
-
-    fn record_work(&mut self, plan: &Plan, work: Duration) {
-        if self.works.len() < MAX_KEYS || self.works.contains_key(&plan.pool) {
-            self.works.entry(plan.pool.clone()).or_default().add(work);
+        let lengths = self.lengths.entry((plan.route.id.clone(), basis));
+        lengths.or_default().add(now, answer.events, tokens);
+        if let Some(pace) = answer.pace {
+            let paces = self.paces.entry((plan.pool.clone(), plan.model.clone()));
+            paces.or_default().add(pace);
         }
+        let works = self.works.entry(plan.pool.clone());
+        works.or_default().add(answer.work);
     }
 
     /// Mean time for which requests of a pool occupy a slot.
     pub(crate) fn mean_work(&self, pool: &PoolId) -> Option<Duration> {
-        self.works.get(pool).and_then(|it| it.mean())
+        self.works.get(pool).and_then(Average::mean)
     }
 
-    /// The usual time per event of a model.
+    /// The usual time per event of a model, or of a plain answer.
     pub fn pace(&self, pool: &PoolId, model: Option<&ModelId>) -> Option<Duration> {
         let key = (pool.clone(), model.cloned());
         self.paces.get(&key).and_then(Pace::mean)
     }
 
-    /// Expected number of events, at the given number of standard deviations above the median.
-    fn events(&self, head: &Head, plan: &Plan, deviations: f64) -> f64 {
-        let (basis, tokens) = Basis::of(head);
-        let length = self.lengths.get(&(plan.route.id.clone(), basis));
-        length.map_or(1.0, |it| it.events(tokens, deviations))
-    }
-
     /// Time that a request is expected to take at an idle upstream of usual speed.
     pub(crate) fn demand(
         &self,
@@ -90,11 +75,15 @@
     ) -> Demand {
         let prompt = head.prompt_tokens();
         let pace = self.pace(&plan.pool, model).unwrap_or(DEFAULT_PACE);
+        let (basis, tokens) = Basis::of(head);
+        let length = self.lengths.get(&(plan.route.id.clone(), basis));
+        let length = length.copied().unwrap_or_default();
+        let decode = |deviations| bounded(pace.as_secs_f64() * length.events(tokens, deviations));
         Demand {
             prefill: speed.prefill_time(prompt),
             cached_prefill: speed.prefill_time(prompt - head.shared_tokens()),
-            decode: pace.mul_f64(self.events(head, plan, 0.0)),
-            late_decode: pace.mul_f64(self.events(head, plan, NINE_IN_TEN)),
+            decode: decode(0.0),
+            late_decode: decode(NINE_IN_TEN),
         }
     }
 
@@ -115,4 +104,22 @@
             late_last_event_at: first_event_at + demand.late_decode,
         }
     }
+
+    /// Forgets the routes and pools that are gone.
+    fn retain(&mut self, configuration: &Configuration) {
+        let routes = &configuration.routes;
+        let pools = &configuration.services;
+        self.lengths
+            .retain(|(route, _), _| routes.iter().any(|it| it.id == *route));
+        self.paces.retain(|(pool, _), _| pools.contains_key(pool));
+        self.works.retain(|pool, _| pools.contains_key(pool));
+    }
+}
+
+impl Controller for Estimates {
+    fn handle(&mut self, _: Now, event: &Event, _: &mut Outbox) {
+        if let Event::ConfigurationApplied(configuration) = event {
+            self.retain(configuration);
+        }
+    }
 }
--- a/crates/comfreyroad_router/src/controller/mod.rs
+++ b/crates/comfreyroad_router/src/controller/mod.rs
@@ -98,13 +98,14 @@
         frame
     }
 
-    fn all(&mut self) -> [&mut dyn Controller; 10] {
+    fn all(&mut self) -> [&mut dyn Controller; 11] {
         [
             &mut self.subscriptions,
             &mut self.configuration,
             &mut self.evacuations,
             &mut self.members,
             &mut self.upstreams,
+            &mut self.estimates,
             &mut self.quarantine,
             &mut self.rollouts,
             &mut self.sessions,
--- a/crates/comfreyroad_router/src/controller/upstreams/candidate.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/candidate.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use crate::upstream::Upstream;
-use crate::work::{Demand, Estimate};
+use crate::work::{Demand, Estimate, bounded};
 
 /// Delay of a step by each request that runs beside this one, as the steps of a larger batch take longer.
 const BATCH_COST_PER_REQUEST: Duration = Duration::from_millis(4);
@@ -53,6 +53,11 @@
         f64::from(self.upstream.registration.slots.max(1))
     }
 
+    /// A time that takes some factor longer, at the speed of this upstream.
+    fn slowed(&self, usual: Duration, factor: f64) -> Duration {
+        bounded(usual.as_secs_f64() * factor * self.slowness)
+    }
+
     /// Time until a slot is free: the requests before it, at the rate at which slots become free.
     fn wait(&self) -> Duration {
         let excess = self.open_requests + 1.0 - self.slots();
@@ -60,7 +65,7 @@
             return Duration::ZERO;
         }
         let mean_left = self.remaining_work / self.open_requests.max(1.0);
-        seconds(excess * mean_left / self.slots() * self.slowness)
+        bounded(excess * mean_left / self.slots() * self.slowness)
     }
 
     /// When a prompt would be answered that takes some time to process here.
@@ -68,7 +73,7 @@
         let overdue = OVERDUE_PROMPT_COST * self.upstream.overdue_prefills(now) as u32;
         let batch = BATCH_COST_PER_REQUEST.mul_f64(self.open_requests);
         let busy = self.upstream.prefill_backlog(now) + overdue + prefill + batch;
-        let first_event_at = now + self.wait() + busy.mul_f64(self.slowness);
+        let first_event_at = now + self.wait() + self.slowed(busy, 1.0);
         Estimate {
             first_event_at,
             last_event_at: first_event_at + self.decode(demand.decode),
@@ -78,21 +83,21 @@
 
     /// Delay that the prefill of a prompt adds to the streams of the requests there, weighed like its own.
     pub(super) fn disturbance(&self, prefill: Duration) -> Duration {
-        prefill.mul_f64(self.slowness * self.open_requests) / DISTURBANCE_DIVISOR
+        self.slowed(prefill, self.open_requests) / DISTURBANCE_DIVISOR
     }
 
     /// Expected time from the first event to the last. Requests that are finished long before do not slow it down.
     fn decode(&self, usual: Duration) -> Duration {
         let window = usual.as_secs_f64().max(f64::MIN_POSITIVE);
         let beside = self.open_requests.min(self.remaining_work / window);
-        usual.mul_f64(self.slowness * (1.0 + beside / self.slots()))
+        self.slowed(usual, 1.0 + beside / self.slots())
     }
 
     /// When a plain request would be answered.
     pub(super) fn plain_estimate(&self, now: Instant, demand: &Demand) -> Estimate {
         let queue = (self.open_requests + 1.0 - self.slots()).max(0.0) / self.slots();
         let load = 1.0 + queue + self.open_requests / (4.0 * self.slots());
-        let answered_at = now + demand.decode.mul_f64(self.slowness * load);
+        let answered_at = now + self.slowed(demand.decode, load);
         Estimate {
             first_event_at: answered_at,
             last_event_at: answered_at,
@@ -100,7 +105,3 @@
         }
     }
 }
-
-fn seconds(seconds: f64) -> Duration {
-    Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX / 4)
-}
--- a/crates/comfreyroad_router/src/lib.rs
+++ b/crates/comfreyroad_router/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`controller`]: the state, divided among controllers, each the only writer of its part.
 //! - [`request`]: the life cycle of a request as typestates, so that a request that may have run cannot be reported as not run.
 //! - [`configuration`], [`rollout`], [`upstream`]: decoded data from operators and upstreams.
+//! - [`work`]: what requests are likely to cost, and how fast upstreams do it.
 //! - [`record`] and [`frame`]: decoded data from the platform's store and from other entries.
 
 pub mod action;
--- a/crates/comfreyroad_router/src/router.rs
+++ b/crates/comfreyroad_router/src/router.rs
@@ -20,6 +20,7 @@
 use crate::outbox::Outbox;
 use crate::refusal::{Code, Ran};
 use crate::request::{Placed, Planned, Received, Rejection, Request, Retrying, Sent, Unplaced};
+use crate::work::Answer;
 use crate::{Action, Event, Refusal, Settings};
 
 /// Number of gaps between events from which the pace of a stream is representative.
@@ -217,9 +218,12 @@
             .map(|(own, usual)| own.as_secs_f64() / usual.as_secs_f64());
         // What was resumed or failed says nothing about the length of an answer.
         if completion.is_success && head.last_event_id.is_none() && !plan.has_failed {
-            let work = now.saturating_duration_since(stage.sent_at);
-            let times = (completion.service_time, work);
-            estimates.on_finished(now, (head, plan), completion.events, times);
+            let answer = Answer {
+                events: completion.events,
+                pace: completion.service_time,
+                work: now.saturating_duration_since(stage.sent_at),
+            };
+            estimates.on_finished(now, (head, plan), answer);
         }
         let upstreams = &mut self.state.upstreams;
         upstreams.on_success(now, &stage.slot, factor);
--- a/crates/comfreyroad_router/tests/decisions/main.rs
+++ b/crates/comfreyroad_router/tests/decisions/main.rs
@@ -20,3 +20,4 @@
 mod rollouts;
 mod subscriptions;
 mod upstreams;
+mod work;
