--- a/crates/comfreyroad_router/src/controller/upstreams/mod.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/mod.rs
@@ -174,6 +174,20 @@
         out.note(Note::new(&note::UPSTREAM_REMOVED).with("upstream", id));
     }
 
+    /// Finds out which pools are mostly unhealthy.
+    fn count_unhealthy(&mut self, now: Instant) {
+        for (pool, ring) in &mut self.rings {
+            let in_pool = |it: &&Upstream| it.registration.pool == *pool && it.is_ready(now);
+            let upstreams = self.upstreams.values().filter(in_pool);
+            let (mut all, mut unhealthy) = (0, 0);
+            for upstream in upstreams {
+                all += 1;
+                unhealthy += usize::from(!upstream.is_healthy(now));
+            }
+            ring.is_mostly_unhealthy = unhealthy * 2 > all;
+        }
+    }
+
     fn leave_ring(rings: &mut IndexMap<PoolId, Ring>, pool: &PoolId, id: &UpstreamId) {
         if rings.get_mut(pool).is_some_and(|ring| ring.remove(id)) {
             rings.swap_remove(pool);
@@ -239,6 +253,7 @@
     }
 
     fn on_tick(&mut self, now: Instant, out: &mut Outbox) {
+        self.count_unhealthy(now);
         if self.is_store_down(now) {
             return;
         }
@@ -274,6 +289,7 @@
                 self.on_frame(now.instant, frame);
                 self.on_load_reports(now.instant, &frame.loads);
                 self.on_suspicions(now.instant, &frame.suspicions, out);
+                self.count_unhealthy(now.instant);
                 self.on_rate_limit_reports(now.instant, &frame.rate_limits, out);
                 self.on_leaving_reports(now.instant, &frame.leaving, out);
             }
--- a/crates/comfreyroad_router/src/controller/upstreams/ring.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/ring.rs
@@ -1,13 +1,19 @@
 use std::collections::BinaryHeap;
+use std::ops::RangeInclusive;
 
 use comfreyroad::rendezvous;
 
 use crate::id::UpstreamId;
 
+/// Expected number of members that are sorted at first.
+const FIRST_MEMBERS: u64 = 48;
+
 /// The upstreams of a pool, which each key puts into an order of its own. All entries that know the same upstreams agree on it.
 #[derive(Debug, Default)]
 pub(super) struct Ring {
     members: Vec<Member>,
+    /// Whether more than half of the upstreams are ejected or suspected.
+    pub(super) is_mostly_unhealthy: bool,
 }
 
 #[derive(Debug)]
@@ -34,13 +40,37 @@
         self.members.is_empty()
     }
 
-    /// The upstreams in the order of a key. Only those that are taken are sorted.
+    /// The upstreams in the order of a key. Usually the first few are enough, so that the others are not sorted before they are
+    /// asked for.
     pub(super) fn order(&self, key: u64) -> impl Iterator<Item = &UpstreamId> {
+        let share = u64::MAX / self.members.len().max(1) as u64;
+        let bound = u64::MAX - share.saturating_mul(FIRST_MEMBERS);
+        let first = self.ranked(key, bound..=u64::MAX);
+        let others = std::iter::once(()).flat_map(move |()| {
+            let last = bound.checked_sub(1);
+            last.map(|last| self.ranked(key, 0..=last))
+        });
+        first.chain(others.flatten())
+    }
+
+    /// The upstreams whose rank is in a range, the highest first.
+    fn ranked(&self, key: u64, range: RangeInclusive<u64>) -> impl Iterator<Item = &UpstreamId> {
         let members = self.members.iter().enumerate();
         let ranks = members.map(|(index, it)| (mix(it.hash ^ key), index));
+        let ranks = ranks.filter(|(rank, _)| range.contains(rank));
         let mut heap: BinaryHeap<(u64, usize)> = ranks.collect::<Vec<_>>().into();
         std::iter::from_fn(move || heap.pop()).map(|(_, index)| &self.members[index].id)
     }
+
+    /// A number of upstreams at random, which a key determines. Some may occur more than once.
+    pub(super) fn sample(&self, key: u64, count: usize) -> impl Iterator<Item = &UpstreamId> {
+        let size = self.members.len() as u64;
+        let draw = move |number: usize| {
+            let index = mix(key.wrapping_add(number as u64)).checked_rem(size)?;
+            Some(&self.members[index as usize].id)
+        };
+        (0..count).filter_map(draw)
+    }
 }
 
 /// The finalizer of SplitMix64: each bit of the value changes about half of the result.
--- a/crates/comfreyroad_router/src/controller/upstreams/selection.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/selection.rs
@@ -3,10 +3,11 @@
 use std::time::{Duration, Instant};
 
 use super::candidate::Candidate;
+use super::ring::Ring;
 use super::{Requirements, Upstreams, stated_limit};
 use crate::configuration::Service;
 use crate::controller::evacuations::Evacuations;
-use crate::id::{ModelId, PoolId};
+use crate::id::{ModelId, PoolId, UpstreamId};
 use crate::upstream::{PrefillSpeed, Slot, Upstream};
 use crate::work::Estimate;
 
@@ -14,7 +15,7 @@
 const CACHE_MISS_COST: Duration = Duration::from_millis(100);
 /// Usable upstreams in the order of an affinity key among which a request chooses. One of them is likely to hold its prefix.
 const AFFINE_CHOICES: usize = 4;
-/// Usable upstreams in an order of the request's own among which it chooses as well. Entries that read the same load reports would
+/// Upstreams drawn at random among which a request chooses as well. Entries that read the same load reports would
 /// otherwise all choose the same idle upstream.
 const OWN_CHOICES: usize = 2;
 /// Usable upstreams among which a plain request chooses.
@@ -27,13 +28,6 @@
 /// Round-trip time between zones that an upstream in the same zone saves.
 const CROSS_ZONE_COST: Duration = Duration::from_millis(2);
 
-/// The upstreams that meet a condition, or all if none does.
-fn prefer(all: Vec<&Upstream>, is_preferred: impl Fn(&Upstream) -> bool) -> Vec<&Upstream> {
-    let preferred = all.iter().filter(|it| is_preferred(it));
-    let preferred: Vec<&Upstream> = preferred.copied().collect();
-    if preferred.is_empty() { all } else { preferred }
-}
-
 impl Upstreams {
     /// Takes a slot at the best upstream; `None` if none is usable and has capacity left.
     pub(crate) fn acquire_slot(
@@ -86,37 +80,43 @@
                 && (!requirements.is_optional || Self::is_promising(now, upstream))
         };
         let ring = self.rings.get(requirements.pool)?;
-        let choose = |key: u64, count: usize| {
-            let members = ring.order(key).filter_map(|id| self.upstreams.get(id));
-            members.filter(usable).take(count).collect::<Vec<_>>()
-        };
-        let usable = match requirements.affinity {
-            None => choose(requirements.salt, PLAIN_CHOICES),
-            Some(key) => {
-                let mut choices = choose(key, AFFINE_CHOICES);
-                let own = choose(requirements.salt, OWN_CHOICES);
-                choices.extend(own);
-                choices
-            }
+        // If most of a pool is ejected or suspected, the fault is more likely elsewhere, and that is ignored.
+        let is_sound = |it: &&Upstream| {
+            usable(it) && it.leaving.is_none() && (ring.is_mostly_unhealthy || it.is_healthy(now))
         };
-        let usable = prefer(usable, |it| it.leaving.is_none());
-        // If more than half of the usable upstreams are ejected or suspected, the fault is more likely elsewhere, and that is
-        // ignored.
-        let is_healthy = |it: &&&Upstream| !it.health.is_ejected(now) && !it.is_suspected(now);
-        let healthy = usable.iter().filter(is_healthy);
-        let healthy: Vec<&Upstream> = healthy.copied().collect();
-        let eligible = if healthy.len() * 2 >= usable.len() {
-            healthy
-        } else {
-            usable
-        };
-        let candidates = Self::candidates(now, &eligible, requirements.mean_work);
+        let is_staying = |it: &&Upstream| usable(it) && it.leaving.is_none();
+        let mut chosen = self.choose(ring, requirements, &is_sound);
+        if chosen.is_empty() {
+            chosen = self.choose(ring, requirements, &is_staying);
+        }
+        if chosen.is_empty() {
+            chosen = self.choose(ring, requirements, &usable);
+        }
+        let candidates = Self::candidates(now, &chosen, requirements.mean_work);
         match requirements.affinity {
             Some(_) => self.select_engine(now, requirements, &candidates),
             None => self.select_service(now, requirements, &candidates),
         }
     }
 
+    /// The upstreams that are compared, of those that meet a condition.
+    fn choose<'a>(
+        &'a self,
+        ring: &'a Ring,
+        requirements: &Requirements<'_>,
+        is_eligible: &dyn Fn(&&'a Upstream) -> bool,
+    ) -> Vec<&'a Upstream> {
+        let known = |id: &UpstreamId| self.upstreams.get(id);
+        let key = requirements.affinity.unwrap_or(requirements.salt);
+        let order = ring.order(key).filter_map(known).filter(is_eligible);
+        if requirements.affinity.is_none() {
+            return order.take(PLAIN_CHOICES).collect();
+        }
+        let own = ring.sample(requirements.salt, OWN_CHOICES);
+        let own = own.filter_map(known).filter(is_eligible);
+        order.take(AFFINE_CHOICES).chain(own).collect()
+    }
+
     /// Whether some upstream meets the requirements of a request, even if it has no capacity or wants no requests now.
     pub(crate) fn has_match(
         &self,
@@ -145,10 +145,7 @@
 
     /// Whether an upstream is expected to answer a request that it takes over.
     fn is_promising(now: Instant, upstream: &Upstream) -> bool {
-        upstream.has_free_slot(now)
-            && upstream.leaving.is_none()
-            && !upstream.health.is_ejected(now)
-            && !upstream.is_suspected(now)
+        upstream.has_free_slot(now) && upstream.leaving.is_none() && upstream.is_healthy(now)
     }
 
     /// Whether an upstream meets the requirements of a request and accepts new ones, regardless of its load.
--- a/crates/comfreyroad_router/src/upstream/upstream.rs
+++ b/crates/comfreyroad_router/src/upstream/upstream.rs
@@ -118,6 +118,11 @@
         self.load = Some(load);
     }
 
+    /// Whether it is neither ejected nor suspected.
+    pub fn is_healthy(&self, now: Instant) -> bool {
+        !self.health.is_ejected(now) && !self.is_suspected(now)
+    }
+
     /// Requests per second that the upstream takes from all entries together, if it states a limit.
     pub fn stated_rate(&self) -> Option<f64> {
         self.rate_limit.and_then(|limit| limit.rate)
--- a/crates/comfreyroad_router/src/work/slowness.rs
+++ b/crates/comfreyroad_router/src/work/slowness.rs
@@ -1,9 +1,9 @@
 use std::time::{Duration, Instant};
 
 /// Smallest weight of a new sample, so that samples that come close together count as well.
-const MIN_WEIGHT: f64 = 0.1;
+const MIN_WEIGHT: f64 = 0.03;
 /// Weight of the first sample. The rest is the usual time.
-const FIRST_WEIGHT: f64 = 0.5;
+const FIRST_WEIGHT: f64 = 0.2;
 /// Factors outside of this range are taken for its ends.
 const RANGE: (f64, f64) = (0.2, 10.0);
 
