--- a/crates/comfreyroad_router/src/controller/upstreams/mod.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/mod.rs
@@ -10,6 +10,7 @@
 mod rate_limits;
 mod requirements;
 mod ring;
+mod rings;
 mod selection;
 mod stated_limit;
 mod statements;
@@ -174,26 +175,6 @@
         out.note(Note::new(&note::UPSTREAM_REMOVED).with("upstream", id));
     }
 
-    /// Finds out which pools are mostly unhealthy.
-    fn count_unhealthy(&mut self, now: Instant) {
-        for (pool, ring) in &mut self.rings {
-            let in_pool = |it: &&Upstream| it.registration.pool == *pool && it.is_ready(now);
-            let upstreams = self.upstreams.values().filter(in_pool);
-            let (mut all, mut unhealthy) = (0, 0);
-            for upstream in upstreams {
-                all += 1;
-                unhealthy += usize::from(!upstream.is_healthy(now));
-            }
-            ring.is_mostly_unhealthy = unhealthy * 2 > all;
-        }
-    }
-
-    fn leave_ring(rings: &mut IndexMap<PoolId, Ring>, pool: &PoolId, id: &UpstreamId) {
-        if rings.get_mut(pool).is_some_and(|ring| ring.remove(id)) {
-            rings.swap_remove(pool);
-        }
-    }
-
     /// Whether the store answers neither this entry nor, as far as is known, any other.
     fn is_store_down(&self, now: Instant) -> bool {
         self.store_lost_at.is_some_and(|lost| {
--- a/crates/comfreyroad_router/src/controller/upstreams/selection.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/selection.rs
@@ -11,8 +11,9 @@
 use crate::upstream::{PrefillSpeed, Slot, Upstream};
 use crate::work::Estimate;
 
-/// Cost of a cache miss beyond the prefill time, as a duration: the compute that another upstream spends on the prompt.
-const CACHE_MISS_COST: Duration = Duration::from_millis(100);
+/// Cost of a cache miss in relation to the time that it adds to the prefill: the compute that is spent once more delays whoever is
+/// served there next, and another prefix leaves the cache.
+const CACHE_MISS_FACTOR: u32 = 6;
 /// Usable upstreams in the order of an affinity key among which a request chooses. One of them is likely to hold its prefix.
 const AFFINE_CHOICES: usize = 4;
 /// Upstreams drawn at random among which a request chooses as well. Entries that read the same load reports would
@@ -234,11 +235,12 @@
         let preferred = &candidates.first()?.upstream.id;
         let estimate = |it: &Candidate<'a>| {
             let is_preferred = it.upstream.id == *preferred;
-            let (prefill, miss_cost) = if is_preferred {
-                (demand.cached_prefill, Duration::ZERO)
+            let prefill = if is_preferred {
+                demand.cached_prefill
             } else {
-                (demand.prefill, CACHE_MISS_COST)
+                demand.prefill
             };
+            let miss_cost = (prefill - demand.cached_prefill) * CACHE_MISS_FACTOR;
             let estimate = it.estimate(now, prefill, demand);
             let first = estimate.first_event_at - now;
             let decode = estimate.last_event_at - estimate.first_event_at;
