--- a/crates/comfreyroad_router/src/controller/upstreams/candidate.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/candidate.rs
@@ -97,7 +97,8 @@
     pub(super) fn plain_estimate(&self, now: Instant, demand: &Demand) -> Estimate {
         let queue = (self.open_requests + 1.0 - self.slots()).max(0.0) / self.slots();
         let load = 1.0 + queue + self.open_requests / (4.0 * self.slots());
-        let answered_at = now + self.slowed(demand.decode, load);
+        let usual = self.upstream.service_time.mean().unwrap_or(demand.decode);
+        let answered_at = now + self.slowed(usual, load);
         Estimate {
             first_event_at: answered_at,
             last_event_at: answered_at,
--- a/crates/comfreyroad_router/src/controller/upstreams/outcomes.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/outcomes.rs
@@ -84,16 +84,26 @@
         }
     }
 
-    /// Records a complete answer, with its time per event as a factor of the usual, if both are known.
-    pub(crate) fn on_success(&mut self, now: Instant, slot: &Slot, factor: Option<f64>) {
+    /// Records a complete answer: its time per event, or the duration of a plain one, and what is usual in its pool.
+    pub(crate) fn on_success(
+        &mut self,
+        now: Instant,
+        slot: &Slot,
+        (service_time, usual): (Option<Duration>, Option<Duration>),
+    ) {
         let Some(upstream) = self.upstream_of(slot) else {
             return;
         };
         upstream.health.record_success(now);
-        if let Some(factor) = factor {
-            upstream
-                .pace
-                .add(now, factor / upstream.work_time.factor(now));
+        let Some(service_time) = service_time else {
+            return;
+        };
+        let work_time = upstream.work_time.factor(now);
+        if !upstream.is_engine() {
+            upstream.service_time.add(service_time.div_f64(work_time));
+        } else if let Some(usual) = usual {
+            let factor = service_time.as_secs_f64() / usual.as_secs_f64();
+            upstream.pace.add(now, factor / work_time);
         }
     }
 
--- a/crates/comfreyroad_router/src/router.rs
+++ b/crates/comfreyroad_router/src/router.rs
@@ -212,10 +212,6 @@
         let (plan, now) = (stage.plan(), now.instant);
         let estimates = &mut self.state.estimates;
         let usual = estimates.pace(&plan.pool, plan.model.as_ref());
-        let factor = completion
-            .service_time
-            .zip(usual)
-            .map(|(own, usual)| own.as_secs_f64() / usual.as_secs_f64());
         // What was resumed or failed says nothing about the length of an answer.
         if completion.is_success && head.last_event_id.is_none() && !plan.has_failed {
             let answer = Answer {
@@ -226,7 +222,7 @@
             estimates.on_finished(now, (head, plan), answer);
         }
         let upstreams = &mut self.state.upstreams;
-        upstreams.on_success(now, &stage.slot, factor);
+        upstreams.on_success(now, &stage.slot, (completion.service_time, usual));
     }
 
     fn log_served(&mut self, now: Now, request: &Request<Sent>, completion: Completion) {
--- a/crates/comfreyroad_router/src/upstream/backlog.rs
+++ b/crates/comfreyroad_router/src/upstream/backlog.rs
@@ -40,9 +40,13 @@
         self.prefills().filter(|at| *at < now).count()
     }
 
-    /// Time in slots that all requests are still expected to take.
+    /// Time in slots that all requests are still expected to take. One that is overdue is expected to take as long again as it is
+    /// overdue: nothing is known but that it is longer than others.
     pub fn remaining_work(&self, now: Instant) -> Duration {
-        let left = |job: &Job| job.ends_at.saturating_duration_since(now);
+        let left = |job: &Job| {
+            let overdue = now.saturating_duration_since(job.ends_at);
+            job.ends_at.saturating_duration_since(now).max(overdue)
+        };
         self.jobs.iter().map(left).sum()
     }
 
--- a/crates/comfreyroad_router/src/upstream/mod.rs
+++ b/crates/comfreyroad_router/src/upstream/mod.rs
@@ -1,5 +1,6 @@
 //! Upstreams: their registrations, load reports, and what this entry observes of them.
 
+mod average;
 mod backlog;
 mod health;
 mod leaving;
@@ -10,6 +11,7 @@
 mod slot;
 mod upstream;
 
+pub use average::Average;
 pub use backlog::{Backlog, JobId};
 pub use health::Health;
 pub use leaving::Leaving;
--- a/crates/comfreyroad_router/src/upstream/upstream.rs
+++ b/crates/comfreyroad_router/src/upstream/upstream.rs
@@ -4,7 +4,7 @@
 
 use comfreyroad::clock;
 
-use super::{Backlog, Health, Leaving, Load, RateLimit, Registration, Slot, Stage};
+use super::{Average, Backlog, Health, Leaving, Load, RateLimit, Registration, Slot, Stage};
 use crate::id::{Offset, UpstreamId};
 use crate::work::{Demand, Estimate, Pace, WorkTime};
 
@@ -31,7 +31,9 @@
     pub load: Option<Load>,
     /// How long work takes there, by the load reports.
     pub work_time: WorkTime,
-    /// How long its answers take in relation to those of the pool.
+    /// Time of a plain answer, if work takes its usual time there.
+    pub service_time: Average,
+    /// How long the answers of an engine take in relation to those of the pool, if work takes its usual time there.
     pub pace: Pace,
     /// The last statement about its rate limit; `None` if it has stated none.
     pub rate_limit: Option<RateLimit>,
@@ -58,6 +60,7 @@
             removal_due_at: None,
             load: None,
             work_time: WorkTime::default(),
+            service_time: Average::default(),
             pace: Pace::default(),
             rate_limit: None,
             leaving: None,
--- a/crates/comfreyroad_router/tests/decisions/load/engine.rs
+++ b/crates/comfreyroad_router/tests/decisions/load/engine.rs
@@ -12,6 +12,9 @@
 /// How much longer the large model takes than the small one.
 const LARGE_FACTOR: f64 = 5.0;
 
+/// Factor of the usual time of work from which an engine counts as slow.
+pub(super) const SLOW: f64 = 5.0;
+
 /// A request at an engine.
 #[derive(Debug)]
 pub(super) struct Job {
@@ -105,7 +108,7 @@
             running: self.running.len() as u32,
             waiting: self.waiting.len() as u32,
             slots: SLOTS as u32,
-            work_time_percent: Load::USUAL_WORK_TIME,
+            work_time_percent: (f64::from(Load::USUAL_WORK_TIME) * self.slowness) as u32,
             reported_at: now,
             own_requests: 0,
             is_relayed: false,
--- a/crates/comfreyroad_router/tests/decisions/load/fleet.rs
+++ b/crates/comfreyroad_router/tests/decisions/load/fleet.rs
@@ -8,7 +8,7 @@
 use fastrand::Rng;
 use indexmap::IndexSet;
 
-use super::engine::{Engine, Output, SLOTS, Work};
+use super::engine::{Engine, Output, SLOTS, SLOW, Work};
 use crate::rig::{
     Rig, configuration_content, frame, good_answer, head, peer, prompt, registration,
 };
@@ -49,6 +49,9 @@
     pub(super) deadly_sends: Vec<Instant>,
     /// The prompt parts that some entry holds in quarantine at the end.
     pub(super) quarantined: IndexSet<String>,
+    /// Attempts that were sent to engines, and to slow ones among them.
+    pub(super) sends: usize,
+    pub(super) slow_sends: usize,
     /// When sound requests were refused.
     pub(super) refusals: Vec<Instant>,
 }
@@ -278,6 +281,8 @@
         if call.is_deadly {
             self.summary.deadly_sends.push(rig.now.instant);
         }
+        self.summary.sends += 1;
+        self.summary.slow_sends += usize::from(self.engines[engine].slowness >= SLOW);
         self.engines[engine].accept(number, stage.plan().priority, &work);
         call.next_search = None;
         call.state = State::Sent(sent, engine);
--- a/crates/comfreyroad_router/tests/decisions/load/mod.rs
+++ b/crates/comfreyroad_router/tests/decisions/load/mod.rs
@@ -128,40 +128,22 @@
     assert!(summary.share_in_time() >= TARGET, "{summary:?}");
 }
 
-/// Engines differ in speed, and a quarter of them is slow for a part of the time. All accept requests as fast as the others, and an
-/// entry meets each of them once in many seconds.
+/// Engines differ in speed, and a quarter of them is slow by turns. All accept requests alike, and an entry meets each of them once
+/// in some seconds.
 #[test]
-fn callers_are_answered_in_time_by_engines_of_uneven_speed() {
-    for (engines, rate, slow, entries) in [
-        (12, 100.0, 8.0, 24),
-        (48, 300.0, 8.0, 48),
-        (48, 300.0, 20.0, 48),
-        (48, 400.0, 8.0, 48),
-        (24, 200.0, 8.0, 48),
-        (24, 200.0, 15.0, 48),
-    ] {
-        let mut fleet = Fleet::new(entries, engines, SEED);
-        let uneven = |number: usize| 0.7 + number as f64 / (engines - 1) as f64;
+fn slow_engines_get_less_than_half_of_their_share() {
+    let engines = 4 * ENGINES;
+    let mut fleet = Fleet::new(2 * ENTRIES, engines, SEED);
+    for round in 0..6 {
         for (number, engine) in fleet.engines.iter_mut().enumerate() {
-            engine.slowness = uneven(number);
+            let usual = 0.7 + number as f64 / engines as f64;
+            let is_slow = (number + round).is_multiple_of(4);
+            engine.slowness = if is_slow { 6.0 } else { usual };
         }
-        fleet.run(6 * SECOND, rate, &MIX);
-        for engine in &mut fleet.engines[..engines / 4] {
-            engine.slowness = slow;
-        }
-        fleet.run(8 * SECOND, rate, &MIX);
-        for (number, engine) in fleet.engines.iter_mut().enumerate() {
-            engine.slowness = uneven(number);
-        }
-        fleet.run(6 * SECOND, rate, &MIX);
-        let summary = fleet.finish();
-        eprintln!(
-            "SH {engines} {rate} {slow} {entries} {:.3} late {} in {} failed {} large {}",
-            summary.share_in_time(),
-            summary.late,
-            summary.in_time,
-            summary.failed,
-            summary.large
-        );
+        fleet.run(4 * SECOND, 3.0 * USUAL_RATE, &MIX);
     }
+    let summary = fleet.finish();
+    assert_eq!(summary.failed, 0, "{summary:?}");
+    assert!(summary.share_in_time() >= TARGET, "{summary:?}");
+    assert!(8 * summary.slow_sends <= summary.sends, "{summary:?}");
 }
