--- a/crates/comfreyroad_router/src/frame/load_report.rs
+++ b/crates/comfreyroad_router/src/frame/load_report.rs
@@ -20,13 +20,13 @@
     pub slots: u32,
     /// Time that work takes there, in percent of the usual. Absent in reports of versions that do not know it.
     #[serde(
-        rename = "work",
+        rename = "w",
         default = "usual_work_time",
         skip_serializing_if = "is_usual"
     )]
     pub work_time_percent: u32,
     /// The last sample of the time that its answers take in relation to its pool: in percent, and its age in milliseconds.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(rename = "p", default, skip_serializing_if = "Option::is_none")]
     pub pace: Option<(u32, u32)>,
     /// Time since the upstream reported it. It is sent as an age, because the clocks of entries differ.
     pub age: Duration,
