--- a/crates/comfreyroad_router/src/controller/upstreams/selection.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/selection.rs
@@ -21,9 +21,9 @@
 const OWN_CHOICES: usize = 2;
 /// Usable upstreams among which a plain request chooses.
 const PLAIN_CHOICES: usize = 16;
-/// Fraction (1/16) of the time to the last event that counts like the time to the first: callers wait for the first one, and a slot
+/// Fraction (1/32) of the time to the last event that counts like the time to the first: callers wait for the first one, and a slot
 /// that is held for less time serves others.
-const LAST_EVENT_DIVISOR: u32 = 16;
+const LAST_EVENT_DIVISOR: u32 = 32;
 /// Number of entries not yet known for which a share of an upstream's connections is reserved.
 const SPARE_ENTRIES: u32 = 1;
 /// Round-trip time between zones that an upstream in the same zone saves.
--- a/crates/comfreyroad_router/src/work/mod.rs
+++ b/crates/comfreyroad_router/src/work/mod.rs
@@ -16,10 +16,11 @@
 pub use length::Length;
 pub use slowness::Slowness;
 
-/// How long work takes at an upstream now, by its load reports. Half of a deviation is gone after 1.5 s.
-pub type WorkTime = Slowness<1_500>;
-/// How long the answers of an upstream take beyond that, in relation to its pool. Half of a deviation is gone after 30 s.
-pub type Pace = Slowness<30_000>;
+/// How long work takes at an upstream now, by its load reports.
+pub type WorkTime = Slowness<1_500, 10>;
+/// How long the answers of an upstream take beyond that, in relation to its pool. One answer says little, as it shared the engine
+/// with others.
+pub type Pace = Slowness<30_000, 3>;
 
 /// Longest time that is estimated, in seconds. Statements and reports may be absurd.
 const MAX_SECONDS: f64 = 3600.0;
--- a/crates/comfreyroad_router/tests/decisions/work.rs
+++ b/crates/comfreyroad_router/tests/decisions/work.rs
@@ -7,7 +7,8 @@
 use comfreyroad_router::frame::{Frame, LoadReport};
 use comfreyroad_router::record::Topic;
 use comfreyroad_router::request::{Head, Sent};
-use comfreyroad_router::work::{Length, Slowness};
+use comfreyroad_router::upstream::Backlog;
+use comfreyroad_router::work::{Demand, Length, Slowness};
 use fastrand::Rng;
 
 use super::rig::{MS, Rig, SECOND, configuration_content, frame, good_answer, head, prompt};
@@ -180,7 +181,7 @@
 #[test]
 fn samples_weigh_by_the_time_between_them() {
     let now = std::time::Instant::now();
-    let mut slowness = Slowness::<1_000>::default();
+    let mut slowness = Slowness::<1_000, 10>::default();
     assert!((slowness.factor(now) - 1.0).abs() < 1e-9);
     for ms in 0..50 {
         slowness.add(now + ms * 100 * MS, 4.0);
@@ -194,3 +195,23 @@
     slowness.add(now, 0.2);
     assert!((3.5..=4.0).contains(&slowness.factor(at)));
 }
+
+#[test]
+fn an_overdue_request_is_expected_to_take_as_long_again() {
+    let now = std::time::Instant::now();
+    let mut backlog = Backlog::default();
+    let demand = Demand {
+        prefill: 100 * MS,
+        decode: 900 * MS,
+        ..Demand::default()
+    };
+    let job = backlog.add(now, demand);
+    assert_eq!(backlog.remaining_work(now), SECOND);
+    // Its first event comes 100 ms late.
+    backlog.finish_prefill(now + 200 * MS, job);
+    assert_eq!(backlog.time_left(now + 200 * MS), Duration::ZERO);
+    assert_eq!(backlog.remaining_work(now + SECOND), 100 * MS);
+    assert_eq!(backlog.remaining_work(now + 4_100 * MS), 3 * SECOND);
+    backlog.remove(job);
+    assert_eq!(backlog.remaining_work(now + SECOND), Duration::ZERO);
+}
