--- a/crates/comfreyroad_router/src/controller/upstreams/selection.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/selection.rs
@@ -13,17 +13,17 @@
 
 /// Cost of a cache miss in relation to the time that it adds to the prefill: the compute that is spent once more delays whoever is
 /// served there next, and another prefix leaves the cache.
-const CACHE_MISS_FACTOR: u32 = 2;
+const CACHE_MISS_FACTOR: u32 = 4;
 /// Usable upstreams in the order of an affinity key among which a request chooses. One of them is likely to hold its prefix.
 const AFFINE_CHOICES: usize = 4;
 /// Upstreams drawn at random among which a request chooses as well. Entries that read the same load reports would
 /// otherwise all choose the same idle upstream.
-const OWN_CHOICES: usize = 2;
+const OWN_CHOICES: usize = 1;
 /// Usable upstreams among which a plain request chooses.
 const PLAIN_CHOICES: usize = 16;
-/// Fraction (1/32) of the time to the last event that counts like the time to the first: callers wait for the first one, and a slot
+/// Fraction (1/64) of the time to the last event that counts like the time to the first: callers wait for the first one, and a slot
 /// that is held for less time serves others.
-const LAST_EVENT_DIVISOR: u32 = 32;
+const LAST_EVENT_DIVISOR: u32 = 64;
 /// Number of entries not yet known for which a share of an upstream's connections is reserved.
 const SPARE_ENTRIES: u32 = 1;
 /// Round-trip time between zones that an upstream in the same zone saves.
