--- a/crates/comfreyroad_router/src/controller/upstreams/ring.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/ring.rs
@@ -61,16 +61,6 @@
         let mut heap: BinaryHeap<(u64, usize)> = ranks.collect::<Vec<_>>().into();
         std::iter::from_fn(move || heap.pop()).map(|(_, index)| &self.members[index].id)
     }
-
-    /// A number of upstreams at random, which a key determines. Some may occur more than once.
-    pub(super) fn sample(&self, key: u64, count: usize) -> impl Iterator<Item = &UpstreamId> {
-        let size = self.members.len() as u64;
-        let draw = move |number: usize| {
-            let index = mix(key.wrapping_add(number as u64)).checked_rem(size)?;
-            Some(&self.members[index as usize].id)
-        };
-        (0..count).filter_map(draw)
-    }
 }
 
 /// The finalizer of SplitMix64: each bit of the value changes about half of the result.
--- a/crates/comfreyroad_router/src/controller/upstreams/selection.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/selection.rs
@@ -14,11 +14,9 @@
 /// Cost of a cache miss in relation to the time that it adds to the prefill: the compute that is spent once more delays whoever is
 /// served there next, and another prefix leaves the cache.
 const CACHE_MISS_FACTOR: u32 = 4;
-/// Usable upstreams in the order of an affinity key among which a request chooses. One of them is likely to hold its prefix.
+/// Usable upstreams in the order of an affinity key among which a request chooses. One of them is likely to hold its prefix, and
+/// entries that read the same load reports do not all choose the same idle upstream.
 const AFFINE_CHOICES: usize = 4;
-/// Upstreams drawn at random among which a request chooses as well. Entries that read the same load reports would
-/// otherwise all choose the same idle upstream.
-const OWN_CHOICES: usize = 1;
 /// Usable upstreams among which a plain request chooses.
 const PLAIN_CHOICES: usize = 16;
 /// Fraction (1/64) of the time to the last event that counts like the time to the first: callers wait for the first one, and a slot
@@ -109,13 +107,12 @@
     ) -> Vec<&'a Upstream> {
         let known = |id: &UpstreamId| self.upstreams.get(id);
         let key = requirements.affinity.unwrap_or(requirements.salt);
+        let count = match requirements.affinity {
+            Some(_) => AFFINE_CHOICES,
+            None => PLAIN_CHOICES,
+        };
         let order = ring.order(key).filter_map(known).filter(is_eligible);
-        if requirements.affinity.is_none() {
-            return order.take(PLAIN_CHOICES).collect();
-        }
-        let own = ring.sample(requirements.salt, OWN_CHOICES);
-        let own = own.filter_map(known).filter(is_eligible);
-        order.take(AFFINE_CHOICES).chain(own).collect()
+        order.take(count).collect()
     }
 
     /// Whether some upstream meets the requirements of a request, even if it has no capacity or wants no requests now.
