--- a/crates/comfreyroad_router/src/controller/upstreams/requirements.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/requirements.rs
@@ -23,6 +23,8 @@
     /// Whether the request is well placed where it is, so that only an upstream will do that is healthy and has a free slot, as far as
     /// its load is known.
     pub is_optional: bool,
+    /// Whether it was sent before, so that it must not be the one that tries an upstream again after a failure.
+    pub is_retry: bool,
     /// Hash of the request, by which it chooses among upstreams that all entries see alike.
     pub salt: u64,
 }
--- a/crates/comfreyroad_router/src/controller/upstreams/selection.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/selection.rs
@@ -19,9 +19,9 @@
 const AFFINE_CHOICES: usize = 4;
 /// Usable upstreams among which a plain request chooses.
 const PLAIN_CHOICES: usize = 16;
-/// Fraction (1/64) of the time to the last event that counts like the time to the first: callers wait for the first one, and a slot
+/// Fraction (1/16) of the time to the last event that counts like the time to the first: callers wait for the first one, and a slot
 /// that is held for less time serves others.
-const LAST_EVENT_DIVISOR: u32 = 64;
+const LAST_EVENT_DIVISOR: u32 = 16;
 /// Number of entries not yet known for which a share of an upstream's connections is reserved.
 const SPARE_ENTRIES: u32 = 1;
 /// Round-trip time between zones that an upstream in the same zone saves.
@@ -81,7 +81,8 @@
         let ring = self.rings.get(requirements.pool)?;
         // If most of a pool is ejected or suspected, the fault is more likely elsewhere, and that is ignored.
         let is_sound = |it: &&Upstream| {
-            usable(it) && it.leaving.is_none() && (ring.is_mostly_unhealthy || it.is_healthy(now))
+            let is_proven = it.is_healthy(now) && !(requirements.is_retry && it.is_unproven());
+            usable(it) && it.leaving.is_none() && (ring.is_mostly_unhealthy || is_proven)
         };
         let is_staying = |it: &&Upstream| usable(it) && it.leaving.is_none();
         let mut chosen = self.choose(ring, requirements, &is_sound);
--- a/crates/comfreyroad_router/src/filter/place.rs
+++ b/crates/comfreyroad_router/src/filter/place.rs
@@ -190,6 +190,7 @@
         mean_work: state.estimates.mean_work(&plan.pool),
         excluded: &[],
         is_optional: false,
+        is_retry: plan.is_retry(),
         salt: rendezvous::hash(&head.id, ""),
     }
 }
--- a/crates/comfreyroad_router/src/upstream/upstream.rs
+++ b/crates/comfreyroad_router/src/upstream/upstream.rs
@@ -108,9 +108,17 @@
 
     /// Whether the upstream has failed recently and reported its load to no entry since.
     pub fn is_suspected(&self, now: Instant) -> bool {
+        let is_recent = self
+            .failed_at
+            .is_some_and(|failed_at| failed_at + SUSPICION_TIME > now);
+        is_recent && self.is_unproven()
+    }
+
+    /// Whether the upstream has failed, at any time, and reported its load to no entry since.
+    pub fn is_unproven(&self) -> bool {
         self.failed_at.is_some_and(|failed_at| {
             let has_answered = self.load.is_some_and(|load| load.reported_at > failed_at);
-            !has_answered && failed_at + SUSPICION_TIME > now
+            !has_answered
         })
     }
 
