--- a/crates/comfreyroad_router/src/controller/mod.rs
+++ b/crates/comfreyroad_router/src/controller/mod.rs
@@ -4,6 +4,7 @@
 //! controllers. Changes by requests (slots, counts, budgets) are made by method calls of the router.
 
 pub mod configuration;
+pub mod estimates;
 pub mod evacuations;
 pub mod lifecycle;
 pub mod members;
@@ -49,6 +50,8 @@
     pub urgencies: urgencies::Urgencies,
     /// The upstreams.
     pub upstreams: upstreams::Upstreams,
+    /// What requests are likely to cost.
+    pub estimates: estimates::Estimates,
     /// The parts of prompts that crash engines.
     pub quarantine: quarantine::Quarantine,
     /// The rollouts of new versions.
@@ -73,6 +76,7 @@
             members: members::Members::new(settings),
             urgencies: urgencies::Urgencies::default(),
             upstreams: upstreams::Upstreams::new(settings),
+            estimates: estimates::Estimates::default(),
             quarantine: quarantine::Quarantine::default(),
             rollouts: rollouts::Rollouts::new(settings),
             sessions: sessions::Sessions::new(settings),
@@ -105,7 +109,7 @@
         frame
     }
 
-    fn all(&mut self) -> [&mut dyn Controller; 12] {
+    fn all(&mut self) -> [&mut dyn Controller; 13] {
         [
             &mut self.subscriptions,
             &mut self.configuration,
@@ -113,6 +117,7 @@
             &mut self.members,
             &mut self.urgencies,
             &mut self.upstreams,
+            &mut self.estimates,
             &mut self.quarantine,
             &mut self.rollouts,
             &mut self.sessions,
--- a/crates/comfreyroad_router/src/controller/upstreams/mod.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/mod.rs
@@ -1,5 +1,6 @@
 //! The upstreams: their registrations, and their health and load as this entry observes them.
 
+mod candidate;
 mod cold_limit;
 mod departures;
 mod limiter;
@@ -9,6 +10,8 @@
 mod pauses;
 mod rate_limits;
 mod requirements;
+mod ring;
+mod rings;
 mod selection;
 mod stated_limit;
 mod statements;
@@ -25,6 +28,7 @@
 use self::cold_limit::ColdLimit;
 use self::limiter::Limiter;
 use self::names::Names;
+use self::ring::Ring;
 use self::store_answers::StoreAnswers;
 use super::Controller;
 use super::members::Fleet;
@@ -63,6 +67,7 @@
     upstreams: IndexMap<UpstreamId, Upstream>,
     // Those in the registrations of all upstreams.
     names: Names,
+    rings: IndexMap<PoolId, Ring>,
     configuration: Option<Arc<Configuration>>,
     fleet: Rc<Fleet>,
     cold_limit: ColdLimit,
@@ -85,6 +90,7 @@
             drain_propagation: settings.drain_propagation,
             upstreams: IndexMap::new(),
             names: Names::default(),
+            rings: IndexMap::new(),
             configuration: None,
             fleet: Rc::default(),
             cold_limit: ColdLimit::new(settings),
@@ -121,7 +127,9 @@
         out: &mut Outbox,
     ) {
         let shared = self.names.share(registration);
+        let ring = self.rings.entry(shared.pool.clone()).or_default();
         let Some(known) = self.upstreams.get_mut(&id) else {
+            ring.insert(&id);
             let note = Note::new(&note::UPSTREAM_ADDED).with("upstream", &id);
             let note = note.with("pool", &registration.pool);
             out.note(note.with("version", &registration.version));
@@ -131,6 +139,11 @@
         };
         let was_draining = known.registration.stage == Stage::Draining;
         let was_cold = known.is_cold(now);
+        let old_pool = known.registration.pool.clone();
+        if old_pool != shared.pool {
+            ring.insert(&id);
+            Self::leave_ring(&mut self.rings, &old_pool, &id);
+        }
         known.update(now, offset, shared);
         if registration.stage == Stage::Draining && !was_draining {
             out.note(Note::new(&note::UPSTREAM_DRAINING).with("upstream", &id));
@@ -160,7 +173,9 @@
     }
 
     fn delete(&mut self, id: &UpstreamId, out: &mut Outbox) {
-        self.upstreams.swap_remove(id);
+        if let Some(upstream) = self.upstreams.swap_remove(id) {
+            Self::leave_ring(&mut self.rings, &upstream.registration.pool, id);
+        }
         self.cold_limiter.remove(id);
         self.stated_limiter.remove(id);
         out.note(Note::new(&note::UPSTREAM_REMOVED).with("upstream", id));
@@ -225,6 +240,7 @@
     }
 
     fn on_tick(&mut self, now: Instant, out: &mut Outbox) {
+        self.count_unhealthy(now);
         if self.is_store_down(now) {
             return;
         }
@@ -260,6 +276,7 @@
                 self.on_frame(now.instant, frame);
                 self.on_load_reports(now.instant, &frame.loads);
                 self.on_suspicions(now.instant, &frame.suspicions, out);
+                self.count_unhealthy(now.instant);
                 self.on_rate_limit_reports(now.instant, &frame.rate_limits, out);
                 self.on_leaving_reports(now.instant, &frame.leaving, out);
             }
--- a/crates/comfreyroad_router/src/controller/upstreams/outcomes.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/outcomes.rs
@@ -57,7 +57,7 @@
         };
         let own_requests = upstream.open_requests();
         if let Some(load) = head.load {
-            upstream.load = Some(crate::upstream::Load {
+            upstream.record_load(crate::upstream::Load {
                 own_requests,
                 ..load
             });
@@ -75,7 +75,7 @@
         model: Option<&ModelId>,
         prefill: Prefill,
     ) {
-        slot.finish_prefill();
+        slot.finish_prefill(now);
         let key = (slot.pool.clone(), model.cloned());
         let prefill_speed = self.prefill_speeds.entry(key).or_default();
         prefill_speed.add(now, prefill.tokens, prefill.latency);
@@ -84,14 +84,26 @@
         }
     }
 
-    /// Records a complete answer and its service time: its time per event, or the duration of an answer without events.
-    pub(crate) fn on_success(&mut self, now: Instant, slot: &Slot, service_time: Option<Duration>) {
+    /// Records a complete answer: its time per event, or the duration of a plain one, and what is usual in its pool.
+    pub(crate) fn on_success(
+        &mut self,
+        now: Instant,
+        slot: &Slot,
+        (service_time, usual): (Option<Duration>, Option<Duration>),
+    ) {
         let Some(upstream) = self.upstream_of(slot) else {
             return;
         };
         upstream.health.record_success(now);
-        if let Some(service_time) = service_time {
-            upstream.service_time.add(service_time);
+        let Some(service_time) = service_time else {
+            return;
+        };
+        let work_time = upstream.work_time.factor(now);
+        if !upstream.is_engine() {
+            upstream.service_time.add(service_time.div_f64(work_time));
+        } else if let Some(usual) = usual {
+            let factor = service_time.as_secs_f64() / usual.as_secs_f64();
+            upstream.pace.add(now, factor / work_time);
         }
     }
 
@@ -123,5 +135,6 @@
         if record(&mut upstream.health, now) {
             out.note(Note::new(&note::UPSTREAM_EJECTED).with("upstream", &slot.upstream));
         }
+        self.count_unhealthy(now);
     }
 }
--- a/crates/comfreyroad_router/src/upstream/mod.rs
+++ b/crates/comfreyroad_router/src/upstream/mod.rs
@@ -12,7 +12,7 @@
 mod upstream;
 
 pub use average::Average;
-pub use backlog::{Backlog, PrefillId};
+pub use backlog::{Backlog, JobId};
 pub use health::Health;
 pub use leaving::Leaving;
 pub use load::Load;
--- a/crates/comfreyroad_router/src/upstream/upstream.rs
+++ b/crates/comfreyroad_router/src/upstream/upstream.rs
@@ -6,6 +6,7 @@
 
 use super::{Average, Backlog, Health, Leaving, Load, RateLimit, Registration, Slot, Stage};
 use crate::id::{Offset, UpstreamId};
+use crate::work::{Demand, Estimate, Pace, WorkTime};
 
 /// Maximum age of a load report for its count of requests from other entries to be used.
 const MAX_REPORT_AGE: Duration = Duration::from_secs(2);
@@ -28,20 +29,24 @@
     pub removal_due_at: Option<Instant>,
     /// The last load report.
     pub load: Option<Load>,
+    /// How long work takes there, by the load reports.
+    pub work_time: WorkTime,
+    /// Time of a plain answer, if work takes its usual time there.
+    pub service_time: Average,
+    /// How long the answers of an engine take in relation to those of the pool, if work takes its usual time there.
+    pub pace: Pace,
     /// The last statement about its rate limit; `None` if it has stated none.
     pub rate_limit: Option<RateLimit>,
     /// Its statement that it is about to leave, if it has made one.
     pub leaving: Option<Leaving>,
     /// Until when it wants no requests from this entry.
     pub paused_until: Option<Instant>,
-    /// Service time: the time per event of a stream, or of a whole plain answer.
-    pub service_time: Average,
     /// Passive health check by this entry alone.
     pub health: Health,
     /// When it last failed to answer this entry or another one.
     pub failed_at: Option<Instant>,
     pub(super) open_requests: Rc<Cell<u32>>,
-    pub(super) prefill_backlog: Rc<RefCell<Backlog>>,
+    pub(super) backlog: Rc<RefCell<Backlog>>,
 }
 
 impl Upstream {
@@ -54,14 +59,16 @@
             offset,
             removal_due_at: None,
             load: None,
+            work_time: WorkTime::default(),
+            service_time: Average::default(),
+            pace: Pace::default(),
             rate_limit: None,
             leaving: None,
             paused_until: None,
-            service_time: Average::default(),
             health: Health::default(),
             failed_at: None,
             open_requests: Rc::default(),
-            prefill_backlog: Rc::default(),
+            backlog: Rc::default(),
         }
     }
 
@@ -101,12 +108,32 @@
 
     /// Whether the upstream has failed recently and reported its load to no entry since.
     pub fn is_suspected(&self, now: Instant) -> bool {
+        let is_recent = self
+            .failed_at
+            .is_some_and(|failed_at| failed_at + SUSPICION_TIME > now);
+        is_recent && self.is_unproven()
+    }
+
+    /// Whether the upstream has failed, at any time, and reported its load to no entry since.
+    pub fn is_unproven(&self) -> bool {
         self.failed_at.is_some_and(|failed_at| {
             let has_answered = self.load.is_some_and(|load| load.reported_at > failed_at);
-            !has_answered && failed_at + SUSPICION_TIME > now
+            !has_answered
         })
     }
 
+    /// Takes a load report.
+    pub fn record_load(&mut self, load: Load) {
+        let factor = f64::from(load.work_time_percent) / f64::from(Load::USUAL_WORK_TIME);
+        self.work_time.add(load.reported_at, factor);
+        self.load = Some(load);
+    }
+
+    /// Whether it is neither ejected nor suspected.
+    pub fn is_healthy(&self, now: Instant) -> bool {
+        !self.health.is_ejected(now) && !self.is_suspected(now)
+    }
+
     /// Requests per second that the upstream takes from all entries together, if it states a limit.
     pub fn stated_rate(&self) -> Option<f64> {
         self.rate_limit.and_then(|limit| limit.rate)
@@ -146,17 +173,22 @@
 
     /// Expected time until all prefills of this entry are finished.
     pub fn prefill_backlog(&self, now: Instant) -> Duration {
-        self.prefill_backlog.borrow().time_left(now)
+        self.backlog.borrow().time_left(now)
     }
 
     /// Number of prompts of this entry whose prefill takes longer than expected.
     pub fn overdue_prefills(&self, now: Instant) -> usize {
-        self.prefill_backlog.borrow().overdue_prefills(now)
+        self.backlog.borrow().overdue_prefills(now)
+    }
+
+    /// Time in slots that the requests of this entry are still expected to take.
+    pub fn remaining_work(&self, now: Instant) -> Duration {
+        self.backlog.borrow().remaining_work(now)
     }
 
-    /// Acquires a slot for a request with the given prefill time.
-    pub fn acquire_slot(&self, now: Instant, prefill_time: Duration) -> Slot {
-        Slot::acquire(self, now, prefill_time)
+    /// Acquires a slot for a request.
+    pub fn acquire_slot(&self, now: Instant, demand: Demand, estimate: Estimate) -> Slot {
+        Slot::acquire(self, now, demand, estimate)
     }
 }
 
--- a/crates/comfreyroad_router/tests/decisions/load/engine.rs
+++ b/crates/comfreyroad_router/tests/decisions/load/engine.rs
@@ -12,6 +12,9 @@
 /// How much longer the large model takes than the small one.
 const LARGE_FACTOR: f64 = 5.0;
 
+/// Factor of the usual time of work from which an engine counts as slow.
+pub(super) const SLOW: f64 = 5.0;
+
 /// A request at an engine.
 #[derive(Debug)]
 pub(super) struct Job {
@@ -31,18 +34,34 @@
 }
 
 /// A batching engine: prompts are processed one after the other, events of all running requests side by side.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Engine {
     running: Vec<Job>,
     waiting: Vec<Job>,
     cached: IndexSet<String>,
     /// Accepts requests and produces nothing.
     pub(super) is_mute: bool,
+    /// How long work takes, as a factor of the usual.
+    pub(super) slowness: f64,
     /// Until when it is down after a crash. It accepts no connections.
     pub(super) down_until: Option<Instant>,
     pub(super) incarnation: u64,
 }
 
+impl Default for Engine {
+    fn default() -> Self {
+        Self {
+            running: Vec::new(),
+            waiting: Vec::new(),
+            cached: IndexSet::new(),
+            is_mute: false,
+            slowness: 1.0,
+            down_until: None,
+            incarnation: 0,
+        }
+    }
+}
+
 /// What a request asks of an engine.
 #[derive(Debug)]
 pub(super) struct Work<'a> {
@@ -89,7 +108,7 @@
             running: self.running.len() as u32,
             waiting: self.waiting.len() as u32,
             slots: SLOTS as u32,
-            work_time_percent: Load::USUAL_WORK_TIME,
+            work_time_percent: (f64::from(Load::USUAL_WORK_TIME) * self.slowness) as u32,
             reported_at: now,
             own_requests: 0,
             is_relayed: false,
@@ -104,7 +123,7 @@
         while self.running.len() < SLOTS && !self.waiting.is_empty() {
             self.running.push(self.waiting.remove(0));
         }
-        let ms = step.as_secs_f64() * 1000.0;
+        let ms = step.as_secs_f64() * 1000.0 / self.slowness;
         let speed = 1.0 / (1.0 + self.running.len() as f64 / SLOTS as f64);
         let mut outputs = Vec::new();
         let mut prefill_ms = ms;
--- a/crates/comfreyroad_router/tests/decisions/load/fleet.rs
+++ b/crates/comfreyroad_router/tests/decisions/load/fleet.rs
@@ -10,7 +10,7 @@
 use fastrand::Rng;
 use indexmap::{IndexMap, IndexSet};
 
-use super::engine::{Engine, Output, SLOTS, Work};
+use super::engine::{Engine, Output, SLOTS, SLOW, Work};
 use crate::rig::{self, Rig, frame, good_answer, head, peer, prompt, registration, route};
 
 /// Time that one step simulates.
@@ -73,6 +73,9 @@
     pub(super) deadly_sends: Vec<Instant>,
     /// The prompt parts that some entry holds in quarantine at the end.
     pub(super) quarantined: IndexSet<String>,
+    /// Attempts that were sent to engines, and to slow ones among them.
+    pub(super) sends: usize,
+    pub(super) slow_sends: usize,
     /// When sound requests were refused.
     pub(super) refusals: Vec<Instant>,
     /// What the callers of each customer got, if the fleet has several.
@@ -115,6 +118,8 @@
     arrived_at: Instant,
     state: State,
     is_answered: bool,
+    // When its first event arrived.
+    started_at: Option<Instant>,
     // When another engine is looked for again, after none could take over.
     next_search: Option<Instant>,
 }
@@ -326,6 +331,7 @@
             arrived_at,
             state: State::Waiting(Returned::Planned(planned)),
             is_answered: false,
+            started_at: None,
             next_search: None,
         });
         self.place(number);
@@ -385,6 +391,8 @@
         if call.is_deadly {
             self.summary.deadly_sends.push(rig.now.instant);
         }
+        self.summary.sends += 1;
+        self.summary.slow_sends += usize::from(self.engines[engine].slowness >= SLOW);
         self.engines[engine].accept(number, stage.plan().priority, &work);
         call.next_search = None;
         call.state = State::Sent(sent, engine);
@@ -534,6 +542,7 @@
         }
         rig.router.on_first_event(rig.now, sent);
         call.is_answered = true;
+        call.started_at = Some(rig.now.instant);
         let is_late = rig.now.instant - call.arrived_at > OBJECTIVE;
         let answers = self.summary.routes.entry(call.kind.route).or_default();
         answers.in_time += usize::from(!is_late);
@@ -552,10 +561,13 @@
             return;
         };
         let rig = &mut self.entries[call.entry];
+        let events = call.kind.events;
+        let decode = call.started_at.map(|at| rig.now.instant - at);
         let completion = Completion {
             is_success: true,
+            events,
             first_event_after: None,
-            service_time: Some(Duration::from_millis(10)),
+            service_time: decode.map(|it| it / events),
         };
         rig.router.on_finished(rig.now, &sent, completion);
     }
--- a/crates/comfreyroad_router/tests/decisions/load/mod.rs
+++ b/crates/comfreyroad_router/tests/decisions/load/mod.rs
@@ -155,3 +155,23 @@
     assert!(summary.quarantined.is_empty(), "{summary:?}");
     assert!(summary.share_in_time() >= TARGET, "{summary:?}");
 }
+
+/// Engines differ in speed, and a quarter of them is slow by turns. All accept requests alike, and an entry meets each of them once
+/// in some seconds.
+#[test]
+fn slow_engines_get_less_than_half_of_their_share() {
+    let engines = 4 * ENGINES;
+    let mut fleet = Fleet::new(2 * ENTRIES, engines, SEED);
+    for round in 0..6 {
+        for (number, engine) in fleet.engines.iter_mut().enumerate() {
+            let usual = 0.7 + number as f64 / engines as f64;
+            let is_slow = (number + round).is_multiple_of(4);
+            engine.slowness = if is_slow { 6.0 } else { usual };
+        }
+        fleet.run(4 * SECOND, 3.0 * USUAL_RATE, &MIX);
+    }
+    let summary = fleet.finish();
+    assert_eq!(summary.failed, 0, "{summary:?}");
+    assert!(summary.share_in_time() >= TARGET, "{summary:?}");
+    assert!(8 * summary.slow_sends <= summary.sends, "{summary:?}");
+}
--- a/crates/comfreyroad_router/tests/decisions/main.rs
+++ b/crates/comfreyroad_router/tests/decisions/main.rs
@@ -22,3 +22,4 @@
 mod shares;
 mod subscriptions;
 mod upstreams;
+mod work;
--- a/crates/comfreyroad_router/tests/decisions/shares.rs
+++ b/crates/comfreyroad_router/tests/decisions/shares.rs
@@ -64,6 +64,7 @@
         waiting: requests.saturating_sub(SLOTS),
         slots: SLOTS,
         work_time_percent: 100,
+        pace: None,
         age: Duration::ZERO,
     };
     let mut incoming = frame("e2");
