Placement by work only where upstreams state how long work takes

Change: a pool is uneven once an upstream has stated a work time other than the usual. Other pools are compared by requests as before; an engine counts as slow by its answers in relation to their model's usual time, as the raw time an event mixes models. The test of a peer's pace now has such a statement by another engine.

--- a/crates/comfreyroad_router/src/controller/upstreams/candidate.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/candidate.rs
@@ -14,6 +14,14 @@
 const OVERDUE_PROMPT_COST: Duration = Duration::from_millis(150);
 /// Fraction (1/2) of its work that a request of another entry still has before it, on average.
 const MEAN_PROGRESS_DIVISOR: f64 = 2.0;
+/// Expected delay by each request that waits at an engine without a free slot, if only requests are counted.
+const QUEUE_COST_PER_REQUEST: Duration = Duration::from_millis(50);
+/// Cost of a cache miss beyond the prefill time, if only requests are counted: the compute that is spent on the prompt once more.
+const CACHE_MISS_COST: Duration = Duration::from_millis(100);
+/// Time that the answers of an upstream take, as a factor of the usual, above which it counts as slow.
+const SLOW_FACTOR: f64 = 2.5;
+/// Factor on the expected time of a slow upstream.
+const SLOW_PENALTY: u32 = 4;
 /// Weight (1/8) of a delay of another request's stream, whose pauses may be long, in relation to one of a first event.
 const DISTURBANCE_DIVISOR: u32 = 8;
 /// Work of a request of which nothing is known.
@@ -81,6 +89,28 @@
         }
     }
 
+    /// Expected time to the first event by the number of requests there, in a pool whose upstreams are all of one speed unless one
+    /// is much slower than usual.
+    pub(super) fn time_by_requests(
+        &self,
+        now: Instant,
+        demand: &Demand,
+        is_preferred: bool,
+    ) -> Duration {
+        let prefill = if is_preferred {
+            demand.cached_prefill
+        } else {
+            demand.prefill + CACHE_MISS_COST
+        };
+        let overdue = OVERDUE_PROMPT_COST * self.upstream.overdue_prefills(now) as u32;
+        let batch = BATCH_COST_PER_REQUEST.mul_f64(self.open_requests);
+        let excess = (self.open_requests + 1.0 - self.slots()).max(0.0);
+        let queue = QUEUE_COST_PER_REQUEST.mul_f64(excess);
+        let time = self.upstream.prefill_backlog(now) + overdue + prefill + batch + queue;
+        let is_slow = self.upstream.pace.factor(now) > SLOW_FACTOR;
+        if is_slow { time * SLOW_PENALTY } else { time }
+    }
+
     /// Delay that the prefill of a prompt adds to the streams of the requests there, weighed like its own.
     pub(super) fn disturbance(&self, prefill: Duration) -> Duration {
         self.slowed(prefill, self.open_requests) / DISTURBANCE_DIVISOR
--- a/crates/comfreyroad_router/src/controller/upstreams/mod.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/mod.rs
@@ -240,7 +240,7 @@
     }
 
     fn on_tick(&mut self, now: Instant, out: &mut Outbox) {
-        self.count_unhealthy(now);
+        self.assess_pools(now);
         if self.is_store_down(now) {
             return;
         }
@@ -276,7 +276,7 @@
                 self.on_frame(now.instant, frame);
                 self.on_load_reports(now.instant, &frame.loads);
                 self.on_suspicions(now.instant, &frame.suspicions, out);
-                self.count_unhealthy(now.instant);
+                self.assess_pools(now.instant);
                 self.on_rate_limit_reports(now.instant, &frame.rate_limits, out);
                 self.on_leaving_reports(now.instant, &frame.leaving, out);
             }
--- a/crates/comfreyroad_router/src/controller/upstreams/outcomes.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/outcomes.rs
@@ -135,6 +135,6 @@
         if record(&mut upstream.health, now) {
             out.note(Note::new(&note::UPSTREAM_EJECTED).with("upstream", &slot.upstream));
         }
-        self.count_unhealthy(now);
+        self.assess_pools(now);
     }
 }
--- a/crates/comfreyroad_router/src/controller/upstreams/ring.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/ring.rs
@@ -14,6 +14,9 @@
     members: Vec<Member>,
     /// Whether more than half of the upstreams are ejected or suspected.
     pub(super) is_mostly_unhealthy: bool,
+    /// Whether some upstream has stated that work takes more or less than its usual time. Only then is the time that work takes at
+    /// each one compared; without such statements it is mostly the load of the moment.
+    pub(super) is_uneven: bool,
 }
 
 #[derive(Debug)]
--- a/crates/comfreyroad_router/src/controller/upstreams/rings.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/rings.rs
@@ -1,4 +1,4 @@
-//! The ring of each pool: its upstreams in the order of a key, and whether most of them are unhealthy.
+//! The ring of each pool: its upstreams in the order of a key, and what is known of them together.
 
 use std::time::Instant;
 
@@ -10,8 +10,8 @@
 use crate::upstream::Upstream;
 
 impl Upstreams {
-    /// Finds out which pools are mostly unhealthy.
-    pub(super) fn count_unhealthy(&mut self, now: Instant) {
+    /// Finds out which pools are mostly unhealthy, and which are uneven.
+    pub(super) fn assess_pools(&mut self, now: Instant) {
         for (pool, ring) in &mut self.rings {
             let in_pool = |it: &&Upstream| it.registration.pool == *pool && it.is_ready(now);
             let upstreams = self.upstreams.values().filter(in_pool);
@@ -19,6 +19,7 @@
             for upstream in upstreams {
                 all += 1;
                 unhealthy += usize::from(!upstream.is_healthy(now));
+                ring.is_uneven |= upstream.has_stated_work_time();
             }
             ring.is_mostly_unhealthy = unhealthy * 2 > all;
         }
--- a/crates/comfreyroad_router/src/controller/upstreams/selection.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/selection.rs
@@ -81,7 +81,8 @@
         let ring = self.rings.get(requirements.pool)?;
         // If most of a pool is ejected or suspected, the fault is more likely elsewhere, and that is ignored.
         let is_sound = |it: &&Upstream| {
-            let is_proven = it.is_healthy(now) && !(requirements.is_retry && it.is_unproven());
+            let must_be_proven = requirements.is_retry && ring.is_uneven;
+            let is_proven = it.is_healthy(now) && !(must_be_proven && it.is_unproven());
             usable(it) && it.leaving.is_none() && (ring.is_mostly_unhealthy || is_proven)
         };
         let is_staying = |it: &&Upstream| usable(it) && it.leaving.is_none();
@@ -94,7 +95,7 @@
         }
         let candidates = Self::candidates(now, &chosen, requirements.mean_work);
         match requirements.affinity {
-            Some(_) => self.select_engine(now, requirements, &candidates),
+            Some(_) => Self::select_engine(now, requirements, ring, &candidates),
             None => self.select_service(now, requirements, &candidates),
         }
     }
@@ -224,9 +225,9 @@
     /// The upstream with the earliest expected answer to a prompt. The first one in the order of the affinity key has the shared
     /// prefix in its cache.
     fn select_engine<'a>(
-        &self,
         now: Instant,
         requirements: &Requirements<'_>,
+        ring: &Ring,
         candidates: &[Candidate<'a>],
     ) -> Option<(&'a Upstream, Estimate)> {
         let demand = &requirements.demand;
@@ -238,12 +239,15 @@
             } else {
                 demand.prefill
             };
-            let miss_cost = (prefill - demand.cached_prefill) * CACHE_MISS_FACTOR;
             let estimate = it.estimate(now, prefill, demand);
-            let first = estimate.first_event_at - now;
-            let decode = estimate.last_event_at - estimate.first_event_at;
-            let others = it.disturbance(prefill) + miss_cost;
-            let cost = first + others + decode / LAST_EVENT_DIVISOR;
+            let cost = if ring.is_uneven {
+                let miss_cost = (prefill - demand.cached_prefill) * CACHE_MISS_FACTOR;
+                let decode = estimate.last_event_at - estimate.first_event_at;
+                let others = it.disturbance(prefill) + miss_cost;
+                (estimate.first_event_at - now) + others + decode / LAST_EVENT_DIVISOR
+            } else {
+                it.time_by_requests(now, demand, is_preferred)
+            };
             (cost, it.upstream, estimate)
         };
         // Among equal costs, the first in the order of the hash.
--- a/crates/comfreyroad_router/src/upstream/upstream.rs
+++ b/crates/comfreyroad_router/src/upstream/upstream.rs
@@ -122,6 +122,14 @@
         })
     }
 
+    /// Whether it has stated that work takes more or less than its usual time.
+    pub fn has_stated_work_time(&self) -> bool {
+        let is_usual = |factor: f64| (factor - 1.0).abs() < f64::EPSILON;
+        self.work_time
+            .last()
+            .is_some_and(|(_, factor)| !is_usual(factor))
+    }
+
     /// Takes a load report.
     pub fn record_load(&mut self, load: Load) {
         let factor = f64::from(load.work_time_percent) / f64::from(Load::USUAL_WORK_TIME);
--- a/crates/comfreyroad_router/tests/decisions/work.rs
+++ b/crates/comfreyroad_router/tests/decisions/work.rs
@@ -154,6 +154,9 @@
 fn an_engine_whose_answers_took_a_peer_long_is_avoided() {
     let mut rig = serving();
     let preferred = placed_at(&mut rig);
+    // One of the others states that work takes longer there, so the pool's engines differ in speed.
+    let other = if preferred == "u1" { "u2" } else { "u1" };
+    rig.receive(report(other, 110, None));
     // A sample that is older than the last one changes nothing.
     rig.receive(report(&preferred, 100, Some((100, 500))));
     rig.receive(report(&preferred, 100, Some((1_000, 600))));
