Tidy placement by work: one sum for two costs, and nothing that nobody calls

`Candidate::estimate` and `time_by_requests` worked out the same sum, and the excess over the slots stood three times: now `busy` and `excess`. `Estimates::estimate` and `Length::is_known` had no caller. A ring looked for a member that its callers add only once, at each start for every upstream. The allowed lint of the example has its reason. No change of behaviour; no test changed.

--- a/crates/comfreyroad_router/examples/placement_time.rs
+++ b/crates/comfreyroad_router/examples/placement_time.rs
@@ -1,5 +1,6 @@
 //! Measures the time of a placement: `cargo run --release -p comfreyroad_router --example placement_time`.
 
+// The tests use parts of the rig that this program does not.
 #[path = "../tests/decisions/rig.rs"]
 #[allow(dead_code)]
 mod rig;
--- a/crates/comfreyroad_router/src/controller/estimates/mod.rs
+++ b/crates/comfreyroad_router/src/controller/estimates/mod.rs
@@ -18,7 +18,7 @@
 use crate::outbox::Outbox;
 use crate::request::{Head, Plan};
 use crate::upstream::PrefillSpeed;
-use crate::work::{Answer, Basis, Demand, Estimate, Length, bounded};
+use crate::work::{Answer, Basis, Demand, Length, bounded};
 
 use self::average::Average;
 use self::pace::Pace;
@@ -87,24 +87,6 @@
         }
     }
 
-    /// When a request would be answered by a model if it were sent now to the pool's usual upstream.
-    pub fn estimate(
-        &self,
-        now: Instant,
-        (head, plan): (&Head, &Plan),
-        model: Option<&ModelId>,
-        speed: PrefillSpeed,
-    ) -> Estimate {
-        let demand = self.demand((head, plan), model, speed);
-        let own = head.prompt_tokens() - head.shared_tokens();
-        let first_event_at = now + speed.time_to_first_event(now, own);
-        Estimate {
-            first_event_at,
-            last_event_at: first_event_at + demand.decode,
-            late_last_event_at: first_event_at + demand.late_decode,
-        }
-    }
-
     /// Forgets the routes and pools that are gone.
     fn retain(&mut self, configuration: &Configuration) {
         let routes = &configuration.routes;
--- a/crates/comfreyroad_router/src/controller/shares/mod.rs
+++ b/crates/comfreyroad_router/src/controller/shares/mod.rs
@@ -52,6 +52,7 @@
 const MAX_STANDING_AGE: Duration = Duration::from_secs(1);
 /// Longest time after which a customer beyond its share is told to return.
 const MAX_RETURN_TIME: Duration = Duration::from_secs(4);
+
 /// Controller of the shares.
 #[derive(Debug)]
 pub struct Shares {
--- a/crates/comfreyroad_router/src/controller/upstreams/candidate.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/candidate.rs
@@ -66,9 +66,21 @@
         bounded(usual.as_secs_f64() * factor * self.slowness)
     }
 
+    /// Requests that would be without a slot if one more came.
+    fn excess(&self) -> f64 {
+        (self.open_requests + 1.0 - self.slots()).max(0.0)
+    }
+
+    /// Time to the first event of a prompt that takes some time to process here, once it has a slot, if work takes its usual time.
+    fn busy(&self, now: Instant, prefill: Duration) -> Duration {
+        let overdue = OVERDUE_PROMPT_COST * self.upstream.overdue_prefills(now) as u32;
+        let batch = BATCH_COST_PER_REQUEST.mul_f64(self.open_requests);
+        self.upstream.prefill_backlog(now) + overdue + prefill + batch
+    }
+
     /// Time until a slot is free: the requests before it, at the rate at which slots become free.
     fn wait(&self) -> Duration {
-        let excess = self.open_requests + 1.0 - self.slots();
+        let excess = self.excess();
         if excess <= 0.0 {
             return Duration::ZERO;
         }
@@ -78,10 +90,7 @@
 
     /// When a prompt would be answered that takes some time to process here.
     pub(super) fn estimate(&self, now: Instant, prefill: Duration, demand: &Demand) -> Estimate {
-        let overdue = OVERDUE_PROMPT_COST * self.upstream.overdue_prefills(now) as u32;
-        let batch = BATCH_COST_PER_REQUEST.mul_f64(self.open_requests);
-        let busy = self.upstream.prefill_backlog(now) + overdue + prefill + batch;
-        let first_event_at = now + self.wait() + self.slowed(busy, 1.0);
+        let first_event_at = now + self.wait() + self.slowed(self.busy(now, prefill), 1.0);
         Estimate {
             first_event_at,
             last_event_at: first_event_at + self.decode(demand.decode),
@@ -102,11 +111,7 @@
         } else {
             demand.prefill + CACHE_MISS_COST
         };
-        let overdue = OVERDUE_PROMPT_COST * self.upstream.overdue_prefills(now) as u32;
-        let batch = BATCH_COST_PER_REQUEST.mul_f64(self.open_requests);
-        let excess = (self.open_requests + 1.0 - self.slots()).max(0.0);
-        let queue = QUEUE_COST_PER_REQUEST.mul_f64(excess);
-        let time = self.upstream.prefill_backlog(now) + overdue + prefill + batch + queue;
+        let time = self.busy(now, prefill) + QUEUE_COST_PER_REQUEST.mul_f64(self.excess());
         let is_slow = self.upstream.pace.factor(now) > SLOW_FACTOR;
         if is_slow { time * SLOW_PENALTY } else { time }
     }
@@ -125,7 +130,7 @@
 
     /// When a plain request would be answered.
     pub(super) fn plain_estimate(&self, now: Instant, demand: &Demand) -> Estimate {
-        let queue = (self.open_requests + 1.0 - self.slots()).max(0.0) / self.slots();
+        let queue = self.excess() / self.slots();
         let load = 1.0 + queue + self.open_requests / (4.0 * self.slots());
         let usual = self.upstream.service_time.mean().unwrap_or(demand.decode);
         let answered_at = now + self.slowed(usual, load);
--- a/crates/comfreyroad_router/src/controller/upstreams/ring.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/ring.rs
@@ -26,11 +26,8 @@
 }
 
 impl Ring {
-    /// Adds an upstream, unless it is a member.
+    /// Adds an upstream, which is not a member.
     pub(super) fn insert(&mut self, id: &UpstreamId) {
-        if self.members.iter().any(|it| it.id == *id) {
-            return;
-        }
         self.members.push(Member {
             hash: rendezvous::hash(id, ""),
             id: id.clone(),
--- a/crates/comfreyroad_router/src/work/length.rs
+++ b/crates/comfreyroad_router/src/work/length.rs
@@ -57,9 +57,4 @@
         let log = self.mean + deviations * self.variance.sqrt();
         stated.max(1.0) * log.exp()
     }
-
-    /// Whether any answer was seen.
-    pub fn is_known(&self) -> bool {
-        self.expires_at.is_some()
-    }
 }
