The last line of an entry says how late it exits and how many answers it cuts

A reset around a stop that leaves no line may come from a process that is killed as it exits too late, or from an answer that is complete for the router and still on its way to a caller that reads slowly. Neither could be told apart.

E1004 now has late_ms, the time since the exit deadline, and cut, the connections that the server reset at its deadline. The test in comfreyroad_net counts a response of 64 MB that its caller doesn't read (cut 1), beside one that was read whole. No decision changes.

--- a/crates/comfreyroad_net/src/server/connection.rs
+++ b/crates/comfreyroad_net/src/server/connection.rs
@@ -81,6 +81,9 @@
                 result
             }
         };
+        if result.is_none() {
+            registration.record_cut();
+        }
         finish(&handle, peer, result);
     }
 }
--- a/crates/comfreyroad_net/src/server/handle.rs
+++ b/crates/comfreyroad_net/src/server/handle.rs
@@ -24,6 +24,11 @@
         self.state.borrow().deadline().is_some()
     }
 
+    /// Number of connections that were reset at the deadline, in the middle of a request or a response.
+    pub fn cut_connections(&self) -> usize {
+        self.state.borrow().cut_connections()
+    }
+
     /// Number of open connections.
     pub fn connections(&self) -> usize {
         self.state.borrow().connections()
--- a/crates/comfreyroad_net/src/server/state.rs
+++ b/crates/comfreyroad_net/src/server/state.rs
@@ -16,6 +16,8 @@
     deadline: Option<Instant>,
     next: ConnectionId,
     connections: IndexMap<ConnectionId, Option<Waker>>,
+    // Connections that were reset at the deadline.
+    cut: usize,
     server: Option<Waker>,
 }
 
@@ -36,6 +38,11 @@
         self.connections.len()
     }
 
+    /// Number of connections that were reset at the deadline, in the middle of a request or a response.
+    pub(super) fn cut_connections(&self) -> usize {
+        self.cut
+    }
+
     /// Ready when `condition` holds. The accept loop polls it.
     pub(super) fn poll_until(
         &mut self,
@@ -81,6 +88,11 @@
     pub(super) fn poll_stop(&self, cx: &Context<'_>) -> Poll<Instant> {
         self.state.borrow_mut().poll_stop(cx, self.id)
     }
+
+    /// Counts the connection as reset at the deadline.
+    pub(super) fn record_cut(&self) {
+        self.state.borrow_mut().cut += 1;
+    }
 }
 
 impl Drop for Registration {
--- a/crates/comfreyroad_net/tests/net/stop.rs
+++ b/crates/comfreyroad_net/tests/net/stop.rs
@@ -156,6 +156,32 @@
         handle.stop(Instant::now() + Duration::from_millis(20));
         reader.next_chunk(deadline()).await.unwrap_err();
         task.await.unwrap();
+        assert_eq!(handle.cut_connections(), 1);
+    });
+}
+
+/// A complete response that its caller read too slowly was reset at the deadline, and nothing told of it.
+#[test]
+fn responses_that_are_still_being_sent_at_the_deadline_are_counted() {
+    // More than the buffers of the kernel take.
+    const BODY_BYTES: usize = 64 * 1024 * 1024;
+    run(async {
+        let (address, handle, task) = serve(|request, _| async move {
+            let is_long = request.uri().path() == "/long";
+            let length = if is_long { BODY_BYTES } else { 10 };
+            Response::new(Body::full(vec![b'x'; length]))
+        });
+        let client = Client::default();
+        let short = client.call(address, get("/"), deadline()).await.unwrap();
+        let body = read_all(address, short.into_body(), 100, deadline()).await;
+        assert_eq!(body.unwrap().len(), 10);
+        let _long = client
+            .call(address, get("/long"), deadline())
+            .await
+            .unwrap();
+        handle.stop(Instant::now() + Duration::from_millis(50));
+        task.await.unwrap();
+        assert_eq!(handle.cut_connections(), 1);
     });
 }
 
--- a/crates/comfreyroad_proxy/src/daemon.rs
+++ b/crates/comfreyroad_proxy/src/daemon.rs
@@ -94,11 +94,24 @@
     let served = pin!(front.serve(move |request, peer| handler.clone().handle(request, peer)));
     let ended = pin!(end_at_exit_deadline(&shared, drains));
     select(served, ended).await;
-    logger::write(&Note::new(&note::STOPPED).with("open", shared.registry.open_at_end()));
+    logger::write(&describe_stop(&shared));
     logger::finish();
     Ok(())
 }
 
+/// The log event of the exit: by how much its deadline was missed, how many connections were reset in the middle of a response that was
+/// complete for the router, and how many requests were open.
+fn describe_stop(shared: &Shared) -> Note {
+    let now = Instant::now();
+    let late = shared
+        .exit_deadline()
+        .map(|deadline| now.saturating_duration_since(deadline));
+    Note::new(&note::STOPPED)
+        .with("late_ms", late.unwrap_or_default().as_millis())
+        .with("cut", shared.stop.cut_connections())
+        .with("open", shared.registry.open_at_end())
+}
+
 /// Waits until the exit deadline, ends the requests that are still open, and gives the server time to close their connections.
 ///
 /// Before the shutdown there is no such deadline, and looking for one would wake the process ten times a second.
