Soak: bodies in chunks, slow readers, weak engines and starved entries around planned stops

Cause: the planned stops sent every request in one piece, and nothing that they played resembles the record of LOST: bodies under way at a SIGTERM, configurations in quick succession, engines that break off or are cold then, entries short of processor time.

Change: a third of the requests of planned stops has a body in chunks, sent over up to 2.5 s, and a tenth of the callers' answers is read late. The time of the first and of the last byte sent are kept: the time limit counts from the first, the rule's 3 s after SIGTERM from the last. New checks: a request that was read whole gets an answer although it reached no engine (the kernel's table of sockets tells that the process has accepted the connection and left nothing unread); an engine gets the body that was sent, and no request that was not sent whole. New events: three configurations in a row, engines that break off, are silent or cold, entries that run 20 to 50 of 100 ms, up to three entries stopped at once or in turn. A process is killed at the end of its grace period, as supervisors do, and no longer 1 s later.

--- a/crates/comfreyroad_proxy/tests/soak/caller.rs
+++ b/crates/comfreyroad_proxy/tests/soak/caller.rs
@@ -6,6 +6,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use super::backlog;
+use super::body::{self, Body};
 use super::http::{self, Message};
 use super::scenario::Scenario;
 
@@ -19,6 +21,8 @@
 const MAX_OPEN_CONNECTIONS: usize = 4;
 /// Timeout for connecting.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Allowance for the scheduling of callers, links and engines.
+pub(super) const SLACK: Duration = Duration::from_millis(200);
 
 /// Kind of a request: one that may run only once, one that may be retried, or a resumable event stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,13 +32,30 @@
     Events,
 }
 
+/// A request as its caller means it.
+#[derive(Clone, Debug)]
+pub(super) struct Request {
+    pub(super) kind: Kind,
+    /// Time that an engine works on it.
+    pub(super) work: Duration,
+    pub(super) body: Body,
+    /// Time after which the caller begins to read.
+    pub(super) reading_pause: Duration,
+}
+
 /// Outcome of a request.
 #[derive(Clone, Debug)]
 pub(super) struct Outcome {
     pub(super) id: String,
     pub(super) kind: Kind,
     pub(super) entry: usize,
-    pub(super) sent: Instant,
+    pub(super) body: String,
+    /// When the first byte was sent.
+    pub(super) started: Instant,
+    /// When the last byte was sent; `None` if the request was not sent whole.
+    pub(super) sent: Option<Instant>,
+    /// Whether it had been read whole [`SLACK`] after its last byte and was not answered then.
+    pub(super) is_read: bool,
     pub(super) ended: Instant,
     /// The response; `None` if the connection closed without one.
     pub(super) response: Option<Message>,
@@ -91,10 +112,11 @@
             }
             let (entry, mut stream) = open.swap_remove(rng.usize(..open.len()));
             let kind = [Kind::Once, Kind::Retryable, Kind::Events][rng.usize(..3)];
-            let work = self.scenario.work(kind, &mut rng);
-            let outcome = self.send(&mut stream, entry, kind, work);
+            let request = self.scenario.request(kind, &mut rng);
+            let outcome = self.send(&mut stream, entry, &request);
             let response = outcome.response.as_ref().filter(|it| it.is_complete);
-            if response.is_some_and(|it| it.header("connection") != "close") {
+            let stays_open = |it: &Message| it.header("connection") != "close";
+            if outcome.sent.is_some() && response.is_some_and(stays_open) {
                 open.push((entry, stream));
             }
             self.outcomes.lock().unwrap().push(outcome);
@@ -106,9 +128,14 @@
         &self,
         stream: &mut BufReader<TcpStream>,
         entry: usize,
-        kind: Kind,
-        work: Duration,
+        request: &Request,
     ) -> Outcome {
+        let Request {
+            kind,
+            work,
+            body,
+            reading_pause,
+        } = request;
         let id = format!("r{}", self.next_id.fetch_add(1, Ordering::Relaxed));
         let route = match kind {
             Kind::Once => "POST /once",
@@ -117,21 +144,24 @@
         };
         let target = format!("{route}/{}", work.as_millis());
         let timeout = self.scenario.request_timeout();
-        let sent = Instant::now();
+        let head = request_text(&target, &id, timeout, body);
+        let started = Instant::now();
+        let is_sent = stream.get_mut().write_all(head.as_bytes()).is_ok() && body.send(stream);
+        let sent = is_sent.then(Instant::now);
+        let is_read =
+            is_sent && body::is_open_after(stream, SLACK) && backlog::is_empty(stream.get_ref());
+        std::thread::sleep(*reading_pause);
         let stream_timeout = Some(timeout + READ_MARGIN);
-        let written = stream
-            .get_mut()
-            .set_read_timeout(stream_timeout)
-            .and_then(|()| {
-                let request = request_text(&target, &id, timeout);
-                stream.get_mut().write_all(request.as_bytes())
-            });
-        let response = written.ok().and_then(|()| http::read_message(stream));
+        let set = stream.get_mut().set_read_timeout(stream_timeout);
+        let response = set.ok().and_then(|()| http::read_message(stream));
         Outcome {
             id,
-            kind,
+            kind: *kind,
             entry,
+            body: body.text(),
+            started,
             sent,
+            is_read,
             ended: Instant::now(),
             response,
         }
@@ -148,15 +178,20 @@
 /// Requests a path on a new connection and returns the status.
 pub(super) fn status(address: SocketAddr, path: &str) -> Option<u16> {
     let mut stream = connect(address)?;
-    let request = request_text(&format!("GET {path}"), PROBE_ID, PROBE_TIMEOUT);
+    let request = request_text(
+        &format!("GET {path}"),
+        PROBE_ID,
+        PROBE_TIMEOUT,
+        &Body::default(),
+    );
     stream.get_mut().write_all(request.as_bytes()).ok()?;
     Some(http::read_message(&mut stream)?.status())
 }
 
-fn request_text(target: &str, id: &str, timeout: Duration) -> String {
-    let deadline = timeout.as_millis();
+fn request_text(target: &str, id: &str, timeout: Duration, body: &Body) -> String {
+    let (deadline, body) = (timeout.as_millis(), body.header());
     format!(
         "{target} HTTP/1.1\r\nHost: h\r\nX-Comfreyroad-Request-Id: {id}\r\nX-Comfreyroad-Deadline-Ms: {deadline}\r\n\
-         X-Comfreyroad-Key: key\r\nX-Comfreyroad-Tenant: forged\r\nContent-Length: 0\r\n\r\n"
+         X-Comfreyroad-Key: key\r\nX-Comfreyroad-Tenant: forged\r\n{body}\r\n\r\n"
     )
 }
--- a/crates/comfreyroad_proxy/tests/soak/cluster.rs
+++ b/crates/comfreyroad_proxy/tests/soak/cluster.rs
@@ -8,11 +8,13 @@
 use fastrand::Rng;
 use rustix::process::Signal;
 
-use super::caller::{self, Callers, Kind};
+use super::body::Body;
+use super::caller::{self, Callers, Kind, Request};
 use super::disturbances::{Disturbances, Scope};
 use super::engine::{Engine, Runs};
 use super::entry::{Entry, Ports};
 use super::fault::{DRAIN_DURATION, Fault};
+use super::health::Health;
 use super::invariants::{CONFIGURATION_TIMEOUT, Observations};
 use super::lifetime::Lifetime;
 use super::link::{Link, Mode};
@@ -38,6 +40,8 @@
     ResumeEntry(usize),
     StartEntry(usize),
     ShutDownEntry(usize, Signals),
+    Configure,
+    RestoreHealth(usize),
     /// Checks that all entries apply a configuration.
     CheckApplied(u64, Instant),
 }
@@ -241,6 +245,13 @@
                 self.schedule(duration, Action::StartEntry(number));
             }
             Fault::Shutdown(number) => self.shut_down(number, Signals::ONE),
+            planned => self.inject_planned(planned),
+        }
+    }
+
+    /// Injects what is planned work or happens beside it, and is no fault of an entry.
+    fn inject_planned(&mut self, fault: Fault) {
+        match fault {
             Fault::Shutdowns(first, count, interval, signals) => {
                 for index in 0..count {
                     let action = Action::ShutDownEntry((first + index) % ENTRIES, signals);
@@ -258,6 +269,21 @@
                 }
             }
             Fault::Configure => self.publish_configuration(),
+            Fault::ConfigureInSeries(interval) => {
+                for number in 0..3 {
+                    self.schedule(interval * number, Action::Configure);
+                }
+            }
+            Fault::Weaken(number, health, duration) => {
+                self.engines[number].set_health(health);
+                self.schedule(duration, Action::RestoreHealth(number));
+            }
+            Fault::Starve(number, duty, duration) => {
+                if self.may_signal(number) {
+                    self.entries[number].starve(duty, Instant::now() + duration);
+                }
+            }
+            fault => unreachable!("{fault:?} is no planned work"),
         }
     }
 
@@ -269,14 +295,19 @@
             Action::ResumeEntry(number) => self.entries[number].signal(Signal::CONT),
             Action::StartEntry(number) => {
                 self.entries[number].signal(Signal::CONT);
-                if self.entries[number].is_terminated() {
-                    self.entries[number].wait_or_kill(Duration::from_secs(1));
+                let timeout = self.scenario.kill_delay();
+                if self.entries[number].is_terminated()
+                    && !self.entries[number].wait_or_kill(timeout)
+                {
+                    println!("e{number} was killed at the end of its grace period");
                 }
                 self.entries[number].spawn();
                 self.disturbances
                     .add_planned(Scope::Entry(number), Duration::from_millis(500));
             }
             Action::ShutDownEntry(number, signals) => self.shut_down(number, signals),
+            Action::Configure => self.publish_configuration(),
+            Action::RestoreHealth(number) => self.engines[number].set_health(Health::Sound),
             Action::CheckApplied(version, published) => self.check_applied(version, published),
         }
     }
@@ -358,8 +389,13 @@
                 let callers = self.callers.clone();
                 let request = || {
                     let mut stream = caller::connect(callers.fronts[number])?;
-                    let work = RECOVERY_WORK;
-                    Some(callers.send(&mut stream, number, kind, work).status())
+                    let request = Request {
+                        kind,
+                        work: RECOVERY_WORK,
+                        body: Body::default(),
+                        reading_pause: Duration::ZERO,
+                    };
+                    Some(callers.send(&mut stream, number, &request).status())
                 };
                 while request() != Some(200) {
                     if Instant::now() > until {
--- a/crates/comfreyroad_proxy/tests/soak/engine.rs
+++ b/crates/comfreyroad_proxy/tests/soak/engine.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use super::caller::PROBE_ID;
+use super::health::Health;
 use super::http::{self, Message};
 use super::link::Link;
 use super::scenario::Scenario;
@@ -14,6 +15,8 @@
 
 /// Number of events in a stream.
 pub(super) const EVENTS: u64 = 10;
+/// Time for which a cold engine says that it will be cold.
+const COLD_TIME: Duration = Duration::from_secs(3);
 
 /// One run of a request.
 #[derive(Clone, Debug)]
@@ -23,6 +26,7 @@
     pub(super) at: Instant,
     pub(super) customer: String,
     pub(super) has_key: bool,
+    pub(super) body: String,
     /// Whether the engine cut its response.
     pub(super) is_cut: bool,
     /// When the engine began to work on the request, which a pause may delay.
@@ -68,6 +72,7 @@
     sequence: u64,
     is_draining: bool,
     is_crashed: bool,
+    health: Health,
     rng: fastrand::Rng,
 }
 
@@ -100,6 +105,7 @@
                 sequence: 0,
                 is_draining: false,
                 is_crashed: false,
+                health: Health::Sound,
                 rng: fastrand::Rng::with_seed(seed),
             })),
             runs,
@@ -134,9 +140,14 @@
             "ready"
         };
         let zone = ["a", "b"][self.number % 2];
+        let cold_millis = if state.health == Health::Cold {
+            COLD_TIME.as_millis()
+        } else {
+            0
+        };
         let registration = format!(
             r#"{{"service":"pool","address":"{}","zone":"{zone}","version":"v1","slots":16,"state":"{stage}",
-            "cold_left_ms":0,"seq":{},"born":{}}}"#,
+            "cold_left_ms":{cold_millis},"seq":{},"born":{}}}"#,
             self.link.address, state.sequence, state.incarnation
         );
         self.store.put("keyed.servers", &name, &registration);
@@ -148,6 +159,11 @@
         self.register();
     }
 
+    pub(super) fn set_health(&self, health: Health) {
+        self.state.lock().unwrap().health = health;
+        self.register();
+    }
+
     /// Crashes: connections break and the registration stays.
     pub(super) fn crash(&self) {
         self.state.lock().unwrap().is_crashed = true;
@@ -161,6 +177,7 @@
             state.incarnation += 1;
             state.sequence = 0;
             (state.is_crashed, state.is_draining) = (false, false);
+            state.health = Health::Sound;
         }
         self.register();
     }
@@ -184,9 +201,11 @@
         if request.header("x-comfreyroad-target-instance") != self.name() {
             return send(stream, &head(&id, "421 X", "Content-Length: 0\r\n\r\n"));
         }
-        let (sample, pause) = {
+        let (sample, pause, health) = {
             let mut state = self.state.lock().unwrap();
-            (state.rng.u32(..1000), self.scenario.pause(&mut state.rng))
+            let health = state.health;
+            let pause = self.scenario.pause(health, &mut state.rng);
+            (state.rng.u32(..1000), pause, health)
         };
         let pause = pause.filter(|_| id != PROBE_ID);
         if sample < 10 {
@@ -199,6 +218,7 @@
             at: Instant::now(),
             customer: request.header("x-comfreyroad-tenant").to_owned(),
             has_key: !request.header("x-comfreyroad-key").is_empty(),
+            body: request.text(),
             is_cut: false,
             began: None,
             last_worked: None,
@@ -213,7 +233,7 @@
             runs.len() - 1
         };
         // One percent of responses is lost after the request has run.
-        let breaks_off = sample < 20;
+        let breaks_off = sample < 20 || health == Health::Breaking && sample < 500;
         Work::new(self, stream, index, pause, breaks_off).respond(request)
     }
 }
--- a/crates/comfreyroad_proxy/tests/soak/entry.rs
+++ b/crates/comfreyroad_proxy/tests/soak/entry.rs
@@ -13,6 +13,7 @@
 use super::lifetime::Lifetime;
 use super::link::Link;
 use super::signals::Signals;
+use super::starvation::{Duty, Starvation};
 
 /// Interval between two rounds of signals.
 const ROUND_INTERVAL: Duration = Duration::from_millis(50);
@@ -27,6 +28,7 @@
     child: Option<Child>,
     number: usize,
     is_paused: bool,
+    starvation: Option<Starvation>,
     /// All lifetimes of the process, the present one last.
     pub(super) lifetimes: Vec<Lifetime>,
 }
@@ -81,6 +83,7 @@
             child: None,
             number,
             is_paused: false,
+            starvation: None,
             lifetimes: Vec::new(),
         };
         entry.spawn();
@@ -101,6 +104,7 @@
             .stdout(log)
             .spawn();
         self.is_paused = false;
+        self.starvation = None;
         self.lifetimes.push(Lifetime::new(self.number));
         self.child = Some(child.unwrap());
     }
@@ -177,6 +181,18 @@
         }
     }
 
+    /// Leaves the process little processor time until an instant.
+    pub(super) fn starve(&mut self, duty: Duty, until: Instant) {
+        if !self.is_running() {
+            return;
+        }
+        let child = self.child.as_ref().expect("the process is running");
+        let id = Pid::from_child(child);
+        // Two cycles at once would leave it none.
+        self.starvation = None;
+        self.starvation = Some(Starvation::start(id, duty, until));
+    }
+
     /// Waits for the process to exit and kills it after a timeout. Returns whether it has exited by itself.
     pub(super) fn wait_or_kill(&mut self, timeout: Duration) -> bool {
         let deadline = Instant::now() + timeout;
--- a/crates/comfreyroad_proxy/tests/soak/fault.rs
+++ b/crates/comfreyroad_proxy/tests/soak/fault.rs
@@ -4,8 +4,10 @@
 
 use fastrand::Rng;
 
+use super::health::Health;
 use super::link::Mode;
 use super::signals::Signals;
+use super::starvation::Duty;
 
 /// One fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -36,6 +38,12 @@
     Shrink(usize, Duration),
     /// Publishes a configuration.
     Configure,
+    /// Publishes three configurations at an interval.
+    ConfigureInSeries(Duration),
+    /// Changes the health of an engine for some time.
+    Weaken(usize, Health, Duration),
+    /// Leaves an entry little processor time for some time.
+    Starve(usize, Duty, Duration),
 }
 
 /// Time for which a draining engine keeps serving.
@@ -65,16 +73,27 @@
 
     /// Returns a random fault that is planned work.
     pub(super) fn random_planned(rng: &mut Rng, entries: usize, engines: usize) -> Self {
-        let entry = rng.usize(..entries);
-        match rng.u32(..100) {
+        let (entry, engine) = (rng.usize(..entries), rng.usize(..engines));
+        let duration = Duration::from_millis(rng.u64(1000..9000));
+        match rng.u32(..130) {
+            100..106 => Self::ConfigureInSeries(Duration::from_millis(rng.u64(..1500))),
+            106..118 => {
+                let health = [Health::Breaking, Health::Silent, Health::Cold][rng.usize(..3)];
+                Self::Weaken(engine, health, duration)
+            }
+            118.. => {
+                let runs = Duration::from_millis(rng.u64(20..50));
+                let rests = Duration::from_millis(100) - runs;
+                Self::Starve(entry, Duty { runs, rests }, duration)
+            }
             0..30 => {
-                let interval = Duration::from_millis([0, rng.u64(1..1000)][rng.usize(..2)]);
+                let interval = Duration::from_millis([0, rng.u64(1..3000)][rng.usize(..2)]);
                 let signals = Signals::random(rng, 1);
-                Self::Shutdowns(entry, rng.usize(1..=2), interval, signals)
+                Self::Shutdowns(entry, rng.usize(1..=3), interval, signals)
             }
             30..60 => Self::Reload(entry, Signals::random(rng, 5)),
             60..75 => Self::Shrink(rng.usize(1..=2), Duration::from_millis(rng.u64(4000..8000))),
-            75..85 => Self::Drain(rng.usize(..engines)),
+            75..85 => Self::Drain(engine),
             _ => Self::Configure,
         }
     }
--- a/crates/comfreyroad_proxy/tests/soak/invariants.rs
+++ b/crates/comfreyroad_proxy/tests/soak/invariants.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use super::caller::{Kind, Outcome};
+use super::caller::{Kind, Outcome, SLACK};
 use super::disturbances::Disturbances;
 use super::engine::{EVENTS, Run, event};
 use super::lifetime::Lifetime;
@@ -18,8 +18,6 @@
 const BEARABLE_SILENCE: Duration = Duration::from_secs(4);
 /// Time after which no other engine may work on a request that an engine has begun.
 const HANDOVER_TIMEOUT: Duration = Duration::from_millis(400);
-/// Allowance for the scheduling of callers, links and engines.
-const SLACK: Duration = Duration::from_millis(200);
 /// Statuses that promise that a request has not run and never will.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
@@ -48,6 +46,7 @@
             let runs = runs.get(&*outcome.id).unwrap_or(&none);
             violations.extend(self.check_outcome(outcome, runs));
             violations.extend(self.check_cut(outcome, runs));
+            violations.extend(self.check_unanswered(outcome, runs));
             violations.extend(self.check_handover(outcome, runs));
         }
         violations.extend(self.runs.iter().filter_map(check_identity));
@@ -62,6 +61,12 @@
         if outcome.kind == Kind::Once && runs.len() > 1 {
             return violation("a request that may run once ran twice");
         }
+        if outcome.sent.is_none() && !runs.is_empty() {
+            return violation("a request that was not whole ran");
+        }
+        if runs.iter().any(|run| run.body != outcome.body) {
+            return violation("a request ran with another body");
+        }
         if NOT_RUN_STATUSES.contains(&outcome.status()) && !runs.is_empty() {
             return violation("the status says that the request has not run, but it has");
         }
@@ -83,13 +88,9 @@
         if outcome.status() != 0 && outcome.is_complete() {
             return None;
         }
-        let (sent, ended) = (outcome.sent, outcome.ended);
+        let (sent, ended) = (outcome.sent?, outcome.ended);
         let last = runs.iter().max_by_key(|run| run.at)?;
-        let has_timed_out = ended + SLACK >= sent + self.scenario.request_timeout();
-        let is_without_fault = self
-            .disturbances
-            .is_without_fault(outcome.entry, sent, ended);
-        if last.is_cut || has_timed_out || !is_without_fault {
+        if last.is_cut || self.has_timed_out(outcome) || !self.is_without_fault(outcome) {
             return None;
         }
         let lifetime = self.lifetime(outcome)?;
@@ -116,6 +117,36 @@
         Some(describe(outcome, runs, lifetime, cause, origin))
     }
 
+    /// Checks that a request that the process has read whole gets an answer, also if it has reached no engine.
+    fn check_unanswered(&self, outcome: &Outcome, runs: &[&Run]) -> Option<String> {
+        let is_answered = outcome.status() != 0 && outcome.is_complete();
+        if is_answered || !outcome.is_read || !runs.is_empty() {
+            return None;
+        }
+        let sent = outcome.sent?;
+        let is_late = outcome.ended > sent + SLACK;
+        if !is_late || self.has_timed_out(outcome) || !self.is_without_fault(outcome) {
+            return None;
+        }
+        let lifetime = self.lifetime(outcome)?;
+        let cause = "a request that was read got no answer";
+        Some(describe(outcome, runs, lifetime, cause, sent))
+    }
+
+    fn has_timed_out(&self, outcome: &Outcome) -> bool {
+        outcome.ended + SLACK >= outcome.started + self.scenario.request_timeout()
+    }
+
+    fn is_without_fault(&self, outcome: &Outcome) -> bool {
+        let Outcome {
+            entry,
+            started,
+            ended,
+            ..
+        } = *outcome;
+        self.disturbances.is_without_fault(entry, started, ended)
+    }
+
     /// Checks that an engine stops to work on a request soon after another one has begun.
     fn check_handover(&self, outcome: &Outcome, runs: &[&Run]) -> Option<String> {
         let lifetime = self.lifetime(outcome)?;
@@ -133,13 +164,13 @@
             .iter()
             .any(|first| runs.iter().any(|next| is_late(first, next)));
         let cause = "an engine works on a request that another one has begun";
-        has_late.then(|| describe(outcome, runs, lifetime, cause, outcome.sent))
+        has_late.then(|| describe(outcome, runs, lifetime, cause, outcome.started))
     }
 
     /// The lifetime of the entry's process that got a request.
     fn lifetime(&self, outcome: &Outcome) -> Option<&Lifetime> {
         let mut lifetimes = self.lifetimes.iter();
-        lifetimes.find(|it| it.entry == outcome.entry && it.contains(outcome.sent))
+        lifetimes.find(|it| it.entry == outcome.entry && it.contains(outcome.started))
     }
 
     /// Requests that reached a draining engine after [`DRAIN_TIMEOUT`].
@@ -239,11 +270,12 @@
         })
         .collect();
     format!(
-        "{} {:?} at e{}: {cause}; sent {}, ended {}, status {}; SIGTERM {}, process ended {}; {}",
+        "{} {:?} at e{}: {cause}; begun {}, sent {}, ended {}, status {}; SIGTERM {}, process ended {}; {}",
         outcome.id,
         outcome.kind,
         outcome.entry,
-        at(outcome.sent),
+        at(outcome.started),
+        maybe(outcome.sent),
         at(outcome.ended),
         outcome.status(),
         maybe(lifetime.terminated),
--- a/crates/comfreyroad_proxy/tests/soak/main.rs
+++ b/crates/comfreyroad_proxy/tests/soak/main.rs
@@ -6,18 +6,22 @@
 //! which may overlap. What callers and engines observe is checked against the [`invariants`].
 //!
 //! A run of planned stops injects no faults but planned work: shutdowns, reloads, configurations and drains, in series and
-//! overlapping, while engines pause long requests.
+//! overlapping, while engines pause long requests, break off or are cold, entries are short of processor time, and callers
+//! send bodies slowly and read late.
 //!
 //! `COMFREYROAD_SOAK_SEEDS=1..51 cargo test -p comfreyroad_proxy --test soak environment` runs fifty seeds of each kind;
 //! `planned_stops_with` instead of `environment` runs those of planned stops only. Each seed that has failed is recorded
 //! in [`FAILED_SEEDS`] with the cause.
 
+mod backlog;
+mod body;
 mod caller;
 mod cluster;
 mod disturbances;
 mod engine;
 mod entry;
 mod fault;
+mod health;
 #[path = "../process/http.rs"]
 #[expect(dead_code, reason = "fully used by the process tests")]
 mod http;
@@ -27,6 +31,7 @@
 mod pause;
 mod scenario;
 mod signals;
+mod starvation;
 #[path = "../process/store.rs"]
 #[expect(dead_code, reason = "fully used by the process tests")]
 mod store;
--- a/crates/comfreyroad_proxy/tests/soak/pause.rs
+++ b/crates/comfreyroad_proxy/tests/soak/pause.rs
@@ -33,4 +33,21 @@
         let duration = Duration::from_millis(rng.u64(300..3000));
         Self { step, duration }
     }
+
+    /// Returns a random pause that is longer than what callers bear.
+    pub(super) fn long(rng: &mut Rng) -> Self {
+        let duration = Duration::from_millis(rng.u64(3000..7000));
+        Self {
+            duration,
+            ..Self::random(rng)
+        }
+    }
+
+    /// Returns a random pause before the work.
+    pub(super) fn at_start(rng: &mut Rng) -> Self {
+        Self {
+            step: Step::Start,
+            ..Self::random(rng)
+        }
+    }
 }
--- a/crates/comfreyroad_proxy/tests/soak/scenario.rs
+++ b/crates/comfreyroad_proxy/tests/soak/scenario.rs
@@ -4,8 +4,10 @@
 
 use fastrand::Rng;
 
-use super::caller::Kind;
+use super::body::Body;
+use super::caller::{Kind, Request};
 use super::fault::Fault;
+use super::health::Health;
 use super::pause::Pause;
 
 /// Kind of a run.
@@ -34,6 +36,14 @@
         })
     }
 
+    /// Time from the end of the grace period until a process is killed.
+    pub(super) fn kill_delay(self) -> Duration {
+        Duration::from_secs(match self {
+            Self::Faults => 1,
+            Self::PlannedStops => 0,
+        })
+    }
+
     /// Time limit of a request, of its caller and of its route.
     pub(super) fn request_timeout(self) -> Duration {
         Duration::from_secs(match self {
@@ -56,8 +66,27 @@
         Duration::from_millis(rng.u64(if is_long { 200..3500 } else { 10..40 }))
     }
 
+    /// Returns a random request.
+    pub(super) fn request(self, kind: Kind, rng: &mut Rng) -> Request {
+        let work = self.work(kind, rng);
+        let is_planned = self == Self::PlannedStops;
+        // A third of all requests.
+        let has_body = is_planned && kind != Kind::Retryable && rng.bool();
+        let reads_late = is_planned && rng.u32(..100) < 10;
+        Request {
+            kind,
+            work,
+            body: if has_body {
+                Body::random(rng)
+            } else {
+                Body::default()
+            },
+            reading_pause: Duration::from_millis(if reads_late { rng.u64(..1500) } else { 0 }),
+        }
+    }
+
     /// Time that an engine works on a request, without its pause.
-    pub(super) fn work(self, kind: Kind, rng: &mut Rng) -> Duration {
+    fn work(self, kind: Kind, rng: &mut Rng) -> Duration {
         let millis = match (self, kind) {
             (Self::Faults, Kind::Events) => 150,
             (Self::Faults, Kind::Once | Kind::Retryable) => 8,
@@ -71,9 +100,15 @@
     }
 
     /// A pause of an engine within a request.
-    pub(super) fn pause(self, rng: &mut Rng) -> Option<Pause> {
-        let has_pause = self == Self::PlannedStops && rng.u32(..100) < 40;
-        has_pause.then(|| Pause::random(rng))
+    pub(super) fn pause(self, health: Health, rng: &mut Rng) -> Option<Pause> {
+        match health {
+            Health::Silent => Some(Pause::long(rng)),
+            Health::Cold => Some(Pause::at_start(rng)),
+            Health::Sound | Health::Breaking => {
+                let has_pause = self == Self::PlannedStops && rng.u32(..100) < 40;
+                has_pause.then(|| Pause::random(rng))
+            }
+        }
     }
 
     /// Time until the next fault.
