A stream stays at its silent upstream until another one has taken it

What callers saw: a stream that had begun was reset at the exit of its entry, with no engine at work on it, though its engine had only been silent and would have gone on.

Cause: the stream left its silent upstream as soon as another one looked free. Such a view is some hundred ms old: the other one may reject the request, and then nothing works on it until a slot is free or the entry ends.

Change: a begun stream is offered to the other upstream while its own attempt stays open (Router::offer). A rejection within 200 ms leaves it where it is, and the other one may be asked again after half a second; otherwise the silent upstream is left and its connection closed, well within the 400 ms in which two engines may work on one request.

Two new decision tests: the rejection, and the slots while a request is offered. Requests without a first event still leave at once: at the exit they get a whole answer (502).

--- a/crates/comfreyroad_proxy/src/front/attempt.rs
+++ b/crates/comfreyroad_proxy/src/front/attempt.rs
@@ -180,14 +180,19 @@
     }
 }
 
-/// Handles a fault of an attempt. If the upstream is only silent, and no other one can take over, the attempt goes on; then the time
+/// Whether the upstream may still answer in time.
+pub(super) fn is_only_silent(call: &Call, fault: Fault) -> bool {
+    fault.is_silence() && call.request.stage().plan().deadline > Instant::now()
+}
+
+/// Handles a fault of an attempt before its first event. If the upstream is only silent, and no other one can take over, the attempt goes on; then the time
 /// is returned at which another one is looked for again.
 pub(super) fn on_fault(
     shared: &Rc<Shared>,
     call: Call,
     fault: Fault,
 ) -> Result<(Call, Instant), Failure> {
-    if !fault.is_silence() || call.request.stage().plan().deadline <= Instant::now() {
+    if !is_only_silent(&call, fault) {
         return Err(fail(shared, call, fault));
     }
     let request = call.end();
--- a/crates/comfreyroad_proxy/src/front/stream.rs
+++ b/crates/comfreyroad_proxy/src/front/stream.rs
@@ -9,7 +9,9 @@
 use comfreyroad_router::Refusal;
 use comfreyroad_router::answer::Completion;
 use comfreyroad_router::answer::Fault;
+use comfreyroad_router::request::Returned;
 use comfreyroad_wire::sse::Event;
+use compio::time::timeout_at;
 use futures_util::future::{Abortable, Either, select};
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Response, StatusCode};
@@ -161,23 +163,67 @@
         mut events: Events,
     ) -> Result<(Call, Events, Option<Event>), Stop> {
         let mut silent_at = self.next_event_deadline(&call);
-        let failure = loop {
+        let answer = loop {
             let fault = match self.until_caller_gone(events.next(silent_at)).await? {
                 Ok(next) => return Ok((call, events, next)),
                 Err(fault) => fault,
             };
-            match attempt::on_fault(&self.shared, call, fault) {
-                Ok(waiting) => (call, silent_at) = waiting,
-                Err(failure) => break failure,
+            if !attempt::is_only_silent(&call, fault) {
+                break Err(attempt::fail(&self.shared, call, fault));
+            }
+            let offered = self
+                .shared
+                .with_router(|router, now| router.offer(now, &mut call.request));
+            let Some(offered) = offered else {
+                silent_at = self.next_search(&call);
+                continue;
+            };
+            let mut attempt = pin!(attempt::send(&self.shared, &self.caller, offered));
+            let decided_at = self.shared.router.borrow().offer_deadline(clock::now());
+            let decided = timeout_at(decided_at, attempt.as_mut());
+            match self.until_caller_gone(decided).await? {
+                Ok(Err(Failure::Retry(declined))) => {
+                    self.stay(&mut call, declined);
+                    silent_at = self.next_search(&call);
+                    continue;
+                }
+                Ok(answer) => {
+                    self.leave(call, events, fault);
+                    break answer;
+                }
+                Err(_) => {
+                    self.leave(call, events, fault);
+                    break self.until_caller_gone(attempt).await?;
+                }
             }
         };
-        // Closes the connection, so that this upstream stops before another one goes on.
-        drop(events);
-        let resumed = self.until_caller_gone(self.resume(failure)).await?;
+        let resumed = self.until_caller_gone(self.resume(answer)).await?;
         let started = resumed.map_err(Stop::Broken)?;
         Ok((started.call, started.events, started.first))
     }
 
+    /// Stays at a silent upstream, as the one to which the request was offered has not taken it.
+    fn stay(&self, call: &mut Call, declined: Returned) {
+        self.shared
+            .with_router(|router, now| router.on_declined(now, &mut call.request, declined));
+        let upstream = &call.request.stage().slot.upstream;
+        self.caller.registration.record_upstream(upstream);
+    }
+
+    /// Leaves a silent upstream. Closing its connection makes it stop.
+    fn leave(&self, call: Call, events: Events, fault: Fault) {
+        drop(events);
+        let request = call.end();
+        self.shared
+            .with_router(|router, now| router.on_left(now, &request, fault));
+    }
+
+    /// When another upstream is looked for again.
+    fn next_search(&self, call: &Call) -> Instant {
+        let router = self.shared.router.borrow();
+        router.next_search(clock::now(), &call.request)
+    }
+
     /// When the upstream counts as silent if the next event has not arrived.
     fn next_event_deadline(&self, call: &Call) -> Instant {
         let router = self.shared.router.borrow();
@@ -203,12 +249,14 @@
         }
     }
 
-    /// Resumes the stream after the last delivered event.
-    async fn resume(&self, mut failure: Failure) -> Result<Stream, Refusal> {
+    /// Resumes the stream after the last delivered event, with the answer of the next attempt or after its failure.
+    async fn resume(
+        &self,
+        mut answer: Result<attempt::Response, Failure>,
+    ) -> Result<Stream, Refusal> {
         let shared = &self.shared;
         loop {
-            let placed = attempt::place_again(shared, failure).await?;
-            failure = match attempt::send(shared, &self.caller, placed).await {
+            let failure = match answer {
                 Ok(response) if Format::of(&response.parts) == self.format => {
                     match start(shared, response).await {
                         Ok(started) => {
@@ -222,6 +270,8 @@
                 Ok(response) => attempt::fail(shared, response.call, Fault::Failed),
                 Err(failure) => failure,
             };
+            let placed = attempt::place_again(shared, failure).await?;
+            answer = attempt::send(shared, &self.caller, placed).await;
         }
     }
 
--- a/crates/comfreyroad_router/src/filter/hand_over.rs
+++ b/crates/comfreyroad_router/src/filter/hand_over.rs
@@ -10,7 +10,7 @@
 use crate::request::{Request, Sent};
 use crate::upstream::Slot;
 
-/// A slot at an upstream that the request has not tried; `None` if none can take it now.
+/// A slot at an upstream that the request has not tried, or to which it may go back; `None` if none can take it now.
 pub(crate) fn find_slot(
     request: &Request<Sent>,
     now: Instant,
@@ -32,9 +32,15 @@
     if !may_move {
         return None;
     }
+    let may_return = plan.has_progress() && plan.returns_at.is_some_and(|at| at <= now);
+    let excluded = if may_return {
+        std::slice::from_ref(&request.stage().slot.upstream)
+    } else {
+        &plan.tried_upstreams
+    };
     let scope = Scope {
+        excluded,
         is_optional: true,
-        ..Scope::untried(plan)
     };
     place::acquire_slot(head, plan, scope, now, state)
 }
--- a/crates/comfreyroad_router/src/request/sent.rs
+++ b/crates/comfreyroad_router/src/request/sent.rs
@@ -1,7 +1,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use super::{Head, Origin, Plan, Planned, Rejection, Request, Retrying, Stage};
+use super::{Head, Origin, Placed, Plan, Planned, Rejection, Request, Retrying, Stage};
 use crate::controller::shares::Hold;
 use crate::id::{EventId, VersionId};
 use crate::upstream::Slot;
@@ -64,6 +64,15 @@
     }
 }
 
+impl Returned {
+    fn into_plan(self) -> Plan {
+        match self {
+            Self::Planned(request) => request.stage.plan,
+            Self::Retrying(request) => request.stage.plan,
+        }
+    }
+}
+
 impl Request<Sent> {
     /// Records that the first event of the answer has arrived.
     pub(crate) fn record_start(&mut self) {
@@ -107,6 +116,29 @@
         Ok(request)
     }
 
+    /// The request as it is offered to another upstream, while this attempt goes on.
+    pub(crate) fn offer(&self, slot: Slot) -> Request<Placed> {
+        let mut plan = self.stage.plan().clone();
+        plan.has_failed = true;
+        plan.has_moved = true;
+        Request {
+            head: Rc::clone(&self.head),
+            stage: Placed {
+                origin: Origin::Retrying(plan),
+                slot,
+            },
+        }
+    }
+
+    /// Stays at this upstream, as the one to which the request was offered has not taken it.
+    pub(crate) fn stay(&mut self, declined: Returned) {
+        let declined = declined.into_plan();
+        let plan = self.stage.origin.plan_mut();
+        plan.tried_upstreams = declined.tried_upstreams;
+        plan.returns_at = declined.returns_at;
+        plan.runs = declined.runs;
+    }
+
     /// Leaves a silent upstream for another one.
     pub(crate) fn leave(self) -> Result<Request<Retrying>, Self> {
         let mut request = self.fail()?;
--- a/crates/comfreyroad_router/src/router/attempts.rs
+++ b/crates/comfreyroad_router/src/router/attempts.rs
@@ -42,18 +42,44 @@
             self.record_failure(now, &request, fault);
             return Ok(request.leave()?.with_slot(slot));
         }
-        if request.record_silence() {
-            let slot = &request.stage().slot;
-            let note = Note::new(&note::UPSTREAM_SILENT).with("request", &request.head().id);
-            let note = note.with("upstream", &slot.upstream);
-            self.out
-                .note(note.with("started", request.stage().has_started));
-            let upstreams = &mut self.state.upstreams;
-            upstreams.on_failure(now.instant, slot, &mut self.out);
-        }
+        self.record_silence(now, &mut request);
         Err(request)
     }
 
+    /// Offers a request whose upstream is silent to another one. The attempt goes on meanwhile: an upstream that looks free may still
+    /// reject the request. `None` if no other upstream can take it now.
+    pub fn offer(&mut self, now: Now, request: &mut Request<Sent>) -> Option<Request<Placed>> {
+        let Some(slot) = hand_over::find_slot(request, now.instant, &mut self.state) else {
+            self.record_silence(now, request);
+            return None;
+        };
+        Some(request.offer(slot))
+    }
+
+    /// Handles that the upstream to which a request was offered has not taken it.
+    pub fn on_declined(&mut self, now: Now, request: &mut Request<Sent>, declined: Returned) {
+        self.record_silence(now, request);
+        request.stay(declined);
+    }
+
+    /// Handles that a silent upstream is left, as another one takes its request.
+    pub fn on_left(&mut self, now: Now, request: &Request<Sent>, fault: Fault) {
+        self.record_failure(now, request, fault);
+    }
+
+    fn record_silence(&mut self, now: Now, request: &mut Request<Sent>) {
+        if !request.record_silence() {
+            return;
+        }
+        let slot = &request.stage().slot;
+        let note = Note::new(&note::UPSTREAM_SILENT).with("request", &request.head().id);
+        let note = note.with("upstream", &slot.upstream);
+        self.out
+            .note(note.with("started", request.stage().has_started));
+        let upstreams = &mut self.state.upstreams;
+        upstreams.on_failure(now.instant, slot, &mut self.out);
+    }
+
     /// Handles a failed attempt that the upstream may have run.
     pub fn on_failed(
         &mut self,
--- a/crates/comfreyroad_router/src/router/deadlines.rs
+++ b/crates/comfreyroad_router/src/router/deadlines.rs
@@ -19,6 +19,9 @@
 const LATER_ATTEMPT_DIVISOR: u32 = 2;
 /// Time for the next event of a stream before another upstream may resume it, as a factor of the maximum event gap.
 const NEXT_EVENT_FACTOR: f64 = 1.5;
+/// Time in which an upstream rejects a request that it does not take. Its work and that of the upstream before may overlap only for a
+/// moment.
+const REJECTION_TIME: Duration = Duration::from_millis(200);
 /// Interval at which another upstream is looked for while the present one is silent.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -57,6 +60,11 @@
         }
     }
 
+    /// Until when a silent upstream is kept while the request is offered to another one.
+    pub fn offer_deadline(&self, now: Now) -> Instant {
+        now.instant + REJECTION_TIME
+    }
+
     /// When another upstream is looked for again, after none could take over.
     pub fn next_search(&self, now: Now, request: &Request<Sent>) -> Instant {
         let deadline = request.stage().plan().deadline;
--- a/crates/comfreyroad_router/tests/decisions/hand_over.rs
+++ b/crates/comfreyroad_router/tests/decisions/hand_over.rs
@@ -287,3 +287,51 @@
     let verdict = rig.router.judge_answer(rig.now, &sent, &answer);
     assert_eq!(verdict, Verdict::Forward);
 }
+
+/// A stream left its silent upstream for one that rejected it, and had none.
+#[test]
+fn a_stream_stays_at_its_silent_upstream_until_another_one_has_taken_it() {
+    let mut rig = Rig::serving("e1");
+    let mut stream = send(&mut rig, "stream", "r");
+    rig.router.on_first_event(rig.now, &mut stream);
+    rig.router.on_event_delivered(&mut stream, 1);
+    let upstream = stream.stage().slot.upstream.clone();
+    let offered = rig
+        .router
+        .offer(rig.now, &mut stream)
+        .expect("another upstream");
+    assert_eq!(&*offered.stage().slot.upstream, other(&upstream));
+    assert_eq!(offered.stage().origin.plan().last_event_id, Some(1));
+    let sent = rig.router.send(rig.now, offered);
+    let declined = rig.router.on_rejected(rig.now, sent, Rejection::Full);
+    rig.router.on_declined(rig.now, &mut stream, declined);
+    assert_eq!(stream.stage().slot.upstream, upstream);
+    assert_eq!(stream.stage().plan().runs, 1);
+    // The other one is not asked again at once, but later.
+    assert!(rig.router.offer(rig.now, &mut stream).is_none());
+    rig.run_for(600 * MS);
+    let offered = rig.router.offer(rig.now, &mut stream);
+    assert_eq!(&*offered.unwrap().stage().slot.upstream, other(&upstream));
+}
+
+#[test]
+fn a_request_has_one_slot_more_only_while_it_is_offered() {
+    let mut rig = Rig::serving("e1");
+    let open = |rig: &Rig| -> u32 {
+        let upstreams = rig.router.state().upstreams.all();
+        upstreams.map(|it| it.open_requests()).sum()
+    };
+    let mut stream = send(&mut rig, "stream", "r");
+    rig.router.on_first_event(rig.now, &mut stream);
+    rig.router.on_event_delivered(&mut stream, 1);
+    let offered = rig
+        .router
+        .offer(rig.now, &mut stream)
+        .expect("another upstream");
+    let taken = rig.router.send(rig.now, offered);
+    assert_eq!(open(&rig), 2);
+    rig.router.on_left(rig.now, &stream, Fault::Stalled);
+    drop(stream);
+    assert_eq!(open(&rig), 1);
+    assert_eq!(taken.stage().plan().runs, 2);
+}
