Soak: entries may rest up to 0.9 s, and a run says what it has tested

Cause: rests of up to 80 ms delay no signal for long; the record may come from entries that handle theirs late.

Change: half of the starved entries rest for 0.3 to 0.9 s at a time, shorter than a freeze; what has time bounds besides cuts isn't checked of them meanwhile, as around stops. Each run prints how many requests it had with a body, not sent whole, cut, and read without an answer.

--- a/crates/comfreyroad_proxy/tests/soak/cluster.rs
+++ b/crates/comfreyroad_proxy/tests/soak/cluster.rs
@@ -138,12 +138,7 @@
             lifetimes,
             scenario: self.scenario,
         };
-        let served = observations.outcomes.iter().filter(|it| it.status() == 200);
-        println!(
-            "{} of {} served",
-            served.count(),
-            observations.outcomes.len()
-        );
+        println!("{}", observations.summary());
         self.violations.extend(observations.violations());
         if self.violations.is_empty() {
             let _ = std::fs::remove_dir_all(&self.folder);
@@ -280,6 +275,10 @@
             }
             Fault::Starve(number, duty, duration) => {
                 if self.may_signal(number) {
+                    if duty.has_long_rests() {
+                        self.disturbances
+                            .add_planned(Scope::Entry(number), duration);
+                    }
                     self.entries[number].starve(duty, Instant::now() + duration);
                 }
             }
--- a/crates/comfreyroad_proxy/tests/soak/fault.rs
+++ b/crates/comfreyroad_proxy/tests/soak/fault.rs
@@ -81,11 +81,7 @@
                 let health = [Health::Breaking, Health::Silent, Health::Cold][rng.usize(..3)];
                 Self::Weaken(engine, health, duration)
             }
-            118.. => {
-                let runs = Duration::from_millis(rng.u64(20..50));
-                let rests = Duration::from_millis(100) - runs;
-                Self::Starve(entry, Duty { runs, rests }, duration)
-            }
+            118.. => Self::Starve(entry, Duty::random(rng), duration),
             0..30 => {
                 let interval = Duration::from_millis([0, rng.u64(1..3000)][rng.usize(..2)]);
                 let signals = Signals::random(rng, 1);
--- a/crates/comfreyroad_proxy/tests/soak/invariants.rs
+++ b/crates/comfreyroad_proxy/tests/soak/invariants.rs
@@ -55,6 +55,23 @@
         violations
     }
 
+    /// Counts of requests, so that a run that tests little is noticed.
+    pub(super) fn summary(&self) -> String {
+        let count = |is_counted: &dyn Fn(&Outcome) -> bool| {
+            let counted = self.outcomes.iter().filter(|it| is_counted(it));
+            counted.count()
+        };
+        format!(
+            "{} of {} served, {} with a body, {} not sent whole, {} cut, {} read and not answered",
+            count(&|it| it.status() == 200 && it.is_complete()),
+            self.outcomes.len(),
+            count(&|it| !it.body.is_empty()),
+            count(&|it| it.sent.is_none()),
+            count(&|it| it.status() != 0 && !it.is_complete()),
+            count(&|it| it.is_read && it.status() == 0),
+        )
+    }
+
     fn check_outcome(&self, outcome: &Outcome, runs: &[&Run]) -> Option<String> {
         let id = &outcome.id;
         let violation = |what: &str| Some(format!("{id} at e{}: {what}", outcome.entry));
--- a/crates/comfreyroad_proxy/tests/soak/starvation.rs
+++ b/crates/comfreyroad_proxy/tests/soak/starvation.rs
@@ -5,8 +5,11 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
+use fastrand::Rng;
 use rustix::process::{Pid, PidfdFlags, Signal, pidfd_open, pidfd_send_signal};
 
+use super::caller::SLACK;
+
 /// Cycle of running and not running.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct Duty {
@@ -14,6 +17,27 @@
     pub(super) rests: Duration,
 }
 
+impl Duty {
+    /// Returns a random cycle: many short rests, or fewer ones that are shorter than a freeze.
+    pub(super) fn random(rng: &mut Rng) -> Self {
+        let (runs, rests) = if rng.bool() {
+            let runs = rng.u64(20..50);
+            (runs, 100 - runs)
+        } else {
+            (rng.u64(50..300), rng.u64(300..900))
+        };
+        Self {
+            runs: Duration::from_millis(runs),
+            rests: Duration::from_millis(rests),
+        }
+    }
+
+    /// Whether a process may rest for longer than the invariants with time bounds allow for.
+    pub(super) fn has_long_rests(self) -> bool {
+        self.rests > SLACK
+    }
+}
+
 /// Stops and continues a process again and again until dropped. The process then runs.
 #[derive(Debug)]
 pub(super) struct Starvation {
