Failing test: an entry that rested before its shutdown exits before the last sixth of its grace

Cause: since a shutdown counts from the tick before the last one, at most 1 s before its signal is handled. Where the entry got no processor before its signal, that is up to 1 s too early.

--- a/crates/comfreyroad_proxy/tests/process/stops.rs
+++ b/crates/comfreyroad_proxy/tests/process/stops.rs
@@ -188,6 +188,27 @@
     assert!(env.wait_for_exit().success());
 }
 
+/// An entry that had got no processor before its signal counted that time as well, and cut answers long before its grace period ended.
+#[test]
+fn an_entry_that_rested_before_its_shutdown_cuts_no_answer_before_the_last_sixth_of_its_grace() {
+    let mut env = Environment::start_logged(&["i-1"]);
+    env.signal("-STOP");
+    std::thread::sleep(Duration::from_millis(950));
+    env.signal("-TERM");
+    let signalled_at = Instant::now();
+    env.signal("-CONT");
+    let mut stream = open(&env, "early", "/events/every-700/stream");
+    let answer = http::read_message(&mut stream).expect("the head of an answer");
+    let ended_after = signalled_at.elapsed();
+    let lines = env.log_lines("E1003");
+    let last_sixth = Duration::from_secs(6) * 5 / 6;
+    assert!(
+        answer.is_complete || ended_after >= last_sixth,
+        "{ended_after:?}, {lines:?}"
+    );
+    assert!(env.wait_for_exit().success());
+}
+
 /// Streams cut at the end of a shutdown were logged as if their callers had disconnected, and the process as idle.
 #[test]
 fn answers_cut_at_the_exit_deadline_are_logged_with_their_requests() {
