A shutdown that may have been signalled late cuts no answer before the last part of its grace

What callers saw: an entry that got no processor for 0.95 s before its SIGTERM cut a running stream 4.73 s after the signal, with a grace of 6 s. The rule excuses a cut only in the last sixth of the grace, from 5 s on.

Cause: since a shutdown counts from the earliest time at which its signal may have been sent, up to 1 s before it is handled, so that a late signal doesn't outlast the supervisor's kill. The signal may as well have come at the end of that time, and then the exit comes 1.3 s before the end of the grace, which is more than a sixth of any grace under 7.8 s. With the 8 s of all deployments 33 ms are left.

Change: the delay that is assumed is at most a sixth of the drain timeout less the margin of the exit, so that the exit falls into the last sixth whenever the signal came. With 8 s it stays 1 s.

--- a/crates/comfreyroad_router/src/controller/lifecycle.rs
+++ b/crates/comfreyroad_router/src/controller/lifecycle.rs
@@ -15,6 +15,8 @@
 /// Time for which a signal may have waited while the process got no processor. A longer pause is a suspension of the VM, in which
 /// the supervisor's clock stood still as well, or its signal came as likely at the end.
 const MAX_SIGNAL_DELAY: Duration = Duration::from_millis(1000);
+/// Fraction (1/6) of the drain timeout at its end in which the exit may cut answers, however late the signal was handled.
+const LAST_PART_DIVISOR: u32 = 6;
 /// Part of the drain timeout that is reserved for the exit of the process.
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
 /// Time after the start within which the first configuration normally arrives, as the store answers in milliseconds.
@@ -186,10 +188,13 @@
 
     /// The earliest time at which a shutdown that is handled now may have been requested. A signal waits while the process gets
     /// no processor, and the supervisor counts from its sending. The tick before the last one is certainly older than the signal:
-    /// after a delay, the last tick may be handled before the signal.
+    /// after a delay, the last tick may be handled before the signal. The signal may as well have come at the end of the delay, so
+    /// no longer one is assumed than brings the exit to the last part of the drain timeout.
     fn earliest_request(&self, now: Instant) -> Instant {
         let ticked_at = self.ticks.iter().flatten().copied().next();
-        let earliest = now.checked_sub(MAX_SIGNAL_DELAY).unwrap_or(now);
+        let last_part = self.drain_timeout / LAST_PART_DIVISOR;
+        let max_delay = MAX_SIGNAL_DELAY.min(last_part.saturating_sub(EXIT_MARGIN));
+        let earliest = now.checked_sub(max_delay).unwrap_or(now);
         ticked_at.unwrap_or(now).max(earliest)
     }
 }
