Soak: longer answers and more callers around planned stops, and engines that send a rejection twice

Cause: few answers of a run lasted beyond an exit, and nothing played a server that writes an earlier rejection once more on a kept connection, which is the one known way to REFUSED.

Change: 64 callers in place of 32, a tenth of the answers takes 6 to 10 s, and an engine that breaks off its responses also rejects a fifth of its requests and sends the rejection again up to 0.3 s later, without the id.

--- a/crates/comfreyroad_proxy/tests/soak/engine.rs
+++ b/crates/comfreyroad_proxy/tests/soak/engine.rs
@@ -208,9 +208,10 @@
             (state.rng.u32(..1000), pause, health)
         };
         let pause = pause.filter(|_| id != PROBE_ID);
-        if sample < 10 {
-            let rejection = "X-Comfreyroad-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
-            return send(stream, &head(&id, "503 X", rejection));
+        if sample < 10 || health == Health::Breaking && sample >= 800 {
+            let rest = "X-Comfreyroad-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+            let rejection = head(&id, "503 X", rest);
+            return send(stream, &rejection) && self.send_copy(stream, &rejection);
         }
         let run = Run {
             id,
@@ -236,6 +237,23 @@
         let breaks_off = sample < 20 || health == Health::Breaking && sample < 500;
         Work::new(self, stream, index, pause, breaks_off).respond(request)
     }
+
+    /// A faulty engine sends each rejection once more, late and without the id of its request. Returns whether the connection
+    /// stays open.
+    fn send_copy(&self, stream: &mut TcpStream, rejection: &str) -> bool {
+        let delay = {
+            let mut state = self.state.lock().unwrap();
+            if state.health != Health::Breaking {
+                return true;
+            }
+            Duration::from_millis(state.rng.u64(..300))
+        };
+        std::thread::sleep(delay);
+        send(
+            stream,
+            &rejection.replace("X-Comfreyroad-Request-Id", "X-Other"),
+        )
+    }
 }
 
 /// Text of an event in the stream of a request.
--- a/crates/comfreyroad_proxy/tests/soak/health.rs
+++ b/crates/comfreyroad_proxy/tests/soak/health.rs
@@ -5,7 +5,7 @@
 pub(super) enum Health {
     #[default]
     Sound,
-    /// Breaks off half of its responses.
+    /// Breaks off half of its responses, and sends its rejections twice.
     Breaking,
     /// Begins late, or pauses in the middle.
     Silent,
--- a/crates/comfreyroad_proxy/tests/soak/scenario.rs
+++ b/crates/comfreyroad_proxy/tests/soak/scenario.rs
@@ -56,7 +56,7 @@
     pub(super) fn callers(self) -> u64 {
         match self {
             Self::Faults => 8,
-            Self::PlannedStops => 32,
+            Self::PlannedStops => 64,
         }
     }
 
@@ -93,7 +93,8 @@
             (Self::PlannedStops, _) => match rng.u32(..100) {
                 0..40 => rng.u64(10..400),
                 40..70 => rng.u64(400..3000),
-                _ => rng.u64(3000..6000),
+                70..90 => rng.u64(3000..6000),
+                _ => rng.u64(6000..10_000),
             },
         };
         Duration::from_millis(millis)
