Failing tests: the connection of an unusable answer is kept

Cause: an answer whose head can't be one to the request under way (no id, or another one's) is given up (E1503 broken or crossed), but if it has no body, the connection counts as read to the end and returns to the pool (client::recycle). The engine still works on the request, for nobody, and also while a second engine does (TWICE). The next request on the connection gets the answer to the one before.

--- a/crates/comfreyroad_proxy/tests/process/engine.rs
+++ b/crates/comfreyroad_proxy/tests/process/engine.rs
@@ -107,6 +107,7 @@
                 let copy = refusal(&id).replace("X-Comfreyroad-Request-Id", "X-Other");
                 return refuse_twice(stream, &id, &copy);
             }
+            "refused-again-late" => return self.refuse_again_later(stream, &refusal(&id)),
             "unconfirmed" => head("503 X", "Content-Length: 0\r\n\r\n"),
             "failed" => head("500 X", "Content-Length: 4\r\n\r\noops"),
             "closed" => return false,
@@ -141,6 +142,19 @@
         stream.get_mut().write_all(response.as_bytes()).is_ok()
     }
 
+    /// Sends a rejection, and a copy of it without an id in front of the answer to the next request.
+    fn refuse_again_later(&self, stream: &mut BufReader<TcpStream>, refusal: &str) -> bool {
+        if stream.get_mut().write_all(refusal.as_bytes()).is_err() {
+            return false;
+        }
+        let Some(next) = http::read_message(stream) else {
+            return false;
+        };
+        self.state.lock().unwrap().requests.push(next.clone());
+        let copy = refusal.replace("X-Comfreyroad-Request-Id", "X-Other");
+        stream.get_mut().write_all(copy.as_bytes()).is_ok() && self.respond(stream, &next, 1)
+    }
+
     /// Sends ten events, by default one every 20 ms; `every-MS` in the path sets another interval, and with `pauses-MS` each
     /// attempt pauses once after its third event. Breaks off inside the fifth event on the first attempt if the path contains `breaks`, on every
     /// attempt if it contains `always`. If the path contains `unframed`, the stream has neither a length nor chunks and ends with
--- a/crates/comfreyroad_proxy/tests/process/responses.rs
+++ b/crates/comfreyroad_proxy/tests/process/responses.rs
@@ -1,4 +1,5 @@
 use std::io::Write;
+use std::time::{Duration, Instant};
 
 use super::environment::{Environment, request_text};
 use super::http;
@@ -113,7 +114,7 @@
     for path in ["refused-again", "refused-again-unnamed"] {
         for round in 0..40 {
             env.request("POST", &format!("/once/{path}"), "");
-            std::thread::sleep(std::time::Duration::from_millis(round % 4));
+            std::thread::sleep(Duration::from_millis(round % 4));
             let text = request_text("POST", "/once/ok", "");
             let id = text
                 .lines()
@@ -132,6 +133,33 @@
     }
 }
 
+/// The connection of an unusable answer was kept, so that the engine worked on after its request had been given up.
+#[test]
+fn an_answer_without_the_id_of_its_request_ends_the_work_on_it() {
+    let env = Environment::start_logged(&["i-1"]);
+    env.request("POST", "/once/refused-again-late", "");
+    let response = env.request("GET", "/again/hang", "");
+    assert_eq!(response.status(), 502);
+    let given_up_at = Instant::now();
+    env.wait_for("cancellation", |env| env.engine.cancelled() == 1);
+    assert!(given_up_at.elapsed() < Duration::from_secs(1));
+}
+
+/// The next request on such a connection got the answer to the one before, and failed though its engine was sound.
+#[test]
+fn an_answer_without_the_id_of_its_request_leaves_the_next_one_alone() {
+    let env = Environment::start_logged(&["i-1"]);
+    env.request("POST", "/once/refused-again-late", "");
+    env.request("POST", "/once/slow", "");
+    let response = env.request("POST", "/once/ok", "");
+    let lines = env.log_lines("E1503");
+    assert_eq!(
+        (response.status(), response.text()),
+        (200, "ok".into()),
+        "{lines:#?}"
+    );
+}
+
 #[test]
 fn response_without_length_ends_with_the_connection() {
     let env = Environment::start_configured();
