A connection to an upstream is used again only after an answer to its request

What callers saw: a request failed with 502 although its engine was sound, and the one after it on the same connection got the answer to the one before; meanwhile the engine worked on a request that had been given up, also while another engine worked on it (TWICE).

Cause: a response whose head doesn't name the request under way (an engine wrote an earlier rejection again) is given up, but if it has no body, its connection counts as read to the end and returns to the pool. The real answer is still to come on it. The class: whether a connection is free was decided by the framing of the message alone, before anyone had judged whose answer it is.

Change: each response carries client::Reuse, and the router's daemon forbids it unless the response has the id of its request. The connection then closes, which also cancels the work.

A request that is sent on costs a new connection where the one before was answered without its id.

--- a/crates/comfreyroad_net/src/client/connection.rs
+++ b/crates/comfreyroad_net/src/client/connection.rs
@@ -7,7 +7,7 @@
     client::conn::{TrySendError, http1},
 };
 
-use super::{error::Cause, limits::Limits};
+use super::{error::Cause, limits::Limits, reuse::Reuse};
 use crate::{
     body::Body,
     stream::{Handle, READ_BYTES, Stream},
@@ -18,6 +18,7 @@
     sender: http1::SendRequest<Body>,
     handle: Handle,
     max_header_bytes: usize,
+    reuse: Reuse,
     // Dropping the handle cancels the task, which closes the stream.
     _task: JoinHandle<()>,
 }
@@ -40,6 +41,7 @@
             sender,
             handle,
             max_header_bytes: limits.max_header_bytes,
+            reuse: Reuse::default(),
             _task: task,
         })
     }
@@ -65,8 +67,13 @@
         self.sender.ready().await
     }
 
+    /// Whether the connection is open and may be used again.
     pub(super) fn is_open(&self) -> bool {
-        !self.sender.is_closed()
+        !self.sender.is_closed() && self.reuse.is_allowed()
+    }
+
+    pub(super) fn reuse(&self) -> Reuse {
+        self.reuse.clone()
     }
 
     /// Whether the sender of a request body reset the connection.
--- a/crates/comfreyroad_net/src/client/mod.rs
+++ b/crates/comfreyroad_net/src/client/mod.rs
@@ -8,6 +8,7 @@
 mod limits;
 mod pool;
 mod reader;
+mod reuse;
 mod timer;
 
 use std::{
@@ -32,6 +33,7 @@
 pub use error::{Cause, Error, Sent, Step};
 pub use limits::Limits;
 pub use reader::{Reader, read_all};
+pub use reuse::Reuse;
 
 pub(crate) use json::{get, parse, parse_body, post, retry_after};
 
@@ -63,7 +65,7 @@
 
     /// Sends a request and waits until `deadline` for the head of the response.
     ///
-    /// The request's URI consists of path and query only; the `host` header is added. hyper omits a streamed body of
+    /// The response has [`Reuse`] among its extensions. The request's URI consists of path and query only; the `host` header is added. hyper omits a streamed body of
     /// `GET`, `HEAD` and `CONNECT` unless the request has a `content-length` or `transfer-encoding`. Dropping the
     /// future, or later the response body before its end, closes the connection.
     pub async fn call(
@@ -124,7 +126,8 @@
     ) -> Result<Response<Incoming>, Failure> {
         let before = connection.bytes_written();
         let (cause, unsent) = match timeout_at(deadline, connection.send(request)).await {
-            Ok(Ok(response)) => {
+            Ok(Ok(mut response)) => {
+                response.extensions_mut().insert(connection.reuse());
                 self.recycle(peer, connection, keep_alive(response.headers()));
                 return Ok(response);
             }
@@ -157,7 +160,9 @@
             let Ok(()) = connection.ready().await else {
                 return;
             };
-            if let Some(pool) = pool.upgrade() {
+            if let Some(pool) = pool.upgrade()
+                && connection.is_open()
+            {
                 Pool::put(&pool, address, connection, idle);
             }
         };
--- a/crates/comfreyroad_proxy/src/front/attempt.rs
+++ b/crates/comfreyroad_proxy/src/front/attempt.rs
@@ -6,7 +6,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use comfreyroad_net::client::{Deadlines, Reader, Sent as PeerSaw};
+use comfreyroad_net::client::{Deadlines, Reader, Reuse, Sent as PeerSaw};
 use comfreyroad_platform as platform;
 use comfreyroad_router::answer::{Fault, Verdict};
 use comfreyroad_router::filter::place::Backpressure;
@@ -152,6 +152,12 @@
 ) -> Result<Response, Failure> {
     let (parts, body) = response.into_parts();
     let head = platform::response::decode(&parts, Instant::now());
+    if head.request_id.as_ref() != Some(&call.request.head().id)
+        && let Some(reuse) = parts.extensions.get::<Reuse>()
+    {
+        // The answer to this request may still come.
+        reuse.forbid();
+    }
     match shared.with_router(|router, now| router.judge_answer(now, &call.request, &head)) {
         Verdict::Rejected(rejection) => Err(reject(shared, call, rejection)),
         Verdict::LowConfidence => Err(step_up(shared, call)),
