Failing test: an answer is cut if its caller reads nothing for 3 s

Cause: connections of callers have the TCP user timeout of those to engines (3 s). It also counts while the peer acknowledges but takes no data, so that a caller that is slow to read loses an answer that is complete for the entry.

--- a/crates/comfreyroad_proxy/tests/process/engine.rs
+++ b/crates/comfreyroad_proxy/tests/process/engine.rs
@@ -107,6 +107,7 @@
                 let copy = refusal(&id).replace("X-Comfreyroad-Request-Id", "X-Other");
                 return refuse_twice(stream, &id, &copy);
             }
+            "large" => large(head),
             "refused-again-late" => return self.refuse_again_later(stream, &refusal(&id)),
             "unconfirmed" => head("503 X", "Content-Length: 0\r\n\r\n"),
             "failed" => head("500 X", "Content-Length: 4\r\n\r\noops"),
@@ -237,6 +238,13 @@
     Some(Duration::from_millis(value.parse().unwrap()))
 }
 
+/// An answer that is longer than the buffers of a connection whose receiver reads nothing.
+fn large(head: impl Fn(&str, &str) -> String) -> String {
+    let body = "x".repeat(1_000_000);
+    let length = format!("Content-Length: {}\r\n\r\n", body.len());
+    head("200 OK", &length) + &body
+}
+
 /// The rejection of a request that has not run.
 fn refusal(id: &str) -> String {
     format!(
--- a/crates/comfreyroad_proxy/tests/process/stops.rs
+++ b/crates/comfreyroad_proxy/tests/process/stops.rs
@@ -4,6 +4,8 @@
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
+use socket2::{Domain, Socket, Type};
+
 use super::environment::Environment;
 use super::http::{self, Message};
 
@@ -265,3 +267,19 @@
     assert_eq!(lines, 40);
     assert!(left_out[0].ends_with("count=5"), "{left_out:?}");
 }
+
+/// A caller that read nothing for some seconds, while its connection was full, lost a complete answer and the log said served.
+#[test]
+fn an_answer_whose_caller_reads_late_arrives_whole() {
+    let env = Environment::start_logged(&["i-1"]);
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.set_recv_buffer_size(4096).unwrap();
+    socket.connect(&env.front.into()).unwrap();
+    let mut stream = BufReader::new(TcpStream::from(socket));
+    env.signal("-TERM");
+    send(&mut stream, "late", "/once/large");
+    std::thread::sleep(Duration::from_millis(4500));
+    let answer = http::read_message(&mut stream).expect("an answer");
+    let lines = env.log_lines("request=late");
+    assert!(answer.is_complete, "{lines:#?}");
+}
