An answer isn't cut because its caller reads nothing for three seconds

Cause: accepted connections had the TCP user timeout of those to upstreams, 3 s, which finds dead peers. It also counts while the peer acknowledges but takes no data. The class: one bound for two purposes, of which only one was thought of.

Change: an accepted connection has a timeout of its own, 30 s, longer than callers wait; what is held for slow callers stays bounded by the memory of bodies.

The tests of comfreyroad_net and the 15 others of stops pass.

--- a/crates/comfreyroad_net/src/listener.rs
+++ b/crates/comfreyroad_net/src/listener.rs
@@ -97,7 +97,7 @@
         };
         socket.set_nonblocking(true)?;
         let peer = peer.as_socket().ok_or(io::ErrorKind::AddrNotAvailable)?;
-        Ok(Some((Stream::new(socket)?, peer)))
+        Ok(Some((Stream::accepted(socket)?, peer)))
     }
 }
 
--- a/crates/comfreyroad_net/src/stream.rs
+++ b/crates/comfreyroad_net/src/stream.rs
@@ -24,9 +24,11 @@
 /// Linux error number of a connect that is in progress; the standard library has no stable name for it.
 const EINPROGRESS: i32 = 115;
 
-/// Time after which a connection fails if the peer acknowledges no data. Retransmissions on a lossy link need at least
-/// this long.
-const USER_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time after which a connection that this side opened fails if the peer takes no data. Retransmissions on a lossy link need at
+/// least this long.
+const CONNECTED_USER_TIMEOUT: Duration = Duration::from_secs(3);
+/// The same for an accepted connection. A caller may read slowly; one that reads nothing for so long has given up.
+const ACCEPTED_USER_TIMEOUT: Duration = Duration::from_secs(30);
 
 thread_local! {
     // Reads of a thread never overlap, so all its streams share one buffer.
@@ -53,7 +55,7 @@
             Err(error) if is_in_progress(&error) => true,
             Err(error) => return Err(error),
         };
-        let stream = Self::new(socket)?;
+        let stream = Self::new(socket, CONNECTED_USER_TIMEOUT)?;
         if pending {
             stream.socket.write_ready().await?;
             if let Some(error) = stream.socket.take_error()? {
@@ -63,10 +65,14 @@
         Ok(stream)
     }
 
-    /// Wraps a connected, non-blocking socket.
-    pub(crate) fn new(socket: Socket) -> io::Result<Self> {
+    /// Wraps an accepted, non-blocking socket.
+    pub(crate) fn accepted(socket: Socket) -> io::Result<Self> {
+        Self::new(socket, ACCEPTED_USER_TIMEOUT)
+    }
+
+    fn new(socket: Socket, user_timeout: Duration) -> io::Result<Self> {
         socket.set_tcp_nodelay(true)?;
-        socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+        socket.set_tcp_user_timeout(Some(user_timeout))?;
         Ok(Self {
             socket: Rc::new(PollFd::new(socket)?),
             shared: Rc::default(),
