Soak: an attempt that arrives after its cancellation takes nothing over

Cause: check_handover orders runs by their arrival.

Change: such a run is not a takeover if the other one holds the request to the end of its answer. If the other one was left, and works on, it is still reported. Not weaker by the rule: the engine before is then the cancelled one, and it does no work.

--- a/crates/comfreyroad_proxy/tests/soak/engine.rs
+++ b/crates/comfreyroad_proxy/tests/soak/engine.rs
@@ -15,6 +15,8 @@
 
 /// Number of events in a stream.
 pub(super) const EVENTS: u64 = 10;
+/// Time in which an engine notices that a connection was closed before it received the request.
+const CANCELLATION_TIME: Duration = Duration::from_millis(20);
 /// Time for which a cold engine says that it will be cold.
 const COLD_TIME: Duration = Duration::from_secs(3);
 
@@ -57,6 +59,12 @@
         self.longest_silence = self.longest_silence.max(silence);
     }
 
+    /// Whether the connection was closed when the engine received the request.
+    pub(super) fn was_cancelled_on_arrival(&self) -> bool {
+        self.closed
+            .is_some_and(|closed| closed <= self.at + CANCELLATION_TIME)
+    }
+
     /// When the engine stopped to hold the request; `None` if it still does.
     pub(super) fn ended(&self) -> Option<Instant> {
         self.finished.or(self.closed)
--- a/crates/comfreyroad_proxy/tests/soak/invariants.rs
+++ b/crates/comfreyroad_proxy/tests/soak/invariants.rs
@@ -171,7 +171,10 @@
             let (Some(began), Some(worked)) = (next.began, first.last_worked) else {
                 return false;
             };
+            // A cancelled attempt may arrive after the one that took its place.
+            let holds_request = first.ended().is_none_or(|it| it + SLACK >= outcome.ended);
             first.at < next.at
+                && !(next.was_cancelled_on_arrival() && holds_request)
                 && worked > began + HANDOVER_TIMEOUT + SLACK
                 && self
                     .disturbances
