A begun stream stays at its silent upstream while its entry shuts down

What callers saw: a begun stream left an upstream that was only silent for one that rejected it after 300 ms, or said nothing at all, or it left the upstream at which it had been resumed before the first event there. The exit cut it with no upstream at work, though the one that it had left would have gone on.

An offer that isn't rejected within 200 ms counts as taken, and may not wait longer, as two upstreams may work on one request for 400 ms only; and a resumed stream doesn't offer, it leaves.

Change: once the entry shuts down, an answer of which the caller has a part leaves no upstream for its silence. A cut there is one that its upstream still works on. Before a shutdown there is time to go on elsewhere, and streams are offered as before.

--- a/crates/comfreyroad_proxy/tests/process/engine.rs
+++ b/crates/comfreyroad_proxy/tests/process/engine.rs
@@ -55,8 +55,10 @@
                 state.requests.iter().filter(same).count()
             };
             let rejects = request.path().contains("rejects-second") && attempt == 2
-                || request.path().contains("rejects-later") && attempt > 1;
+                || request.path().contains("rejects-later") && attempt > 1
+                || request.path().contains("rejects-third") && attempt > 2;
             if rejects {
+                std::thread::sleep(millis(&request, "rejection-takes-").unwrap_or_default());
                 let refusal = refusal(request.header("x-comfreyroad-request-id"));
                 if stream.get_mut().write_all(refusal.as_bytes()).is_err() {
                     return;
--- a/crates/comfreyroad_proxy/tests/process/main.rs
+++ b/crates/comfreyroad_proxy/tests/process/main.rs
@@ -9,6 +9,7 @@
 mod floods;
 mod http;
 mod lifecycle;
+mod offers;
 mod responses;
 mod stops;
 mod store;
--- a/crates/comfreyroad_router/src/filter/hand_over.rs
+++ b/crates/comfreyroad_router/src/filter/hand_over.rs
@@ -23,10 +23,14 @@
         .lifecycle
         .exit_deadline()
         .is_some_and(|at| at < first_event_at);
+    // What an entry that shuts down cuts is best cut at an upstream that works on it. One that rejects the request late, or says nothing,
+    // might leave none.
+    let must_stay = plan.required_version.is_some() && state.lifecycle.is_draining();
     let may_move = plan.route.idempotency.may_retry()
         && plan.has_attempts_left()
         && plan.deadline > now
         && !exits_before
+        && !must_stay
         && state.retry_budgets.may_retry(now, &plan.pool)
         && state.quarantine.ends_at(now, head).is_none();
     if !may_move {
--- a/crates/comfreyroad_router/tests/decisions/hand_over.rs
+++ b/crates/comfreyroad_router/tests/decisions/hand_over.rs
@@ -335,3 +335,17 @@
     assert_eq!(open(&rig), 1);
     assert_eq!(taken.stage().plan().runs, 2);
 }
+
+/// A stream left its silent upstream for one that rejected it late, and was cut at the exit.
+#[test]
+fn a_stream_that_has_begun_stays_at_its_silent_upstream_while_the_entry_shuts_down() {
+    let mut rig = Rig::serving("e1");
+    let mut stream = send(&mut rig, "stream", "r");
+    rig.router.on_first_event(rig.now, &mut stream);
+    rig.router.on_event_delivered(&mut stream, 1);
+    rig.raise(Event::Shutdown);
+    assert!(rig.router.offer(rig.now, &mut stream).is_none());
+    let waiting = send(&mut rig, "stream", "waiting");
+    let moves = rig.router.hand_over(rig.now, waiting, Fault::TimedOut);
+    assert!(moves.is_ok());
+}
