An upstream that goes on while its stream is offered elsewhere keeps it

What callers saw: a stream left its upstream although that went on a tenth of a second after another one had been asked, which then said nothing; it ended incomplete 8 s later. What operators saw: two lines that the caller had gone (E1507) for one.

Cause: the answer of the upstream before wasn't read during an offer, and the attempt at the other one was logged like one that the request has.

Change: an event that arrives during an offer ends it: the stream goes on where it is, and the other attempt is cancelled without a line. The other upstream counts as that of the request (E1507, E1509) only from when the one before is left.

--- a/crates/comfreyroad_proxy/src/front/attempt.rs
+++ b/crates/comfreyroad_proxy/src/front/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt: a request is placed at an upstream, sent, and the response headers are checked.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
@@ -97,11 +98,29 @@
     placed: Request<Placed>,
 ) -> Result<Response, Failure> {
     let sent = shared.with_router(|router, now| router.send(now, placed));
-    let mut silent_at = shared.router.borrow().response_deadline(&sent);
-    let mut call = Call::new(shared, sent);
     caller
         .registration
-        .record_upstream(&call.request.stage().slot.upstream);
+        .record_upstream(&sent.stage().slot.upstream);
+    exchange(shared, caller, Call::new(shared, sent)).await
+}
+
+/// Sends a request that is offered to an upstream. It has another one until `is_taken`, and the attempt may be dropped.
+pub(super) async fn offer(
+    shared: &Rc<Shared>,
+    caller: &Message,
+    placed: Request<Placed>,
+    is_taken: Rc<Cell<bool>>,
+) -> Result<Response, Failure> {
+    let sent = shared.with_router(|router, now| router.send(now, placed));
+    exchange(shared, caller, Call::offered(shared, sent, is_taken)).await
+}
+
+async fn exchange(
+    shared: &Rc<Shared>,
+    caller: &Message,
+    mut call: Call,
+) -> Result<Response, Failure> {
+    let mut silent_at = shared.router.borrow().response_deadline(&call.request);
     let address = match call.request.stage().slot.address.parse() {
         Ok(address) => address,
         Err(error) => {
--- a/crates/comfreyroad_proxy/src/front/call.rs
+++ b/crates/comfreyroad_proxy/src/front/call.rs
@@ -1,3 +1,4 @@
+use std::cell::Cell;
 use std::rc::Rc;
 
 use comfreyroad_router::Request;
@@ -21,6 +22,8 @@
     id: RequestId,
     upstream: UpstreamId,
     is_armed: bool,
+    // Whether the upstream to which the request was offered counts as its own; `None` if it was not offered.
+    is_taken: Option<Rc<Cell<bool>>>,
 }
 
 impl Call {
@@ -31,10 +34,22 @@
             id: request.head().id.clone(),
             upstream: slot.upstream.clone(),
             is_armed: true,
+            is_taken: None,
         };
         Self { request, guard }
     }
 
+    /// A request that was offered to an upstream, and has another one until `is_taken`.
+    pub(super) fn offered(
+        shared: &Rc<Shared>,
+        request: Request<Sent>,
+        is_taken: Rc<Cell<bool>>,
+    ) -> Self {
+        let mut call = Self::new(shared, request);
+        call.guard.is_taken = Some(is_taken);
+        call
+    }
+
     /// Ends the attempt and returns the request.
     pub(super) fn end(mut self) -> Request<Sent> {
         self.guard.is_armed = false;
@@ -44,7 +59,8 @@
 
 impl Drop for Guard {
     fn drop(&mut self) {
-        if self.is_armed && !self.shared.registry.has_ended() {
+        let is_own = self.is_taken.as_ref().is_none_or(|it| it.get());
+        if self.is_armed && is_own && !self.shared.registry.has_ended() {
             let shared = self.shared.clone();
             shared.with_router(|router, _| router.on_caller_gone(&self.id, &self.upstream));
         }
--- a/crates/comfreyroad_proxy/src/front/stream.rs
+++ b/crates/comfreyroad_proxy/src/front/stream.rs
@@ -1,5 +1,6 @@
 //! Forwards event streams as they arrive, and resumes a broken stream from another upstream.
 
+use std::cell::Cell;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Instant;
@@ -11,7 +12,6 @@
 use comfreyroad_router::answer::Fault;
 use comfreyroad_router::request::Returned;
 use comfreyroad_wire::sse::Event;
-use compio::time::timeout_at;
 use futures_util::future::{Abortable, Either, select};
 use http::header::CONTENT_TYPE;
 use http::{HeaderValue, Response, StatusCode};
@@ -178,24 +178,39 @@
                 silent_at = self.next_search(&call);
                 continue;
             };
-            let mut attempt = pin!(attempt::send(&self.shared, &self.caller, offered));
+            let next_upstream = offered.stage().slot.upstream.clone();
+            let is_taken = Rc::new(Cell::new(false));
+            let attempt = attempt::offer(&self.shared, &self.caller, offered, is_taken.clone());
+            let mut attempt = pin!(attempt);
             let decided_at = self.shared.router.borrow().offer_deadline(clock::now());
-            let decided = timeout_at(decided_at, attempt.as_mut());
-            match self.until_caller_gone(decided).await? {
-                Ok(Err(Failure::Retry(declined))) => {
+            let decided = {
+                let event = pin!(events.next(decided_at));
+                match self
+                    .until_caller_gone(select(attempt.as_mut(), event))
+                    .await?
+                {
+                    Either::Left((answer, _)) => Either::Left(answer),
+                    Either::Right((event, _)) => Either::Right(event),
+                }
+            };
+            let (answer, fault) = match decided {
+                // The upstream goes on. Dropping the attempt cancels the offer.
+                Either::Right(Ok(next)) => return Ok((call, events, next)),
+                Either::Left(Err(Failure::Retry(declined))) => {
                     self.stay(&mut call, declined);
                     silent_at = self.next_search(&call);
                     continue;
                 }
-                Ok(answer) => {
-                    self.leave(call, events, fault);
-                    break answer;
-                }
-                Err(_) => {
-                    self.leave(call, events, fault);
-                    break self.until_caller_gone(attempt).await?;
-                }
-            }
+                Either::Left(answer) => (Some(answer), fault),
+                Either::Right(Err(fault)) => (None, fault),
+            };
+            is_taken.set(true);
+            self.caller.registration.record_upstream(&next_upstream);
+            self.leave(call, events, fault);
+            break match answer {
+                Some(answer) => answer,
+                None => self.until_caller_gone(attempt).await?,
+            };
         };
         let resumed = self.until_caller_gone(self.resume(answer)).await?;
         let started = resumed.map_err(Stop::Broken)?;
@@ -206,8 +221,6 @@
     fn stay(&self, call: &mut Call, declined: Returned) {
         self.shared
             .with_router(|router, now| router.on_declined(now, &mut call.request, declined));
-        let upstream = &call.request.stage().slot.upstream;
-        self.caller.registration.record_upstream(upstream);
     }
 
     /// Leaves a silent upstream. Closing its connection makes it stop.
--- a/crates/comfreyroad_proxy/tests/process/offers.rs
+++ b/crates/comfreyroad_proxy/tests/process/offers.rs
@@ -1,8 +1,8 @@
 //! Streams that are offered to another upstream while their own is silent.
 
-use std::io::{BufReader, Write};
+use std::io::{BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use super::environment::{Environment, request_text};
 use super::http::{self, Message};
@@ -76,3 +76,29 @@
     let (mut stream, id) = open(&env, path);
     assert_complete(&env, &mut stream, &id);
 }
+
+/// A stream left its engine, although that went on a moment later, for one that said nothing.
+#[test]
+fn a_stream_whose_upstream_goes_on_while_it_is_offered_stays_there() {
+    let env = Environment::start_logged(&["i-1"]);
+    let (mut stream, id, _mute) = open_beside_a_mute_upstream(&env, "/events/pauses-1600/stream");
+    let started = Instant::now();
+    assert_complete(&env, &mut stream, &id);
+    assert!(started.elapsed() < Duration::from_secs(4));
+    assert_eq!(env.log_lines("E1507"), [""; 0]);
+}
+
+/// Each upstream to which a stream had been offered had a line that its caller had gone.
+#[test]
+fn a_caller_that_leaves_while_its_stream_is_offered_has_one_line() {
+    let env = Environment::start_logged(&["i-1"]);
+    let (stream, id, mute) = open_beside_a_mute_upstream(&env, "/events/pauses-3000/stream");
+    // The first bytes that the second upstream gets are those of the offer.
+    let (mut offer, _) = mute.accept().unwrap();
+    assert!(offer.read(&mut [0; 64]).unwrap() > 0);
+    drop(stream);
+    let gone = || env.log_lines("E1507").len();
+    env.wait_for("line", |_| gone() > 0);
+    std::thread::sleep(Duration::from_millis(500));
+    assert_eq!(gone(), 1, "{:#?}", env.log_lines(&format!("request={id} ")));
+}
