--- a/crates/comfreyroad_proxy/tests/process/main.rs
+++ b/crates/comfreyroad_proxy/tests/process/main.rs
@@ -10,6 +10,7 @@
 mod http;
 mod lifecycle;
 mod responses;
+mod restored;
 mod stops;
 mod store;
 mod streams;
--- a/crates/comfreyroad_proxy/tests/process/store.rs
+++ b/crates/comfreyroad_proxy/tests/process/store.rs
@@ -2,18 +2,30 @@
 
 use std::collections::BTreeMap;
 use std::io::{BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Condvar, Mutex};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, Weak};
 use std::time::{Duration, Instant};
 
 use super::http::{self, Message};
 
-type Records = BTreeMap<String, Vec<(String, Vec<u8>)>>;
+/// Keys and values by topic, in the order of their offsets.
+pub(super) type Records = BTreeMap<String, Vec<(String, Vec<u8>)>>;
+
+/// What the store holds.
+#[derive(Debug, Default)]
+struct State {
+    records: Records,
+    /// How often the records have come back from a copy.
+    era: u64,
+    /// Whether the store closes all connections.
+    is_away: bool,
+    connections: Vec<Weak<TcpStream>>,
+}
 
 /// A fake store; clones share the records.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Store {
-    shared: Arc<(Mutex<Records>, Condvar)>,
+    shared: Arc<(Mutex<State>, Condvar)>,
 }
 
 impl Store {
@@ -32,26 +44,64 @@
     }
 
     pub(super) fn put(&self, topic: &str, key: &str, value: &str) {
-        let (records, changed) = &*self.shared;
-        let mut records = records.lock().unwrap();
-        let topic = records.entry(topic.to_owned()).or_default();
-        topic.push((key.to_owned(), value.as_bytes().to_vec()));
-        changed.notify_all();
+        let topic = topic.to_owned();
+        let record = (key.to_owned(), value.as_bytes().to_vec());
+        self.state().records.entry(topic).or_default().push(record);
+        self.shared.1.notify_all();
+    }
+
+    /// Takes a copy of all topics.
+    pub(super) fn copy(&self) -> Records {
+        self.state().records.clone()
+    }
+
+    /// Puts a copy in the place of all topics, in a new era, and closes all connections.
+    pub(super) fn restore(&self, copy: Records) {
+        let mut state = self.state();
+        state.records = copy;
+        state.era += 1;
+        state.disconnect();
+        self.shared.1.notify_all();
+    }
+
+    /// Closes all connections, and new ones at once, until the store is back.
+    pub(super) fn set_away(&self, is_away: bool) {
+        let mut state = self.state();
+        state.is_away = is_away;
+        state.disconnect();
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.shared.0.lock().unwrap()
     }
 
     /// Returns the newest value of a key.
     pub(super) fn newest(&self, topic: &str, key: &str) -> Option<String> {
-        let records = self.shared.0.lock().unwrap();
-        let found = records.get(topic)?.iter().rev().find(|(it, _)| it == key);
+        let state = self.state();
+        let found = state
+            .records
+            .get(topic)?
+            .iter()
+            .rev()
+            .find(|(it, _)| it == key);
         found.map(|(_, value)| String::from_utf8_lossy(value).into_owned())
     }
 
     fn serve(&self, stream: TcpStream) {
+        let connection = Arc::new(stream.try_clone().unwrap());
+        let mut state = self.state();
+        if state.is_away {
+            return;
+        }
+        state.connections.retain(|it| it.strong_count() > 0);
+        state.connections.push(Arc::downgrade(&connection));
+        drop(state);
         let mut stream = BufReader::new(stream);
         while let Some(request) = http::read_message(&mut stream) {
             let (status, body) = self.respond(&request);
+            let era = self.state().era;
             let head = format!(
-                "HTTP/1.1 {status} X\r\nContent-Length: {}\r\n\r\n",
+                "HTTP/1.1 {status} X\r\nStore-Era: {era}\r\nContent-Length: {}\r\n\r\n",
                 body.len()
             );
             let sent = stream
@@ -78,10 +128,7 @@
             "/-/log-newest" => (200, self.list(topic)),
             "/-/log-read" => {
                 let wait = Duration::from_millis(number("wait_ms").unwrap_or(0) as u64);
-                (
-                    200,
-                    self.read(topic, number("start_from").unwrap_or(0), wait),
-                )
+                self.read(topic, number("start_from").unwrap_or(0), wait)
             }
             "/-/log-append" => self.append(topic, number("at"), &request.body),
             _ => (404, Vec::new()),
@@ -89,8 +136,7 @@
     }
 
     fn list(&self, topic: &str) -> Vec<u8> {
-        let records = self.shared.0.lock().unwrap();
-        let records = records.get(topic).cloned().unwrap_or_default();
+        let records = self.state().records.get(topic).cloned().unwrap_or_default();
         let mut newest: BTreeMap<&str, (usize, &[u8])> = BTreeMap::new();
         for (offset, (key, value)) in records.iter().enumerate() {
             newest.insert(key, (offset, value));
@@ -105,19 +151,21 @@
         format!("{{\"entries\":[{entries}],\"has_more\":false,\"end_offset\":{end}}}").into_bytes()
     }
 
-    fn read(&self, topic: &str, from: usize, wait: Duration) -> Vec<u8> {
-        let (records, changed) = &*self.shared;
+    fn read(&self, topic: &str, from: usize, wait: Duration) -> (u16, Vec<u8>) {
         let deadline = Instant::now() + wait;
-        let mut records = records.lock().unwrap();
+        let mut state = self.state();
+        let end = |state: &State| state.records.get(topic).map_or(0, Vec::len);
         loop {
-            let end = records.get(topic).map_or(0, Vec::len);
             let left = deadline.saturating_duration_since(Instant::now());
-            if end > from || left.is_zero() {
+            if end(&state) != from || left.is_zero() {
                 break;
             }
-            records = changed.wait_timeout(records, left).unwrap().0;
+            state = self.shared.1.wait_timeout(state, left).unwrap().0;
         }
-        let records = records.get(topic).cloned().unwrap_or_default();
+        if end(&state) < from {
+            return (410, br#"{"first_offset":0}"#.to_vec());
+        }
+        let records = state.records.get(topic).cloned().unwrap_or_default();
         let mut bytes = (records.len() as u64).to_be_bytes().to_vec();
         bytes.extend(0_u64.to_be_bytes());
         for (key, value) in records.iter().skip(from) {
@@ -126,11 +174,11 @@
             bytes.extend(key.as_bytes());
             bytes.extend(value);
         }
-        bytes
+        (200, bytes)
     }
 
     fn append(&self, topic: &str, at: Option<usize>, body: &[u8]) -> (u16, Vec<u8>) {
-        let end = self.shared.0.lock().unwrap().get(topic).map_or(0, Vec::len);
+        let end = self.state().records.get(topic).map_or(0, Vec::len);
         if at.is_some_and(|at| at != end) {
             return (412, Vec::new());
         }
@@ -140,3 +188,13 @@
         (200, b"{}".to_vec())
     }
 }
+
+impl State {
+    fn disconnect(&mut self) {
+        for connection in self.connections.drain(..) {
+            if let Some(connection) = connection.upgrade() {
+                let _ = connection.shutdown(Shutdown::Both);
+            }
+        }
+    }
+}
