Soak: the store comes back from a copy

A rare fault of runs with faults (4 in 100): up to four configurations are published, the store goes away for 0.2 to 2 s and is back from a copy 1 to 8 s old.

--- a/crates/comfreyroad_proxy/tests/soak/engine.rs
+++ b/crates/comfreyroad_proxy/tests/soak/engine.rs
@@ -165,6 +165,18 @@
         self.register();
     }
 
+    /// Writes again what a restored store lacks: that it has left under its earlier names, and its registration.
+    pub(super) fn register_again(&self) {
+        let incarnation = self.state.lock().unwrap().incarnation;
+        for earlier in 1..incarnation {
+            let name = format!("i-{}-{earlier}", self.number);
+            self.store.put("keyed.servers", &name, "");
+        }
+        if !self.is_crashed() {
+            self.register();
+        }
+    }
+
     pub(super) fn is_crashed(&self) -> bool {
         self.state.lock().unwrap().is_crashed
     }
--- a/crates/comfreyroad_proxy/tests/soak/fault.rs
+++ b/crates/comfreyroad_proxy/tests/soak/fault.rs
@@ -34,6 +34,9 @@
     Reload(usize, Signals),
     /// Drains all engines but some, which restart after some time.
     Shrink(usize, Duration),
+    /// Publishes some configurations and takes the store away for some time, after which it is back from a copy of some
+    /// age, which lacks them.
+    Restore(usize, Duration, Duration),
     /// Publishes a configuration.
     Configure,
 }
@@ -59,6 +62,11 @@
             66..74 => Self::Kill(entry),
             74..84 => Self::Shutdown(entry),
             84..88 => Self::Reload(entry, Signals::random(rng, 1)),
+            88..92 => {
+                let absence = Duration::from_millis(rng.u64(200..2000));
+                let age = Duration::from_millis(rng.u64(1000..8000));
+                Self::Restore(rng.usize(0..5), absence, age)
+            }
             _ => Self::Configure,
         }
     }
