--- a/crates/comfreyroad_proxy/tests/process/environment.rs
+++ b/crates/comfreyroad_proxy/tests/process/environment.rs
@@ -33,6 +33,7 @@
 #[derive(Debug)]
 pub(super) struct Environment {
     pub(super) store: Store,
+    store_address: SocketAddr,
     pub(super) engine: Engine,
     pub(super) front: SocketAddr,
     ready: SocketAddr,
@@ -106,11 +107,31 @@
             );
             store.put("keyed.servers", name, &registration);
         }
+        Self::spawn(store, address, engine, None, keeps_log)
+    }
+
+    /// Starts another daemon with the same store and engine, as a peer of this one.
+    pub(super) fn start_peer(&self) -> Self {
+        let (store, engine) = (self.store.clone(), self.engine.clone());
+        let peer = Self::spawn(store, self.store_address, engine, Some(self.control), false);
+        peer.wait_for("readiness", |env| env.is_ready());
+        peer
+    }
+
+    fn spawn(
+        store: Store,
+        store_address: SocketAddr,
+        engine: Engine,
+        seed: Option<SocketAddr>,
+        keeps_log: bool,
+    ) -> Self {
         let ports = [(); 3].map(|()| port::Lease::acquire().unwrap());
         let [front, ready, control] = ports.each_ref().map(|port| port.address);
+        let name = if seed.is_some() { "e2" } else { "e1" };
+        let seed = seed.map_or_else(String::new, |seed| format!("\"{seed}\""));
         let settings = format!(
-            "node_name = \"e1\"\nzone = \"a\"\n[listen]\nfront = \"{front}\"\nready = \"{ready}\"\n\
-             control = \"{control}\"\n[bounds]\ngrace_s = 6\nretry_slack = 200\n[platform]\naddress = \"{address}\"\n"
+            "node_name = \"{name}\"\nzone = \"a\"\nseeds = [{seed}]\n[listen]\nfront = \"{front}\"\nready = \"{ready}\"\n\
+             control = \"{control}\"\n[bounds]\ngrace_s = 6\nretry_slack = 200\n[platform]\naddress = \"{store_address}\"\n"
         );
         let folder = std::env::temp_dir().join(format!("comfreyroad-{front}").replace(':', "-"));
         std::fs::create_dir_all(&folder).unwrap();
@@ -132,6 +153,7 @@
             .unwrap();
         Self {
             store,
+            store_address,
             engine,
             front,
             ready,
--- a/crates/comfreyroad_proxy/tests/process/restored.rs
+++ b/crates/comfreyroad_proxy/tests/process/restored.rs
@@ -136,6 +136,51 @@
     assert_eq!(status(&env, "/second/"), 404);
 }
 
+/// Callers got 404 at an entry that had started after the restoration and heard of earlier offsets from its peers.
+#[test]
+fn entry_that_joins_after_the_store_came_back_serves_an_added_route() {
+    let env = Environment::start_configured();
+    let copy = env.store.copy();
+    for (version, path_prefix) in [(2, "/second/"), (3, "/third/"), (4, "/fourth/")] {
+        publish(&env, version, path_prefix);
+    }
+    restore(&env, copy, || {
+        let text = configuration(4, "/fourth/");
+        env.store.put("keyed.op", "config", &text);
+    });
+    let peer = env.start_peer();
+    std::thread::sleep(PROPAGATION);
+    let text = configuration(5, "/fifth/");
+    env.store.put("keyed.op", "config", &text);
+    assert_served_in_time(&peer, "/fifth/");
+}
+
+/// Callers got 404 when an entry that was paused during the restoration told the others of earlier offsets.
+#[test]
+fn entry_that_was_paused_while_the_store_came_back_hides_no_added_route() {
+    let env = Environment::start_configured();
+    let peer = env.start_peer();
+    let copy = env.store.copy();
+    for (version, path_prefix) in [(2, "/second/"), (3, "/third/"), (4, "/fourth/")] {
+        publish(&env, version, path_prefix);
+        peer.wait_for("added route", |peer| status(peer, path_prefix) == 200);
+    }
+    peer.signal("-STOP");
+    restore(&env, copy, || {
+        let text = configuration(4, "/fourth/");
+        env.store.put("keyed.op", "config", &text);
+    });
+    std::thread::sleep(PROPAGATION);
+    peer.signal("-CONT");
+    std::thread::sleep(PROPAGATION);
+    let text = configuration(5, "/fifth/");
+    env.store.put("keyed.op", "config", &text);
+    assert_served_in_time(&env, "/fifth/");
+    assert_served_in_time(&peer, "/fifth/");
+    assert_eq!(failures(&env, "/fifth/", Duration::from_secs(2)), []);
+    assert_eq!(failures(&peer, "/fifth/", Duration::from_secs(2)), []);
+}
+
 /// Callers were sent to an engine that had left and was in the copy again.
 #[test]
 fn upstream_that_left_and_is_back_in_the_copy_gets_no_request() {
@@ -149,9 +194,9 @@
     assert_eq!(requests_to(&env, "i-1"), before);
 }
 
-/// Callers were sent to an engine long after its report that it drains.
+/// Callers were sent to engines long after the report that they drain.
 #[test]
-fn upstream_that_drains_after_the_store_came_back_gets_no_request() {
+fn upstreams_that_drain_after_the_store_came_back_get_no_request() {
     let env = Environment::start_configured();
     let copy = env.store.copy();
     for seq in [2, 3] {
@@ -162,12 +207,14 @@
     }
     std::thread::sleep(PROPAGATION);
     restore(&env, copy, || {});
-    let text = registration(&env, "i-1", 4).replace("ready", "draining");
-    env.store.put("keyed.servers", "i-1", &text);
+    for upstream in ["i-1", "i-2"] {
+        let text = registration(&env, upstream, 4).replace("ready", "draining");
+        env.store.put("keyed.servers", upstream, &text);
+    }
     std::thread::sleep(PROPAGATION);
-    let before = requests_to(&env, "i-1");
-    assert_eq!(failures(&env, "/again/", Duration::from_secs(1)), []);
-    assert_eq!(requests_to(&env, "i-1"), before);
+    let before = env.engine.requests().len();
+    assert!(!failures(&env, "/again/", Duration::from_secs(1)).is_empty());
+    assert_eq!(env.engine.requests().len(), before);
 }
 
 /// Callers were sent to engines that had been replaced after the restoration.
