--- a/crates/comfreyroad_proxy/tests/process/restored.rs
+++ b/crates/comfreyroad_proxy/tests/process/restored.rs
@@ -243,6 +243,74 @@
     assert_eq!(left.map(|it| requests_to(&env, it)), before);
 }
 
+/// Callers got 503 while engines that the copy lacks hadn't registered again.
+#[test]
+fn upstreams_that_the_copy_lacks_stay_in_use_until_they_register_again() {
+    let env = Environment::start_configured();
+    let mut copy = env.store.copy();
+    copy.remove("keyed.servers");
+    let upstreams = ["i-1", "i-2"].map(|it| (it, registration(&env, it, 2)));
+    std::thread::scope(|scope| {
+        let watch = || failures(&env, "/again/", Duration::from_secs(5));
+        let watched = scope.spawn(watch);
+        restore(&env, copy, || {});
+        std::thread::sleep(Duration::from_secs(1));
+        for (upstream, text) in &upstreams {
+            env.store.put("keyed.servers", upstream, text);
+        }
+        assert_eq!(watched.join().unwrap(), []);
+    });
+}
+
+/// Callers were sent to an evacuated zone until the operator had written its order again.
+#[test]
+fn zone_whose_evacuation_the_copy_lacks_gets_no_request() {
+    let env = Environment::start_configured();
+    let text = registration(&env, "i-1", 1).replace(r#""zone":"a""#, r#""zone":"b""#);
+    env.store.put("keyed.servers", "i-3", &text);
+    let copy = env.store.copy();
+    env.store.put("keyed.op", "evacuate/a", "{}");
+    for _ in 0..2 {
+        env.store.put("keyed.op", "config", CONFIG);
+    }
+    std::thread::sleep(PROPAGATION);
+    let evacuated = ["i-1", "i-2"];
+    let before = evacuated.map(|it| requests_to(&env, it));
+    std::thread::scope(|scope| {
+        let watch = || failures(&env, "/again/", Duration::from_secs(4));
+        let watched = scope.spawn(watch);
+        restore(&env, copy, || {
+            for _ in 0..2 {
+                env.store.put("keyed.op", "config", CONFIG);
+            }
+        });
+        std::thread::sleep(Duration::from_secs(1));
+        env.store.put("keyed.op", "evacuate/a", "{}");
+        assert_eq!(watched.join().unwrap(), []);
+    });
+    assert_eq!(evacuated.map(|it| requests_to(&env, it)), before);
+}
+
+/// A rollout began anew, with its whole time, when its order was written again.
+#[test]
+fn rollout_whose_order_is_written_again_does_not_begin_anew() {
+    let env = Environment::start_logged(&["i-1", "i-2"]);
+    let order = r#"{"service":"pool","target":"v2","duration_s":30}"#;
+    let copy = env.store.copy();
+    env.store.put("keyed.op", "rollout/pool", order);
+    let status = |env: &Environment| env.store.newest("keyed.status", "rollout/pool");
+    env.wait_for("status", |env| status(env).is_some());
+    restore(&env, copy, || {
+        for _ in 0..2 {
+            env.store.put("keyed.op", "config", CONFIG);
+        }
+        env.store.put("keyed.op", "rollout/pool", order);
+    });
+    std::thread::sleep(STATUS_TIMEOUT);
+    let begun = env.log_lines("E1601");
+    assert_eq!(begun.len(), 1, "{begun:#?}");
+}
+
 /// The operator waited for a status that had been acknowledged and was lost.
 #[test]
 fn status_of_a_rollout_that_the_copy_lacks_is_written_again() {
