--- a/crates/comfreyroad_proxy/tests/process/restored.rs
+++ b/crates/comfreyroad_proxy/tests/process/restored.rs
@@ -249,11 +249,19 @@
     let env = Environment::start_configured();
     let mut copy = env.store.copy();
     copy.remove("keyed.servers");
+    let other = registration(&env, "i-1", 1).replace("pool", "other");
+    let register_other = |count| {
+        for _ in 0..count {
+            env.store.put("keyed.servers", "i-9", &other);
+        }
+    };
+    register_other(4);
+    std::thread::sleep(PROPAGATION);
     let upstreams = ["i-1", "i-2"].map(|it| (it, registration(&env, it, 2)));
     std::thread::scope(|scope| {
         let watch = || failures(&env, "/again/", Duration::from_secs(5));
         let watched = scope.spawn(watch);
-        restore(&env, copy, || {});
+        restore(&env, copy, || register_other(3));
         std::thread::sleep(Duration::from_secs(1));
         for (upstream, text) in &upstreams {
             env.store.put("keyed.servers", upstream, text);
