Positions in the store's topics are ordered by the era of the store first

Cause: a position in a topic was a bare offset everywhere: in the subscription, in frames of peers, in the rank of records. After a restoration offsets go back and are given out again, so that a lost record with a higher offset hid the new one of its key, and frames put an entry that had listed the topic anew back to a position beyond its end (E1203 again and again).

All comparisons stay as they were. Frames name their positions anew: versions that take them for offsets can't read them, and go by the store alone while both run.

Two decision tests.

--- a/crates/comfreyroad_proxy/src/actions.rs
+++ b/crates/comfreyroad_proxy/src/actions.rs
@@ -8,7 +8,7 @@
 use comfreyroad_net::client::read_all;
 use comfreyroad_platform::store::{Cause, Error};
 use comfreyroad_router::frame::Frame;
-use comfreyroad_router::id::{Address, CallId, Offset};
+use comfreyroad_router::id::{Address, CallId, Position};
 use comfreyroad_router::record::{Content, Topic};
 use comfreyroad_router::{Action, Event};
 use http::{Method, Request};
@@ -80,7 +80,7 @@
     });
 }
 
-async fn read(shared: Rc<Shared>, (topic, call): (Topic, CallId), from: Offset, wait: Duration) {
+async fn read(shared: Rc<Shared>, (topic, call): (Topic, CallId), from: Position, wait: Duration) {
     let started = Instant::now();
     let deadline = started + wait + STORE_TIMEOUT;
     let read = shared.store.read(topic, from, wait, deadline).await;
@@ -106,7 +106,7 @@
     Event::StoreFailed(topic, call)
 }
 
-async fn write(shared: Rc<Shared>, topic: Topic, content: Content, at: Option<Offset>) {
+async fn write(shared: Rc<Shared>, topic: Topic, content: Content, at: Option<Position>) {
     let started = Instant::now();
     let deadline = started + STORE_TIMEOUT;
     let written = shared.store.write(topic, &content, at, deadline).await;
--- a/crates/comfreyroad_router/src/action.rs
+++ b/crates/comfreyroad_router/src/action.rs
@@ -5,7 +5,7 @@
 use comfreyroad::note::Note;
 
 use crate::frame::Frame;
-use crate::id::{Address, CallId, Offset};
+use crate::id::{Address, CallId, Position};
 use crate::record::{Content, Topic};
 
 /// A side effect for the host to perform.
@@ -13,14 +13,14 @@
 pub enum Action {
     /// List a topic: get the newest record of each key from the store.
     List(Topic, CallId),
-    /// Read the records of a topic from an offset on.
+    /// Read the records of a topic from a position on.
     Read {
         /// The topic.
         topic: Topic,
         /// Id of the call, to be returned with its result.
         call: CallId,
-        /// The first offset to read.
-        from: Offset,
+        /// The first position to read.
+        from: Position,
         /// Long poll: how long the store may wait for a new record.
         wait: Duration,
     },
@@ -30,8 +30,8 @@
         topic: Topic,
         /// The content of the record. The key follows from the topic and the content.
         content: Content,
-        /// Compare-and-append: the record is written only if the topic ends at this offset. `None` writes unconditionally.
-        expected_end: Option<Offset>,
+        /// Compare-and-append: the record is written only if the topic ends at this position. `None` writes unconditionally.
+        expected_end: Option<Position>,
     },
     /// Drop the pooled connections to the store, which may no longer respond.
     Reconnect,
--- a/crates/comfreyroad_router/src/controller/rollouts/counts.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/counts.rs
@@ -6,7 +6,7 @@
 use super::attempt::Group;
 use super::verdict::Evidence;
 use crate::frame::Peer;
-use crate::id::{EntryId, Incarnation, Offset, RouteId};
+use crate::id::{EntryId, Incarnation, Position, RouteId};
 use crate::note::Note;
 use crate::rollout::evidence::{self, Comparison};
 use crate::rollout::{Histogram, Order, RouteScore, Tally};
@@ -20,7 +20,7 @@
 
 impl Counts {
     /// Empty counts for a rollout.
-    pub(super) fn new(order: &Order, offset: Offset, own: &Peer) -> Self {
+    pub(super) fn new(order: &Order, offset: Position, own: &Peer) -> Self {
         Self {
             own: Tally {
                 pool: order.pool.clone(),
--- a/crates/comfreyroad_router/src/controller/rollouts/mod.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/mod.rs
@@ -31,10 +31,10 @@
 use super::members::Fleet;
 use super::upstreams::Versions;
 use crate::frame::{Frame, Peer};
-use crate::id::{Address, Offset, PoolId, RequestId, VersionId};
+use crate::id::{Address, PoolId, Position, RequestId, VersionId};
 use crate::note::{self, Note};
 use crate::outbox::Outbox;
-use crate::record::{Content, Record, Topic};
+use crate::record::{Content, Record, Topic, position};
 use crate::rollout::{State, Status};
 use crate::{Event, Settings};
 
@@ -215,7 +215,7 @@
                     pool: rollout.order.pool.clone(),
                     target: rollout.order.target.clone(),
                     state,
-                    order_offset: rollout.offset,
+                    order_offset: position::offset(rollout.offset),
                 }));
             }
         }
@@ -240,7 +240,7 @@
     }
 
     /// The pool, order offset and written status of each rollout, for status pages.
-    pub fn states(&self) -> impl Iterator<Item = (&PoolId, Offset, Option<State>)> {
+    pub fn states(&self) -> impl Iterator<Item = (&PoolId, Position, Option<State>)> {
         let rollouts = self.rollouts.iter();
         rollouts.map(|(pool, rollout)| (pool, rollout.offset, rollout.written_status()))
     }
--- a/crates/comfreyroad_router/src/controller/rollouts/rollout.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/rollout.rs
@@ -15,9 +15,10 @@
 use super::reason::Reason;
 use super::verdict::Evidence;
 use crate::frame::{Frame, Peer, Progress, SessionPin};
-use crate::id::{Offset, VersionId};
+use crate::id::{Position, VersionId};
 use crate::note::{self, Note};
 use crate::outbox::Outbox;
+use crate::record::position;
 use crate::rollout::{Order, State, Status, Tally};
 
 /// Time before the end of a rollout in which it is decided.
@@ -29,8 +30,8 @@
 #[derive(Debug)]
 pub(super) struct Rollout {
     pub(super) order: Order,
-    /// Offset of the order, which identifies the rollout.
-    pub(super) offset: Offset,
+    /// Position of the order, which identifies the rollout.
+    pub(super) offset: Position,
     started_at: Instant,
     phase: Phase,
     // The status that is to be written, and since when.
@@ -48,7 +49,7 @@
 impl Rollout {
     pub(super) fn new(
         now: Instant,
-        offset: Offset,
+        offset: Position,
         order: Order,
         exposure: Exposure,
         own: &Peer,
@@ -246,7 +247,9 @@
 
     /// Applies a status that was read from the store. Returns whether it changed.
     pub(super) fn apply_status(&mut self, status: &Status) -> bool {
-        let is_other = status.order_offset != 0 && status.order_offset != self.offset;
+        // A store that is restored from a copy keeps the offsets of what is in the copy.
+        let own_offset = position::offset(self.offset);
+        let is_other = status.order_offset != 0 && status.order_offset != own_offset;
         if is_other
             || status.target != self.order.target
             || self.written_status == Some(status.state)
--- a/crates/comfreyroad_router/src/controller/subscriptions/mod.rs
+++ b/crates/comfreyroad_router/src/controller/subscriptions/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! Each topic is listed once. The relays of a zone then poll it for new records. The other entries receive new records
 //! from the relays by gossip, and poll the store themselves while no relay reports. Records from peers count like
-//! records from the store: of each key the record with the highest offset wins, so their source, order and repetition do
+//! records from the store: of each key the record with the highest position wins, so their source, order and repetition do
 //! not matter.
 
 mod intervals;
@@ -20,7 +20,7 @@
 use super::Controller;
 use super::members::Fleet;
 use crate::frame::{Frame, Peer};
-use crate::id::{Address, CallId, Offset};
+use crate::id::{Address, CallId, Position};
 use crate::note::{self, Note};
 use crate::outbox::Outbox;
 use crate::record::{Content, Record, Topic};
@@ -54,8 +54,8 @@
 /// What a peer reports of its subscriptions.
 #[derive(Debug)]
 struct Report {
-    /// The offset up to which it knows each topic.
-    next_offsets: IndexMap<Topic, Offset>,
+    /// The position up to which it knows each topic.
+    next_offsets: IndexMap<Topic, Position>,
     /// Whether it reads the store and gets answers.
     reads_store: bool,
 }
@@ -90,8 +90,8 @@
         self.outage.is_some()
     }
 
-    /// The offset up to which a topic is known.
-    pub fn next_offset(&self, topic: Topic) -> Option<Offset> {
+    /// The position up to which a topic is known.
+    pub fn next_offset(&self, topic: Topic) -> Option<Position> {
         self.subscriptions.get(&topic)?.next_offset()
     }
 
--- a/crates/comfreyroad_router/src/controller/subscriptions/subscription.rs
+++ b/crates/comfreyroad_router/src/controller/subscriptions/subscription.rs
@@ -6,10 +6,10 @@
 
 use super::intervals;
 use crate::frame::Frame;
-use crate::id::{CallId, Incarnation, Offset};
+use crate::id::{CallId, Era, Incarnation, Position};
 use crate::note::{self, Note};
 use crate::outbox::Outbox;
-use crate::record::{Content, Record, Topic};
+use crate::record::{Content, Record, Topic, position};
 use crate::{Action, Event};
 
 /// Maximum number of records of one topic in a frame; further records follow in the next frame.
@@ -22,10 +22,12 @@
 pub(super) struct Subscription {
     topic: Topic,
     min_poll_interval: Duration,
-    // The offset up to which the topic is known; `None` before the first listing.
-    next_offset: Option<Offset>,
-    // The offset from which all removals are known. Those from before the first listing are not.
-    removals_known_from: Option<Offset>,
+    // The era of the store that is known.
+    era: Era,
+    // The position up to which the topic is known; `None` before the first listing.
+    next_offset: Option<Position>,
+    // The position from which all removals are known. Those from before the first listing are not.
+    removals_known_from: Option<Position>,
     records: IndexMap<Arc<str>, Cached>,
     // The active call, and the number of the last one.
     call: Option<CallId>,
@@ -38,8 +40,8 @@
 #[derive(Debug)]
 struct Cached {
     record: Rc<Record>,
-    // The offset at which the content last changed. Renewals do not change it and are not forwarded.
-    changed_offset: Offset,
+    // The position at which the content last changed. Renewals do not change it and are not forwarded.
+    changed_offset: Position,
     learned_at: Instant,
     // Ordering key of the upstream's newest registration; kept after its removal.
     newest_registration: Option<(Incarnation, u64)>,
@@ -64,6 +66,7 @@
         Self {
             topic,
             min_poll_interval,
+            era: 0,
             next_offset: None,
             removals_known_from: None,
             records: IndexMap::new(),
@@ -74,8 +77,8 @@
         }
     }
 
-    /// The offset up to which the topic is known.
-    pub(super) fn next_offset(&self) -> Option<Offset> {
+    /// The position up to which the topic is known.
+    pub(super) fn next_offset(&self) -> Option<Position> {
         self.next_offset
     }
 
@@ -141,7 +144,7 @@
         &mut self,
         now: Instant,
         records: &[Record],
-        next: Offset,
+        next: Position,
         out: &mut Outbox,
     ) {
         self.learn_all(now, records, out);
@@ -169,7 +172,7 @@
         &mut self,
         now: Instant,
         records: &[Record],
-        next: Offset,
+        next: Position,
         out: &mut Outbox,
     ) {
         self.learn_all(now, records, out);
@@ -182,7 +185,7 @@
         }
     }
 
-    fn finish_call(&mut self, next: Offset) {
+    fn finish_call(&mut self, next: Position) {
         self.advance(next);
         self.call = None;
         self.next_call_at = self.call_started_at.map(|at| at + self.min_poll_interval);
@@ -206,14 +209,19 @@
         }
     }
 
-    fn advance(&mut self, next: Offset) {
+    fn advance(&mut self, next: Position) {
         self.next_offset = self.next_offset.max(Some(next));
         self.removals_known_from.get_or_insert(next);
+        self.era = self.era.max(position::era(next));
     }
 
     /// Learns a record that a peer forwards, unless it is from before the first listing and missing there: its key has been
     /// removed since.
     pub(super) fn learn_from_peer(&mut self, now: Instant, record: &Record, out: &mut Outbox) {
+        // The store has lost it, or has it at another position now.
+        if position::era(record.offset) < self.era {
+            return;
+        }
         let is_unknown = !self.records.contains_key(&record.key);
         let is_older = || {
             self.removals_known_from
@@ -239,9 +247,16 @@
         };
         if record.content == Content::Unreadable {
             let note = Note::new(&note::RECORD_UNREADABLE).with("topic", self.topic.name());
-            out.note(note.with("key", &record.key).with("offset", record.offset));
+            out.note(
+                note.with("key", &record.key)
+                    .with("offset", position::offset(record.offset)),
+            );
         }
-        let renewed = known.filter(|known| record.content.is_renewal_of(&known.record.content));
+        let is_renewal = |known: &&Cached| {
+            let is_same_era = position::era(known.record.offset) == position::era(record.offset);
+            is_same_era && record.content.is_renewal_of(&known.record.content)
+        };
+        let renewed = known.filter(is_renewal);
         let changed_offset = renewed.map_or(record.offset, |known| known.changed_offset);
         let record = Rc::new(record);
         let cached = Cached {
@@ -259,15 +274,15 @@
         out.raise(Event::RecordLearned(self.topic, record));
     }
 
-    /// The records that changed at or after an offset, in order, and the offset up to which the peer then knows all; `None` if
-    /// the peer lacks nothing. A peer that lacks removals which are not known here stays at its offset. Recent records are
+    /// The records that changed at or after a position, in order, and the position up to which the peer then knows all; `None` if
+    /// the peer lacks nothing. A peer that lacks removals which are not known here stays at its position. Recent records are
     /// withheld from a peer that reads the store, as it has probably read them too.
     pub(super) fn changes_since(
         &self,
         now: Instant,
-        from: Offset,
+        from: Position,
         reads_store: bool,
-    ) -> Option<(Vec<Record>, Offset)> {
+    ) -> Option<(Vec<Record>, Position)> {
         let next = self.next_offset.filter(|next| *next > from)?;
         let knows_removals = from == 0 || self.removals_known_from.is_some_and(|it| it <= from);
         // Nothing is withheld from a peer that knows no records yet.
--- a/crates/comfreyroad_router/src/controller/upstreams/mod.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/mod.rs
@@ -34,7 +34,7 @@
 use super::members::Fleet;
 use crate::configuration::Configuration;
 use crate::frame::Frame;
-use crate::id::{Address, EntryId, ModelId, Offset, PoolId, UpstreamId, ZoneId};
+use crate::id::{Address, EntryId, ModelId, PoolId, Position, UpstreamId, ZoneId};
 use crate::note::{self, Note};
 use crate::outbox::Outbox;
 use crate::record::{Content, Record, Topic};
@@ -122,7 +122,7 @@
         &mut self,
         now: Instant,
         id: UpstreamId,
-        offset: Offset,
+        offset: Position,
         registration: &Registration,
         out: &mut Outbox,
     ) {
--- a/crates/comfreyroad_router/src/event.rs
+++ b/crates/comfreyroad_router/src/event.rs
@@ -6,7 +6,7 @@
 use crate::configuration::Configuration;
 use crate::controller::members::Fleet;
 use crate::frame::Frame;
-use crate::id::{Address, CallId, Offset, PoolId};
+use crate::id::{Address, CallId, PoolId, Position};
 use crate::record::{Record, Topic};
 use crate::rollout::Status;
 
@@ -32,8 +32,8 @@
         call: CallId,
         /// The records.
         records: Vec<Record>,
-        /// The next offset to read.
-        next: Offset,
+        /// The next position to read.
+        next: Position,
     },
     /// Result of a read: new records of a topic.
     TopicRead {
@@ -41,12 +41,12 @@
         topic: Topic,
         /// Id of the call.
         call: CallId,
-        /// The records, in the order of their offsets.
+        /// The records, in the order of their positions.
         records: Vec<Record>,
-        /// The next offset to read.
-        next: Offset,
+        /// The next position to read.
+        next: Position,
     },
-    /// The store no longer has the records at the requested offset.
+    /// The store does not have the requested position: its records have expired, or the store was restored from a copy since.
     RecordsExpired(Topic, CallId),
     /// A listing or a read failed.
     StoreFailed(Topic, CallId),
--- a/crates/comfreyroad_router/src/frame/frame.rs
+++ b/crates/comfreyroad_router/src/frame/frame.rs
@@ -7,7 +7,7 @@
     CrashReport, LeavingReport, LoadReport, PartAnswer, Peer, PoolUsage, Progress, RateLimitReport,
     SessionPin, Suspicion, ZoneUsage,
 };
-use crate::id::Offset;
+use crate::id::Position;
 use crate::record::{Record, Topic};
 use crate::rollout::Tally;
 
@@ -26,18 +26,19 @@
     pub registration_grace: Duration,
     /// The live entries that the sender knows.
     pub peers: Vec<Peer>,
-    /// For each topic, the first offset that the sender has not read.
-    #[serde(rename = "next")]
-    pub next_offsets: IndexMap<Topic, Offset>,
+    /// For each topic, the first position that the sender has not read. The name tells the frame from those of versions that rank
+    /// records by their offsets alone, which must not take these positions for offsets.
+    #[serde(rename = "positions")]
+    pub next_offsets: IndexMap<Topic, Position>,
     /// Records that the receiver has not read, with their topics.
     pub records: Vec<(Topic, Record)>,
-    /// For each topic, the offset before which the receiver has every record once it has applied `records`.
+    /// For each topic, the position before which the receiver has every record once it has applied `records`.
     #[serde(rename = "complete")]
-    pub complete_up_to: IndexMap<Topic, Offset>,
-    /// For each of these topics, the offset from which `records` hold every change. A receiver that knows less cannot apply
+    pub complete_up_to: IndexMap<Topic, Position>,
+    /// For each of these topics, the position from which `records` hold every change. A receiver that knows less cannot apply
     /// `complete_up_to`. Absent in frames of versions that leave it open.
     #[serde(rename = "complete_since", default)]
-    pub complete_from: IndexMap<Topic, Offset>,
+    pub complete_from: IndexMap<Topic, Position>,
     /// Progress of active rollouts.
     pub rollouts: Vec<Progress>,
     /// Sessions pinned to a version in active rollouts.
@@ -72,9 +73,9 @@
 }
 
 impl Frame {
-    /// The offset before which a receiver that knew everything before `known` knows every record of a topic, once it has applied
+    /// The position before which a receiver that knew everything before `known` knows every record of a topic, once it has applied
     /// the frame's records. `None` if records between the two may be missing.
-    pub fn known_up_to(&self, topic: Topic, known: Offset) -> Option<Offset> {
+    pub fn known_up_to(&self, topic: Topic, known: Position) -> Option<Position> {
         let from = self.complete_from.get(&topic).copied().unwrap_or(0);
         let next = self.complete_up_to.get(&topic).copied();
         next.filter(|_| from <= known)
--- a/crates/comfreyroad_router/src/frame/progress.rs
+++ b/crates/comfreyroad_router/src/frame/progress.rs
@@ -2,16 +2,16 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::id::{Offset, PoolId};
+use crate::id::{PoolId, Position};
 
 /// An entry's view of a rollout. Times are sent as ages, because the clocks of entries differ.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Progress {
     /// The pool that is rolled out.
     pub pool: PoolId,
-    /// Offset of the rollout's order.
+    /// Position of the rollout's order.
     #[serde(rename = "order")]
-    pub order_offset: Offset,
+    pub order_offset: Position,
     /// Time since any entry first learned of the order.
     pub age: Duration,
     /// Whether the new version has been found bad.
--- a/crates/comfreyroad_router/src/frame/session_pin.rs
+++ b/crates/comfreyroad_router/src/frame/session_pin.rs
@@ -3,7 +3,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::id::{Offset, PoolId};
+use crate::id::{PoolId, Position};
 
 /// A session that stays on its version during the canary phase of a rollout.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -11,9 +11,9 @@
     /// The pool that is rolled out.
     #[serde(deserialize_with = "super::text::deserialize")]
     pub pool: PoolId,
-    /// Offset of the rollout's order.
+    /// Position of the rollout's order.
     #[serde(rename = "order")]
-    pub order_offset: Offset,
+    pub order_offset: Position,
     /// The session key.
     #[serde(deserialize_with = "super::text::deserialize")]
     pub session: Arc<str>,
--- a/crates/comfreyroad_router/src/record/mod.rs
+++ b/crates/comfreyroad_router/src/record/mod.rs
@@ -1,6 +1,7 @@
 //! Decoded records of the platform's store.
 
 mod content;
+pub mod position;
 mod record;
 mod topic;
 
--- a/crates/comfreyroad_router/src/record/record.rs
+++ b/crates/comfreyroad_router/src/record/record.rs
@@ -3,13 +3,13 @@
 use serde::{Deserialize, Serialize};
 
 use super::Content;
-use crate::id::Offset;
+use crate::id::Position;
 
 /// A record and its position in a topic.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Record {
-    /// Offset in the topic.
-    pub offset: Offset,
+    /// Position in the topic.
+    pub offset: Position,
     /// The key.
     pub key: Arc<str>,
     /// The decoded value.
--- a/crates/comfreyroad_router/src/rollout/status.rs
+++ b/crates/comfreyroad_router/src/rollout/status.rs
@@ -1,6 +1,6 @@
 use serde::{Deserialize, Serialize};
 
-use crate::id::{Offset, PoolId, VersionId};
+use crate::id::{PoolId, VersionId};
 
 /// The status of a rollout, published for operators.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -11,9 +11,9 @@
     pub target: VersionId,
     /// The state of the rollout.
     pub state: State,
-    /// Offset of the rollout's order, which tells two rollouts of the same version apart; 0 if unknown.
+    /// Offset of the rollout's order in its era, which tells two rollouts of the same version apart; 0 if unknown.
     #[serde(rename = "order")]
-    pub order_offset: Offset,
+    pub order_offset: u64,
 }
 
 /// The state of a rollout.
--- a/crates/comfreyroad_router/src/rollout/tally.rs
+++ b/crates/comfreyroad_router/src/rollout/tally.rs
@@ -2,7 +2,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::Histogram;
-use crate::id::{EntryId, Incarnation, Offset, PoolId, RouteId};
+use crate::id::{EntryId, Incarnation, PoolId, Position, RouteId};
 
 /// Answer counts of one route.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -26,9 +26,9 @@
 pub struct Tally {
     /// The pool that is rolled out.
     pub pool: PoolId,
-    /// Offset of the rollout's order.
+    /// Position of the rollout's order.
     #[serde(rename = "order")]
-    pub order_offset: Offset,
+    pub order_offset: Position,
     /// The entry that counted.
     pub entry: EntryId,
     /// The incarnation of that entry.
--- a/crates/comfreyroad_router/src/upstream/upstream.rs
+++ b/crates/comfreyroad_router/src/upstream/upstream.rs
@@ -5,7 +5,7 @@
 use comfreyroad::clock;
 
 use super::{Average, Backlog, Health, Leaving, Load, RateLimit, Registration, Slot, Stage};
-use crate::id::{Offset, UpstreamId};
+use crate::id::{Position, UpstreamId};
 use crate::work::{Demand, Estimate, Pace, WorkTime};
 
 /// Maximum age of a load report for its count of requests from other entries to be used.
@@ -21,8 +21,8 @@
     pub id: UpstreamId,
     /// The newest registration.
     pub registration: Registration,
-    /// Offset of the record that holds the registration.
-    pub offset: Offset,
+    /// Position of the record that holds the registration.
+    pub offset: Position,
     /// End of the warm-up, if any.
     pub cold_until: Option<Instant>,
     /// When the upstream is removed; set while its registration is missing around a store outage.
@@ -51,7 +51,7 @@
 
 impl Upstream {
     /// Creates the state of an upstream that has just been registered.
-    pub fn new(now: Instant, id: UpstreamId, offset: Offset, registration: Registration) -> Self {
+    pub fn new(now: Instant, id: UpstreamId, offset: Position, registration: Registration) -> Self {
         Self {
             id,
             cold_until: cold_until(now, &registration),
@@ -73,7 +73,7 @@
     }
 
     /// Applies a newer registration. A new incarnation resets all observations of the previous one.
-    pub fn update(&mut self, now: Instant, offset: Offset, registration: Registration) {
+    pub fn update(&mut self, now: Instant, offset: Position, registration: Registration) {
         if registration.incarnation != self.registration.incarnation {
             *self = Self::new(now, self.id.clone(), offset, registration);
             return;
--- a/crates/comfreyroad_router/tests/decisions/main.rs
+++ b/crates/comfreyroad_router/tests/decisions/main.rs
@@ -16,6 +16,7 @@
 mod quarantine;
 mod rate_limits;
 mod relays;
+mod restorations;
 mod retry_budgets;
 mod rig;
 mod rollouts;
--- /dev/null
+++ b/crates/comfreyroad_router/tests/decisions/restorations.rs
@@ -0,0 +1,100 @@
+//! The store is restored from a copy: it has lost its newest records, and gives out their offsets again.
+
+use comfreyroad_router::Event;
+use comfreyroad_router::frame::Frame;
+use comfreyroad_router::record::{Content, Record, Topic, position};
+
+use super::rig::{Rig, SECOND, configuration_content, frame};
+
+fn generation(rig: &Rig) -> Option<u64> {
+    let active = rig.router.state().configuration.active();
+    active.map(|it| it.generation)
+}
+
+fn evacuation(zone: &str) -> Content {
+    Content::Evacuation(zone.into())
+}
+
+fn is_evacuated(rig: &Rig, zone: &str) -> bool {
+    rig.router.state().evacuations.is_evacuated(zone)
+}
+
+/// A record at an offset of the next era.
+fn restored(offset: u64, key: &str, content: Content) -> Record {
+    Record {
+        offset: position::new(1, offset),
+        key: key.into(),
+        content,
+    }
+}
+
+/// Lets the store reject the position of a topic, and lists the topic in the next era.
+fn list_restored(rig: &mut Rig, topic: Topic, records: Vec<Record>) {
+    rig.run_for(SECOND);
+    let call = rig.pending_call(topic).expect("a read is pending");
+    rig.raise(Event::RecordsExpired(topic, call));
+    let call = rig.pending_call(topic).expect("a listing is pending");
+    let next = position::new(1, records.len() as u64 + 1);
+    rig.raise(Event::TopicListed {
+        topic,
+        call,
+        records,
+        next,
+    });
+}
+
+/// A frame of a peer that knows a topic up to a position, with records from the beginning.
+fn complete_frame(topic: Topic, records: Vec<Record>, next: u64) -> Frame {
+    let mut frame = frame("e2");
+    frame.next_offsets.insert(topic, next);
+    frame.complete_up_to.insert(topic, next);
+    frame.records = records.into_iter().map(|it| (topic, it)).collect();
+    frame
+}
+
+/// Regression (days of a restored store, CONFIG): records of known keys were hidden by the higher offsets of lost ones.
+#[test]
+fn a_record_after_a_restoration_is_newer_than_a_lost_one_with_a_higher_offset() {
+    let mut rig = Rig::serving("e1");
+    rig.read(Topic::Operator, "config", configuration_content(5));
+    let copy = restored(1, "config", configuration_content(1));
+    list_restored(&mut rig, Topic::Operator, vec![copy]);
+    assert_eq!(generation(&rig), Some(5));
+    rig.run_for(SECOND);
+    let call = rig.pending_call(Topic::Operator).unwrap();
+    let record = restored(2, "config", configuration_content(6));
+    rig.raise(Event::TopicRead {
+        topic: Topic::Operator,
+        call,
+        records: vec![record],
+        next: position::new(1, 3),
+    });
+    assert_eq!(generation(&rig), Some(6));
+}
+
+/// Regression (E1203 again and again): frames of peers put the old position back, beyond the end of the topic.
+#[test]
+fn a_peer_from_before_a_restoration_changes_nothing_and_one_from_after_it_everything() {
+    let mut rig = Rig::serving("e1");
+    let record = restored(1, "config", configuration_content(7));
+    let next = position::new(1, 2);
+    rig.receive(complete_frame(Topic::Operator, vec![record], next));
+    assert_eq!(generation(&rig), Some(7));
+    let lost = Record {
+        offset: 900,
+        key: "evacuate/b".into(),
+        content: evacuation("b"),
+    };
+    rig.receive(complete_frame(Topic::Operator, vec![lost], 901));
+    let known = rig
+        .router
+        .state()
+        .subscriptions
+        .next_offset(Topic::Operator);
+    assert_eq!(known, Some(next));
+    assert!(!is_evacuated(&rig, "b"));
+    let mut query = frame("e3");
+    query.next_offsets.insert(Topic::Operator, 900);
+    let (answer, _) = rig.router.exchange(rig.now, query);
+    assert_eq!(answer.records.len(), 1, "{:?}", answer.records);
+}
