Keys that a restored store lacks stay until they had time to be written again

Cause: a key that is missing from a listing counted as removed. In a copy it may only be lost: operators and upstreams write it again.

Change: a subscription keeps such keys for a time, 1.5 s for upstreams and 2.4 s for others, counted from when the restoration is noticed, and removes those that an answer of the store from after that time still lacks: its own, asked for at once, or a relay's. Without an answer nothing is removed; an outage starts the time anew. A registration that the copy has in an older form stays as it is known.

--- a/crates/comfreyroad_router/src/controller/subscriptions/intervals.rs
+++ b/crates/comfreyroad_router/src/controller/subscriptions/intervals.rs
@@ -30,6 +30,15 @@
 /// together again, and a record that is written in that moment can miss the next poll of every entry.
 const POLL_JITTER: f64 = 0.2;
 
+/// Time after a restoration of the store in which its lost records are written again, counted from when it is noticed. Upstreams
+/// report about once a second, and one that has left must not get requests for long; operators have some time more.
+pub(super) fn restoration_time(topic: Topic) -> Duration {
+    Duration::from_millis(match topic {
+        Topic::Upstreams => 1500,
+        Topic::Operator | Topic::Status | Topic::Entries => 2400,
+    })
+}
+
 /// Timeout of one long poll by an entry.
 pub(super) fn jittered_poll_timeout(topic: Topic, entry: &str, call: CallId) -> Duration {
     let fraction = rendezvous::fraction(&call.to_string(), entry);
--- a/crates/comfreyroad_router/src/controller/subscriptions/mod.rs
+++ b/crates/comfreyroad_router/src/controller/subscriptions/mod.rs
@@ -111,6 +111,22 @@
             out.raise(Event::StoreRecovered);
             // Calls made before may wait on connections that have gone silent.
             self.restart(out);
+            for subscription in self.subscriptions.values_mut() {
+                subscription.postpone_unrestored(now);
+            }
+        }
+    }
+
+    /// Finds out whether the keys that the store has lost in a restoration were written again, by the store or by what relays know.
+    fn confirm_unrestored(&mut self, now: Instant, out: &mut Outbox) {
+        let polls_store = self.polls_store(now);
+        for subscription in self.subscriptions.values_mut() {
+            if let Some(answer_at) = self.relayed_answer_at {
+                subscription.remove_unrestored(now, answer_at, out);
+            }
+            if polls_store && self.outage.is_none() {
+                subscription.confirm_unrestored(now, out);
+            }
         }
     }
 
@@ -202,7 +218,7 @@
             }
         }
         for subscription in self.subscriptions.values_mut() {
-            subscription.on_frame(frame);
+            subscription.on_frame(now.instant, frame);
         }
         let from_relay = self.fleet.is_relay(&frame.sender.entry);
         if let Some(age) = frame.store_answer_age
@@ -286,7 +302,10 @@
                 self.role_settles_at = Some(now.instant + self.role_settle_time);
                 self.start_due_calls(now, out);
             }
-            Event::Tick => self.start_due_calls(now, out),
+            Event::Tick => {
+                self.start_due_calls(now, out);
+                self.confirm_unrestored(now.instant, out);
+            }
             Event::FleetChanged(fleet) => self.fleet = Rc::clone(fleet),
             Event::ProcessPaused => self.restart(out),
             Event::TopicListed { topic, call, .. }
--- a/crates/comfreyroad_router/src/controller/subscriptions/subscription.rs
+++ b/crates/comfreyroad_router/src/controller/subscriptions/subscription.rs
@@ -24,6 +24,8 @@
     min_poll_interval: Duration,
     // The era of the store that is known.
     era: Era,
+    // When the keys are removed that the store has not shown since its last restoration.
+    unrestored_due_at: Option<Instant>,
     // The position up to which the topic is known; `None` before the first listing.
     next_offset: Option<Position>,
     // The position from which all removals are known. Those from before the first listing are not.
@@ -48,6 +50,18 @@
 }
 
 impl Cached {
+    /// Takes a new position of the key if it has none in that era: the store has the key, though with a content that is superseded.
+    fn move_to(&mut self, offset: Position) {
+        if position::era(self.record.offset) < position::era(offset) {
+            let record = Record {
+                offset,
+                ..(*self.record).clone()
+            };
+            self.record = Rc::new(record);
+            self.changed_offset = offset;
+        }
+    }
+
     /// Whether the cache supersedes a registration that arrives late: it was made before the newest one, or before the
     /// upstream was removed.
     fn supersedes(&self, record: &Record) -> bool {
@@ -67,6 +81,7 @@
             topic,
             min_poll_interval,
             era: 0,
+            unrestored_due_at: None,
             next_offset: None,
             removals_known_from: None,
             records: IndexMap::new(),
@@ -139,7 +154,8 @@
         self.next_call_at = None;
     }
 
-    /// Takes the answer of a listing. Cached keys that are missing from it were removed.
+    /// Takes the answer of a listing. Cached keys that are missing from it were removed, unless the store has lost them in a
+    /// restoration: those may be written again.
     pub(super) fn on_listed(
         &mut self,
         now: Instant,
@@ -152,7 +168,9 @@
         let is_missing = |cached: &Cached| {
             let record = &cached.record;
             let is_listed = listed.contains(&*record.key);
-            record.offset < next && record.content != Content::Removed && !is_listed
+            let is_lost = position::era(record.offset) < position::era(next);
+            let is_removed = record.content == Content::Removed || is_lost;
+            record.offset < next && !is_removed && !is_listed
         };
         let missing = self.records.values().filter(|cached| is_missing(cached));
         let missing: Vec<Arc<str>> = missing.map(|cached| cached.record.key.clone()).collect();
@@ -164,7 +182,7 @@
             };
             self.learn(now, record, out);
         }
-        self.finish_call(next);
+        self.finish_call(now, next, out);
     }
 
     /// Takes the answer of a read.
@@ -176,7 +194,7 @@
         out: &mut Outbox,
     ) {
         self.learn_all(now, records, out);
-        self.finish_call(next);
+        self.finish_call(now, next, out);
     }
 
     fn learn_all(&mut self, now: Instant, records: &[Record], out: &mut Outbox) {
@@ -185,8 +203,11 @@
         }
     }
 
-    fn finish_call(&mut self, next: Position) {
-        self.advance(next);
+    fn finish_call(&mut self, now: Instant, next: Position, out: &mut Outbox) {
+        self.advance(now, next);
+        if let Some(started_at) = self.call_started_at {
+            self.remove_unrestored(now, started_at, out);
+        }
         self.call = None;
         self.next_call_at = self.call_started_at.map(|at| at + self.min_poll_interval);
     }
@@ -200,19 +221,62 @@
     }
 
     /// Takes the position of a peer's frame, if its records hold every change since the one reached here.
-    pub(super) fn on_frame(&mut self, frame: &Frame) {
+    pub(super) fn on_frame(&mut self, now: Instant, frame: &Frame) {
         let known = self.next_offset.unwrap_or(0);
         if let Some(next) = frame.known_up_to(self.topic, known)
             && !self.is_expired()
         {
-            self.advance(next);
+            self.advance(now, next);
         }
     }
 
-    fn advance(&mut self, next: Position) {
+    fn advance(&mut self, now: Instant, next: Position) {
         self.next_offset = self.next_offset.max(Some(next));
         self.removals_known_from.get_or_insert(next);
-        self.era = self.era.max(position::era(next));
+        let era = position::era(next);
+        if era > self.era {
+            self.era = era;
+            self.unrestored_due_at = Some(now + intervals::restoration_time(self.topic));
+        }
+    }
+
+    /// Gives the keys that the store has lost more time to be written again, after an outage.
+    pub(super) fn postpone_unrestored(&mut self, now: Instant) {
+        let due_at = &mut self.unrestored_due_at;
+        *due_at = due_at.map(|at| at.max(now + intervals::restoration_time(self.topic)));
+    }
+
+    /// Asks the store at once when the keys that it has lost are due to be removed: a call that was made before says too little.
+    pub(super) fn confirm_unrestored(&mut self, now: Instant, out: &mut Outbox) {
+        let is_due = self.unrestored_due_at.is_some_and(|at| at <= now);
+        let is_early = self.call_started_at < self.unrestored_due_at;
+        if is_due && is_early && self.next_offset.is_some() {
+            self.start_call(now, Duration::ZERO, out);
+        }
+    }
+
+    /// Removes the keys that the store has lost in a restoration and that nobody has written again by its last answer, if that is from
+    /// after the time for it.
+    pub(super) fn remove_unrestored(&mut self, now: Instant, answer_at: Instant, out: &mut Outbox) {
+        if self.next_offset.is_none() || self.unrestored_due_at.is_none_or(|at| at > answer_at) {
+            return;
+        }
+        self.unrestored_due_at = None;
+        let is_lost = |cached: &&Cached| {
+            let record = &cached.record;
+            position::era(record.offset) < self.era && record.content != Content::Removed
+        };
+        let lost = self.records.values().filter(is_lost);
+        let lost: Vec<Arc<str>> = lost.map(|cached| cached.record.key.clone()).collect();
+        for key in lost {
+            let record = Record {
+                // Before all records of this era.
+                offset: position::new(self.era, 0).saturating_sub(1),
+                key,
+                content: Content::Removed,
+            };
+            self.learn(now, record, out);
+        }
     }
 
     /// Learns a record that a peer forwards, unless it is from before the first listing and missing there: its key has been
@@ -235,12 +299,16 @@
 
     /// Caches a record and announces it, unless the cached record of its key is newer.
     pub(super) fn learn(&mut self, now: Instant, record: Record, out: &mut Outbox) {
-        let known = self.records.get(&record.key);
-        let is_stale =
-            |known: &Cached| known.record.offset >= record.offset || known.supersedes(&record);
-        if known.is_some_and(is_stale) {
-            return;
+        if let Some(known) = self.records.get_mut(&record.key) {
+            if known.record.offset >= record.offset {
+                return;
+            }
+            if known.supersedes(&record) {
+                known.move_to(record.offset);
+                return;
+            }
         }
+        let known = self.records.get(&record.key);
         let newest_registration = match &record.content {
             Content::Upstream(registration) => Some(registration.ordering_key()),
             _ => known.and_then(|known| known.newest_registration),
--- a/crates/comfreyroad_router/tests/decisions/restorations.rs
+++ b/crates/comfreyroad_router/tests/decisions/restorations.rs
@@ -4,7 +4,7 @@
 use comfreyroad_router::frame::Frame;
 use comfreyroad_router::record::{Content, Record, Topic, position};
 
-use super::rig::{Rig, SECOND, configuration_content, frame};
+use super::rig::{Rig, SECOND, configuration_content, frame, registration};
 
 fn generation(rig: &Rig) -> Option<u64> {
     let active = rig.router.state().configuration.active();
@@ -43,6 +43,17 @@
     });
 }
 
+/// Answers the pending read of a topic without records.
+fn answer_read(rig: &mut Rig, topic: Topic, end: u64) {
+    let call = rig.pending_call(topic).expect("a read is pending");
+    rig.raise(Event::TopicRead {
+        topic,
+        call,
+        records: Vec::new(),
+        next: position::new(1, end),
+    });
+}
+
 /// A frame of a peer that knows a topic up to a position, with records from the beginning.
 fn complete_frame(topic: Topic, records: Vec<Record>, next: u64) -> Frame {
     let mut frame = frame("e2");
@@ -98,3 +109,70 @@
     let (answer, _) = rig.router.exchange(rig.now, query);
     assert_eq!(answer.records.len(), 1, "{:?}", answer.records);
 }
+
+/// Requests went to an evacuated zone until its evacuation was written again.
+#[test]
+fn a_key_that_the_copy_lacks_stays_until_it_had_time_to_be_written_again() {
+    let mut rig = Rig::serving("e1");
+    rig.read(Topic::Operator, "evacuate/a", evacuation("a"));
+    rig.read(Topic::Operator, "evacuate/b", evacuation("b"));
+    let copy = restored(1, "config", configuration_content(1));
+    list_restored(&mut rig, Topic::Operator, vec![copy]);
+    assert!(is_evacuated(&rig, "a") && is_evacuated(&rig, "b"));
+    rig.run_for(SECOND);
+    assert!(is_evacuated(&rig, "a") && is_evacuated(&rig, "b"));
+    let call = rig.pending_call(Topic::Operator).unwrap();
+    rig.raise(Event::TopicRead {
+        topic: Topic::Operator,
+        call,
+        records: vec![restored(2, "evacuate/b", evacuation("b"))],
+        next: position::new(1, 3),
+    });
+    rig.run_for(3 * SECOND);
+    assert!(
+        is_evacuated(&rig, "a"),
+        "the store has not answered since the time for it"
+    );
+    answer_read(&mut rig, Topic::Operator, 3);
+    assert!(!is_evacuated(&rig, "a") && is_evacuated(&rig, "b"));
+}
+
+/// Upstreams that the copy lacked were removed while the store was silent again.
+#[test]
+fn a_key_that_the_copy_lacks_stays_while_the_store_does_not_answer() {
+    let mut rig = Rig::serving("e1");
+    rig.run_for(SECOND);
+    list_restored(&mut rig, Topic::Upstreams, Vec::new());
+    rig.run_for(2 * SECOND);
+    let call = rig.pending_call(Topic::Upstreams).unwrap();
+    rig.raise(Event::StoreFailed(Topic::Upstreams, call));
+    rig.run_for(3 * SECOND);
+    let upstreams = |rig: &Rig| rig.router.state().upstreams.all().count();
+    assert_eq!(upstreams(&rig), 2);
+    answer_read(&mut rig, Topic::Upstreams, 1);
+    rig.run_for(SECOND);
+    assert_eq!(upstreams(&rig), 2, "they may be written again after it");
+}
+
+#[test]
+fn a_newer_registration_than_that_of_the_copy_stays() {
+    let mut rig = Rig::serving("e1");
+    let mut newer = registration("v1");
+    newer.sequence = 9;
+    newer.slots = 7;
+    rig.read(Topic::Upstreams, "u1", Content::Upstream(Box::new(newer)));
+    rig.read(Topic::Upstreams, "u2", Content::Removed);
+    let copy = |offset, key| {
+        let content = Content::Upstream(Box::new(registration("v1")));
+        restored(offset, key, content)
+    };
+    list_restored(
+        &mut rig,
+        Topic::Upstreams,
+        vec![copy(1, "u1"), copy(2, "u2")],
+    );
+    rig.run_for(3 * SECOND);
+    let upstreams = rig.router.state().upstreams.all();
+    let slots: Vec<u32> = upstreams.map(|it| it.registration.slots).collect();
+    assert_eq!(slots, [7]);
+}
