What this system wrote is written again to a restored store, and known orders go on

What operators saw: a roll-out's status that the copy lacked wasn't written again (a duty was missed), and a roll-out whose order was written again began anew, as a canary.

Cause: an entry took a status that it had read for lasting, and told orders apart by their positions alone.

Change: a new era raises StoreRestored. Statuses of before are forgotten and written again unless the store shows them; the entry registers again, spread over a second; topics that were read are listed at once. An order that is known goes on under its new position, and one that a known order had replaced or that was removed begins no rollout, if a restored store shows it: by its era, or within 2.4 s of the restoration. A status is written only on a position of the present era. A peer that has listed nothing yet has no era (E1204 at a start).

--- a/crates/comfreyroad_router/src/controller/rollouts/counts.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/counts.rs
@@ -41,6 +41,13 @@
         }
     }
 
+    /// Takes a new position of the order.
+    pub(super) fn identify(&mut self, position: Position) {
+        for tally in self.peers.values_mut().chain([&mut self.own]) {
+            tally.order_offset = position;
+        }
+    }
+
     /// This entry's counts.
     pub(super) fn own(&self) -> &Tally {
         &self.own
--- a/crates/comfreyroad_router/src/controller/rollouts/mod.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/mod.rs
@@ -17,6 +17,7 @@
 mod rollout;
 mod verdict;
 
+use std::collections::VecDeque;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -35,9 +36,14 @@
 use crate::note::{self, Note};
 use crate::outbox::Outbox;
 use crate::record::{Content, Record, Topic, position};
-use crate::rollout::{State, Status};
+use crate::rollout::{Order, State, Status};
 use crate::{Event, Settings};
 
+/// Time after a restoration of the store in which operators write lost orders again.
+const RESTORATION_TIME: Duration = Duration::from_millis(2400);
+/// Maximum number of past orders that are remembered.
+const MAX_PAST_ORDERS: usize = 64;
+
 /// Controller of the rollouts, one per pool.
 #[derive(Debug)]
 pub struct Rollouts {
@@ -50,6 +56,10 @@
     statuses: IndexMap<PoolId, Status>,
     // Pools by the record keys of their orders. The removal of an order names only its key.
     pools_by_key: IndexMap<Arc<str>, PoolId>,
+    // Orders that were replaced or removed, the latest last. A store that is restored from a copy may show them again.
+    past_orders: VecDeque<Order>,
+    // Until when the orders that a restored store has lost are written again.
+    restoration_ends_at: Option<Instant>,
 }
 
 impl Rollouts {
@@ -65,6 +75,8 @@
             rollouts: IndexMap::new(),
             statuses: IndexMap::new(),
             pools_by_key: IndexMap::new(),
+            past_orders: VecDeque::new(),
+            restoration_ends_at: None,
         }
     }
 
@@ -164,15 +176,34 @@
     fn on_order(&mut self, now: Instant, record: &Record, out: &mut Outbox) {
         let Content::Rollout(order) = &record.content else {
             // The order was removed, which ends its rollout. The last status of its pool is kept.
-            if let Some(pool) = self.pools_by_key.swap_remove(&record.key) {
-                self.rollouts.swap_remove(&pool);
+            if let Some(pool) = self.pools_by_key.swap_remove(&record.key)
+                && let Some(rollout) = self.rollouts.swap_remove(&pool)
+            {
+                self.remember(rollout.order);
             }
             return;
         };
-        let known = self.rollouts.get(&order.pool);
-        if known.is_some_and(|known| known.offset >= record.offset) {
+        let known = self.rollouts.get_mut(&order.pool);
+        if known.as_ref().is_some_and(|it| it.offset >= record.offset) {
             return;
         }
+        // What a restored store shows of orders that are known is no new order.
+        let era = position::era(record.offset);
+        let is_restored = self.restoration_ends_at.is_some_and(|at| at > now)
+            || (known.as_ref()).is_some_and(|it| position::era(it.offset) < era);
+        match known {
+            Some(known) if is_restored && known.order == *order => {
+                known.identify(record.offset);
+                self.apply_status(&order.pool, out);
+                return;
+            }
+            _ if is_restored && self.past_orders.contains(order) => return,
+            Some(known) => {
+                let replaced = known.order.clone();
+                self.remember(replaced);
+            }
+            None => {}
+        }
         let note = Note::new(&note::ROLLOUT_STARTED).with("pool", &order.pool);
         let note = note.with("target", &order.target);
         out.note(note.with("lasts_ms", order.duration.as_millis()));
@@ -184,6 +215,14 @@
         out.raise(Event::RolloutOrdered(order.pool.clone()));
     }
 
+    /// Remembers an order that was replaced or removed.
+    fn remember(&mut self, order: Order) {
+        self.past_orders.push_back(order);
+        if self.past_orders.len() > MAX_PAST_ORDERS {
+            self.past_orders.pop_front();
+        }
+    }
+
     /// Applies the latest status of a pool to its rollout.
     fn apply_status(&mut self, pool: &PoolId, out: &mut Outbox) {
         let (Some(rollout), Some(status)) = (self.rollouts.get_mut(pool), self.statuses.get(pool))
@@ -258,6 +297,13 @@
                 }
             }
             Event::FleetChanged(fleet) => self.fleet = Rc::clone(fleet),
+            Event::StoreRestored => {
+                self.restoration_ends_at = Some(now.instant + RESTORATION_TIME);
+                // The store may have lost them.
+                self.statuses.clear();
+                let rollouts = self.rollouts.values_mut();
+                rollouts.for_each(Rollout::forget_written_status);
+            }
             Event::FrameReceived(frame) => self.on_frame(now.instant, frame, out),
             Event::Tick => self.on_tick(now.instant, out),
             _ => {}
--- a/crates/comfreyroad_router/src/controller/rollouts/rollout.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/rollout.rs
@@ -245,6 +245,17 @@
         }
     }
 
+    /// Takes a new position of the order.
+    pub(super) fn identify(&mut self, position: Position) {
+        self.offset = position;
+        self.counts.identify(position);
+    }
+
+    /// Forgets the status that was last read from the store, which is then written again.
+    pub(super) fn forget_written_status(&mut self) {
+        self.written_status = None;
+    }
+
     /// Applies a status that was read from the store. Returns whether it changed.
     pub(super) fn apply_status(&mut self, status: &Status) -> bool {
         // A store that is restored from a copy keeps the offsets of what is in the copy.
--- a/crates/comfreyroad_router/src/controller/subscriptions/intervals.rs
+++ b/crates/comfreyroad_router/src/controller/subscriptions/intervals.rs
@@ -18,6 +18,8 @@
 pub(super) const MAX_BACKOFF: Duration = Duration::from_millis(3200);
 /// Maximum delay of a retry for a topic that was never listed.
 pub(super) const MAX_LISTING_BACKOFF: Duration = Duration::from_millis(250);
+/// Time after a restoration of the store over which the entries register again.
+const REGISTRATION_SPREAD: Duration = Duration::from_millis(1000);
 /// Age at which a record is forwarded to relays, which have usually read it from the store by then.
 pub(super) const FORWARD_DELAY: Duration = Duration::from_millis(300);
 
@@ -39,6 +41,11 @@
     })
 }
 
+/// Time after a restoration of the store at which an entry registers again.
+pub(super) fn registration_delay(entry: &str) -> Duration {
+    REGISTRATION_SPREAD.mul_f64(rendezvous::fraction("", entry))
+}
+
 /// Timeout of one long poll by an entry.
 pub(super) fn jittered_poll_timeout(topic: Topic, entry: &str, call: CallId) -> Duration {
     let fraction = rendezvous::fraction(&call.to_string(), entry);
--- a/crates/comfreyroad_router/src/controller/subscriptions/mod.rs
+++ b/crates/comfreyroad_router/src/controller/subscriptions/mod.rs
@@ -20,10 +20,10 @@
 use super::Controller;
 use super::members::Fleet;
 use crate::frame::{Frame, Peer};
-use crate::id::{Address, CallId, Position};
+use crate::id::{Address, CallId, Era, Position};
 use crate::note::{self, Note};
 use crate::outbox::Outbox;
-use crate::record::{Content, Record, Topic};
+use crate::record::{Content, Record, Topic, position};
 use crate::{Action, Event, Settings};
 
 /// Controller of the subscriptions.
@@ -38,6 +38,8 @@
     // The last report of each peer.
     reports: IndexMap<Address, Report>,
     fleet: Rc<Fleet>,
+    // The newest era of the store that is known; `None` before the first one.
+    era: Option<Era>,
     // Set while the store does not answer this entry.
     outage: Option<Outage>,
     // When the store last answered this entry on the upstreams, whose registrations lapse in an outage.
@@ -76,6 +78,7 @@
             relayed_answer_validity: intervals::relayed_answer_validity(drain_propagation),
             reports: IndexMap::new(),
             fleet: Rc::default(),
+            era: None,
             outage: None,
             answered_at: None,
             relayed_answer_at: None,
@@ -130,6 +133,27 @@
         }
     }
 
+    /// Takes the era of a position. In a new one the store has lost records: positions from before say nothing of it.
+    fn on_position(&mut self, now: Instant, next: Position, out: &mut Outbox) {
+        let era = position::era(next);
+        let known = self.era;
+        self.era = known.max(Some(era));
+        if known.is_none_or(|known| known >= era) {
+            return;
+        }
+        out.note(Note::new(&note::STORE_RESTORED).with("era", era));
+        out.raise(Event::StoreRestored);
+        // The own record may be lost too.
+        self.register_at = Some(now + intervals::registration_delay(&self.own.entry));
+        // Without the store, frames of peers move the positions on.
+        if self.polls_store(now) && self.outage.is_none() {
+            for subscription in self.subscriptions.values_mut() {
+                subscription.on_restored(era);
+            }
+            out.act(Action::Reconnect);
+        }
+    }
+
     /// Restarts all calls on new connections.
     fn restart(&mut self, out: &mut Outbox) {
         self.subscriptions
@@ -212,6 +236,10 @@
             reads_store: frame.store_answer_age.is_some(),
         };
         self.reports.insert(address, report);
+        // A peer that has listed no topic yet knows no era.
+        if let Some(newest) = frame.next_offsets.values().max().filter(|next| **next > 0) {
+            self.on_position(now.instant, *newest, out);
+        }
         for (topic, record) in &frame.records {
             if let Some(subscription) = self.subscriptions.get_mut(topic) {
                 subscription.learn_from_peer(now.instant, record, out);
@@ -255,6 +283,9 @@
     /// Handles the answer to the active call of a topic, and starts the next call if it is due.
     fn on_answer(&mut self, now: Now, topic: Topic, event: &Event, out: &mut Outbox) {
         let is_polled = self.polls_store(now.instant) && intervals::is_polled(topic);
+        if let Event::TopicListed { next, .. } = event {
+            self.on_position(now.instant, *next, out);
+        }
         let Some(subscription) = self.subscriptions.get_mut(&topic) else {
             return;
         };
@@ -282,8 +313,10 @@
     /// Writes a status, conditional on the end offset of the topic as this entry knows it.
     fn write_status(&self, content: Content, out: &mut Outbox) {
         let topic = Topic::Status;
-        // Before the topic was listed, its current status is unknown and must not be overwritten.
-        if let Some(next) = self.next_offset(topic) {
+        // Before the topic was listed, or listed again in the store's present era, its current status is unknown and must not be
+        // overwritten.
+        let is_current = |next: &Position| self.era == Some(position::era(*next));
+        if let Some(next) = self.next_offset(topic).filter(is_current) {
             let expected_end = Some(next);
             out.act(Action::Write {
                 topic,
--- a/crates/comfreyroad_router/src/controller/subscriptions/subscription.rs
+++ b/crates/comfreyroad_router/src/controller/subscriptions/subscription.rs
@@ -154,6 +154,17 @@
         self.next_call_at = None;
     }
 
+    /// Discards the position in the topic if it is from before the store was restored. The topic is listed again.
+    pub(super) fn on_restored(&mut self, era: Era) {
+        if self
+            .next_offset
+            .is_some_and(|next| position::era(next) < era)
+        {
+            self.next_offset = None;
+            self.restart();
+        }
+    }
+
     /// Takes the answer of a listing. Cached keys that are missing from it were removed, unless the store has lost them in a
     /// restoration: those may be written again.
     pub(super) fn on_listed(
--- a/crates/comfreyroad_router/src/event.rs
+++ b/crates/comfreyroad_router/src/event.rs
@@ -74,6 +74,9 @@
     StoreLost,
     /// The store answers this entry again.
     StoreRecovered,
+    /// The store was restored from a copy, and has lost its newest records. What operators and upstreams have written since is
+    /// written again.
+    StoreRestored,
     /// A rollout of a pool was ordered.
     RolloutOrdered(PoolId),
     /// Something became known that the other entries need before the next regular gossip round.
--- a/crates/comfreyroad_router/src/note/mod.rs
+++ b/crates/comfreyroad_router/src/note/mod.rs
@@ -40,6 +40,8 @@
     STORE_RECOVERED = 1202, Info, "store reachable again";
     /// Records expired before they were read; the topic is listed again.
     RECORDS_EXPIRED = 1203, Info, "records expired before they were read";
+    /// The store was restored from a copy and has lost its newest records.
+    STORE_RESTORED = 1204, Warn, "store restored from a copy";
     /// A heartbeat of a new peer has arrived.
     PEER_JOINED = 1301, Info, "peer joined";
     /// No newer heartbeat of a peer has arrived within the timeout.
--- a/crates/comfreyroad_router/tests/decisions/restorations.rs
+++ b/crates/comfreyroad_router/tests/decisions/restorations.rs
@@ -3,8 +3,9 @@
 use comfreyroad_router::Event;
 use comfreyroad_router::frame::Frame;
 use comfreyroad_router::record::{Content, Record, Topic, position};
+use comfreyroad_router::rollout::{Order, State, Status};
 
-use super::rig::{Rig, SECOND, configuration_content, frame, registration};
+use super::rig::{MS, Rig, SECOND, configuration_content, frame, registration};
 
 fn generation(rig: &Rig) -> Option<u64> {
     let active = rig.router.state().configuration.active();
@@ -43,6 +44,27 @@
     });
 }
 
+fn order(target: &str) -> Content {
+    Content::Rollout(Order {
+        pool: "pool".into(),
+        target: target.into(),
+        duration: 20 * SECOND,
+    })
+}
+
+/// Answers the read of a topic with one record, within the time for lost ones to be written again.
+fn read_restored(rig: &mut Rig, topic: Topic, record: Record) {
+    rig.run_for(200 * MS);
+    let call = rig.pending_call(topic).expect("a read is pending");
+    let next = record.offset + 1;
+    rig.raise(Event::TopicRead {
+        topic,
+        call,
+        records: vec![record],
+        next,
+    });
+}
+
 /// Answers the pending read of a topic without records.
 fn answer_read(rig: &mut Rig, topic: Topic, end: u64) {
     let call = rig.pending_call(topic).expect("a read is pending");
@@ -176,3 +198,106 @@
     let slots: Vec<u32> = upstreams.map(|it| it.registration.slots).collect();
     assert_eq!(slots, [7]);
 }
+
+#[test]
+fn a_rollout_goes_on_when_its_order_is_written_again() {
+    let mut rig = Rig::serving("e1");
+    rig.read(Topic::Operator, "rollout/pool", order("v2"));
+    let status = |state| {
+        Content::Status(Status {
+            pool: "pool".into(),
+            target: "v2".into(),
+            state,
+            order_offset: 0,
+        })
+    };
+    rig.read(Topic::Status, "rollout/pool", status(State::Completed));
+    let states = |rig: &Rig| {
+        let states = rig.router.state().rollouts.states();
+        let states: Vec<_> = states
+            .map(|(_, position, state)| (position, state))
+            .collect();
+        states
+    };
+    let again = restored(1, "rollout/pool", order("v2"));
+    list_restored(&mut rig, Topic::Operator, vec![again]);
+    // The status may be lost, and is written again.
+    assert_eq!(states(&rig), [(position::new(1, 1), None)]);
+    let is_retired = |rig: &Rig| {
+        rig.router
+            .state()
+            .rollouts
+            .is_retired(&"pool".into(), &"v1".into())
+    };
+    assert!(is_retired(&rig), "it is still completed");
+    rig.actions.clear();
+    list_restored(&mut rig, Topic::Status, Vec::new());
+    rig.run_for(SECOND);
+    let writes = rig
+        .actions
+        .iter()
+        .filter(|it| format!("{it:?}").contains("Completed"));
+    assert!(writes.count() > 0);
+    // Before anything else it was in the copy already, and is written again all the same.
+    read_restored(
+        &mut rig,
+        Topic::Operator,
+        restored(2, "rollout/pool", order("v2")),
+    );
+    assert!(is_retired(&rig), "it is still completed");
+    rig.run_for(3 * SECOND);
+    read_restored(
+        &mut rig,
+        Topic::Operator,
+        restored(3, "rollout/pool", order("v3")),
+    );
+    assert!(!is_retired(&rig), "another order begins a rollout");
+}
+
+/// A rollout that had been rolled back began anew when the copy held the order before it.
+#[test]
+fn a_rollout_is_not_forgotten_when_the_copy_holds_the_order_before() {
+    let mut rig = Rig::serving("e1");
+    rig.read(Topic::Operator, "rollout/pool", order("v2"));
+    rig.read(Topic::Operator, "rollout/pool", order("v3"));
+    let rolled_back = Content::Status(Status {
+        pool: "pool".into(),
+        target: "v3".into(),
+        state: State::RolledBack,
+        order_offset: 0,
+    });
+    rig.read(Topic::Status, "rollout/pool", rolled_back);
+    let is_retired = |rig: &Rig| {
+        let rollouts = &rig.router.state().rollouts;
+        rollouts.is_retired(&"pool".into(), &"v3".into())
+    };
+    let before = restored(1, "rollout/pool", order("v2"));
+    list_restored(&mut rig, Topic::Operator, vec![before]);
+    assert!(is_retired(&rig));
+    read_restored(
+        &mut rig,
+        Topic::Operator,
+        restored(2, "rollout/pool", order("v3")),
+    );
+    assert!(is_retired(&rig), "it is tried again");
+}
+
+/// A peer that had listed nothing yet was taken for one of an earlier era.
+#[test]
+fn a_frame_of_a_peer_without_positions_is_no_earlier_era() {
+    let mut rig = Rig::empty("e1");
+    rig.receive(complete_frame(Topic::Operator, Vec::new(), 0));
+    let call = rig.pending_call(Topic::Operator).unwrap();
+    rig.actions.clear();
+    rig.raise(Event::TopicListed {
+        topic: Topic::Operator,
+        call,
+        records: vec![restored(0, "config", configuration_content(1))],
+        next: position::new(1, 1),
+    });
+    let notes = rig
+        .actions
+        .iter()
+        .filter(|it| format!("{it:?}").contains("1204"));
+    assert_eq!(notes.count(), 0);
+}
