--- a/crates/comfreyroad_proxy/tests/process/main.rs
+++ b/crates/comfreyroad_proxy/tests/process/main.rs
@@ -11,6 +11,7 @@
 mod lifecycle;
 mod offers;
 mod responses;
+mod restored;
 mod stops;
 mod store;
 mod streams;
--- a/crates/comfreyroad_router/src/controller/subscriptions/intervals.rs
+++ b/crates/comfreyroad_router/src/controller/subscriptions/intervals.rs
@@ -18,6 +18,8 @@
 pub(super) const MAX_BACKOFF: Duration = Duration::from_millis(3200);
 /// Maximum delay of a retry for a topic that was never listed.
 pub(super) const MAX_LISTING_BACKOFF: Duration = Duration::from_millis(250);
+/// Time after a restoration of the store over which the entries register again.
+const REGISTRATION_SPREAD: Duration = Duration::from_millis(1000);
 /// Age at which a record is forwarded to relays, which have usually read it from the store by then.
 pub(super) const FORWARD_DELAY: Duration = Duration::from_millis(300);
 
@@ -30,6 +32,20 @@
 /// together again, and a record that is written in that moment can miss the next poll of every entry.
 const POLL_JITTER: f64 = 0.2;
 
+/// Time after a restoration of the store in which its lost records are written again, counted from when it is noticed. Upstreams
+/// report about once a second, and one that has left must not get requests for long; operators have some time more.
+pub(super) fn restoration_time(topic: Topic) -> Duration {
+    Duration::from_millis(match topic {
+        Topic::Upstreams => 1500,
+        Topic::Operator | Topic::Status | Topic::Entries => 2400,
+    })
+}
+
+/// Time after a restoration of the store at which an entry registers again.
+pub(super) fn registration_delay(entry: &str) -> Duration {
+    REGISTRATION_SPREAD.mul_f64(rendezvous::fraction("", entry))
+}
+
 /// Timeout of one long poll by an entry.
 pub(super) fn jittered_poll_timeout(topic: Topic, entry: &str, call: CallId) -> Duration {
     let fraction = rendezvous::fraction(&call.to_string(), entry);
--- a/crates/comfreyroad_router/src/controller/subscriptions/mod.rs
+++ b/crates/comfreyroad_router/src/controller/subscriptions/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! Each topic is listed once. The relays of a zone then poll it for new records. The other entries receive new records
 //! from the relays by gossip, and poll the store themselves while no relay reports. Records from peers count like
-//! records from the store: of each key the record with the highest offset wins, so their source, order and repetition do
+//! records from the store: of each key the record with the highest position wins, so their source, order and repetition do
 //! not matter.
 
 mod intervals;
@@ -20,10 +20,10 @@
 use super::Controller;
 use super::members::Fleet;
 use crate::frame::{Frame, Peer};
-use crate::id::{Address, CallId, Offset};
+use crate::id::{Address, CallId, Era, Position};
 use crate::note::{self, Note};
 use crate::outbox::Outbox;
-use crate::record::{Content, Record, Topic};
+use crate::record::{Content, Record, Topic, position};
 use crate::{Action, Event, Settings};
 
 /// Controller of the subscriptions.
@@ -38,6 +38,8 @@
     // The last report of each peer.
     reports: IndexMap<Address, Report>,
     fleet: Rc<Fleet>,
+    // The newest era of the store that is known; `None` before the first one.
+    era: Option<Era>,
     // Set while the store does not answer this entry.
     outage: Option<Outage>,
     // When the store last answered this entry on the upstreams, whose registrations lapse in an outage.
@@ -54,8 +56,8 @@
 /// What a peer reports of its subscriptions.
 #[derive(Debug)]
 struct Report {
-    /// The offset up to which it knows each topic.
-    next_offsets: IndexMap<Topic, Offset>,
+    /// The position up to which it knows each topic.
+    next_offsets: IndexMap<Topic, Position>,
     /// Whether it reads the store and gets answers.
     reads_store: bool,
 }
@@ -76,6 +78,7 @@
             relayed_answer_validity: intervals::relayed_answer_validity(drain_propagation),
             reports: IndexMap::new(),
             fleet: Rc::default(),
+            era: None,
             outage: None,
             answered_at: None,
             relayed_answer_at: None,
@@ -90,8 +93,8 @@
         self.outage.is_some()
     }
 
-    /// The offset up to which a topic is known.
-    pub fn next_offset(&self, topic: Topic) -> Option<Offset> {
+    /// The position up to which a topic is known.
+    pub fn next_offset(&self, topic: Topic) -> Option<Position> {
         self.subscriptions.get(&topic)?.next_offset()
     }
 
@@ -111,6 +114,43 @@
             out.raise(Event::StoreRecovered);
             // Calls made before may wait on connections that have gone silent.
             self.restart(out);
+            for subscription in self.subscriptions.values_mut() {
+                subscription.postpone_unrestored(now);
+            }
+        }
+    }
+
+    /// Finds out whether the keys that the store has lost in a restoration were written again, by the store or by what relays know.
+    fn confirm_unrestored(&mut self, now: Instant, out: &mut Outbox) {
+        let polls_store = self.polls_store(now);
+        for subscription in self.subscriptions.values_mut() {
+            if let Some(answer_at) = self.relayed_answer_at {
+                subscription.remove_unrestored(now, answer_at, out);
+            }
+            if polls_store && self.outage.is_none() {
+                subscription.confirm_unrestored(now, out);
+            }
+        }
+    }
+
+    /// Takes the era of a position. In a new one the store has lost records: positions from before say nothing of it.
+    fn on_position(&mut self, now: Instant, next: Position, out: &mut Outbox) {
+        let era = position::era(next);
+        let known = self.era;
+        self.era = known.max(Some(era));
+        if known.is_none_or(|known| known >= era) {
+            return;
+        }
+        out.note(Note::new(&note::STORE_RESTORED).with("era", era));
+        out.raise(Event::StoreRestored);
+        // The own record may be lost too.
+        self.register_at = Some(now + intervals::registration_delay(&self.own.entry));
+        // Without the store, frames of peers move the positions on.
+        if self.polls_store(now) && self.outage.is_none() {
+            for subscription in self.subscriptions.values_mut() {
+                subscription.on_restored(era);
+            }
+            out.act(Action::Reconnect);
         }
     }
 
@@ -196,13 +236,17 @@
             reads_store: frame.store_answer_age.is_some(),
         };
         self.reports.insert(address, report);
+        // A peer that has listed no topic yet knows no era.
+        if let Some(newest) = frame.next_offsets.values().max().filter(|next| **next > 0) {
+            self.on_position(now.instant, *newest, out);
+        }
         for (topic, record) in &frame.records {
             if let Some(subscription) = self.subscriptions.get_mut(topic) {
                 subscription.learn_from_peer(now.instant, record, out);
             }
         }
         for subscription in self.subscriptions.values_mut() {
-            subscription.on_frame(frame);
+            subscription.on_frame(now.instant, frame);
         }
         let from_relay = self.fleet.is_relay(&frame.sender.entry);
         if let Some(age) = frame.store_answer_age
@@ -239,6 +283,9 @@
     /// Handles the answer to the active call of a topic, and starts the next call if it is due.
     fn on_answer(&mut self, now: Now, topic: Topic, event: &Event, out: &mut Outbox) {
         let is_polled = self.polls_store(now.instant) && intervals::is_polled(topic);
+        if let Event::TopicListed { next, .. } = event {
+            self.on_position(now.instant, *next, out);
+        }
         let Some(subscription) = self.subscriptions.get_mut(&topic) else {
             return;
         };
@@ -266,8 +313,10 @@
     /// Writes a status, conditional on the end offset of the topic as this entry knows it.
     fn write_status(&self, content: Content, out: &mut Outbox) {
         let topic = Topic::Status;
-        // Before the topic was listed, its current status is unknown and must not be overwritten.
-        if let Some(next) = self.next_offset(topic) {
+        // Before the topic was listed, or listed again in the store's present era, its current status is unknown and must not be
+        // overwritten.
+        let is_current = |next: &Position| self.era == Some(position::era(*next));
+        if let Some(next) = self.next_offset(topic).filter(is_current) {
             let expected_end = Some(next);
             out.act(Action::Write {
                 topic,
@@ -286,7 +335,10 @@
                 self.role_settles_at = Some(now.instant + self.role_settle_time);
                 self.start_due_calls(now, out);
             }
-            Event::Tick => self.start_due_calls(now, out),
+            Event::Tick => {
+                self.start_due_calls(now, out);
+                self.confirm_unrestored(now.instant, out);
+            }
             Event::FleetChanged(fleet) => self.fleet = Rc::clone(fleet),
             Event::ProcessPaused => self.restart(out),
             Event::TopicListed { topic, call, .. }
--- a/crates/comfreyroad_router/src/controller/subscriptions/subscription.rs
+++ b/crates/comfreyroad_router/src/controller/subscriptions/subscription.rs
@@ -6,10 +6,10 @@
 
 use super::intervals;
 use crate::frame::Frame;
-use crate::id::{CallId, Incarnation, Offset};
+use crate::id::{CallId, Era, Incarnation, Position};
 use crate::note::{self, Note};
 use crate::outbox::Outbox;
-use crate::record::{Content, Record, Topic};
+use crate::record::{Content, Record, Topic, position};
 use crate::{Action, Event};
 
 /// Maximum number of records of one topic in a frame; further records follow in the next frame.
@@ -22,10 +22,14 @@
 pub(super) struct Subscription {
     topic: Topic,
     min_poll_interval: Duration,
-    // The offset up to which the topic is known; `None` before the first listing.
-    next_offset: Option<Offset>,
-    // The offset from which all removals are known. Those from before the first listing are not.
-    removals_known_from: Option<Offset>,
+    // The era of the store that is known.
+    era: Era,
+    // When the keys are removed that the store has not shown since its last restoration.
+    unrestored_due_at: Option<Instant>,
+    // The position up to which the topic is known; `None` before the first listing.
+    next_offset: Option<Position>,
+    // The position from which all removals are known. Those from before the first listing are not.
+    removals_known_from: Option<Position>,
     records: IndexMap<Arc<str>, Cached>,
     // The active call, and the number of the last one.
     call: Option<CallId>,
@@ -38,14 +42,26 @@
 #[derive(Debug)]
 struct Cached {
     record: Rc<Record>,
-    // The offset at which the content last changed. Renewals do not change it and are not forwarded.
-    changed_offset: Offset,
+    // The position at which the content last changed. Renewals do not change it and are not forwarded.
+    changed_offset: Position,
     learned_at: Instant,
     // Ordering key of the upstream's newest registration; kept after its removal.
     newest_registration: Option<(Incarnation, u64)>,
 }
 
 impl Cached {
+    /// Takes a new position of the key if it has none in that era: the store has the key, though with a content that is superseded.
+    fn move_to(&mut self, offset: Position) {
+        if position::era(self.record.offset) < position::era(offset) {
+            let record = Record {
+                offset,
+                ..(*self.record).clone()
+            };
+            self.record = Rc::new(record);
+            self.changed_offset = offset;
+        }
+    }
+
     /// Whether the cache supersedes a registration that arrives late: it was made before the newest one, or before the
     /// upstream was removed.
     fn supersedes(&self, record: &Record) -> bool {
@@ -64,6 +80,8 @@
         Self {
             topic,
             min_poll_interval,
+            era: 0,
+            unrestored_due_at: None,
             next_offset: None,
             removals_known_from: None,
             records: IndexMap::new(),
@@ -74,8 +92,8 @@
         }
     }
 
-    /// The offset up to which the topic is known.
-    pub(super) fn next_offset(&self) -> Option<Offset> {
+    /// The position up to which the topic is known.
+    pub(super) fn next_offset(&self) -> Option<Position> {
         self.next_offset
     }
 
@@ -136,12 +154,24 @@
         self.next_call_at = None;
     }
 
-    /// Takes the answer of a listing. Cached keys that are missing from it were removed.
+    /// Discards the position in the topic if it is from before the store was restored. The topic is listed again.
+    pub(super) fn on_restored(&mut self, era: Era) {
+        if self
+            .next_offset
+            .is_some_and(|next| position::era(next) < era)
+        {
+            self.next_offset = None;
+            self.restart();
+        }
+    }
+
+    /// Takes the answer of a listing. Cached keys that are missing from it were removed, unless the store has lost them in a
+    /// restoration: those may be written again.
     pub(super) fn on_listed(
         &mut self,
         now: Instant,
         records: &[Record],
-        next: Offset,
+        next: Position,
         out: &mut Outbox,
     ) {
         self.learn_all(now, records, out);
@@ -149,7 +179,9 @@
         let is_missing = |cached: &Cached| {
             let record = &cached.record;
             let is_listed = listed.contains(&*record.key);
-            record.offset < next && record.content != Content::Removed && !is_listed
+            let is_lost = position::era(record.offset) < position::era(next);
+            let is_removed = record.content == Content::Removed || is_lost;
+            record.offset < next && !is_removed && !is_listed
         };
         let missing = self.records.values().filter(|cached| is_missing(cached));
         let missing: Vec<Arc<str>> = missing.map(|cached| cached.record.key.clone()).collect();
@@ -161,7 +193,7 @@
             };
             self.learn(now, record, out);
         }
-        self.finish_call(next);
+        self.finish_call(now, next, out);
     }
 
     /// Takes the answer of a read.
@@ -169,11 +201,11 @@
         &mut self,
         now: Instant,
         records: &[Record],
-        next: Offset,
+        next: Position,
         out: &mut Outbox,
     ) {
         self.learn_all(now, records, out);
-        self.finish_call(next);
+        self.finish_call(now, next, out);
     }
 
     fn learn_all(&mut self, now: Instant, records: &[Record], out: &mut Outbox) {
@@ -182,8 +214,11 @@
         }
     }
 
-    fn finish_call(&mut self, next: Offset) {
-        self.advance(next);
+    fn finish_call(&mut self, now: Instant, next: Position, out: &mut Outbox) {
+        self.advance(now, next);
+        if let Some(started_at) = self.call_started_at {
+            self.remove_unrestored(now, started_at, out);
+        }
         self.call = None;
         self.next_call_at = self.call_started_at.map(|at| at + self.min_poll_interval);
     }
@@ -197,23 +232,71 @@
     }
 
     /// Takes the position of a peer's frame, if its records hold every change since the one reached here.
-    pub(super) fn on_frame(&mut self, frame: &Frame) {
+    pub(super) fn on_frame(&mut self, now: Instant, frame: &Frame) {
         let known = self.next_offset.unwrap_or(0);
         if let Some(next) = frame.known_up_to(self.topic, known)
             && !self.is_expired()
         {
-            self.advance(next);
+            self.advance(now, next);
         }
     }
 
-    fn advance(&mut self, next: Offset) {
+    fn advance(&mut self, now: Instant, next: Position) {
         self.next_offset = self.next_offset.max(Some(next));
         self.removals_known_from.get_or_insert(next);
+        let era = position::era(next);
+        if era > self.era {
+            self.era = era;
+            self.unrestored_due_at = Some(now + intervals::restoration_time(self.topic));
+        }
+    }
+
+    /// Gives the keys that the store has lost more time to be written again, after an outage.
+    pub(super) fn postpone_unrestored(&mut self, now: Instant) {
+        let due_at = &mut self.unrestored_due_at;
+        *due_at = due_at.map(|at| at.max(now + intervals::restoration_time(self.topic)));
+    }
+
+    /// Asks the store at once when the keys that it has lost are due to be removed: a call that was made before says too little.
+    pub(super) fn confirm_unrestored(&mut self, now: Instant, out: &mut Outbox) {
+        let is_due = self.unrestored_due_at.is_some_and(|at| at <= now);
+        let is_early = self.call_started_at < self.unrestored_due_at;
+        if is_due && is_early && self.next_offset.is_some() {
+            self.start_call(now, Duration::ZERO, out);
+        }
+    }
+
+    /// Removes the keys that the store has lost in a restoration and that nobody has written again by its last answer, if that is from
+    /// after the time for it.
+    pub(super) fn remove_unrestored(&mut self, now: Instant, answer_at: Instant, out: &mut Outbox) {
+        if self.next_offset.is_none() || self.unrestored_due_at.is_none_or(|at| at > answer_at) {
+            return;
+        }
+        self.unrestored_due_at = None;
+        let is_lost = |cached: &&Cached| {
+            let record = &cached.record;
+            position::era(record.offset) < self.era && record.content != Content::Removed
+        };
+        let lost = self.records.values().filter(is_lost);
+        let lost: Vec<Arc<str>> = lost.map(|cached| cached.record.key.clone()).collect();
+        for key in lost {
+            let record = Record {
+                // Before all records of this era.
+                offset: position::new(self.era, 0).saturating_sub(1),
+                key,
+                content: Content::Removed,
+            };
+            self.learn(now, record, out);
+        }
     }
 
     /// Learns a record that a peer forwards, unless it is from before the first listing and missing there: its key has been
     /// removed since.
     pub(super) fn learn_from_peer(&mut self, now: Instant, record: &Record, out: &mut Outbox) {
+        // The store has lost it, or has it at another position now.
+        if position::era(record.offset) < self.era {
+            return;
+        }
         let is_unknown = !self.records.contains_key(&record.key);
         let is_older = || {
             self.removals_known_from
@@ -227,21 +310,32 @@
 
     /// Caches a record and announces it, unless the cached record of its key is newer.
     pub(super) fn learn(&mut self, now: Instant, record: Record, out: &mut Outbox) {
-        let known = self.records.get(&record.key);
-        let is_stale =
-            |known: &Cached| known.record.offset >= record.offset || known.supersedes(&record);
-        if known.is_some_and(is_stale) {
-            return;
+        if let Some(known) = self.records.get_mut(&record.key) {
+            if known.record.offset >= record.offset {
+                return;
+            }
+            if known.supersedes(&record) {
+                known.move_to(record.offset);
+                return;
+            }
         }
+        let known = self.records.get(&record.key);
         let newest_registration = match &record.content {
             Content::Upstream(registration) => Some(registration.ordering_key()),
             _ => known.and_then(|known| known.newest_registration),
         };
         if record.content == Content::Unreadable {
             let note = Note::new(&note::RECORD_UNREADABLE).with("topic", self.topic.name());
-            out.note(note.with("key", &record.key).with("offset", record.offset));
+            out.note(
+                note.with("key", &record.key)
+                    .with("offset", position::offset(record.offset)),
+            );
         }
-        let renewed = known.filter(|known| record.content.is_renewal_of(&known.record.content));
+        let is_renewal = |known: &&Cached| {
+            let is_same_era = position::era(known.record.offset) == position::era(record.offset);
+            is_same_era && record.content.is_renewal_of(&known.record.content)
+        };
+        let renewed = known.filter(is_renewal);
         let changed_offset = renewed.map_or(record.offset, |known| known.changed_offset);
         let record = Rc::new(record);
         let cached = Cached {
@@ -259,15 +353,15 @@
         out.raise(Event::RecordLearned(self.topic, record));
     }
 
-    /// The records that changed at or after an offset, in order, and the offset up to which the peer then knows all; `None` if
-    /// the peer lacks nothing. A peer that lacks removals which are not known here stays at its offset. Recent records are
+    /// The records that changed at or after a position, in order, and the position up to which the peer then knows all; `None` if
+    /// the peer lacks nothing. A peer that lacks removals which are not known here stays at its position. Recent records are
     /// withheld from a peer that reads the store, as it has probably read them too.
     pub(super) fn changes_since(
         &self,
         now: Instant,
-        from: Offset,
+        from: Position,
         reads_store: bool,
-    ) -> Option<(Vec<Record>, Offset)> {
+    ) -> Option<(Vec<Record>, Position)> {
         let next = self.next_offset.filter(|next| *next > from)?;
         let knows_removals = from == 0 || self.removals_known_from.is_some_and(|it| it <= from);
         // Nothing is withheld from a peer that knows no records yet.
