--- a/crates/comfreyroad_proxy/src/front/attempt.rs
+++ b/crates/comfreyroad_proxy/src/front/attempt.rs
@@ -210,8 +210,8 @@
     fault.is_silence() && call.request.stage().plan().deadline > Instant::now()
 }
 
-/// Handles a fault of an attempt before its first event. If the upstream is only silent, and no other one can take over, the attempt goes on; then the time
-/// is returned at which another one is looked for again.
+/// Handles a fault of an attempt before its first event. If the upstream is only silent, and no other one can take over, the attempt
+/// goes on; then the time is returned at which another one is looked for again.
 pub(super) fn on_fault(
     shared: &Rc<Shared>,
     call: Call,
--- a/crates/comfreyroad_router/src/controller/subscriptions/subscription.rs
+++ b/crates/comfreyroad_router/src/controller/subscriptions/subscription.rs
@@ -4,9 +4,10 @@
 
 use indexmap::{IndexMap, IndexSet};
 
+use super::cached::Cached;
 use super::intervals;
 use crate::frame::Frame;
-use crate::id::{CallId, Era, Incarnation, Position};
+use crate::id::{CallId, Era, Position};
 use crate::note::{self, Note};
 use crate::outbox::Outbox;
 use crate::record::{Content, Record, Topic, position};
@@ -38,43 +39,6 @@
     next_call_at: Option<Instant>,
 }
 
-/// The newest record of a key.
-#[derive(Debug)]
-struct Cached {
-    record: Rc<Record>,
-    // The position at which the content last changed. Renewals do not change it and are not forwarded.
-    changed_offset: Position,
-    learned_at: Instant,
-    // Ordering key of the upstream's newest registration; kept after its removal.
-    newest_registration: Option<(Incarnation, u64)>,
-}
-
-impl Cached {
-    /// Takes a new position of the key if it has none in that era: the store has the key, though with a content that is superseded.
-    fn move_to(&mut self, offset: Position) {
-        if position::era(self.record.offset) < position::era(offset) {
-            let record = Record {
-                offset,
-                ..(*self.record).clone()
-            };
-            self.record = Rc::new(record);
-            self.changed_offset = offset;
-        }
-    }
-
-    /// Whether the cache supersedes a registration that arrives late: it was made before the newest one, or before the
-    /// upstream was removed.
-    fn supersedes(&self, record: &Record) -> bool {
-        let Content::Upstream(registration) = &record.content else {
-            return false;
-        };
-        let ordering_key = Some(registration.ordering_key());
-        let is_removed = self.record.content == Content::Removed;
-        ordering_key < self.newest_registration
-            || (is_removed && ordering_key == self.newest_registration)
-    }
-}
-
 impl Subscription {
     pub(super) fn new(topic: Topic, min_poll_interval: Duration) -> Self {
         Self {
@@ -247,10 +211,21 @@
         let era = position::era(next);
         if era > self.era {
             self.era = era;
-            self.unrestored_due_at = Some(now + intervals::restoration_time(self.topic));
+            let has_lost = self.lost_keys().next().is_some();
+            let due_at = now + intervals::restoration_time(self.topic);
+            self.unrestored_due_at = has_lost.then_some(due_at);
         }
     }
 
+    /// The keys that the store has not shown in its present era.
+    fn lost_keys(&self) -> impl Iterator<Item = &Arc<str>> {
+        let records = self.records.values().map(|cached| &cached.record);
+        let is_lost = |record: &&Rc<Record>| {
+            position::era(record.offset) < self.era && record.content != Content::Removed
+        };
+        records.filter(is_lost).map(|record| &record.key)
+    }
+
     /// Gives the keys that the store has lost more time to be written again, after an outage.
     pub(super) fn postpone_unrestored(&mut self, now: Instant) {
         let due_at = &mut self.unrestored_due_at;
@@ -273,12 +248,7 @@
             return;
         }
         self.unrestored_due_at = None;
-        let is_lost = |cached: &&Cached| {
-            let record = &cached.record;
-            position::era(record.offset) < self.era && record.content != Content::Removed
-        };
-        let lost = self.records.values().filter(is_lost);
-        let lost: Vec<Arc<str>> = lost.map(|cached| cached.record.key.clone()).collect();
+        let lost: Vec<Arc<str>> = self.lost_keys().cloned().collect();
         for key in lost {
             let record = Record {
                 // Before all records of this era.
