Soak: an offer that was withdrawn isn't where a request was last

Cause: check_cut judged by the run that arrived last. A stream that is offered to another engine and stays has a later run, which was cancelled at once, so that the excuse of the rule, that the engine is at work in the last sixth of the grace, wasn't seen.

Change: a run that was cancelled while an earlier one went on isn't the last one. Where the earlier one ended first, or broke off, the later one counts as before.

--- a/crates/comfreyroad_proxy/tests/soak/invariants.rs
+++ b/crates/comfreyroad_proxy/tests/soak/invariants.rs
@@ -106,7 +106,7 @@
             return None;
         }
         let (sent, ended) = (outcome.sent?, outcome.ended);
-        let last = runs.iter().max_by_key(|run| run.at)?;
+        let last = last_run(runs)?;
         if last.is_cut || self.has_timed_out(outcome) || !self.is_without_fault(outcome) {
             return None;
         }
@@ -222,6 +222,20 @@
     }
 }
 
+/// The run at which a request was last. One that was cancelled while an earlier one went on was only offered it.
+fn last_run<'a>(runs: &[&'a Run]) -> Option<&'a Run> {
+    let was_offered = |run: &Run| {
+        let goes_on = |it: &&Run| {
+            let is_held = it.ended().is_none_or(|end| Some(end) > run.closed);
+            it.at < run.at && !it.is_cut && is_held
+        };
+        run.closed.is_some() && runs.iter().any(goes_on)
+    };
+    let runs = runs.iter().copied();
+    runs.filter(|run| !was_offered(run))
+        .max_by_key(|run| run.at)
+}
+
 /// Whether a complete response is the one that the engine gives to this request.
 fn is_expected_response(outcome: &Outcome) -> bool {
     let Some(response) = &outcome.response else {
