Tests of restored stores: one function renews the registrations

Two tests had the same loop and wait. What they do and assert is unchanged; the 12 tests of restored.rs pass, formatter and linter are clean.

--- a/crates/comfreyroad_proxy/tests/process/restored.rs
+++ b/crates/comfreyroad_proxy/tests/process/restored.rs
@@ -75,6 +75,17 @@
     newest.replace("\"seq\":1", &format!("\"seq\":{seq}"))
 }
 
+/// Has both upstreams report twice more, and waits until that has taken effect.
+fn renew_registrations(env: &Environment) {
+    for seq in [2, 3] {
+        for upstream in ["i-1", "i-2"] {
+            let text = registration(env, upstream, seq);
+            env.store.put("keyed.servers", upstream, &text);
+        }
+    }
+    std::thread::sleep(PROPAGATION);
+}
+
 fn assert_served_in_time(env: &Environment, path_prefix: &str) {
     let published = Instant::now();
     while status(env, path_prefix) != 200 {
@@ -199,13 +210,7 @@
 fn upstreams_that_drain_after_the_store_came_back_get_no_request() {
     let env = Environment::start_configured();
     let copy = env.store.copy();
-    for seq in [2, 3] {
-        for upstream in ["i-1", "i-2"] {
-            let text = registration(&env, upstream, seq);
-            env.store.put("keyed.servers", upstream, &text);
-        }
-    }
-    std::thread::sleep(PROPAGATION);
+    renew_registrations(&env);
     restore(&env, copy, || {});
     for upstream in ["i-1", "i-2"] {
         let text = registration(&env, upstream, 4).replace("ready", "draining");
@@ -222,13 +227,7 @@
 fn upstream_that_registers_after_the_store_came_back_replaces_others() {
     let env = Environment::start_configured();
     let copy = env.store.copy();
-    for seq in [2, 3] {
-        for upstream in ["i-1", "i-2"] {
-            let text = registration(&env, upstream, seq);
-            env.store.put("keyed.servers", upstream, &text);
-        }
-    }
-    std::thread::sleep(PROPAGATION);
+    renew_registrations(&env);
     restore(&env, copy, || {});
     let text = registration(&env, "i-1", 1);
     env.store.put("keyed.servers", "i-3", &text);
