--- a/review/rig/store.rs
+++ b/review/rig/store.rs
@@ -22,7 +22,7 @@
 struct Shared {
     topics: Mutex<Topics>,
     changed: Condvar,
-    // Whether the store answers every call with 503.
+    // Whether the store resets its channels in place of an answer.
     is_down: AtomicBool,
 }
 
@@ -51,7 +51,7 @@
         self.shared.changed.notify_all();
     }
 
-    /// Whether the store answers every call with 503 from now on, which says that nothing was done.
+    /// Whether the store resets its channels in place of an answer from now on.
     pub fn set_down(&self, is_down: bool) {
         self.shared.is_down.store(is_down, Ordering::SeqCst);
         self.shared.changed.notify_all();
@@ -76,10 +76,17 @@
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let mut stream = BufReader::new(stream);
-        while let Some(request) = http::read_message(&mut stream) {
-            let (mut status, mut body) = (503, Vec::new());
-            if !self.is_down() {
-                (status, body) = self.respond(&request);
+        while matches!(stream.get_ref().peek(&mut [0]), Ok(1)) {
+            // Closing a channel with unread bytes resets it.
+            if self.is_down() {
+                return;
+            }
+            let Some(request) = http::read_message(&mut stream) else {
+                return;
+            };
+            let (status, body) = self.respond(&request);
+            if self.is_down() {
+                return;
             }
             let length = body.len();
             let head = format!(
