--- a/review/rig/cold.rs
+++ b/review/rig/cold.rs
@@ -55,7 +55,13 @@
     let engines: Vec<Engine> = (0..ENGINES)
         .map(|index| {
             let name = format!("{index}");
-            Engine::start((&name, zones[index % 4]), kind.clone(), &stage.store, record, behaviour.clone())
+            Engine::start(
+                (&name, zones[index % 4]),
+                kind.clone(),
+                &stage.store,
+                record,
+                behaviour.clone(),
+            )
         })
         .collect();
     let mut entries = stage.start_entries(ENTRIES, ROUTES, SERVICE);
@@ -90,7 +96,11 @@
         number += 1;
         let request = Request {
             id: format!("{}-{number}", to.0),
-            line: if number % 2 == 0 { "POST /pufi791/2f HTTP/1.1" } else { "POST /lohu930/2f HTTP/1.1" },
+            line: if number % 2 == 0 {
+                "POST /pufi791/2f HTTP/1.1"
+            } else {
+                "POST /lohu930/2f HTTP/1.1"
+            },
             headers: format!(
                 "X-Comfreyroad-Model: daka510000\r\nX-Comfreyroad-Token-Usage: 260,21\r\n\
                  X-Comfreyroad-Prompt-Prefix: 5c1e07a2:100,91bd{:04x}:80,e4{}{:05x}:80\r\n",
@@ -121,7 +131,8 @@
     }
     std::thread::sleep(Duration::from_millis(8));
     let head = engine.head(request, "200 OK", true);
-    let head = format!("{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+    let head =
+        format!("{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
     if stream.write_all(head.as_bytes()).is_err() {
         return Next::Close;
     }
@@ -148,14 +159,19 @@
     let count = |first: &&Arrival| {
         let from = first.at;
         let is_inside = |it: &&&Arrival| {
-            let sent = record.sender(&it.request).map_or(Duration::ZERO, |(_, at)| at);
+            let sent = record
+                .sender(&it.request)
+                .map_or(Duration::ZERO, |(_, at)| at);
             it.engine == first.engine && it.at >= from && it.at < from + second && sent >= from
         };
         cold.iter().filter(is_inside).count()
     };
     let most = cold.iter().map(count).max().unwrap_or(0);
     let outcomes = record.outcomes();
-    let lost = outcomes.iter().filter(|it| it.status != 200 || !it.is_whole).count();
+    let lost = outcomes
+        .iter()
+        .filter(|it| it.status != 200 || !it.is_whole)
+        .count();
     let crashes = record.crashes().len();
     let allowed = COLD_PER_S * MULTIPLIER + SLACK;
     Verdict {
--- a/review/rig/engine.rs
+++ b/review/rig/engine.rs
@@ -39,7 +39,10 @@
     Keep,
     Close,
     /// The engine crashes, and is back after a time, with or without its id.
-    Crash { down: Duration, keeps_id: bool },
+    Crash {
+        down: Duration,
+        keeps_id: bool,
+    },
 }
 
 /// An engine; clones share its state.
@@ -197,7 +200,8 @@
             let own = self.id();
             if !wanted.is_empty() && wanted != own {
                 let head = self.head(&request, "421 Misdirected Request", false);
-                let text = format!("{head}X-Comfreyroad-Instance-Id: {own}\r\nContent-Length: 0\r\n\r\n");
+                let text =
+                    format!("{head}X-Comfreyroad-Instance-Id: {own}\r\nContent-Length: 0\r\n\r\n");
                 if stream.get_mut().write_all(text.as_bytes()).is_err() {
                     return;
                 }
@@ -254,7 +258,9 @@
     fn report(&self, life: &mut Life, now: Instant) {
         life.seq += 1;
         life.last_report = Some(now);
-        let cold = life.cold_until.map_or(Duration::ZERO, |at| at.saturating_duration_since(now));
+        let cold = life
+            .cold_until
+            .map_or(Duration::ZERO, |at| at.saturating_duration_since(now));
         let models: Vec<String> = self
             .kind
             .models
--- a/review/rig/entry.rs
+++ b/review/rig/entry.rs
@@ -34,7 +34,10 @@
         .map(|it| it.each_ref().map(address))
         .collect();
     drop(reserved);
-    let seeds: Vec<String> = addresses.iter().map(|it| format!("\"{}\"", it[2])).collect();
+    let seeds: Vec<String> = addresses
+        .iter()
+        .map(|it| format!("\"{}\"", it[2]))
+        .collect();
     let seeds = seeds[..count.min(3)].join(",");
     let entries: Vec<Entry> = addresses
         .iter()
@@ -54,7 +57,9 @@
         if let Ok(Some(status)) = entry.child.try_wait() {
             let log = std::fs::read_to_string(&entry.log).unwrap_or_default();
             let last: Vec<&str> = log.lines().rev().take(5).collect();
-            record.note(format!("an entry has ended with {status}; the end of its log: {last:?}"));
+            record.note(format!(
+                "an entry has ended with {status}; the end of its log: {last:?}"
+            ));
             panic!("an entry has ended");
         }
     }
@@ -93,7 +98,10 @@
         let deadline = Instant::now() + START_TIMEOUT;
         while !client::is_ready(self.ready) {
             assert!(Instant::now() < deadline, "an entry does not get ready");
-            assert!(matches!(self.child.try_wait(), Ok(None)), "an entry does not start");
+            assert!(
+                matches!(self.child.try_wait(), Ok(None)),
+                "an entry does not start"
+            );
             std::thread::sleep(Duration::from_millis(20));
         }
     }
--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -102,7 +102,11 @@
     let verdict = verdict.ok().flatten();
     let verdict = verdict.filter(|_| record.now() < TIME_LIMIT);
     record.note(match &verdict {
-        Some(it) => format!("{}: {}", if it.is_broken { "BROKEN" } else { "held" }, it.text),
+        Some(it) => format!(
+            "{}: {}",
+            if it.is_broken { "BROKEN" } else { "held" },
+            it.text
+        ),
         None => "the case could not run".to_owned(),
     });
     if record.write(&folder.join("record.txt")).is_err() {
--- a/review/rig/poison.rs
+++ b/review/rig/poison.rs
@@ -60,10 +60,17 @@
         cold: Duration::ZERO,
     };
     let zones = ["jmc-a", "jmc-b", "jmc-c", "jmc-d"];
-    let behaviour: Behaviour = Arc::new(move |engine, request, stream| answer(engine, request, stream, pattern));
+    let behaviour: Behaviour =
+        Arc::new(move |engine, request, stream| answer(engine, request, stream, pattern));
     for index in 0..ENGINES {
         let name = format!("{index}");
-        Engine::start((&name, zones[index % 4]), kind.clone(), &stage.store, record, behaviour.clone());
+        Engine::start(
+            (&name, zones[index % 4]),
+            kind.clone(),
+            &stage.store,
+            record,
+            behaviour.clone(),
+        );
     }
     let mut entries = stage.start_entries(ENTRIES, ROUTES, SERVICE);
     let fronts = fronts(&entries);
@@ -108,12 +115,22 @@
 
 /// Sends a request with a prompt of a part of its customer, a shared part, and its own one.
 fn send(record: &Record, to: (usize, SocketAddr), id: String, is_poison: bool) {
-    let number = id.bytes().fold(7_u32, |sum, byte| sum.wrapping_mul(31).wrapping_add(byte.into()));
+    let number = id.bytes().fold(7_u32, |sum, byte| {
+        sum.wrapping_mul(31).wrapping_add(byte.into())
+    });
     // Requests with the part may be resumed, and half of the sound ones.
     let is_resumable = is_poison || number % 2 == 0;
-    let shared = if is_poison { POISON.to_owned() } else { format!("5c1e{:04x}", number % 40) };
+    let shared = if is_poison {
+        POISON.to_owned()
+    } else {
+        format!("5c1e{:04x}", number % 40)
+    };
     let request = Request {
-        line: if is_resumable { "POST /pufi791/2f HTTP/1.1" } else { "POST /lohu930/2f HTTP/1.1" },
+        line: if is_resumable {
+            "POST /pufi791/2f HTTP/1.1"
+        } else {
+            "POST /lohu930/2f HTTP/1.1"
+        },
         headers: format!(
             "X-Comfreyroad-Model: daka510000\r\nX-Comfreyroad-Token-Usage: 250,70\r\n\
              X-Comfreyroad-Prompt-Prefix: 91bd3f06:100,{shared}:80,{number:08x}:70\r\n"
@@ -130,7 +147,9 @@
 /// Answers with ten events after a short prefill; or crashes.
 fn answer(engine: &Engine, request: &Message, stream: &mut TcpStream, pattern: Pattern) -> Next {
     let id = request.header("x-comfreyroad-request-id");
-    let is_poison = request.header("x-comfreyroad-prompt-prefix").contains(POISON);
+    let is_poison = request
+        .header("x-comfreyroad-prompt-prefix")
+        .contains(POISON);
     let what = if is_poison { "with the part" } else { "sound" };
     let name = engine.id();
     engine.record.arrive(&name, id, what);
@@ -143,7 +162,8 @@
         return crash;
     }
     let head = engine.head(request, "200 OK", true);
-    let head = format!("{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+    let head =
+        format!("{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
     if stream.write_all(head.as_bytes()).is_err() {
         return Next::Close;
     }
@@ -179,7 +199,9 @@
     };
     let counts_from = *fifth + STABLE_WINDOW;
     let arrivals = record.arrivals();
-    let late = arrivals.iter().filter(|it| it.what == "with the part" && it.at > counts_from);
+    let late = arrivals
+        .iter()
+        .filter(|it| it.what == "with the part" && it.at > counts_from);
     let late = late.count();
     Verdict {
         is_broken: late > ALLOWED,
--- a/review/rig/record.rs
+++ b/review/rig/record.rs
@@ -126,7 +126,9 @@
         let from = self.now().saturating_sub(Duration::from_secs(1));
         self.with(|state| {
             let recent = state.arrivals.iter().rev().take_while(|it| it.at >= from);
-            recent.filter(|it| it.engine == engine && it.what == what).count()
+            recent
+                .filter(|it| it.engine == engine && it.what == what)
+                .count()
         })
     }
 
--- a/review/rig/store.rs
+++ b/review/rig/store.rs
@@ -47,7 +47,10 @@
     /// Appends a record. An empty value removes the key.
     pub fn put(&self, topic: &str, key: &str, value: &str) {
         let record = (key.to_owned(), value.as_bytes().to_vec());
-        self.topics().entry(topic.to_owned()).or_default().push(record);
+        self.topics()
+            .entry(topic.to_owned())
+            .or_default()
+            .push(record);
         self.shared.changed.notify_all();
     }
 
@@ -89,9 +92,8 @@
                 return;
             }
             let length = body.len();
-            let head = format!(
-                "HTTP/1.1 {status} X\r\nStore-Era: 0\r\nContent-Length: {length}\r\n\r\n"
-            );
+            let head =
+                format!("HTTP/1.1 {status} X\r\nStore-Era: 0\r\nContent-Length: {length}\r\n\r\n");
             let response = [head.as_bytes(), &body].concat();
             if stream.get_mut().write_all(&response).is_err() {
                 return;
