Review case 7: a rolled back version gets requests again (EXPOSURE)

Cause: the next order for a pool replaces the rollout that was rolled back, and its verdict with it.

--- a/review/rig/engine.rs
+++ b/review/rig/engine.rs
@@ -65,6 +65,7 @@
     id: String,
     born: u128,
     seq: u64,
+    state: &'static str,
     is_up: bool,
     back_at: Option<(Instant, bool)>,
     cold_until: Option<Instant>,
@@ -89,6 +90,7 @@
             id: format!("i-{name}-0"),
             born: unix_ms(),
             seq: 0,
+            state: "ready",
             is_up: true,
             back_at: None,
             cold_until: None,
@@ -123,6 +125,23 @@
         self.life().cold_until.is_some_and(|at| at > Instant::now())
     }
 
+    /// Reports that the engine is about to leave.
+    pub fn drain(&self) {
+        let mut life = self.life();
+        life.state = "draining";
+        life.last_report = None;
+    }
+
+    /// Leaves: the engine takes no more requests, and the store removes its entry.
+    pub fn leave(&self) {
+        let mut life = self.life();
+        self.record.note(format!("engine {} leaves", life.id));
+        life.crash();
+        for (id, _) in std::mem::take(&mut life.listed) {
+            self.store.put(TOPIC, &id, "");
+        }
+    }
+
     /// Crashes. The engine is back after a time, cold for `cold`, with or without its id.
     pub fn crash(&self, down: Duration, keeps_id: bool) {
         let mut life = self.life();
@@ -269,13 +288,14 @@
             .map(|it| format!("{{\"name\":{it},\"version\":1,\"adapters\":[]}}"))
             .collect();
         let text = format!(
-            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"{}\",\"slots\":{},\"state\":\"ready\",\
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"{}\",\"slots\":{},\"state\":\"{}\",\
              \"cold_left_ms\":{},\"stage\":\"colocated\",\"models\":[{}],\"seq\":{},\"born\":{}}}",
             self.kind.service,
             self.address,
             self.zone,
             self.kind.version,
             self.kind.slots,
+            life.state,
             cold.as_millis(),
             models.join(","),
             life.seq,
--- a/review/rig/main.rs
+++ b/review/rig/main.rs
@@ -9,6 +9,7 @@
 mod http;
 mod poison;
 mod record;
+mod rollout;
 mod store;
 
 use std::net::SocketAddr;
@@ -67,6 +68,7 @@
     match case {
         "cold" => Some(cold::run(stage)),
         "poison-rare" => Some(poison::run(stage, poison::Pattern::Rare)),
+        "rollout" => Some(rollout::run(stage)),
         "poison-event" => Some(poison::run(stage, poison::Pattern::FirstEvent)),
         _ => None,
     }
