--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-rustc --edition 2024 -O review/rig/main.rs -o target/review-2/rig
+rustc --edition 2024 -O review/rig.rs -o target/review-2/rig
--- a/review/rig/main.rs
+++ b/review/rig.rs
@@ -2,14 +2,23 @@
 //!
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
+#[path = "rig_client.rs"]
 mod client;
+#[path = "rig_cold.rs"]
 mod cold;
+#[path = "rig_engine.rs"]
 mod engine;
+#[path = "rig_entry.rs"]
 mod entry;
+#[path = "rig_http.rs"]
 mod http;
+#[path = "rig_poison.rs"]
 mod poison;
+#[path = "rig_record.rs"]
 mod record;
+#[path = "rig_rollout.rs"]
 mod rollout;
+#[path = "rig_store.rs"]
 mod store;
 
 use std::net::SocketAddr;
