--- a/crates/comfreyroad_proxy/src/front/stream.rs
+++ b/crates/comfreyroad_proxy/src/front/stream.rs
@@ -248,7 +248,7 @@
         sent.map_err(|_| Stop::CallerGone)?;
         if let Some(id) = event.id {
             self.shared
-                .with_router(|router, _| router.on_event_delivered(&mut call.request, id));
+                .with_router(|router, now| router.on_event_delivered(now, &mut call.request, id));
         }
         Ok(())
     }
--- a/crates/comfreyroad_router/src/controller/quarantine/crash.rs
+++ b/crates/comfreyroad_router/src/controller/quarantine/crash.rs
@@ -1,18 +1,25 @@
 use std::time::{Duration, Instant};
 
+use crate::answer::Milestone;
 use crate::frame::CrashReport;
 use crate::id::{Incarnation, PromptPartId, UpstreamId};
 
 /// Minimum time between two crashes that count separately. Connections that break at the same moment have one cause.
 const MIN_SPACING: Duration = Duration::from_millis(50);
+/// What a crash at the beginning of an answer says for the parts of its prompt.
+pub(super) const EARLY_EVIDENCE: u32 = 4;
+/// The same for a crash later in the answer, where most of the streams are that an upstream serves when it crashes for another reason.
+const LATE_EVIDENCE: u32 = 2;
 
-/// A request whose upstream broke the connection before the first event of the answer, to this entry or to another one.
+/// A request whose upstream broke the connection before the end of the answer, to this entry or to another one.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct Crash {
     pub(super) upstream: UpstreamId,
     pub(super) incarnation: Incarnation,
     /// The shared parts of the prompt, in order.
     pub(super) parts: Vec<PromptPartId>,
+    /// How far the answer had got; `None` at its beginning.
+    pub(super) milestone: Option<Milestone>,
     pub(super) sent_at: Instant,
     pub(super) broken_at: Instant,
     /// Whether the upstream has gone on to answer, so that it has not crashed.
@@ -26,6 +33,7 @@
             upstream: report.upstream.clone(),
             incarnation: report.incarnation,
             parts: report.parts.clone(),
+            milestone: report.milestone,
             sent_at: now.checked_sub(report.sent_age)?,
             broken_at: now.checked_sub(report.broken_age)?,
             is_disproved: false,
@@ -38,20 +46,31 @@
             upstream: self.upstream.clone(),
             incarnation: self.incarnation,
             parts: self.parts.clone(),
+            milestone: self.milestone,
             sent_age: now.saturating_duration_since(self.sent_at),
             broken_age: now.saturating_duration_since(self.broken_at),
         }
     }
 
+    /// What the crash says for a part of its prompt.
+    pub(super) fn evidence(&self) -> u32 {
+        match self.milestone {
+            None => EARLY_EVIDENCE,
+            Some(_) => LATE_EVIDENCE,
+        }
+    }
+
     /// Whether the same upstream has broken both.
     pub(super) fn has_same_upstream(&self, other: &Self) -> bool {
         // The numbers differ for nearly all others, and cost less to compare.
         self.incarnation == other.incarnation && self.upstream == other.upstream
     }
 
-    /// Whether both concern the same prompt at the same upstream.
+    /// Whether both concern the same prompt at the same upstream, and as much of its answer.
     pub(super) fn is_same(&self, other: &Self) -> bool {
-        self.has_same_upstream(other) && self.parts == other.parts
+        self.has_same_upstream(other)
+            && self.milestone == other.milestone
+            && self.parts == other.parts
     }
 
     /// Whether the request was sent once an earlier one had failed. The tolerance covers the error of times that peers report.
@@ -74,3 +93,18 @@
     }
     series
 }
+
+/// One crash for each time at which upstreams have crashed. Those that fail together count once.
+pub(super) fn outages<'a>(mut crashes: Vec<&'a Crash>) -> Vec<&'a Crash> {
+    crashes.sort_by_key(|crash| crash.broken_at);
+    let mut outages: Vec<&'a Crash> = Vec::new();
+    for crash in crashes {
+        let is_new = |last: &&Crash| {
+            crash.broken_at >= last.broken_at + MIN_SPACING && !crash.has_same_upstream(last)
+        };
+        if outages.last().is_none_or(is_new) {
+            outages.push(crash);
+        }
+    }
+    outages
+}
--- a/crates/comfreyroad_router/src/controller/quarantine/mod.rs
+++ b/crates/comfreyroad_router/src/controller/quarantine/mod.rs
@@ -3,23 +3,27 @@
 //! Answers the load pattern in which one part of a prompt crashes every engine that starts to answer it: retries and further
 //! requests with that part would take down one engine after the other, with all other requests that they serve.
 //!
-//! Entries exchange the requests whose engine broke the connection before the first event, and the parts that engines have
-//! answered since. A part is quarantined after a series of crashes without an answer in between; all parts of a failed prompt
-//! are suspects until then, and other requests exonerate the sound ones.
+//! Entries exchange the requests whose engine broke the connection before the end of the answer, and how far engines have got
+//! since with answers to the same parts. A part is quarantined after a series of crashes without an answer in between that got
+//! further; all parts of a failed prompt are suspects until then, and other requests exonerate the sound ones. That an answer
+//! goes on where others broke off tells the other streams of a crashed engine from the one that has crashed it.
 
+mod answers;
 mod attribution;
 mod crash;
 
+use std::cmp::Reverse;
 use std::time::{Duration, Instant};
 
 use comfreyroad::clock::Now;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
-use self::attribution::Answers;
+use self::answers::Answers;
 use self::crash::Crash;
 use super::Controller;
 use super::upstreams::Upstreams;
 use crate::Event;
+use crate::answer::Milestone;
 use crate::frame::{Frame, PartAnswer};
 use crate::id::{Address, PromptPartId};
 use crate::note::{self, Note};
@@ -32,9 +36,7 @@
 const CRASH_MEMORY: Duration = Duration::from_secs(20);
 /// Maximum number of crashes that are remembered.
 const MAX_CRASHES: usize = 256;
-/// Maximum number of parts whose answers are remembered.
-const MAX_ANSWERED_PARTS: usize = 16 * 1024;
-/// Maximum numbers of crashes and of answered parts in a frame.
+/// Maximum numbers of crashes and of answers in a frame.
 const MAX_CRASHES_PER_FRAME: usize = 48;
 const MAX_ANSWERS_PER_FRAME: usize = 64;
 /// An upstream that answers some entry after this time has not crashed. Answers that were under way arrive before, and the
@@ -47,7 +49,7 @@
 #[derive(Debug, Default)]
 pub struct Quarantine {
     crashes: Vec<Crash>,
-    answered_at: Answers,
+    answers: Answers,
     // The quarantined parts, and when their quarantine ends.
     quarantined: IndexMap<PromptPartId, Instant>,
     // Whether the quarantined parts have to be determined anew.
@@ -72,7 +74,7 @@
         self.quarantined.keys()
     }
 
-    /// Records that the upstream of a request has broken the connection before the first event.
+    /// Records that the upstream of a request has broken the connection before the end of the answer.
     pub(crate) fn on_crash(&mut self, now: Instant, request: &Request<Sent>) {
         let parts = request.head().shared_parts();
         let parts: Vec<PromptPartId> = parts.iter().map(|part| part.id.clone()).collect();
@@ -82,6 +84,7 @@
                 upstream: stage.slot.upstream.clone(),
                 incarnation: stage.slot.incarnation,
                 parts,
+                milestone: stage.milestone,
                 sent_at: stage.sent_at,
                 broken_at: now,
                 is_disproved: false,
@@ -89,39 +92,50 @@
         }
     }
 
-    /// Records that an upstream has begun to answer a prompt.
-    pub(crate) fn on_answered(&mut self, now: Instant, head: &Head) {
+    /// Records that the answer to a prompt has reached a milestone.
+    pub(crate) fn on_progress(&mut self, now: Instant, head: &Head, milestone: Milestone) {
         for part in head.shared_parts() {
-            self.exonerate(&part.id, now);
+            self.record_answer(&part.id, milestone, now);
         }
     }
 
-    fn exonerate(&mut self, part: &PromptPartId, answered_at: Instant) {
+    fn record_answer(&mut self, part: &PromptPartId, milestone: Milestone, at: Instant) {
         self.is_outdated |= self.quarantined.contains_key(part);
-        if let Some(known) = self.answered_at.get_mut(part) {
-            *known = answered_at.max(*known);
-            return;
-        }
-        if self.answered_at.len() >= MAX_ANSWERED_PARTS {
-            self.answered_at.swap_remove_index(0);
-        }
-        self.answered_at.insert(part.clone(), answered_at);
+        self.answers.record(part, milestone, at);
     }
 
     fn add(&mut self, crash: Crash) {
-        if self.crashes.iter().any(|known| known.is_same(&crash)) {
+        let is_known = self.crashes.iter().any(|known| known.is_same(&crash));
+        if is_known || !self.is_evidence(&crash) {
             return;
         }
         if self.crashes.len() >= MAX_CRASHES {
-            let is_unexplained = |crash: &Crash| !self.is_explained(crash);
-            let index = self.crashes.iter().position(is_unexplained);
-            self.crashes.remove(index.unwrap_or(0));
+            self.forget_one();
         }
         self.crashes.push(crash);
         self.is_outdated = true;
         self.has_news = true;
     }
 
+    /// Whether a crash tells more than those that are known.
+    fn is_evidence(&self, crash: &Crash) -> bool {
+        let is_first = || !self.crashes.iter().any(|it| it.has_same_upstream(crash));
+        !self.answers.exonerate_all(crash) || is_first()
+    }
+
+    /// Forgets the crash that tells least: none that is explained, rather one in which an answer broke off late, or an old one.
+    fn forget_one(&mut self) {
+        let value = |crash: &Crash| {
+            let is_explained = self.is_explained(crash);
+            (is_explained, Reverse(crash.milestone), crash.broken_at)
+        };
+        let crashes = self.crashes.iter().enumerate();
+        let least = crashes.min_by_key(|(_, crash)| value(crash));
+        if let Some((index, _)) = least {
+            self.crashes.remove(index);
+        }
+    }
+
     /// Whether a quarantined part explains a crash.
     fn is_explained(&self, crash: &Crash) -> bool {
         let is_quarantined = |part: &PromptPartId| self.quarantined.contains_key(part);
@@ -142,7 +156,9 @@
             return;
         }
         let crashes = self.crashes.iter().filter(|crash| !crash.is_disproved);
-        let causes = attribution::causes(&crashes.collect::<Vec<_>>(), &self.answered_at);
+        let causes = attribution::causes(&crashes.collect::<Vec<_>>(), &self.answers, |part| {
+            self.quarantined.contains_key(part)
+        });
         let ends = causes
             .into_iter()
             .map(|cause| (cause.part, cause.last_crash_at + QUARANTINE_TIME));
@@ -169,22 +185,18 @@
         note.with("for_ms", left.as_millis())
     }
 
-    /// The answers to the first parts of these crashes that were answered, up to the limit of a frame.
+    /// The answers to the first parts of these crashes, up to the limit of a frame.
     fn answered_parts(&self, now: Instant, crashes: &[&Crash]) -> Vec<PartAnswer> {
-        let mut answers: IndexMap<&PromptPartId, Duration> = IndexMap::new();
-        for part in crashes.iter().flat_map(|crash| &crash.parts) {
-            if answers.len() == MAX_ANSWERS_PER_FRAME {
-                break;
-            }
-            if let Some(answered_at) = self.answered_at.get(part) {
-                answers.insert(part, now.saturating_duration_since(*answered_at));
-            }
-        }
-        let answers = answers.into_iter().map(|(part, age)| PartAnswer {
-            part: part.clone(),
-            age,
+        let parts: IndexSet<&PromptPartId> = crashes.iter().flat_map(|it| &it.parts).collect();
+        let answers = parts.into_iter().flat_map(|part| {
+            let reached = self.answers.of(part);
+            reached.map(move |(milestone, at)| PartAnswer {
+                part: part.clone(),
+                milestone,
+                age: now.saturating_duration_since(at),
+            })
         });
-        answers.collect()
+        answers.take(MAX_ANSWERS_PER_FRAME).collect()
     }
 
     fn on_frame(&mut self, now: Instant, frame: &Frame) {
@@ -194,7 +206,7 @@
             .for_each(|crash| self.add(crash));
         for answer in &frame.answered_parts {
             if let Some(answered_at) = now.checked_sub(answer.age) {
-                self.exonerate(&answer.part, answered_at);
+                self.record_answer(&answer.part, answer.milestone, answered_at);
             }
         }
     }
@@ -226,6 +238,8 @@
         crashes.sort_by_cached_key(|it| {
             (
                 !self.is_explained(it),
+                self.answers.exonerate_all(it),
+                it.milestone,
                 now.instant.duration_since(it.broken_at),
             )
         });
--- a/crates/comfreyroad_router/src/frame/crash_report.rs
+++ b/crates/comfreyroad_router/src/frame/crash_report.rs
@@ -2,9 +2,10 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::answer::Milestone;
 use crate::id::{Incarnation, PromptPartId, UpstreamId};
 
-/// A request whose upstream broke the connection before the first event of the answer. Times are sent as ages, because the
+/// A request whose upstream broke the connection before the end of the answer. Times are sent as ages, because the
 /// clocks of entries differ.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashReport {
@@ -15,6 +16,8 @@
     pub incarnation: Incarnation,
     /// The shared parts of the prompt, in order.
     pub parts: Vec<PromptPartId>,
+    /// How far the answer had got; `None` at its beginning.
+    pub milestone: Option<Milestone>,
     /// Time since the request was sent.
     pub sent_age: Duration,
     /// Time since the connection broke.
--- a/crates/comfreyroad_router/src/frame/frame.rs
+++ b/crates/comfreyroad_router/src/frame/frame.rs
@@ -61,7 +61,7 @@
     /// Requests whose upstream may have crashed by them. Absent in frames of versions that do not exchange them.
     #[serde(default)]
     pub crashes: Vec<CrashReport>,
-    /// Parts of these and earlier ones that upstreams have answered. Absent as above.
+    /// How far upstreams have got with answers to the parts of these prompts. Absent as above.
     #[serde(default)]
     pub answered_parts: Vec<PartAnswer>,
     /// What customers use through the sender. Absent in frames of versions that do not exchange it.
--- a/crates/comfreyroad_router/src/request/placed.rs
+++ b/crates/comfreyroad_router/src/request/placed.rs
@@ -60,6 +60,8 @@
                 _hold: hold,
                 sent_at: now,
                 has_started: false,
+                milestone: None,
+                continues_at: None,
                 has_sampled_service_time: false,
                 is_silent: false,
             }
--- a/crates/comfreyroad_router/src/request/sent.rs
+++ b/crates/comfreyroad_router/src/request/sent.rs
@@ -2,12 +2,15 @@
 use std::time::{Duration, Instant};
 
 use super::{Head, Origin, Placed, Plan, Planned, Rejection, Request, Retrying, Stage};
+use crate::answer::Milestone;
 use crate::controller::shares::Hold;
 use crate::id::{EventId, VersionId};
 use crate::upstream::Slot;
 
 /// Time after a rejection in which a request does not go back to an upstream that it was at before.
 const RETURN_INTERVAL: Duration = Duration::from_millis(500);
+/// Time after the first event that counts as the beginning of an answer.
+const BEGINNING_TIME: Duration = Duration::from_millis(300);
 
 /// The request was sent to an upstream.
 #[derive(Debug)]
@@ -22,6 +25,10 @@
     pub sent_at: Instant,
     /// Whether the first event of the answer has arrived from this upstream.
     pub has_started: bool,
+    /// How far this upstream has got with the answer; `None` at its beginning.
+    pub milestone: Option<Milestone>,
+    // From when an event shows that the upstream has got beyond the beginning.
+    pub(super) continues_at: Option<Instant>,
     /// Whether the time per event of the answer was taken before its end.
     pub has_sampled_service_time: bool,
     /// Whether the upstream was found silent.
@@ -75,8 +82,19 @@
 
 impl Request<Sent> {
     /// Records that the first event of the answer has arrived.
-    pub(crate) fn record_start(&mut self) {
+    pub(crate) fn record_start(&mut self, now: Instant) {
         self.stage.has_started = true;
+        self.stage.continues_at = Some(now + BEGINNING_TIME);
+    }
+
+    /// Records the arrival of a further event. Returns whether it is the first one beyond the beginning of the answer.
+    pub(crate) fn record_continuation(&mut self, now: Instant) -> bool {
+        let continues_at = &mut self.stage.continues_at;
+        let is_beyond = continues_at.take_if(|at| *at <= now).is_some();
+        if is_beyond {
+            self.stage.milestone = Some(Milestone::Continued);
+        }
+        is_beyond
     }
 
     /// Records that the time per event was taken before the end of the answer. Returns whether it was not before.
--- a/crates/comfreyroad_router/src/router.rs
+++ b/crates/comfreyroad_router/src/router.rs
@@ -8,7 +8,7 @@
 
 use comfreyroad::clock::Now;
 
-use crate::answer::{self, Fault, Pace, Verdict};
+use crate::answer::{self, Fault, Milestone, Pace, Verdict};
 use crate::controller::Controllers;
 use crate::controller::rollouts::Attempt;
 use crate::controller::upstreams::Prefill;
@@ -166,7 +166,7 @@
 
     /// Records the arrival of the first event of a stream.
     pub fn on_first_event(&mut self, now: Now, request: &mut Request<Sent>) {
-        request.record_start();
+        request.record_start(now.instant);
         let (stage, head) = (request.stage(), request.head());
         let prefill = Prefill {
             tokens: head.prompt_tokens() - head.shared_tokens(),
@@ -175,13 +175,16 @@
         let model = stage.plan().model.as_ref();
         let upstreams = &mut self.state.upstreams;
         upstreams.on_first_event(now.instant, &stage.slot, model, prefill);
-        self.state.quarantine.on_answered(now.instant, head);
     }
 
     /// Records that the caller has received an event of the answer.
-    pub fn on_event_delivered(&mut self, request: &mut Request<Sent>, event: EventId) {
+    pub fn on_event_delivered(&mut self, now: Now, request: &mut Request<Sent>, event: EventId) {
         let version = request.stage().slot.version.clone();
         request.record_delivery(event, &version);
+        if request.record_continuation(now.instant) {
+            let quarantine = &mut self.state.quarantine;
+            quarantine.on_progress(now.instant, request.head(), Milestone::Continued);
+        }
     }
 
     /// Takes the pace of a stream while it runs. Streams of a slow version end late, and a rollout must not wait for them.
--- a/crates/comfreyroad_router/src/router/attempts.rs
+++ b/crates/comfreyroad_router/src/router/attempts.rs
@@ -4,7 +4,7 @@
 
 use super::Router;
 use crate::Refusal;
-use crate::answer::Fault;
+use crate::answer::{Fault, Milestone};
 use crate::controller::Controllers;
 use crate::filter::hand_over;
 use crate::note::{self, Note};
@@ -105,6 +105,10 @@
             .with("upstream", &slot.upstream)
             .with("why", fault.name())
             .with("started", request.stage().has_started)
+            .with(
+                "reached",
+                request.stage().milestone.map_or("-", Milestone::name),
+            )
             .with("parts", request.head().shared_part_ids());
         self.out
             .note(note.with("runs", request.stage().plan().runs));
@@ -113,7 +117,7 @@
             upstreams.on_failure(now.instant, slot, &mut self.out);
         }
         let is_broken = matches!(fault, Fault::Broken | Fault::Truncated);
-        if is_broken && !request.stage().has_started {
+        if is_broken {
             let Controllers {
                 quarantine,
                 upstreams,
--- a/crates/comfreyroad_router/src/router/completions.rs
+++ b/crates/comfreyroad_router/src/router/completions.rs
@@ -5,7 +5,7 @@
 use comfreyroad::clock::Now;
 
 use super::Router;
-use crate::answer::Completion;
+use crate::answer::{Completion, Milestone};
 use crate::controller::rollouts::Attempt;
 use crate::note::{self, Note};
 use crate::request::{Request, Sent};
@@ -24,6 +24,10 @@
             rollouts.count_service_time(Attempt::of(request), service_time);
         }
         self.learn_work(now, request, completion);
+        if completion.is_success {
+            let quarantine = &mut self.state.quarantine;
+            quarantine.on_progress(now.instant, request.head(), Milestone::Complete);
+        }
         self.count_answer(request, completion.is_success);
         self.log_served(now, request, completion);
     }
--- a/crates/comfreyroad_router/tests/decisions/answers.rs
+++ b/crates/comfreyroad_router/tests/decisions/answers.rs
@@ -112,7 +112,7 @@
     let mut rig = Rig::serving("e1");
     let mut sent = rig.send(head(rig.now, "stream", "r")).unwrap();
     let first = sent.stage().slot.upstream.clone();
-    rig.router.on_event_delivered(&mut sent, 7);
+    rig.router.on_event_delivered(rig.now, &mut sent, 7);
     let request = rig.router.on_failed(rig.now, sent, Fault::Broken).unwrap();
     let sent = rig.resend(request).unwrap();
     let plan = sent.stage().plan();
--- a/crates/comfreyroad_router/tests/decisions/hand_over.rs
+++ b/crates/comfreyroad_router/tests/decisions/hand_over.rs
@@ -98,7 +98,7 @@
     let mut rig = Rig::serving("e1");
     let mut sent = send(&mut rig, "stream", "r");
     rig.router.on_first_event(rig.now, &mut sent);
-    rig.router.on_event_delivered(&mut sent, 1);
+    rig.router.on_event_delivered(rig.now, &mut sent, 1);
     let placed = rig.router.hand_over(rig.now, sent, Fault::Stalled).unwrap();
     let sent = rig.router.send(rig.now, placed);
     let returned = rig.router.on_rejected(rig.now, sent, Rejection::Full);
@@ -117,7 +117,7 @@
     let mut rig = Rig::serving("e1");
     let mut sent = send(&mut rig, "stream", "r");
     rig.router.on_first_event(rig.now, &mut sent);
-    rig.router.on_event_delivered(&mut sent, 1);
+    rig.router.on_event_delivered(rig.now, &mut sent, 1);
     // Takes all other connections.
     let mut open = Vec::new();
     while let Some(placed) = rig.place(head(rig.now, "stream", &format!("o{}", open.len()))) {
@@ -173,7 +173,7 @@
     let mut rig = Rig::serving("e1");
     let mut sent = send(&mut rig, "stream", "r");
     rig.router.on_first_event(rig.now, &mut sent);
-    rig.router.on_event_delivered(&mut sent, 1);
+    rig.router.on_event_delivered(rig.now, &mut sent, 1);
     let mut request = rig
         .router
         .on_failed(rig.now, sent, Fault::Broken)
@@ -251,7 +251,7 @@
     let mut rig = Rig::serving("e1");
     let mut sent = send(&mut rig, "stream", "r");
     rig.router.on_first_event(rig.now, &mut sent);
-    rig.router.on_event_delivered(&mut sent, 1);
+    rig.router.on_event_delivered(rig.now, &mut sent, 1);
     let mut other_version = registration("v2");
     other_version.sequence = 2;
     let name = other(&sent.stage().slot.upstream.clone());
@@ -294,7 +294,7 @@
     let mut rig = Rig::serving("e1");
     let mut stream = send(&mut rig, "stream", "r");
     rig.router.on_first_event(rig.now, &mut stream);
-    rig.router.on_event_delivered(&mut stream, 1);
+    rig.router.on_event_delivered(rig.now, &mut stream, 1);
     let upstream = stream.stage().slot.upstream.clone();
     let offered = rig
         .router
@@ -323,7 +323,7 @@
     };
     let mut stream = send(&mut rig, "stream", "r");
     rig.router.on_first_event(rig.now, &mut stream);
-    rig.router.on_event_delivered(&mut stream, 1);
+    rig.router.on_event_delivered(rig.now, &mut stream, 1);
     let offered = rig
         .router
         .offer(rig.now, &mut stream)
@@ -342,7 +342,7 @@
     let mut rig = Rig::serving("e1");
     let mut stream = send(&mut rig, "stream", "r");
     rig.router.on_first_event(rig.now, &mut stream);
-    rig.router.on_event_delivered(&mut stream, 1);
+    rig.router.on_event_delivered(rig.now, &mut stream, 1);
     rig.raise(Event::Shutdown);
     assert!(rig.router.offer(rig.now, &mut stream).is_none());
     let waiting = send(&mut rig, "stream", "waiting");
--- a/crates/comfreyroad_router/tests/decisions/load/fleet.rs
+++ b/crates/comfreyroad_router/tests/decisions/load/fleet.rs
@@ -142,6 +142,8 @@
     owed: f64,
     /// Fraction of the requests whose prompt has a part that crashes engines.
     pub(super) deadly_share: f64,
+    /// Whether engines crash after the first event of the answer to such a prompt, not before it.
+    pub(super) is_late_crash: bool,
     // Part of the requests that each customer sends; empty for a single customer.
     customers: Vec<f64>,
 }
@@ -198,6 +200,7 @@
             summary: Summary::default(),
             owed: 0.0,
             deadly_share: 0.0,
+            is_late_crash: false,
             customers: Vec::new(),
         };
         fleet.introduce_entries();
@@ -280,14 +283,17 @@
                 self.count(number, |it| it.open += 1);
             }
         }
-        for entry in &self.entries {
-            let parts = entry.router.state().quarantine.parts();
-            let parts = parts.map(|part| part.to_string());
-            self.summary.quarantined.extend(parts);
-        }
+        self.summary.quarantined = self.quarantined();
         self.summary
     }
 
+    /// The prompt parts that some entry holds in quarantine.
+    pub(super) fn quarantined(&self) -> IndexSet<String> {
+        let entries = self.entries.iter();
+        let parts = entries.flat_map(|it| it.router.state().quarantine.parts());
+        parts.map(|part| part.to_string()).collect()
+    }
+
     fn arrive(&mut self, kind: Kind) {
         let entry = self.rng.usize(..self.entries.len());
         let customer = if self.customers.is_empty() {
@@ -429,6 +435,9 @@
         for output in self.engines[engine].step(STEP) {
             match output {
                 Output::First(call) if self.calls[call].is_deadly => {
+                    if self.is_late_crash {
+                        self.on_first_event(call);
+                    }
                     return self.crash(engine);
                 }
                 Output::First(call) => self.on_first_event(call),
@@ -482,7 +491,7 @@
         self.count(number, |it| it.failed += failed);
     }
 
-    /// Ends a failed attempt. A stream that has begun is over; other requests are placed again.
+    /// Ends a failed attempt. A sound stream that has begun is over; other requests are placed again.
     fn on_failed(&mut self, number: usize, fault: Fault) {
         let call = &mut self.calls[number];
         let rig = &mut self.entries[call.entry];
@@ -490,7 +499,7 @@
             return;
         };
         match rig.router.on_failed(rig.now, sent, fault) {
-            Ok(_) if call.is_answered => {}
+            Ok(_) if call.is_answered && !call.is_deadly => {}
             Ok(request) => {
                 call.state = State::Waiting(Returned::Retrying(request));
                 self.place(number);
@@ -499,8 +508,14 @@
         }
     }
 
-    /// Ticks all entries and carries their gossip.
+    /// Ticks all entries, delivers an event of each running stream, and carries their gossip.
     fn tick(&mut self) {
+        for call in self.calls.iter_mut().filter(|call| call.is_answered) {
+            if let State::Sent(sent, _) = &mut call.state {
+                let rig = &mut self.entries[call.entry];
+                rig.router.on_event_delivered(rig.now, sent, self.steps);
+            }
+        }
         for index in 0..self.entries.len() {
             let entry = &mut self.entries[index];
             entry.raise(Event::Tick);
--- a/crates/comfreyroad_router/tests/decisions/load/mod.rs
+++ b/crates/comfreyroad_router/tests/decisions/load/mod.rs
@@ -125,9 +125,20 @@
 /// and in new requests at other entries.
 #[test]
 fn a_part_that_crashes_engines_reaches_no_engine_once_five_have_crashed() {
+    check_deadly_part(false);
+}
+
+/// The same, where engines begin the answer and then crash, with all other streams that they serve.
+#[test]
+fn a_part_that_crashes_engines_as_they_answer_reaches_none_once_five_have_crashed() {
+    check_deadly_part(true);
+}
+
+fn check_deadly_part(is_late_crash: bool) {
     let mut fleet = Fleet::new(ENTRIES, ENGINES, SEED);
     fleet.run(4 * SECOND, USUAL_RATE, &MIX);
     fleet.deadly_share = 0.02;
+    fleet.is_late_crash = is_late_crash;
     fleet.run(16 * SECOND, USUAL_RATE, &MIX);
     let summary = fleet.finish();
     if let Some(fifth) = summary.crashes.get(4) {
@@ -156,6 +167,20 @@
     assert!(summary.share_in_time() >= TARGET, "{summary:?}");
 }
 
+/// Engines that crash one after another for no part at all break off sound streams, which all share their first part.
+#[test]
+fn engines_that_crash_one_after_another_quarantine_no_part() {
+    let mut fleet = Fleet::new(ENTRIES, ENGINES, SEED);
+    fleet.run(4 * SECOND, USUAL_RATE, &MIX);
+    for round in 0..20 {
+        fleet.crash(round % ENGINES);
+        fleet.run(SECOND / 2, USUAL_RATE, &MIX);
+        assert!(fleet.quarantined().is_empty(), "round {round}");
+    }
+    let summary = fleet.finish();
+    assert!(summary.share_in_time() >= TARGET, "{summary:?}");
+}
+
 /// Engines differ in speed, and a quarter of them is slow by turns. All accept requests alike, and an entry meets each of them once
 /// in some seconds.
 #[test]
--- a/crates/comfreyroad_router/tests/decisions/quarantine.rs
+++ b/crates/comfreyroad_router/tests/decisions/quarantine.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use comfreyroad_router::answer::Fault;
+use comfreyroad_router::answer::{Completion, Fault, Milestone};
 use comfreyroad_router::frame::{CrashReport, Frame, LoadReport, PartAnswer};
 use comfreyroad_router::record::Topic;
 use comfreyroad_router::refusal::{Code, Ran};
@@ -44,11 +44,45 @@
     let _ = rig.router.on_failed(rig.now, request, Fault::Broken);
 }
 
+/// Lets an engine begin to answer a request, and crash after some time.
+fn crash_after(rig: &mut Rig, parts: &[&str], time: Duration) {
+    let mut request = begin(rig, parts);
+    go_on(rig, &mut request, time);
+    let _ = rig.router.on_failed(rig.now, request, Fault::Broken);
+}
+
 /// Lets an engine begin to answer a request.
-fn answer(rig: &mut Rig, parts: &[&str]) {
+fn begin(rig: &mut Rig, parts: &[&str]) -> Request<Sent> {
     let mut request = send(rig, parts).expect("the parts are not quarantined");
     rig.advance(100 * MS);
     rig.router.on_first_event(rig.now, &mut request);
+    request
+}
+
+/// Lets an engine go on with an answer for some time, with an event each 20 ms.
+fn go_on(rig: &mut Rig, request: &mut Request<Sent>, time: Duration) {
+    let events = time.as_millis() / 20;
+    for number in 0..events as u64 {
+        rig.advance(20 * MS);
+        rig.router.on_event_delivered(rig.now, request, number + 2);
+    }
+}
+
+/// Lets an engine finish an answer.
+fn finish(rig: &mut Rig, request: &Request<Sent>) {
+    let completion = Completion {
+        is_success: true,
+        events: 10,
+        first_event_after: None,
+        service_time: None,
+    };
+    rig.router.on_finished(rig.now, request, completion);
+}
+
+/// Lets an engine answer a request.
+fn answer(rig: &mut Rig, parts: &[&str]) {
+    let request = begin(rig, parts);
+    finish(rig, &request);
 }
 
 /// The refusal of a request whose prompt has the given shared parts.
@@ -128,6 +162,51 @@
     assert!(quarantined(&rig).is_empty());
 }
 
+/// Regression: only crashes before the first event counted, and the first event exonerated the part, so that requests whose engines
+/// crash as they write the next one took down engine after engine.
+#[test]
+fn a_part_is_quarantined_though_its_answers_begin_before_engines_crash() {
+    let mut rig = serving();
+    for part in ["book1", "book2", "book3"] {
+        assert!(quarantined(&rig).is_empty());
+        crash_after(&mut rig, &["all", part, "deadly"], 20 * MS);
+        answer(&mut rig, &["all", part]);
+    }
+    assert_eq!(quarantined(&rig), ["deadly"]);
+    assert!(refusal(&mut rig, &["all", "deadly"]).is_some());
+    assert!(refusal(&mut rig, &["all", "book1"]).is_none());
+}
+
+/// Where an engine crashes isn't the same each time.
+#[test]
+fn crashes_before_and_after_the_first_event_count_together() {
+    let mut rig = serving();
+    for time in [40 * MS, 20 * MS] {
+        crash_after(&mut rig, &["deadly"], time);
+    }
+    crash(&mut rig, &["deadly"]);
+    assert_eq!(quarantined(&rig), ["deadly"]);
+}
+
+/// An engine that crashes breaks off all its streams, nearly all of them sound.
+#[test]
+fn an_answer_that_gets_further_exonerates_the_parts_of_its_prompt() {
+    for goes_on in [true, false] {
+        let mut rig = serving();
+        for _ in 0..4 {
+            crash_after(&mut rig, &["all"], 40 * MS);
+            crash_after(&mut rig, &["all"], 40 * MS);
+            let mut other = begin(&mut rig, &["all"]);
+            if goes_on {
+                go_on(&mut rig, &mut other, 400 * MS);
+            } else {
+                finish(&mut rig, &other);
+            }
+        }
+        assert!(quarantined(&rig).is_empty());
+    }
+}
+
 #[test]
 fn other_requests_at_engines_that_a_quarantined_part_has_crashed_put_no_part_under_suspicion() {
     let mut rig = serving();
@@ -144,6 +223,7 @@
         upstream: format!("u{}", number + 1).into(),
         incarnation: 1,
         parts: parts.iter().map(|part| (*part).into()).collect(),
+        milestone: None,
         sent_age: (ago + 100) * MS,
         broken_age: *ago * MS,
     };
@@ -211,6 +291,7 @@
     assert_eq!(quarantined(&rig), ["sound"]);
     incoming.answered_parts.push(PartAnswer {
         part: "sound".into(),
+        milestone: Milestone::Complete,
         age: 200 * MS,
     });
     rig.receive(incoming.clone());
@@ -283,6 +364,7 @@
     incoming.crashes[2].sent_age = Duration::ZERO;
     incoming.answered_parts.push(PartAnswer {
         part: "part".into(),
+        milestone: Milestone::Complete,
         age: Duration::MAX,
     });
     rig.receive(incoming);
