--- a/crates/comfreyroad_router/src/controller/rollouts/mod.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/mod.rs
@@ -9,6 +9,7 @@
 mod attempt;
 mod counts;
 mod exposure;
+mod lineage;
 mod phase;
 mod pins;
 mod ramp;
@@ -27,6 +28,7 @@
 
 pub(crate) use self::attempt::Attempt;
 use self::exposure::Exposure;
+use self::lineage::Lineage;
 use self::rollout::Rollout;
 use super::Controller;
 use super::members::Fleet;
@@ -52,6 +54,7 @@
     session_timeout: Duration,
     fleet: Rc<Fleet>,
     rollouts: IndexMap<PoolId, Rollout>,
+    lineages: IndexMap<PoolId, Lineage>,
     // The latest status of each pool. A status may be read before its order.
     statuses: IndexMap<PoolId, Status>,
     // Pools by the record keys of their orders. The removal of an order names only its key.
@@ -73,6 +76,7 @@
             session_timeout: settings.session_idle_timeout,
             fleet: Rc::default(),
             rollouts: IndexMap::new(),
+            lineages: IndexMap::new(),
             statuses: IndexMap::new(),
             pools_by_key: IndexMap::new(),
             past_orders: VecDeque::new(),
@@ -88,14 +92,22 @@
         session: Option<&Arc<str>>,
         request: &RequestId,
     ) -> Versions {
-        let Some(rollout) = self.rollouts.get(pool) else {
-            return Versions::Any;
-        };
+        let rollout = self.rollouts.get(pool);
         let key = session.unwrap_or(request);
-        if rollout.routes_to_target(now, key) {
-            Versions::Only(rollout.order.target.clone())
-        } else {
-            Versions::Except(rollout.order.target.clone())
+        match rollout.map(|it| &it.order.target) {
+            Some(target) if rollout.is_some_and(|it| it.routes_to_target(now, key)) => {
+                Versions::Only(target.clone())
+            }
+            target => self.other_versions(pool, target),
+        }
+    }
+
+    /// The versions that may serve in a pool, but for an excluded one.
+    fn other_versions(&self, pool: &PoolId, excluded: Option<&VersionId>) -> Versions {
+        match (self.lineages.get(pool), excluded) {
+            (Some(lineage), _) => lineage.versions(excluded),
+            (None, Some(excluded)) => Versions::Except(vec![excluded.clone()]),
+            (None, None) => Versions::Any,
         }
     }
 
@@ -126,35 +138,51 @@
         }
     }
 
-    /// Whether a request may go to any version of the pool when no upstream with an allowed version can take it.
-    pub fn may_fall_back(&self, pool: &PoolId, allowed: &Versions) -> bool {
-        let rollout = self.rollouts.get(pool);
-        rollout.is_some_and(|rollout| match allowed {
+    /// The versions to which a request may go when no upstream with an allowed version can take it; `None` if it must wait.
+    pub fn fallback(&self, pool: &PoolId, allowed: &Versions) -> Option<Versions> {
+        let rollout = self.rollouts.get(pool)?;
+        let may_fall_back = match allowed {
             Versions::Only(_) => !rollout.is_completed(),
             Versions::Except(_) => rollout.has_cut_over(),
             Versions::Any => false,
-        })
+        };
+        let target = &rollout.order.target;
+        let excluded = rollout.is_rolled_back().then_some(target);
+        may_fall_back.then(|| self.other_versions(pool, excluded))
     }
 
-    /// Whether sessions must not stay on a version: the old one after the cutover, or the new one after a rollback.
+    /// Whether sessions must not stay on a version: the old one after the cutover, the new one after a rollback, or one that an
+    /// earlier rollout has withdrawn.
     pub fn is_retired(&self, pool: &PoolId, version: &VersionId) -> bool {
-        let Some(rollout) = self.rollouts.get(pool) else {
-            return false;
-        };
-        let is_target = *version == rollout.order.target;
-        (is_target && rollout.is_rolled_back()) || (!is_target && rollout.has_cut_over())
+        match self.rollouts.get(pool) {
+            Some(rollout) if *version == rollout.order.target => rollout.is_rolled_back(),
+            Some(rollout) if rollout.has_cut_over() => true,
+            _ => self.is_withdrawn(pool, version),
+        }
+    }
+
+    fn is_withdrawn(&self, pool: &PoolId, version: &VersionId) -> bool {
+        let lineage = self.lineages.get(pool);
+        lineage.is_some_and(|it| it.is_withdrawn(version))
+    }
+
+    /// The rollout that counts an attempt. Answers of a withdrawn version are no standard for the new one.
+    fn counting(&mut self, attempt: Attempt<'_>) -> Option<&mut Rollout> {
+        let is_withdrawn = self.is_withdrawn(attempt.pool, attempt.version);
+        let rollout = self.rollouts.get_mut(attempt.pool)?;
+        (!is_withdrawn || *attempt.version == rollout.order.target).then_some(rollout)
     }
 
     /// Counts a request that is sent.
     pub(crate) fn count_request(&mut self, attempt: Attempt<'_>) {
-        if let Some(rollout) = self.rollouts.get_mut(attempt.pool) {
+        if let Some(rollout) = self.counting(attempt) {
             rollout.count_request(attempt);
         }
     }
 
     /// Counts a finished answer.
     pub(crate) fn count_answer(&mut self, attempt: Attempt<'_>, is_success: bool) {
-        if let Some(rollout) = self.rollouts.get_mut(attempt.pool) {
+        if let Some(rollout) = self.counting(attempt) {
             rollout.count_answer(attempt, is_success);
         }
     }
@@ -168,7 +196,7 @@
 
     /// Counts the service time of an answer: its time per event, or the duration of an answer without events.
     pub(crate) fn count_service_time(&mut self, attempt: Attempt<'_>, service_time: Duration) {
-        if let Some(rollout) = self.rollouts.get_mut(attempt.pool) {
+        if let Some(rollout) = self.counting(attempt) {
             rollout.count_service_time(attempt, service_time);
         }
     }
@@ -179,6 +207,7 @@
             if let Some(pool) = self.pools_by_key.swap_remove(&record.key)
                 && let Some(rollout) = self.rollouts.swap_remove(&pool)
             {
+                self.withdraw(&pool, [&rollout.order.target], out);
                 self.remember(rollout.order);
             }
             return;
@@ -200,10 +229,15 @@
             _ if is_restored && self.past_orders.contains(order) => return,
             Some(known) => {
                 let replaced = known.order.clone();
+                if replaced.target != order.target {
+                    self.withdraw(&order.pool, [&replaced.target], out);
+                }
                 self.remember(replaced);
             }
             None => {}
         }
+        let lineage = self.lineages.entry(order.pool.clone()).or_default();
+        lineage.admit(&order.target);
         let note = Note::new(&note::ROLLOUT_STARTED).with("pool", &order.pool);
         let note = note.with("target", &order.target);
         out.note(note.with("lasts_ms", order.duration.as_millis()));
@@ -223,16 +257,47 @@
         }
     }
 
-    /// Applies the latest status of a pool to its rollout.
+    /// Withdraws versions of a pool, but for the one that serves.
+    fn withdraw<'a>(
+        &mut self,
+        pool: &PoolId,
+        versions: impl IntoIterator<Item = &'a VersionId>,
+        out: &mut Outbox,
+    ) {
+        let lineage = self.lineages.entry(pool.clone()).or_default();
+        for version in versions {
+            if lineage.withdraw(version) {
+                let note = Note::new(&note::VERSION_WITHDRAWN).with("pool", pool);
+                out.note(note.with("version", version));
+            }
+        }
+    }
+
+    /// Applies the latest status of a pool to its rollout, or to what is known of earlier ones.
     fn apply_status(&mut self, pool: &PoolId, out: &mut Outbox) {
-        let (Some(rollout), Some(status)) = (self.rollouts.get_mut(pool), self.statuses.get(pool))
-        else {
+        let Some(status) = self.statuses.get(pool).cloned() else {
             return;
         };
-        if rollout.apply_status(status) {
+        let rollout = self.rollouts.get_mut(pool);
+        let target = rollout.as_ref().map(|it| it.order.target.clone());
+        let lineage = self.lineages.entry(pool.clone()).or_default();
+        if target.as_ref() != Some(&status.target) {
+            // A store that is restored from a copy may show a status that was replaced.
+            match status.state {
+                State::Completed if !lineage.has_serving() => lineage.complete(&status.target),
+                State::RolledBack => self.withdraw(pool, [&status.target], out),
+                State::Completed | State::InProgress => {}
+            }
+        } else if rollout.is_some_and(|it| it.apply_status(&status)) {
+            if status.state == State::Completed {
+                lineage.complete(&status.target);
+            }
             let note = Note::new(&note::ROLLOUT_STATUS_WRITTEN).with("pool", pool);
             out.note(note.with("state", status.state.name()));
         }
+        let withdrawn = status.withdrawn.iter();
+        let withdrawn = withdrawn.filter(|it| target.as_ref() != Some(*it));
+        self.withdraw(pool, withdrawn, out);
     }
 
     fn on_status(&mut self, status: &Status, out: &mut Outbox) {
@@ -250,11 +315,17 @@
             let key = rollout.writer_key();
             let rank = self.fleet.rank_relays_first(&key, &self.own.entry);
             if let Some(state) = rollout.due_status(now, rank) {
+                let (pool, target) = (&rollout.order.pool, &rollout.order.target);
+                let withdrawn = self.lineages.get(pool).map(|lineage| match state {
+                    State::Completed => lineage.withdrawn_after(target),
+                    State::InProgress | State::RolledBack => lineage.withdrawn(target),
+                });
                 out.raise(Event::StatusDue(Status {
-                    pool: rollout.order.pool.clone(),
-                    target: rollout.order.target.clone(),
+                    pool: pool.clone(),
+                    target: target.clone(),
                     state,
                     order_offset: position::offset(rollout.offset),
+                    withdrawn: withdrawn.unwrap_or_default().into_iter().collect(),
                 }));
             }
         }
@@ -296,6 +367,12 @@
                     self.on_status(status, out);
                 }
             }
+            Event::RecordLearned(Topic::Upstreams, record) => {
+                if let Content::Upstream(registration) = &record.content {
+                    let lineage = self.lineages.entry(registration.pool.clone());
+                    lineage.or_default().register(&registration.version);
+                }
+            }
             Event::FleetChanged(fleet) => self.fleet = Rc::clone(fleet),
             Event::StoreRestored => {
                 self.restoration_ends_at = Some(now.instant + RESTORATION_TIME);
--- a/crates/comfreyroad_router/src/controller/upstreams/requirements.rs
+++ b/crates/comfreyroad_router/src/controller/upstreams/requirements.rs
@@ -36,8 +36,8 @@
     Any,
     /// Only this version.
     Only(VersionId),
-    /// Any version except this one.
-    Except(VersionId),
+    /// Any version except these.
+    Except(Vec<VersionId>),
 }
 
 impl Versions {
@@ -46,7 +46,7 @@
         match self {
             Self::Any => true,
             Self::Only(only) => only == version,
-            Self::Except(excepted) => excepted != version,
+            Self::Except(excepted) => !excepted.contains(version),
         }
     }
 }
--- a/crates/comfreyroad_router/src/filter/place.rs
+++ b/crates/comfreyroad_router/src/filter/place.rs
@@ -150,13 +150,13 @@
     let slot = state
         .upstreams
         .acquire_slot(now, &requirements(versions.clone()), evacuations);
-    let may_fall_back = !scope.is_optional && state.rollouts.may_fall_back(&plan.pool, &versions);
-    if slot.is_some() || !may_fall_back {
+    if slot.is_some() || scope.is_optional {
         return slot;
     }
+    let fallback = state.rollouts.fallback(&plan.pool, &versions)?;
     state
         .upstreams
-        .acquire_slot(now, &requirements(Versions::Any), evacuations)
+        .acquire_slot(now, &requirements(fallback), evacuations)
 }
 
 /// Whether a request finds a slot at once if it is placed anew with a model.
--- a/crates/comfreyroad_router/src/note/mod.rs
+++ b/crates/comfreyroad_router/src/note/mod.rs
@@ -102,6 +102,8 @@
     ROLLOUT_STATUS_WRITTEN = 1604, Info, "rollout status written";
     /// The answers since the cutover do not speak against the new version, which is completed.
     ROLLOUT_PROVED = 1605, Info, "new version proved";
+    /// A version gets no new requests, whichever rollout comes next, unless one brings it in.
+    VERSION_WITHDRAWN = 1606, Info, "version withdrawn";
     /// A part of prompts crashes engines. Requests with it are refused.
     PART_QUARANTINED = 1701, Error, "prompt part quarantined";
     /// Requests with a part of prompts are no longer refused.
--- a/crates/comfreyroad_router/src/rollout/status.rs
+++ b/crates/comfreyroad_router/src/rollout/status.rs
@@ -14,6 +14,8 @@
     /// Offset of the rollout's order in its era, which tells two rollouts of the same version apart; 0 if unknown.
     #[serde(rename = "order")]
     pub order_offset: u64,
+    /// Other versions that were replaced, rolled back or given up, so that entries that start later know them.
+    pub withdrawn: Vec<VersionId>,
 }
 
 /// The state of a rollout.
--- a/crates/comfreyroad_router/tests/decisions/relays.rs
+++ b/crates/comfreyroad_router/tests/decisions/relays.rs
@@ -335,6 +335,7 @@
         target: "v2".into(),
         state: State::Completed,
         order_offset: rig.router.state().rollouts.states().next().unwrap().1,
+        withdrawn: Vec::new(),
     };
     let record = Record {
         offset: rig.offset + 1,
--- a/crates/comfreyroad_router/tests/decisions/restorations.rs
+++ b/crates/comfreyroad_router/tests/decisions/restorations.rs
@@ -209,6 +209,7 @@
             target: "v2".into(),
             state,
             order_offset: 0,
+            withdrawn: Vec::new(),
         })
     };
     rig.read(Topic::Status, "rollout/pool", status(State::Completed));
@@ -251,7 +252,12 @@
         Topic::Operator,
         restored(3, "rollout/pool", order("v3")),
     );
-    assert!(!is_retired(&rig), "another order begins a rollout");
+    assert_eq!(
+        states(&rig),
+        [(position::new(1, 3), None)],
+        "another order begins a rollout"
+    );
+    assert!(is_retired(&rig), "what v2 has replaced serves no more");
 }
 
 /// A rollout that had been rolled back began anew when the copy held the order before it.
@@ -265,6 +271,7 @@
         target: "v3".into(),
         state: State::RolledBack,
         order_offset: 0,
+        withdrawn: Vec::new(),
     });
     rig.read(Topic::Status, "rollout/pool", rolled_back);
     let is_retired = |rig: &Rig| {
--- a/crates/comfreyroad_router/tests/decisions/rollouts.rs
+++ b/crates/comfreyroad_router/tests/decisions/rollouts.rs
@@ -1,9 +1,12 @@
 use std::time::Duration;
 
 use comfreyroad_router::answer::{Completion, Fault, Pace};
+use comfreyroad_router::controller::upstreams::Versions;
 use comfreyroad_router::record::{Content, Topic};
+use comfreyroad_router::request::Sent;
 use comfreyroad_router::rollout::{Order, State, Status};
-use comfreyroad_router::{Action, Event, Settings};
+use comfreyroad_router::{Action, Event, Request, Settings};
+use indexmap::IndexMap;
 use quickcheck::quickcheck;
 
 use super::rig::{MS, Rig, SECOND, head, prompt, registration, settings};
@@ -405,6 +408,7 @@
         target: "v2".into(),
         state: State::RolledBack,
         order_offset,
+        withdrawn: Vec::new(),
     };
     rig.read(Topic::Status, "rollout/pool", Content::Status(status));
     let (_, new) = serve(&mut rig, DURATION, 0);
@@ -427,6 +431,182 @@
     assert!(new > 0);
 }
 
+/// Lets an operator order a version of which an upstream is registered.
+fn order_version(rig: &mut Rig, version: &str) {
+    let upstream = Content::Upstream(Box::new(registration(version)));
+    rig.read(Topic::Upstreams, &format!("{version}-0"), upstream);
+    let order = Order {
+        pool: "pool".into(),
+        target: version.into(),
+        duration: DURATION,
+    };
+    rig.read(Topic::Operator, "rollout/pool", Content::Rollout(order));
+}
+
+/// The numbers of 400 new requests that go to each version, over four seconds.
+fn versions_of_requests(rig: &mut Rig) -> IndexMap<String, u32> {
+    let mut versions = IndexMap::new();
+    for number in 0..400 {
+        rig.advance(10 * MS);
+        let mut head = head(rig.now, "stream", &format!("r{number}"));
+        head.prompt = shared_prompt(number, &format!("own{number}"));
+        let sent = rig.send(head).expect("an upstream is free");
+        let version = sent.stage().slot.version.to_string();
+        *versions.entry(version).or_default() += 1;
+        finish(rig, &sent);
+    }
+    versions
+}
+
+fn finish(rig: &mut Rig, sent: &Request<Sent>) {
+    let completion = Completion {
+        is_success: true,
+        events: 0,
+        first_event_after: None,
+        service_time: Some(10 * MS),
+    };
+    rig.router.on_finished(rig.now, sent, completion);
+}
+
+/// Regression: the order of the next version replaced the verdict on the one before. That one got half of all requests until its
+/// upstreams had left.
+#[test]
+fn a_version_that_was_rolled_back_gets_no_requests_while_the_next_one_is_tried() {
+    let mut rig = with_rollout();
+    serve(&mut rig, DURATION / 2, 50);
+    assert_eq!(state(&rig), Some(State::RolledBack));
+    order_version(&mut rig, "v3");
+    let versions = versions_of_requests(&mut rig);
+    assert_eq!(versions.get("v2"), None, "{versions:?}");
+    assert!(versions["v1"] > 300, "{versions:?}");
+}
+
+/// The operator removes the order once it is rolled back, or orders the next version before the one in trial is decided.
+#[test]
+fn a_version_whose_rollout_ends_without_completion_gets_no_requests() {
+    let mut removed = with_rollout();
+    serve(&mut removed, DURATION / 2, 50);
+    removed.read(Topic::Operator, "rollout/pool", Content::Removed);
+    let versions = versions_of_requests(&mut removed);
+    assert_eq!(versions.get("v2"), None, "{versions:?}");
+    let mut replaced = with_rollout();
+    serve(&mut replaced, SECOND, 0);
+    order_version(&mut replaced, "v3");
+    let versions = versions_of_requests(&mut replaced);
+    assert_eq!(versions.get("v2"), None, "{versions:?}");
+}
+
+/// Sessions of a version that was rolled back moved to the old one, and back with the next order.
+#[test]
+fn sessions_stay_away_from_a_withdrawn_version() {
+    let mut rig = with_rollout();
+    serve(&mut rig, 2 * SECOND, 0);
+    let mut sessions = Vec::new();
+    for number in 0..400 {
+        let mut head = head(rig.now, "stream", "r");
+        head.session = Some(format!("s{number}").into());
+        let sent = rig.send(head.clone()).expect("an upstream is free");
+        if &*sent.stage().slot.version == "v2" {
+            sessions.push(head);
+        }
+    }
+    assert!(!sessions.is_empty());
+    rig.read(
+        Topic::Status,
+        "rollout/pool",
+        status("v2", State::RolledBack),
+    );
+    order_version(&mut rig, "v3");
+    for session in sessions {
+        let sent = rig.send(session).expect("an upstream is free");
+        assert_ne!(&*sent.stage().slot.version, "v2");
+    }
+}
+
+fn status(target: &str, state: State) -> Content {
+    Content::Status(Status {
+        pool: "pool".into(),
+        target: target.into(),
+        state,
+        order_offset: 0,
+        withdrawn: Vec::new(),
+    })
+}
+
+/// Requests that find no slot at their version must not go to one that was rolled back.
+#[test]
+fn no_request_falls_back_to_a_withdrawn_version() {
+    let mut rig = with_rollout();
+    rig.read(
+        Topic::Status,
+        "rollout/pool",
+        status("v2", State::RolledBack),
+    );
+    let pool = "pool".into();
+    let versions = |rig: &Rig| {
+        let rollouts = &rig.router.state().rollouts;
+        let fallback = rollouts.fallback(&pool, &Versions::Only("v1".into()));
+        fallback.expect("sessions may fall back")
+    };
+    assert!(!versions(&rig).allows(&"v2".into()));
+    order_version(&mut rig, "v3");
+    assert!(!versions(&rig).allows(&"v2".into()));
+    assert!(versions(&rig).allows(&"v3".into()));
+}
+
+/// An entry that starts after the next order reads one status only, that of the newest rollout.
+#[test]
+fn an_entry_that_starts_later_knows_the_withdrawn_versions() {
+    let mut rig = with_rollout();
+    serve(&mut rig, DURATION / 2, 50);
+    order_version(&mut rig, "v3");
+    rig.run_for(SECOND);
+    let mut statuses = rig.actions.iter().filter_map(|action| match action {
+        Action::Write {
+            content: content @ Content::Status(status),
+            ..
+        } if &*status.target == "v3" => Some(content.clone()),
+        _ => None,
+    });
+    let written = statuses.next_back().expect("the status of the rollout");
+    for status in [written, status("v2", State::RolledBack)] {
+        let mut started = Rig::serving("e2");
+        order_version(&mut started, "v3");
+        started.read(Topic::Status, "rollout/pool", status);
+        let upstream = Content::Upstream(Box::new(registration("v2")));
+        started.read(Topic::Upstreams, "v2-0", upstream);
+        let versions = versions_of_requests(&mut started);
+        assert_eq!(versions.get("v2"), None, "{versions:?}");
+    }
+}
+
+#[test]
+fn a_withdrawn_version_is_tried_again_when_it_is_ordered_again() {
+    let mut rig = with_rollout();
+    serve(&mut rig, DURATION / 2, 50);
+    order_version(&mut rig, "v3");
+    serve(&mut rig, SECOND, 0);
+    order_version(&mut rig, "v2");
+    let (_, new) = serve(&mut rig, 4 * SECOND, 0);
+    assert!(new > 0);
+    serve(&mut rig, DURATION, 0);
+    assert_eq!(state(&rig), Some(State::Completed));
+    let versions = versions_of_requests(&mut rig);
+    assert_eq!(versions.keys().collect::<Vec<_>>(), ["v2"]);
+}
+
+/// Upstreams of the version that a completed rollout has replaced may be there when the next one is ordered.
+#[test]
+fn a_replaced_version_gets_no_requests_while_the_next_one_is_tried() {
+    let mut rig = with_rollout();
+    serve(&mut rig, DURATION, 0);
+    assert_eq!(state(&rig), Some(State::Completed));
+    order_version(&mut rig, "v3");
+    let versions = versions_of_requests(&mut rig);
+    assert_eq!(versions.get("v1"), None, "{versions:?}");
+    assert!(versions["v2"] > 300, "{versions:?}");
+}
+
 #[test]
 fn a_session_in_progress_keeps_its_version_during_the_canary_phase() {
     let mut rig = Rig::serving("e1");
