--- a/crates/comfreyroad_net/src/body/content.rs
+++ b/crates/comfreyroad_net/src/body/content.rs
@@ -6,18 +6,20 @@
 };
 
 use bytes::Bytes;
-use hyper::body::{Frame, SizeHint};
+use hyper::body::{Body as _, Frame, SizeHint};
 
 use super::{
     channel::{Aborted, Channel},
     sender::Sender,
 };
-use crate::stream::Handle;
+use crate::stream::{Handle, Upload};
 
 /// Body of a request or response that this process sends.
 #[derive(Debug, Default)]
 pub struct Body {
     source: Source,
+    // If it is the body of a request.
+    _upload: Option<Upload>,
 }
 
 #[derive(Debug)]
@@ -37,6 +39,7 @@
     pub fn full(bytes: impl Into<Bytes>) -> Self {
         Self {
             source: Source::Full(bytes.into()),
+            _upload: None,
         }
     }
 
@@ -44,7 +47,19 @@
     pub fn channel() -> (Sender, Self) {
         let channel = Rc::new(RefCell::new(Channel::default()));
         let source = Source::Chunks(Receiver(channel.clone()));
-        (Sender::new(channel), Self { source })
+        let body = Self {
+            source,
+            _upload: None,
+        };
+        (Sender::new(channel), body)
+    }
+
+    /// Sets the connection that sends it as the body of a request.
+    pub(crate) fn upload(&mut self, connection: &Handle) {
+        self.bind(connection);
+        if !self.is_end_stream() {
+            self._upload = Some(connection.begin_upload());
+        }
     }
 
     /// Sets the connection that sends the body, so that the sender can reset it.
--- a/crates/comfreyroad_net/src/client/connection.rs
+++ b/crates/comfreyroad_net/src/client/connection.rs
@@ -51,9 +51,9 @@
     /// Heads of informational responses count towards the limit, so that a peer cannot send them without end.
     pub(super) async fn send(
         &mut self,
-        request: Request<Body>,
+        mut request: Request<Body>,
     ) -> Result<Response<Incoming>, TrySendError<Request<Body>>> {
-        request.body().bind(&self.handle);
+        request.body_mut().upload(&self.handle);
         // A part of the body may arrive with the head.
         let limit = self.max_header_bytes + READ_BYTES;
         self.handle.set_readable(Some(limit));
--- a/crates/comfreyroad_net/src/stream.rs
+++ b/crates/comfreyroad_net/src/stream.rs
@@ -1,6 +1,8 @@
 //! TCP connections of the event loop.
 
+mod progress;
 mod shared;
+mod upload;
 
 use std::{
     cell::RefCell,
@@ -16,7 +18,12 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 use socket2::{Domain, Protocol, SockAddr, Socket, Type};
 
-use self::shared::{Direction, Shared};
+use self::{
+    progress::Progress,
+    shared::{Direction, Shared},
+};
+
+pub(crate) use self::upload::Upload;
 
 /// Maximum number of bytes per read.
 pub(crate) const READ_BYTES: usize = 64 * 1024;
@@ -199,6 +206,10 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // hyper has written its buffer.
+        if self.shared.upload.get() == Progress::Buffered {
+            self.shared.upload.set(Progress::Sent);
+        }
         Poll::Ready(Ok(()))
     }
 
@@ -227,6 +238,11 @@
         self.shared.written.get()
     }
 
+    /// Begins to send a request's body.
+    pub(crate) fn begin_upload(&self) -> Upload {
+        Upload::new(self.shared.clone())
+    }
+
     /// Limits the bytes that can be read from now on, or lifts the limit.
     pub(crate) fn set_readable(&self, limit: Option<usize>) {
         self.shared.readable.set(limit);
--- a/crates/comfreyroad_net/src/stream/shared.rs
+++ b/crates/comfreyroad_net/src/stream/shared.rs
@@ -4,6 +4,8 @@
     task::Waker,
 };
 
+use super::progress::Progress;
+
 /// Reads in succession after which a stream lets other tasks run: hyper reads on for as long as bytes arrive that it skips, such as
 /// the zeros before the size of a chunk.
 const MAX_SUCCESSIVE_READS: u32 = 4;
@@ -30,6 +32,7 @@
     // Bytes that may still be read before reads fail, if there is a limit.
     pub(super) readable: Cell<Option<usize>>,
     pub(super) is_reset: Cell<bool>,
+    pub(super) upload: Cell<Progress>,
     // Wakes the task that waits for the stream.
     pub(super) waker: RefCell<Option<Waker>>,
 }
@@ -58,8 +61,16 @@
         is_due
     }
 
-    /// Counts bytes that were read. Fails if they exceed the limit.
+    /// Counts bytes that were read. Fails if they exceed the limit, or at the end of the stream before a request was sent.
     pub(super) fn count_read(&self, bytes: usize) -> io::Result<()> {
+        // A peer that closes the connection while it has not read everything resets it, and the reset may come after the FIN. Without
+        // a length, what has arrived of the response would pass for all of it.
+        if bytes == 0 && self.upload.get() != Progress::Sent {
+            return Err(io::Error::new(
+                io::ErrorKind::ConnectionReset,
+                "the connection ended before the request was sent",
+            ));
+        }
         let Some(readable) = self.readable.get() else {
             return Ok(());
         };
--- a/crates/comfreyroad_net/tests/net/main.rs
+++ b/crates/comfreyroad_net/tests/net/main.rs
@@ -8,3 +8,4 @@
 mod signals;
 mod stop;
 mod support;
+mod uploads;
