--- a/crates/comfreyroad_net/src/client/mod.rs
+++ b/crates/comfreyroad_net/src/client/mod.rs
@@ -6,6 +6,7 @@
 mod error;
 mod json;
 mod limits;
+mod origin;
 mod pool;
 mod reader;
 mod reuse;
@@ -32,6 +33,7 @@
 pub use deadlines::Deadlines;
 pub use error::{Cause, Error, Sent, Step};
 pub use limits::Limits;
+pub use origin::Origin;
 pub use reader::{Reader, read_all};
 pub use reuse::Reuse;
 
@@ -78,20 +80,25 @@
             connect: deadline,
             response: deadline,
         };
-        self.call_within(address, request, deadlines).await
+        self.call_within(address, request, deadlines, Origin::Pool)
+            .await
     }
 
-    /// Sends a request like [`Client::call`], with an earlier deadline for opening a connection.
+    /// Sends a request like [`Client::call`], on a connection of a given origin, with an earlier deadline for opening one.
     pub async fn call_within(
         &self,
         address: SocketAddr,
         mut request: Request<Body>,
         deadlines: Deadlines,
+        origin: Origin,
     ) -> Result<Response<Incoming>, Error> {
         let deadline = deadlines.response;
         add_host(&mut request, address)?;
         loop {
-            let pooled = self.pool.borrow_mut().take(address);
+            let pooled = match origin {
+                Origin::Pool => self.pool.borrow_mut().take(address),
+                Origin::New => None,
+            };
             let reused = pooled.is_some();
             let connection = match pooled {
                 Some(connection) => connection,
--- a/crates/comfreyroad_net/tests/net/calls.rs
+++ b/crates/comfreyroad_net/tests/net/calls.rs
@@ -2,7 +2,7 @@
 
 use comfreyroad_net::{
     body::Body,
-    client::{Cause, Client, Reader, Sent, Step, read_all},
+    client::{Cause, Client, Deadlines, Origin, Reader, Sent, Step, read_all},
     listener::Listener,
     peer,
     stream::Stream,
@@ -34,6 +34,30 @@
     });
 }
 
+/// An idle connection doesn't show that its peer is alive.
+#[test]
+fn a_request_is_sent_on_a_new_connection_where_that_is_asked_for() {
+    run(async {
+        let peers = Rc::new(RefCell::new(IndexSet::new()));
+        let seen = peers.clone();
+        let (address, _handle, _task) = serve(move |_, peer| {
+            seen.borrow_mut().insert(peer);
+            async move { Response::new(Body::default()) }
+        });
+        let client = Client::default();
+        for (origin, connections) in [(Origin::Pool, 1), (Origin::New, 2), (Origin::Pool, 2)] {
+            let deadlines = Deadlines {
+                connect: deadline(),
+                response: deadline(),
+            };
+            let call = client.call_within(address, get("/"), deadlines, origin);
+            drop(call.await.unwrap());
+            sleep_ms(1).await;
+            assert_eq!(peers.borrow().len(), connections);
+        }
+    });
+}
+
 #[test]
 fn a_response_over_the_limit_is_an_error() {
     run(async {
--- a/crates/comfreyroad_proxy/src/front/attempt.rs
+++ b/crates/comfreyroad_proxy/src/front/attempt.rs
@@ -7,7 +7,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use comfreyroad_net::client::{Deadlines, Reader, Reuse, Sent as PeerSaw};
+use comfreyroad_net::client::{Deadlines, Origin, Reader, Reuse, Sent as PeerSaw};
 use comfreyroad_platform as platform;
 use comfreyroad_router::answer::{Fault, Verdict};
 use comfreyroad_router::filter::place::Backpressure;
@@ -134,7 +134,13 @@
         connect: silent_at,
         response: call.request.stage().plan().deadline,
     };
-    let mut response = pin!(shared.upstreams.call_within(address, request, deadlines));
+    let origin = if call.request.stage().needs_new_connection() {
+        Origin::New
+    } else {
+        Origin::Pool
+    };
+    let client = &shared.upstreams;
+    let mut response = pin!(client.call_within(address, request, deadlines, origin));
     let result = loop {
         match timeout_at(silent_at, response.as_mut()).await {
             Ok(result) => break result,
--- a/crates/comfreyroad_router/src/controller/quarantine/attribution.rs
+++ b/crates/comfreyroad_router/src/controller/quarantine/attribution.rs
@@ -100,9 +100,16 @@
     evidence(own) >= MIN_EVIDENCE + OUTAGE_EVIDENCE * others as u32
 }
 
-/// What a series of crashes says for a part that stands in all of them.
+/// What a series of crashes says for a part that stands in all of them. One that came at the same time as the one before says half as
+/// much: upstreams that fail together may do so one after the other.
 fn evidence(series: &[&Crash]) -> u32 {
-    series.iter().map(|crash| crash.evidence()).sum()
+    let first = series.first().map_or(0, |crash| crash.evidence());
+    let later = series.windows(2).map(|pair| match pair {
+        [earlier, crash] if crash.is_simultaneous(earlier) => crash.evidence() / 2,
+        [.., crash] => crash.evidence(),
+        [] => 0,
+    });
+    first + later.sum::<u32>()
 }
 
 /// The successive crashes with a part, of requests sent after the last answer to a prompt with it that got further.
--- a/crates/comfreyroad_router/src/controller/quarantine/crash.rs
+++ b/crates/comfreyroad_router/src/controller/quarantine/crash.rs
@@ -4,7 +4,8 @@
 use crate::frame::CrashReport;
 use crate::id::{Incarnation, PromptPartId, UpstreamId};
 
-/// Minimum time between two crashes that count separately. Connections that break at the same moment have one cause.
+/// Minimum time between two crashes that count separately, if the later one may have been under way, and in full. Connections that
+/// break at the same moment have one cause.
 const MIN_SPACING: Duration = Duration::from_millis(50);
 /// What a crash at the beginning of an answer says for the parts of its prompt.
 pub(super) const EARLY_EVIDENCE: u32 = 4;
@@ -20,6 +21,8 @@
     pub(super) parts: Vec<PromptPartId>,
     /// How far the answer had got; `None` at its beginning.
     pub(super) milestone: Option<Milestone>,
+    /// Whether the request was sent on a connection that was opened for it, so that the upstream was alive then.
+    pub(super) is_on_new_connection: bool,
     pub(super) sent_at: Instant,
     pub(super) broken_at: Instant,
     /// Whether the upstream has gone on to answer, so that it has not crashed.
@@ -34,6 +37,7 @@
             incarnation: report.incarnation,
             parts: report.parts.clone(),
             milestone: report.milestone,
+            is_on_new_connection: report.is_on_new_connection,
             sent_at: now.checked_sub(report.sent_age)?,
             broken_at: now.checked_sub(report.broken_age)?,
             is_disproved: false,
@@ -47,6 +51,7 @@
             incarnation: self.incarnation,
             parts: self.parts.clone(),
             milestone: self.milestone,
+            is_on_new_connection: self.is_on_new_connection,
             sent_age: now.saturating_duration_since(self.sent_at),
             broken_age: now.saturating_duration_since(self.broken_at),
         }
@@ -73,11 +78,20 @@
             && self.parts == other.parts
     }
 
-    /// Whether the request was sent once an earlier one had failed. The tolerance covers the error of times that peers report.
+    /// Whether it came so soon after an earlier one that both may have one cause.
+    pub(super) fn is_simultaneous(&self, earlier: &Self) -> bool {
+        self.broken_at < earlier.broken_at + MIN_SPACING
+    }
+
+    /// Whether the request was sent once an earlier one had failed, to an upstream that had not failed with it. The tolerance covers the
+    /// error of times that peers report.
     fn follows(&self, earlier: &Self) -> bool {
-        self.broken_at >= earlier.broken_at + MIN_SPACING
-            && self.sent_at + MIN_SPACING >= earlier.broken_at
-            && !self.has_same_upstream(earlier)
+        if self.has_same_upstream(earlier) {
+            return false;
+        }
+        let was_alive = self.is_on_new_connection && self.sent_at >= earlier.broken_at;
+        let is_later = self.sent_at + MIN_SPACING >= earlier.broken_at;
+        was_alive || (is_later && !self.is_simultaneous(earlier))
     }
 }
 
--- a/crates/comfreyroad_router/src/controller/quarantine/mod.rs
+++ b/crates/comfreyroad_router/src/controller/quarantine/mod.rs
@@ -85,6 +85,7 @@
                 incarnation: stage.slot.incarnation,
                 parts,
                 milestone: stage.milestone,
+                is_on_new_connection: stage.needs_new_connection(),
                 sent_at: stage.sent_at,
                 broken_at: now,
                 is_disproved: false,
--- a/crates/comfreyroad_router/src/frame/crash_report.rs
+++ b/crates/comfreyroad_router/src/frame/crash_report.rs
@@ -18,6 +18,8 @@
     pub parts: Vec<PromptPartId>,
     /// How far the answer had got; `None` at its beginning.
     pub milestone: Option<Milestone>,
+    /// Whether the request was sent on a connection that was opened for it.
+    pub is_on_new_connection: bool,
     /// Time since the request was sent.
     pub sent_age: Duration,
     /// Time since the connection broke.
--- a/crates/comfreyroad_router/src/request/sent.rs
+++ b/crates/comfreyroad_router/src/request/sent.rs
@@ -40,6 +40,12 @@
     pub fn plan(&self) -> &Plan {
         self.origin.plan()
     }
+
+    /// Whether it must be sent on a connection that is opened for it, as an earlier attempt has failed: what has broken one idle
+    /// connection may have broken all. If this upstream fails too, the two have not failed together.
+    pub fn needs_new_connection(&self) -> bool {
+        self.plan().has_failed
+    }
 }
 
 impl Stage for Sent {
--- a/crates/comfreyroad_router/tests/decisions/quarantine.rs
+++ b/crates/comfreyroad_router/tests/decisions/quarantine.rs
@@ -177,6 +177,34 @@
     assert!(refusal(&mut rig, &["all", "book1"]).is_none());
 }
 
+/// Lets each attempt at a request crash its engine within a few milliseconds. Returns the number of attempts.
+fn crash_all_attempts(rig: &mut Rig, parts: &[&str]) -> usize {
+    let mut attempts = 0;
+    let mut sent = send(rig, parts);
+    while let Some(request) = sent {
+        attempts += 1;
+        rig.advance(7 * MS);
+        let retried = rig.router.on_failed(rig.now, request, Fault::Broken);
+        sent = retried.ok().and_then(|request| rig.resend(request));
+    }
+    attempts
+}
+
+/// Regression: three engines that a request crashed one after the other within 50 ms counted as one, and the next such request came when
+/// that was forgotten.
+#[test]
+fn a_part_is_quarantined_though_each_request_crashes_three_engines_in_no_time() {
+    let mut rig = serving();
+    assert_eq!(crash_all_attempts(&mut rig, &["deadly", "book1"]), 3);
+    assert!(
+        quarantined(&rig).is_empty(),
+        "they may have failed together"
+    );
+    rig.run_for(11 * SECOND);
+    assert_eq!(crash_all_attempts(&mut rig, &["deadly", "book2"]), 1);
+    assert_eq!(quarantined(&rig), ["deadly"]);
+}
+
 /// Where an engine crashes isn't the same each time.
 #[test]
 fn crashes_before_and_after_the_first_event_count_together() {
@@ -224,6 +252,7 @@
         incarnation: 1,
         parts: parts.iter().map(|part| (*part).into()).collect(),
         milestone: None,
+        is_on_new_connection: false,
         sent_age: (ago + 100) * MS,
         broken_age: *ago * MS,
     };
