--- a/crates/comfreyroad_router/src/controller/quarantine/answers.rs
+++ b/crates/comfreyroad_router/src/controller/quarantine/answers.rs
@@ -45,14 +45,14 @@
     }
 
     /// Whether answers have shown since that a part is not the cause of a crash.
-    pub(super) fn exonerate(&self, part: &PromptPartId, crash: &Crash) -> bool {
+    pub(super) fn exonerates(&self, part: &PromptPartId, crash: &Crash) -> bool {
         let beyond = self.beyond(part, crash);
         beyond.is_some_and(|at| at >= crash.sent_at)
     }
 
     /// Whether answers have shown since that no part of the prompt is the cause of a crash.
-    pub(super) fn exonerate_all(&self, crash: &Crash) -> bool {
+    pub(super) fn exonerates_all(&self, crash: &Crash) -> bool {
         let mut parts = crash.parts.iter();
-        parts.all(|part| self.exonerate(part, crash))
+        parts.all(|part| self.exonerates(part, crash))
     }
 }
--- a/crates/comfreyroad_router/src/controller/quarantine/attribution.rs
+++ b/crates/comfreyroad_router/src/controller/quarantine/attribution.rs
@@ -114,6 +114,6 @@
 
 /// The successive crashes with a part, of requests sent after the last answer to a prompt with it that got further.
 fn series_of<'a>(part: &PromptPartId, crashes: &[&'a Crash], answers: &Answers) -> Vec<&'a Crash> {
-    let counts = |crash: &&&Crash| crash.parts.contains(part) && !answers.exonerate(part, crash);
+    let counts = |crash: &&&Crash| crash.parts.contains(part) && !answers.exonerates(part, crash);
     series(crashes.iter().filter(counts).copied().collect())
 }
--- a/crates/comfreyroad_router/src/controller/quarantine/mod.rs
+++ b/crates/comfreyroad_router/src/controller/quarantine/mod.rs
@@ -121,7 +121,7 @@
     /// Whether a crash tells more than those that are known.
     fn is_evidence(&self, crash: &Crash) -> bool {
         let is_first = || !self.crashes.iter().any(|it| it.has_same_upstream(crash));
-        !self.answers.exonerate_all(crash) || is_first()
+        !self.answers.exonerates_all(crash) || is_first()
     }
 
     /// Forgets the crash that tells least: none that is explained, rather one in which an answer broke off late, or an old one.
@@ -239,7 +239,7 @@
         crashes.sort_by_cached_key(|it| {
             (
                 !self.is_explained(it),
-                self.answers.exonerate_all(it),
+                self.answers.exonerates_all(it),
                 it.milestone,
                 now.instant.duration_since(it.broken_at),
             )
