--- a/crates/comfreyroad_router/src/controller/quarantine/attribution.rs
+++ b/crates/comfreyroad_router/src/controller/quarantine/attribution.rs
@@ -22,20 +22,15 @@
 
 /// The parts that explain the crashes: first the most likely one, until no part stands in enough of the crashes that are left.
 /// The crash of an upstream under one part explains the failures of all other requests there. A part that is known as a cause stays
-/// one, whatever else crashes later. Crashes until `confirmed_until` would have been disproved by now if they were none.
+/// one, whatever else crashes later.
 pub(super) fn causes(
     crashes: &[&Crash],
     answers: &Answers,
-    confirmed_until: Instant,
     is_known: impl Fn(&PromptPartId) -> bool,
 ) -> Vec<Cause> {
     let mut unexplained = crashes.to_vec();
     let mut causes = Vec::new();
-    let is_suspect = |part: &PromptPartId, own: &[&Crash], unexplained: &[&Crash]| {
-        evidence(own) >= MIN_EVIDENCE
-            && (is_known(part) || outweighs_others(part, own, unexplained, confirmed_until))
-    };
-    while let Some(cause) = most_likely_cause(crashes, &unexplained, answers, is_suspect) {
+    while let Some(cause) = most_likely_cause(crashes, &unexplained, answers, &is_known) {
         let is_explained = |crash: &Crash| {
             let mut same_upstream = crashes.iter().filter(|it| it.has_same_upstream(crash));
             same_upstream.any(|it| it.parts.contains(&cause.part))
@@ -52,11 +47,12 @@
     crashes: &[&Crash],
     unexplained: &[&Crash],
     answers: &Answers,
-    is_suspect: impl Fn(&PromptPartId, &[&Crash], &[&Crash]) -> bool,
+    is_known: impl Fn(&PromptPartId) -> bool,
 ) -> Option<Cause> {
     let cause = |(part, depth): (&PromptPartId, usize)| {
         let own = series_of(part, unexplained, answers);
-        let is_suspect = is_suspect(part, &own, unexplained);
+        let is_suspect = evidence(&own) >= MIN_EVIDENCE
+            && (is_known(part) || outweighs_others(part, &own, unexplained));
         let series = series_of(part, crashes, answers);
         let last = series.last().filter(|_| is_suspect)?;
         // A part with which answers ever got further is less likely to be the cause.
@@ -90,22 +86,16 @@
 
 /// Whether the crashes with a part say enough for it beside the earlier ones without it, which show that upstreams also crash for
 /// another reason and break off the streams that they happen to serve.
-fn outweighs_others(
-    part: &PromptPartId,
-    own: &[&Crash],
-    crashes: &[&Crash],
-    confirmed_until: Instant,
-) -> bool {
+fn outweighs_others(part: &PromptPartId, own: &[&Crash], crashes: &[&Crash]) -> bool {
     let Some(last) = own.last() else {
         return false;
     };
-    let until = last.broken_at.min(confirmed_until);
     let has_part = |outage: &Crash| {
         let mut same_upstream = crashes.iter().filter(|it| it.has_same_upstream(outage));
         same_upstream.any(|it| it.parts.contains(part))
     };
     let earlier = outages(crashes.to_vec()).into_iter();
-    let earlier = earlier.take_while(|it| it.broken_at <= until);
+    let earlier = earlier.take_while(|it| it.broken_at <= last.broken_at);
     let others = earlier.filter(|it| !has_part(it)).count();
     evidence(own) >= MIN_EVIDENCE + OUTAGE_EVIDENCE * others as u32
 }
--- a/crates/comfreyroad_router/src/controller/quarantine/mod.rs
+++ b/crates/comfreyroad_router/src/controller/quarantine/mod.rs
@@ -42,9 +42,6 @@
 /// An upstream that answers some entry after this time has not crashed. Answers that were under way arrive before, and the
 /// times of those that peers report have an error.
 const ANSWER_MARGIN: Duration = Duration::from_millis(500);
-/// Time after which a crash counts against the parts that it does not concern. An upstream that breaks some connections and serves
-/// others has answered again by then.
-const CONFIRMATION_TIME: Duration = Duration::from_secs(1);
 /// Shortest time in which a crashed upstream is back. Its new incarnation may answer before its registration is read.
 const RESTART_TIME: Duration = Duration::from_secs(2);
 
@@ -160,10 +157,9 @@
             return;
         }
         let crashes = self.crashes.iter().filter(|crash| !crash.is_disproved);
-        let crashes: Vec<&Crash> = crashes.collect();
-        let confirmed_until = now.checked_sub(CONFIRMATION_TIME).unwrap_or(now);
-        let is_known = |part: &PromptPartId| self.quarantined.contains_key(part);
-        let causes = attribution::causes(&crashes, &self.answers, confirmed_until, is_known);
+        let causes = attribution::causes(&crashes.collect::<Vec<_>>(), &self.answers, |part| {
+            self.quarantined.contains_key(part)
+        });
         let ends = causes
             .into_iter()
             .map(|cause| (cause.part, cause.last_crash_at + QUARANTINE_TIME));
