Crashes and rollouts: one loop for both kinds of series, and a flatter choice of versions

`series` and `outages` sorted and filtered in two copies of one loop, and `outages` spelled out `is_simultaneous`; both are `chain` with their own condition now. `Rollouts::allowed_versions` asked for the rollout twice in a match guard. No behaviour, check or expectation has changed.

--- a/crates/comfreyroad_router/src/controller/quarantine/crash.rs
+++ b/crates/comfreyroad_router/src/controller/quarantine/crash.rs
@@ -97,28 +97,25 @@
 
 /// The longest series of crashes in which each request was sent after the one before had failed. Upstreams that fail together,
 /// for another reason, count once.
-pub(super) fn series<'a>(mut crashes: Vec<&'a Crash>) -> Vec<&'a Crash> {
-    crashes.sort_by_key(|crash| crash.broken_at);
-    let mut series: Vec<&'a Crash> = Vec::new();
-    for crash in crashes {
-        if series.last().is_none_or(|last| crash.follows(last)) {
-            series.push(crash);
-        }
-    }
-    series
+pub(super) fn series(crashes: Vec<&Crash>) -> Vec<&Crash> {
+    chain(crashes, Crash::follows)
 }
 
 /// One crash for each time at which upstreams have crashed. Those that fail together count once.
-pub(super) fn outages<'a>(mut crashes: Vec<&'a Crash>) -> Vec<&'a Crash> {
+pub(super) fn outages(crashes: Vec<&Crash>) -> Vec<&Crash> {
+    chain(crashes, |crash, last| {
+        !crash.is_simultaneous(last) && !crash.has_same_upstream(last)
+    })
+}
+
+/// The crashes in the order of their times, without those that are not next to the last one that was taken.
+fn chain(mut crashes: Vec<&Crash>, is_next: impl Fn(&Crash, &Crash) -> bool) -> Vec<&Crash> {
     crashes.sort_by_key(|crash| crash.broken_at);
-    let mut outages: Vec<&'a Crash> = Vec::new();
+    let mut chain: Vec<&Crash> = Vec::new();
     for crash in crashes {
-        let is_new = |last: &&Crash| {
-            crash.broken_at >= last.broken_at + MIN_SPACING && !crash.has_same_upstream(last)
-        };
-        if outages.last().is_none_or(is_new) {
-            outages.push(crash);
+        if chain.last().is_none_or(|last| is_next(crash, last)) {
+            chain.push(crash);
         }
     }
-    outages
+    chain
 }
--- a/crates/comfreyroad_router/src/controller/rollouts/mod.rs
+++ b/crates/comfreyroad_router/src/controller/rollouts/mod.rs
@@ -94,12 +94,12 @@
     ) -> Versions {
         let rollout = self.rollouts.get(pool);
         let key = session.unwrap_or(request);
-        match rollout.map(|it| &it.order.target) {
-            Some(target) if rollout.is_some_and(|it| it.routes_to_target(now, key)) => {
-                Versions::Only(target.clone())
-            }
-            target => self.other_versions(pool, target),
+        if let Some(rollout) = rollout
+            && rollout.routes_to_target(now, key)
+        {
+            return Versions::Only(rollout.order.target.clone());
         }
+        self.other_versions(pool, rollout.map(|it| &it.order.target))
     }
 
     /// The versions that may serve in a pool, but for an excluded one.
--- a/crates/comfreyroad_router/tests/decisions/rollouts.rs
+++ b/crates/comfreyroad_router/tests/decisions/rollouts.rs
@@ -73,17 +73,7 @@
         if is_new && new * bad_percent / 100 != (new - 1) * bad_percent / 100 {
             let _ = rig.router.on_failed(rig.now, sent, Fault::Failed);
         } else {
-            let service_time = Some(10 * MS);
-            rig.router.on_finished(
-                rig.now,
-                &sent,
-                Completion {
-                    is_success: true,
-                    events: 0,
-                    first_event_after: None,
-                    service_time,
-                },
-            );
+            finish(rig, &sent);
         }
         commit_last_write(rig);
     }
