review: case 14, an engine that restarts in an outage of the store gets its whole load while it is cold

Cause: only the store says that an upstream is cold; three seconds after a crash its old registration counts again.

--- a/review/stand3/case_parts.rs
+++ b/review/stand3/case_parts.rs
@@ -124,7 +124,6 @@
         service,
         version: "v1",
         slots,
-        cold_left_ms: 0,
         models,
     };
     let pool: Vec<Engine> = (0..ENGINES)
--- a/review/stand3/engine.rs
+++ b/review/stand3/engine.rs
@@ -11,6 +11,8 @@
 
 /// Interval of the entries that an engine writes, as the settings of the proxies say.
 const HEARTBEAT: Duration = Duration::from_millis(1200);
+/// Interval at which an engine tries again to write its entry.
+const RETRY: Duration = Duration::from_millis(50);
 
 /// Answers a request on its connection; returns whether the connection stays open.
 pub type Handler = Arc<dyn Fn(&Engine, &Message, &mut BufReader<TcpStream>) -> bool + Send + Sync>;
@@ -24,6 +26,10 @@
     is_down: Arc<AtomicBool>,
     reaches_store: Arc<AtomicBool>,
     sequence: Arc<AtomicU64>,
+    /// Start of this lifetime, in Unix milliseconds.
+    born: Arc<AtomicU64>,
+    /// End of the time in which it is cold, likewise.
+    cold_until: Arc<AtomicU64>,
 }
 
 /// What the entry of an engine says beside its id and address.
@@ -32,7 +38,6 @@
     pub service: &'static str,
     pub version: &'static str,
     pub slots: u32,
-    pub cold_left_ms: u64,
     /// Names of the models; empty for a plain service.
     pub models: Vec<&'static str>,
 }
@@ -53,6 +58,8 @@
             is_down: Arc::default(),
             reaches_store: Arc::new(AtomicBool::new(true)),
             sequence: Arc::default(),
+            born: Arc::new(AtomicU64::new(unix_millis())),
+            cold_until: Arc::default(),
         };
         let served = engine.clone();
         std::thread::spawn(move || {
@@ -69,13 +76,12 @@
             }
         });
         let (writer, store) = (engine.clone(), store.clone());
-        let born = unix_millis();
         std::thread::spawn(move || {
             loop {
-                if writer.reaches_store.load(Ordering::SeqCst) {
-                    writer.write_entry(&store, &entry, born);
-                }
-                std::thread::sleep(HEARTBEAT);
+                let is_written = writer.reaches_store.load(Ordering::SeqCst)
+                    && writer.write_entry(&store, &entry);
+                // An entry that could not be written is written as soon as it can be.
+                std::thread::sleep(if is_written { HEARTBEAT } else { RETRY });
             }
         });
         engine
@@ -97,13 +103,26 @@
         }
     }
 
-    fn write_entry(&self, store: &Store, entry: &Entry, born: u64) {
+    /// Starts a new lifetime under the same id and address, which is cold for some time.
+    pub fn restart(&self, cold: Duration) {
+        let now = unix_millis();
+        self.sequence.store(0, Ordering::SeqCst);
+        self.born.store(now, Ordering::SeqCst);
+        let until = now + cold.as_millis() as u64;
+        self.cold_until.store(until, Ordering::SeqCst);
+        self.set_down(false);
+    }
+
+    /// Writes its entry; returns false if the store is down.
+    fn write_entry(&self, store: &Store, entry: &Entry) -> bool {
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
+        let born = self.born.load(Ordering::SeqCst);
+        let cold_until = self.cold_until.load(Ordering::SeqCst);
+        let cold_left_ms = cold_until.saturating_sub(unix_millis());
         let Entry {
             service,
             version,
             slots,
-            cold_left_ms,
             models,
         } = entry;
         let model = |name: &&str| format!("{{\"name\":\"{name}\",\"version\":1,\"adapters\":[]}}");
@@ -115,7 +134,7 @@
             self.address,
             models.join(",")
         );
-        store.put("keyed.servers", &self.id, &value);
+        store.put_if_up("keyed.servers", &self.id, &value)
     }
 
     fn serve(&self, stream: TcpStream, handler: &Handler) {
--- a/review/stand3/main.rs
+++ b/review/stand3/main.rs
@@ -2,7 +2,9 @@
 //!
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. `TROUBLE=0` leaves the disruption out.
 
+mod case_cold;
 mod case_parts;
+mod case_pause;
 mod client;
 mod engine;
 mod http;
@@ -36,7 +38,9 @@
     let (case, shared) = (case.clone(), record.clone());
     let run_files = files.clone();
     let run = std::thread::spawn(move || match &*case {
+        "cold" => Some(case_cold::run(&shared, &run_files, has_trouble)),
         "parts" => Some(case_parts::run(&shared, &run_files, has_trouble)),
+        "pause" => Some(case_pause::run(&shared, &run_files, has_trouble)),
         _ => None,
     });
     let result = run.join();
--- a/review/stand3/store.rs
+++ b/review/stand3/store.rs
@@ -47,12 +47,13 @@
         self.topics.1.notify_all();
     }
 
-    /// The newest value of a key.
-    pub fn newest(&self, topic: &str, key: &str) -> Option<String> {
-        let topics = self.topics.0.lock().unwrap();
-        let mut records = topics.get(topic)?.iter().rev();
-        let (_, value) = records.find(|(known, _)| known == key)?;
-        Some(String::from_utf8_lossy(value).into_owned())
+    /// Appends a record as an engine does; returns false if the store is down.
+    pub fn put_if_up(&self, topic: &str, key: &str, value: &str) -> bool {
+        if self.is_down.load(Ordering::SeqCst) {
+            return false;
+        }
+        self.put(topic, key, value);
+        true
     }
 
     fn serve(&self, stream: TcpStream) {
