--- a/review/stand3/case_cold.rs
+++ b/review/stand3/case_cold.rs
@@ -63,10 +63,16 @@
         let times: Vec<(u64, u64)> = times.collect();
         let count = |start: u64| {
             let in_window = |at: u64| at >= start && at < start + WINDOW_MS;
-            let within = times.iter().filter(|(sent, at)| in_window(*sent) && in_window(*at));
+            let within = times
+                .iter()
+                .filter(|(sent, at)| in_window(*sent) && in_window(*at));
             within.count()
         };
-        times.iter().map(|(sent, _)| count(*sent)).max().unwrap_or(0)
+        times
+            .iter()
+            .map(|(sent, _)| count(*sent))
+            .max()
+            .unwrap_or(0)
     }
 }
 
@@ -78,7 +84,11 @@
     let handler: Handler = Arc::new(move |engine, request, stream| {
         let id = request.header("x-comfreyroad-request-id").to_owned();
         if engine.id == "i-m0" {
-            arrivals.lock().unwrap().arrived.push((id.clone(), arrival_record.millis()));
+            arrivals
+                .lock()
+                .unwrap()
+                .arrived
+                .push((id.clone(), arrival_record.millis()));
         }
         arrival_record.line(&format!("{} runs {id}", engine.id));
         let head = engine::head(
@@ -132,12 +142,18 @@
                     0x2000_0000 + subject,
                     0x3000_0000 + number
                 );
-                seen.lock().unwrap().sent.insert(id.clone(), record.millis());
+                seen.lock()
+                    .unwrap()
+                    .sent
+                    .insert(id.clone(), record.millis());
                 let text = client::request("POST", "/tag/x", &id, 5000, &headers);
                 let record = record.clone();
                 open.push(std::thread::spawn(move || {
                     let stream = client::read_stream(front, &text, Duration::from_secs(6));
-                    record.line(&format!("{id} answered: {}, complete: {}", stream.status, stream.is_complete));
+                    record.line(&format!(
+                        "{id} answered: {}, complete: {}",
+                        stream.status, stream.is_complete
+                    ));
                     stream.is_complete
                 }));
                 number += 1;
@@ -163,7 +179,10 @@
     let restarted = record.millis();
     if has_trouble {
         pool[0].restart(COLD);
-        record.result(&format!("{restarted} ms: i-m0 is back under its id, cold for {} ms", COLD.as_millis()));
+        record.result(&format!(
+            "{restarted} ms: i-m0 is back under its id, cold for {} ms",
+            COLD.as_millis()
+        ));
     }
     std::thread::sleep(OUTAGE - CRASH_AFTER - CRASH);
     store.set_down(false);
--- a/review/stand3/case_parts.rs
+++ b/review/stand3/case_parts.rs
@@ -109,11 +109,17 @@
         let answer = http::exchange(front, &text, PATIENCE);
         let took = started.elapsed();
         let status = answer.map_or(0, |it| it.status());
-        record.line(&format!("lookup {id}: status {status} after {} ms", took.as_millis()));
+        record.line(&format!(
+            "lookup {id}: status {status} after {} ms",
+            took.as_millis()
+        ));
         self.sent.fetch_add(1, Ordering::SeqCst);
-        self.after_timeout.fetch_add(usize::from(took > TIMEOUT), Ordering::SeqCst);
-        self.after_latest.fetch_add(usize::from(took > LATEST), Ordering::SeqCst);
-        self.worst_ms.fetch_max(took.as_millis() as usize, Ordering::SeqCst);
+        self.after_timeout
+            .fetch_add(usize::from(took > TIMEOUT), Ordering::SeqCst);
+        self.after_latest
+            .fetch_add(usize::from(took > LATEST), Ordering::SeqCst);
+        self.worst_ms
+            .fetch_max(took.as_millis() as usize, Ordering::SeqCst);
     }
 }
 
@@ -127,10 +133,22 @@
         models,
     };
     let pool: Vec<Engine> = (0..ENGINES)
-        .map(|at| Engine::start(&format!("i-m{at}"), &store, entry("pool", SLOTS, vec!["m"]), event_stream()))
+        .map(|at| {
+            Engine::start(
+                &format!("i-m{at}"),
+                &store,
+                entry("pool", SLOTS, vec!["m"]),
+                event_stream(),
+            )
+        })
         .collect();
     for at in 0..4 {
-        Engine::start(&format!("i-d{at}"), &store, entry("desk", 6, vec![]), plain());
+        Engine::start(
+            &format!("i-d{at}"),
+            &store,
+            entry("desk", 6, vec![]),
+            plain(),
+        );
     }
     let proxy = Proxy::start("edge-1", files, address, &[]);
     let front = proxy.front;
@@ -142,7 +160,13 @@
     let common = common.join(",");
     let mut streams = Vec::new();
     for number in 0..STREAMS {
-        let text = client::request("POST", "/plan/x", &new_id(), 20_000, &prompt(&common, number));
+        let text = client::request(
+            "POST",
+            "/plan/x",
+            &new_id(),
+            20_000,
+            &prompt(&common, number),
+        );
         let read = move || client::read_stream(front, &text, PATIENCE);
         streams.push(std::thread::spawn(read));
         std::thread::sleep(Duration::from_millis(5));
@@ -184,7 +208,10 @@
     let complete = streams.iter().filter(|it| it.is_complete).count();
     for stream in streams.iter().filter(|it| !it.is_complete) {
         let (events, took) = (stream.events.len(), stream.took.as_millis());
-        record.line(&format!("stream: status {}, {events} events, ended after {took} ms", stream.status));
+        record.line(&format!(
+            "stream: status {}, {events} events, ended after {took} ms",
+            stream.status
+        ));
     }
 
     let count = |it: &AtomicUsize| it.load(Ordering::SeqCst);
--- a/review/stand3/case_pause.rs
+++ b/review/stand3/case_pause.rs
@@ -55,7 +55,9 @@
         arrivals.lock().unwrap().push(arrival_record.millis());
         arrival_record.line(&format!("{} turns {id} away", engine.id));
         std::thread::sleep(REJECTION_TIME);
-        let headers = format!("X-Comfreyroad-Not-Executed: 1\r\nRetry-After: {RETRY_AFTER_S}\r\nContent-Length: 0\r\n");
+        let headers = format!(
+            "X-Comfreyroad-Not-Executed: 1\r\nRetry-After: {RETRY_AFTER_S}\r\nContent-Length: 0\r\n"
+        );
         let answer = engine::head(request, "503 Service Unavailable", &headers);
         stream.get_mut().write_all(answer.as_bytes()).is_ok()
     });
@@ -92,12 +94,18 @@
     std::thread::sleep(BEFORE_CUT);
     if has_trouble {
         engines[0].set_reaches_store(false);
-        record.result(&format!("{} ms: i-d0 is cut off from the store", record.millis()));
+        record.result(&format!(
+            "{} ms: i-d0 is cut off from the store",
+            record.millis()
+        ));
     }
     std::thread::sleep(LAPSE);
     if has_trouble {
         store.put("keyed.servers", &engines[0].id, "");
-        record.result(&format!("{} ms: the store removes its entry", record.millis()));
+        record.result(&format!(
+            "{} ms: the store removes its entry",
+            record.millis()
+        ));
     }
     std::thread::sleep(REST_OF_CUT);
     engines[0].set_reaches_store(true);
--- a/review/stand3/client.rs
+++ b/review/stand3/client.rs
@@ -49,7 +49,9 @@
         while let Some(chunk) = http::read_chunk(&mut stream)? {
             let text = String::from_utf8_lossy(&chunk).into_owned();
             let ids = text.lines().filter_map(|it| it.strip_prefix("id: "));
-            result.events.extend(ids.filter_map(|it| it.parse::<u64>().ok()));
+            result
+                .events
+                .extend(ids.filter_map(|it| it.parse::<u64>().ok()));
         }
         Some(())
     };
--- a/review/stand3/proxy.rs
+++ b/review/stand3/proxy.rs
@@ -2,7 +2,7 @@
 
 use std::fs::File;
 use std::net::{SocketAddr, TcpListener};
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
@@ -12,12 +12,11 @@
 const PROGRAM: &str = "target/release/comfreyroad-proxy";
 const START_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// A running proxy; it is killed when this is dropped.
 pub struct Proxy {
-    pub name: String,
     pub front: SocketAddr,
     pub ready: SocketAddr,
     pub control: SocketAddr,
-    folder: PathBuf,
     child: Child,
 }
 
@@ -60,11 +59,9 @@
             .spawn()
             .expect("the program of the deploy file should be built");
         let proxy = Self {
-            name: name.to_owned(),
             front,
             ready,
             control,
-            folder,
             child,
         };
         let deadline = Instant::now() + START_TIMEOUT;
@@ -80,24 +77,6 @@
         let text = "GET /-/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
         http::exchange(self.ready, text, timeout).is_some_and(|it| it.status() == 200)
     }
-
-    /// Sends a signal by name, such as `-TERM`.
-    pub fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
-        let _ = Command::new("kill").args([name, &id]).status();
-    }
-
-    /// Whether the process runs.
-    pub fn is_running(&mut self) -> bool {
-        self.child.try_wait().is_ok_and(|status| status.is_none())
-    }
-
-    /// The lines of the log that contain a text.
-    pub fn log_lines(&self, text: &str) -> Vec<String> {
-        let log = std::fs::read_to_string(self.folder.join("log.txt")).unwrap_or_default();
-        let lines = log.lines().filter(|line| line.contains(text));
-        lines.map(str::to_owned).collect()
-    }
 }
 
 impl Drop for Proxy {
