review: case 14, a part that makes engines go dark isn't quarantined in time

Cause: only broken connections count as crashes of a part; a request that has left a silent engine leaves no trace.

--- a/review/stand3/engine.rs
+++ b/review/stand3/engine.rs
@@ -11,7 +11,7 @@
 
 /// Interval of the entries that an engine writes, as the settings of the proxies say.
 const HEARTBEAT: Duration = Duration::from_millis(1200);
-/// Interval at which an engine tries again to write its entry.
+/// Interval at which an engine that is down looks whether it is back.
 const RETRY: Duration = Duration::from_millis(50);
 
 /// Answers a request on its connection; returns whether the connection stays open.
@@ -24,12 +24,11 @@
     pub address: SocketAddr,
     connections: Arc<Mutex<Vec<TcpStream>>>,
     is_down: Arc<AtomicBool>,
+    is_dark: Arc<AtomicBool>,
     reaches_store: Arc<AtomicBool>,
     sequence: Arc<AtomicU64>,
     /// Start of this lifetime, in Unix milliseconds.
     born: Arc<AtomicU64>,
-    /// End of the time in which it is cold, likewise.
-    cold_until: Arc<AtomicU64>,
 }
 
 /// What the entry of an engine says beside its id and address.
@@ -56,10 +55,10 @@
             address: listener.local_addr().expect("an address"),
             connections: Arc::default(),
             is_down: Arc::default(),
+            is_dark: Arc::default(),
             reaches_store: Arc::new(AtomicBool::new(true)),
             sequence: Arc::default(),
             born: Arc::new(AtomicU64::new(unix_millis())),
-            cold_until: Arc::default(),
         };
         let served = engine.clone();
         std::thread::spawn(move || {
@@ -78,10 +77,12 @@
         let (writer, store) = (engine.clone(), store.clone());
         std::thread::spawn(move || {
             loop {
-                let is_written = writer.reaches_store.load(Ordering::SeqCst)
-                    && writer.write_entry(&store, &entry);
-                // An entry that could not be written is written as soon as it can be.
-                std::thread::sleep(if is_written { HEARTBEAT } else { RETRY });
+                if writer.reaches_store.load(Ordering::SeqCst) {
+                    writer.write_entry(&store, &entry);
+                    std::thread::sleep(HEARTBEAT);
+                } else {
+                    std::thread::sleep(RETRY);
+                }
             }
         });
         engine
@@ -103,22 +104,37 @@
         }
     }
 
-    /// Starts a new lifetime under the same id and address, which is cold for some time.
-    pub fn restart(&self, cold: Duration) {
-        let now = unix_millis();
+    /// Crashes the engine as a machine without power does: it says nothing more, on open connections and new ones.
+    pub fn go_dark(&self) {
+        self.is_dark.store(true, Ordering::SeqCst);
+        self.set_reaches_store(false);
+    }
+
+    pub fn is_dark(&self) -> bool {
+        self.is_dark.load(Ordering::SeqCst)
+    }
+
+    /// Waits for the end of the time in which the engine is dark.
+    pub fn wait_until_back(&self) {
+        while self.is_dark() {
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    /// Starts a new lifetime under the same id and address. The connections of the old one are closed.
+    pub fn restart(&self) {
+        self.set_down(true);
+        self.is_dark.store(false, Ordering::SeqCst);
         self.sequence.store(0, Ordering::SeqCst);
-        self.born.store(now, Ordering::SeqCst);
-        let until = now + cold.as_millis() as u64;
-        self.cold_until.store(until, Ordering::SeqCst);
+        self.born.store(unix_millis(), Ordering::SeqCst);
+        // The threads of the old connections notice that.
+        std::thread::sleep(Duration::from_millis(50));
         self.set_down(false);
     }
 
-    /// Writes its entry; returns false if the store is down.
-    fn write_entry(&self, store: &Store, entry: &Entry) -> bool {
+    fn write_entry(&self, store: &Store, entry: &Entry) {
         let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
         let born = self.born.load(Ordering::SeqCst);
-        let cold_until = self.cold_until.load(Ordering::SeqCst);
-        let cold_left_ms = cold_until.saturating_sub(unix_millis());
         let Entry {
             service,
             version,
@@ -129,17 +145,18 @@
         let models: Vec<String> = models.iter().map(model).collect();
         let value = format!(
             "{{\"service\":\"{service}\",\"address\":\"{}\",\"zone\":\"z-a\",\"version\":\"{version}\",\"slots\":{slots},\
-             \"state\":\"ready\",\"cold_left_ms\":{cold_left_ms},\"stage\":\"colocated\",\"models\":[{}],\"seq\":{sequence},\
+             \"state\":\"ready\",\"cold_left_ms\":0,\"stage\":\"colocated\",\"models\":[{}],\"seq\":{sequence},\
              \"born\":{born}}}",
             self.address,
             models.join(",")
         );
-        store.put_if_up("keyed.servers", &self.id, &value)
+        store.put("keyed.servers", &self.id, &value);
     }
 
     fn serve(&self, stream: TcpStream, handler: &Handler) {
         let mut stream = BufReader::new(stream);
         while let Some(request) = http::read_message(&mut stream) {
+            self.wait_until_back();
             if self.is_down.load(Ordering::SeqCst) {
                 return;
             }
--- a/review/stand3/main.rs
+++ b/review/stand3/main.rs
@@ -2,9 +2,8 @@
 //!
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. `TROUBLE=0` leaves the disruption out.
 
-mod case_cold;
 mod case_parts;
-mod case_pause;
+mod case_poison;
 mod client;
 mod engine;
 mod http;
@@ -15,6 +14,7 @@
 use std::path::Path;
 use std::process::ExitCode;
 
+use case_poison::Kind;
 use record::Record;
 
 /// Exit code for a case that could not run.
@@ -38,9 +38,19 @@
     let (case, shared) = (case.clone(), record.clone());
     let run_files = files.clone();
     let run = std::thread::spawn(move || match &*case {
-        "cold" => Some(case_cold::run(&shared, &run_files, has_trouble)),
+        "dark" => Some(case_poison::run(
+            Kind::Dark,
+            &shared,
+            &run_files,
+            has_trouble,
+        )),
+        "rare" => Some(case_poison::run(
+            Kind::Rare,
+            &shared,
+            &run_files,
+            has_trouble,
+        )),
         "parts" => Some(case_parts::run(&shared, &run_files, has_trouble)),
-        "pause" => Some(case_pause::run(&shared, &run_files, has_trouble)),
         _ => None,
     });
     let result = run.join();
--- a/review/stand3/store.rs
+++ b/review/stand3/store.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -15,7 +14,6 @@
 #[derive(Clone, Default)]
 pub struct Store {
     topics: Arc<(Mutex<Topics>, Condvar)>,
-    is_down: Arc<AtomicBool>,
 }
 
 impl Store {
@@ -33,12 +31,6 @@
         (store, address)
     }
 
-    /// While the store is down it answers all calls with 503: nothing was done.
-    pub fn set_down(&self, is_down: bool) {
-        self.is_down.store(is_down, Ordering::SeqCst);
-        self.topics.1.notify_all();
-    }
-
     /// Appends a record; an empty value removes the key.
     pub fn put(&self, topic: &str, key: &str, value: &str) {
         let mut topics = self.topics.0.lock().unwrap();
@@ -47,24 +39,11 @@
         self.topics.1.notify_all();
     }
 
-    /// Appends a record as an engine does; returns false if the store is down.
-    pub fn put_if_up(&self, topic: &str, key: &str, value: &str) -> bool {
-        if self.is_down.load(Ordering::SeqCst) {
-            return false;
-        }
-        self.put(topic, key, value);
-        true
-    }
-
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let mut stream = BufReader::new(stream);
         while let Some(request) = http::read_message(&mut stream) {
-            let (status, body) = if self.is_down.load(Ordering::SeqCst) {
-                (503, Vec::new())
-            } else {
-                self.respond(&request)
-            };
+            let (status, body) = self.respond(&request);
             let head = format!(
                 "HTTP/1.1 {status} X\r\nContent-Length: {}\r\n\r\n",
                 body.len()
@@ -119,9 +98,6 @@
         loop {
             let end = topics.get(topic).map_or(0, Vec::len);
             let left = deadline.saturating_duration_since(Instant::now());
-            if self.is_down.load(Ordering::SeqCst) {
-                return (503, Vec::new());
-            }
             if end != from || left.is_zero() {
                 break;
             }
